--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,3 @@
+//! The control process: replicated log, sessions, members, rules.
+
+pub mod replica;
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,3 @@
+//! Pure decision code: time and randomness are arguments, messages go in, decisions come out.
+
+pub mod dispatch;
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,123 @@
+//! The shared main of the daemons: settings, log, signals, graceful stop.
+
+use std::{env, future::Future, net::SocketAddr, path::Path, process::ExitCode, time::Duration};
+
+use getopts::Options;
+
+use crate::{
+    config,
+    error::{self, Result},
+    transport::signal,
+};
+
+/// Exit code after a stop that cut work off, or a failure while running.
+const EXIT_FAILED: u8 = 1;
+/// Exit code for a wrong command line or wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+/// A daemon.
+pub trait Process: Sized + 'static {
+    type Settings: config::Settings;
+
+    /// Name in usage text and log.
+    const NAME: &'static str;
+
+    /// Starts serving.
+    fn start(settings: Self::Settings) -> impl Future<Output = Result<Self>>;
+
+    /// Where it serves.
+    fn listening(&self) -> Listening;
+
+    /// Finishes the work in flight and stops. Returns how many pieces of work were cut off.
+    fn stop(self) -> impl Future<Output = usize>;
+}
+
+/// Addresses that a process serves at.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Listening {
+    pub http: Option<SocketAddr>,
+    pub rpc: Option<SocketAddr>,
+}
+
+/// Runs a daemon until a signal stops it.
+pub fn main<P: Process>() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format(log_line)
+        .init();
+    let settings = match settings::<P>() {
+        Ok(Some(settings)) => settings,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{}: {e}", P::NAME);
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match actix_rt::System::new().block_on(run::<P>(settings)) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::from(EXIT_FAILED),
+        Err(e) => {
+            log::error!("event=failed process={} {e}", P::NAME);
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+/// Writes one `key=value` line: time, level, then the event's own pairs.
+fn log_line(out: &mut env_logger::fmt::Formatter, record: &log::Record<'_>) -> std::io::Result<()> {
+    use std::io::Write;
+    let at = crate::util::unix_ms();
+    writeln!(out, "at_ms={at} level={} {}", record.level(), record.args())
+}
+
+fn settings<P: Process>() -> Result<Option<P::Settings>> {
+    let mut options = Options::new();
+    options.reqopt("s", "settings", "settings file: JSON with comments", "FILE");
+    options.optflag("h", "help", "print this text");
+    options.optflag("", "check", "check the settings file and exit");
+    let args: Vec<String> = env::args().skip(1).collect();
+    let usage = options.usage(&format!("Usage: {} --settings FILE", P::NAME));
+    if args.iter().any(|a| a == "-h" || a == "--help") {
+        print!("{usage}");
+        return Ok(None);
+    }
+    let matches = options
+        .parse(&args)
+        .map_err(|e| error::UsageSnafu { reason: format!("{e}\n{usage}") }.build())?;
+    let path = matches.opt_str("settings").unwrap_or_default();
+    let settings = config::load(Path::new(&path))?;
+    Ok((!matches.opt_present("check")).then_some(settings))
+}
+
+async fn run<P: Process>(settings: P::Settings) -> Result<usize> {
+    let mut signals = signal::Stop::new().map_err(|source| error::Error::File {
+        step: "signals",
+        path: "".into(),
+        source,
+    })?;
+    let process = P::start(settings).await?;
+    let Listening { http, rpc } = process.listening();
+    let mut line = String::from("listening");
+    for (name, addr) in [("http", http), ("rpc", rpc)] {
+        if let Some(addr) = addr {
+            line += &format!(" {name}={addr}");
+        }
+    }
+    println!("{line}");
+    log::info!("event=started process={} {}", P::NAME, &line["listening".len()..].trim_start());
+    signals.recv().await;
+    log::info!("event=stopping process={}", P::NAME);
+    let cut = tokio::select! {
+        cut = process.stop() => cut,
+        () = signals.recv() => {
+            log::warn!("event=stopped process={} reason=second_signal", P::NAME);
+            return Ok(1);
+        }
+    };
+    log::info!("event=stopped process={} cut={cut}", P::NAME);
+    // Lets answers that were just written leave the socket buffers of this process.
+    tokio::time::sleep(FLUSH).await;
+    Ok(cut)
+}
+
+/// Pause before exit.
+const FLUSH: Duration = Duration::from_millis(20);
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,16 @@
+//! A dispatcher for sub-second tasks.
+//!
+//! Layers, lowest first: [`transport`] moves bytes, [`protocol`] holds typed messages,
+//! [`state`] is what survives a restart, and [`coordination`] is pure decision code.
+//! The process modules wire these together.
+
+pub mod config;
+pub mod control;
+pub mod coordination;
+pub mod daemon;
+pub mod error;
+pub mod metric;
+pub mod protocol;
+pub mod state;
+pub mod transport;
+pub mod util;
--- /dev/null
+++ b/src/metric.rs
@@ -0,0 +1,60 @@
+//! Metrics in the text format of Prometheus.
+
+use std::collections::HashSet;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+/// Most distinct teams that get labels of their own; later ones share [`OTHER`].
+pub const TEAMS_MAX: usize = 1_000;
+/// Label of the teams beyond [`TEAMS_MAX`].
+pub const OTHER: &str = "other";
+/// Upper bounds of latency buckets, in seconds.
+pub const SECONDS: [f64; 12] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
+
+/// Bounds the set of team labels, so that a caller cannot exhaust memory with invented names.
+#[derive(Debug, Default)]
+pub struct Teams {
+    known: HashSet<String>,
+}
+
+impl Teams {
+    /// The label for `team`.
+    pub fn label<'a>(&mut self, team: &'a str) -> &'a str {
+        if self.known.contains(team) {
+            return team;
+        }
+        if self.known.len() >= TEAMS_MAX {
+            return OTHER;
+        }
+        self.known.insert(team.to_owned());
+        team
+    }
+}
+
+/// Registers a histogram with buckets in seconds.
+pub fn seconds(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+    let histogram = HistogramVec::new(opts, labels).expect("metric names are valid");
+    registry.register(Box::new(histogram.clone())).expect("each metric is registered once");
+    histogram
+}
+
+/// Registers a counter.
+pub fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counter =
+        IntCounterVec::new(Opts::new(name, help), labels).expect("metric names are valid");
+    registry.register(Box::new(counter.clone())).expect("each metric is registered once");
+    counter
+}
+
+/// All metrics as text.
+pub fn render(registry: &Registry) -> Vec<u8> {
+    let mut out = Vec::new();
+    let encoded = TextEncoder::new().encode(&registry.gather(), &mut out);
+    if let Err(e) = encoded {
+        log::error!("event=metrics_failed error={e:?}");
+    }
+    out
+}
--- /dev/null
+++ b/src/protocol/job.rs
@@ -0,0 +1,132 @@
+//! What callers send to an entry and get back, as JSON. `docs/api.md` describes it for callers.
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::protocol::id;
+
+/// Most tasks in one job.
+pub const TASKS_MAX: usize = 490;
+
+/// Body of `POST /v1/jobs`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Submission {
+    pub team: id::Team,
+    /// The caller's key; a resubmission repeats it.
+    pub key: String,
+    /// When the caller created the submission, ms since the Unix epoch; a resubmission repeats it.
+    pub created_at_ms: u64,
+    /// Time from arrival until the caller no longer wants the answer, in ms.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u32>,
+    pub tasks: Vec<Task>,
+}
+
+/// Body of `POST /v1/requests`: a single task.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Request {
+    pub team: id::Team,
+    /// Whether running the task twice does no harm. If not, `key` and `created_at_ms` are required.
+    pub idempotent: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub created_at_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub deadline_ms: Option<u32>,
+    pub task: Task,
+}
+
+/// One task as the caller describes it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Task {
+    pub kind: String,
+    pub input: Box<RawValue>,
+    /// Expected run time in ms on a typical backend server; a hint only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub declared_ms: Option<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub needs: Option<Needs>,
+}
+
+/// What a task needs, or what a worker has.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Needs {
+    pub cpus: u16,
+    pub memory_mb: u32,
+    pub accelerators: u16,
+}
+
+/// Body of `POST /v1/jobs/cancel`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cancel {
+    pub team: id::Team,
+    pub key: String,
+}
+
+/// Body of every response of an entry.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(tag = "status", rename_all = "snake_case")]
+pub enum Response {
+    /// Every task ran once; answers are in the order of the tasks.
+    Completed { answers: Vec<Box<RawValue>> },
+    /// No answer; some tasks may have run. The submission is never run again under its key.
+    Failed { reason: Failure, detail: String },
+    /// No task was started, and none will be.
+    NotRun { reason: Refusal, detail: String },
+    /// Still running; only for status queries.
+    Running { done: usize, tasks: usize },
+}
+
+/// Why a submission failed. Part of the public interface.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Failure {
+    /// A task failed at its backend server.
+    TaskFailed,
+    /// A task may have run, its result is lost.
+    OutcomeUnknown,
+    /// The deadline passed after a task had started.
+    DeadlineExceeded,
+    /// The caller cancelled after a task had started.
+    Cancelled,
+    /// The entry that ran the job was lost.
+    EntryLost,
+    /// The job completed, but its large answer is no longer held.
+    AnswerLost,
+}
+
+/// Why a submission was not run. Part of the public interface.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// The submission is not valid.
+    BadRequest,
+    /// The key was used before with other content.
+    KeyConflict,
+    /// `created_at_ms` is older than keys are kept, or in the future.
+    KeyExpired,
+    /// No backend server could ever run a task of the submission.
+    NeverFits,
+    /// The team is over its quota.
+    OverQuota,
+    /// Queues are full.
+    Overloaded,
+    /// No backend server is available.
+    NoBackend,
+    /// The deadline passed before any task started.
+    DeadlineExceeded,
+    /// The caller cancelled before any task started.
+    Cancelled,
+    /// The entry cannot confirm that it holds the current rules.
+    RulesUnconfirmed,
+    /// Control cannot be reached, or did not admit the submission.
+    ControlUnavailable,
+    /// The entry is stopping.
+    Stopping,
+}
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,6 @@
+//! Typed messages between processes, callers, backend servers and operators.
+
+pub mod announce;
+pub mod id;
+pub mod job;
+pub mod wire;
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,3 @@
+//! What survives a restart.
+
+pub mod machine;
--- /dev/null
+++ b/src/transport/http.rs
@@ -0,0 +1,214 @@
+//! HTTP towards callers, backend servers and the platform.
+
+use std::{
+    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+};
+
+use actix_http::{
+    HttpService, Payload, Request, Response, StatusCode,
+    body::{BoxBody, MessageBody},
+    header,
+};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use snafu::ResultExt;
+use tokio::{net::TcpListener, sync::watch, time};
+
+use crate::error::{self, Result};
+
+/// Idle time after which a kept-alive connection is closed.
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+/// Time a client has to send the head of a request.
+const HEAD_LIMIT: Duration = Duration::from_secs(5);
+/// Pause after a failed `accept`, which fails at once again while file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How often a stopping server looks whether its requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// Why a request body could not be read.
+#[derive(Debug)]
+pub enum BodyError {
+    /// Longer than the given limit, in bytes.
+    TooLarge(usize),
+    /// The connection broke off.
+    Broken(String),
+}
+
+/// A listening HTTP server.
+pub struct Server {
+    addr: SocketAddr,
+    shared: Rc<Shared>,
+    stop: watch::Sender<()>,
+}
+
+struct Shared {
+    /// Whether answers carry `Connection: close`.
+    closing: Cell<bool>,
+    in_flight: Cell<usize>,
+}
+
+/// Counts a request for as long as its answer is being written.
+struct Guard(Rc<Shared>);
+
+impl Guard {
+    fn new(shared: &Rc<Shared>) -> Guard {
+        shared.in_flight.set(shared.in_flight.get() + 1);
+        Guard(shared.clone())
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// A body that keeps its request counted until the body has been handed to the connection.
+struct Counted {
+    body: Option<Bytes>,
+    _guard: Guard,
+}
+
+impl MessageBody for Counted {
+    type Error = Infallible;
+
+    fn size(&self) -> actix_http::body::BodySize {
+        let len = self.body.as_ref().map_or(0, Bytes::len);
+        actix_http::body::BodySize::Sized(len as u64)
+    }
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Bytes, Infallible>>> {
+        std::task::Poll::Ready(self.body.take().filter(|b| !b.is_empty()).map(Ok))
+    }
+}
+
+impl Server {
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Requests being answered.
+    pub fn in_flight(&self) -> usize {
+        self.shared.in_flight.get()
+    }
+
+    /// From now on each answer closes its connection.
+    pub fn close_connections(&self) {
+        self.shared.closing.set(true);
+    }
+
+    /// Waits until no request is in flight, at most `limit`. Returns how many were left.
+    pub async fn drain(&self, limit: Duration) -> usize {
+        self.close_connections();
+        let end = time::Instant::now() + limit;
+        while self.in_flight() > 0 && time::Instant::now() < end {
+            time::sleep(DRAIN_POLL).await;
+        }
+        self.in_flight()
+    }
+
+    /// Closes the listener; open connections go on until they are idle.
+    pub fn stop(&self) {
+        let _ = self.stop.send(());
+    }
+}
+
+/// Serves HTTP/1.1 at `addr`, on the current thread.
+pub async fn serve<H, F>(addr: SocketAddr, handler: H) -> Result<Server>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<Bytes>> + 'static,
+{
+    let listener =
+        TcpListener::bind(addr).await.context(error::NetSnafu { step: "listen", peer: addr })?;
+    let addr = listener.local_addr().context(error::NetSnafu { step: "listen", peer: addr })?;
+    let (stop, stopped) = watch::channel(());
+    let shared = Rc::new(Shared { closing: Cell::new(false), in_flight: Cell::new(0) });
+    actix_rt::spawn(accept(listener, handler, shared.clone(), stopped));
+    Ok(Server { addr, shared, stop })
+}
+
+async fn accept<H, F>(
+    listener: TcpListener,
+    handler: H,
+    shared: Rc<Shared>,
+    mut stopped: watch::Receiver<()>,
+) where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<Bytes>> + 'static,
+{
+    let service = HttpService::build()
+        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(HEAD_LIMIT)
+        .tcp_nodelay(true)
+        .finish(fn_service(move |request: Request| {
+            answer(handler.clone(), shared.clone(), request)
+        }))
+        .tcp();
+    let Ok(service) = service.new_service(()).await else { return };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.changed() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                actix_rt::spawn(service.call(stream));
+            }
+            Err(e) => {
+                log::warn!("event=accept_failed error={e:?}");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer<H, F>(
+    handler: H,
+    shared: Rc<Shared>,
+    request: Request,
+) -> Result<Response<BoxBody>, Infallible>
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Response<Bytes>>,
+{
+    let guard = Guard::new(&shared);
+    let mut response = handler(request).await;
+    if shared.closing.get() {
+        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    }
+    Ok(response.map_body(|_, body| BoxBody::new(Counted { body: Some(body), _guard: guard })))
+}
+
+/// Reads a request's body of at most `limit` bytes.
+pub async fn body(payload: &mut Payload, limit: usize) -> Result<Bytes, BodyError> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|e| BodyError::Broken(e.to_string()))?;
+        if body.len() + chunk.len() > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// A JSON response.
+pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Response<Bytes> {
+    typed(status, "application/json", body)
+}
+
+/// A plain text response.
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Bytes> {
+    typed(status, "text/plain; charset=utf-8", body)
+}
+
+fn typed(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> Response<Bytes> {
+    let mut response = Response::with_body(status, body.into());
+    response.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/src/util.rs
@@ -0,0 +1,20 @@
+//! Small helpers that several modules share.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use sha2::{Digest, Sha256};
+
+/// Milliseconds since the Unix epoch by this instance's clock.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Whole milliseconds of `duration`, saturating.
+pub fn millis(duration: Duration) -> u64 {
+    duration.as_millis().try_into().unwrap_or(u64::MAX)
+}
+
+/// SHA-256 of `bytes`.
+pub fn sha256(bytes: &[u8]) -> [u8; 32] {
+    Sha256::digest(bytes).into()
+}
