--- /dev/null
+++ b/src/client.rs
@@ -0,0 +1,145 @@
+//! Calls to the control instances: finds the leader and repeats idempotent calls.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use rand::Rng;
+use tarpc::{client::RpcError, context};
+use tokio::time::{self, Instant};
+
+use crate::{
+    error::{Error, Result},
+    protocol::wire::control,
+    transport::rpc,
+};
+
+/// Time one instance has to answer before the next one is asked: a frozen instance keeps its
+/// connections open.
+const TRY_LIMIT: Duration = Duration::from_millis(1_500);
+/// Pause between tries, in ms; drawn evenly, so that callers do not return in step.
+const PAUSE_MS: std::ops::Range<u64> = 20..80;
+
+/// Why a call to control has no result.
+#[derive(Debug)]
+pub enum Failure {
+    /// Control answered that it does not carry the call out.
+    Refused { peer: SocketAddr, refusal: control::Refusal },
+    /// No answer within the limit: the call may or may not have been carried out.
+    NoAnswer(Error),
+}
+
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Error {
+        match failure {
+            Failure::Refused { peer, refusal } => {
+                Error::Refused { step: "control", peer, reason: describe(&refusal) }
+            }
+            Failure::NoAnswer(e) => e,
+        }
+    }
+}
+
+/// A refusal as a sentence for people.
+pub fn describe(refusal: &control::Refusal) -> String {
+    match refusal {
+        control::Refusal::NotLeader { leader: Some(leader) } => format!("{leader} leads"),
+        control::Refusal::NotLeader { leader: None } => "no leader is known".into(),
+        control::Refusal::NotInitialised => {
+            "no cluster has been formed: run `briargauge init` once".into()
+        }
+        control::Refusal::Stopping => "the instance is stopping".into(),
+        control::Refusal::Fenced => "the session has ended".into(),
+        control::Refusal::Storage { detail } => format!("the record was not stored: {detail}"),
+        control::Refusal::Invalid { detail } => detail.clone(),
+    }
+}
+
+/// A client of all control instances. Cheap to clone; clones share connections.
+#[derive(Clone)]
+pub struct Control {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    links: RefCell<Vec<Rc<rpc::Link<control::ServiceClient>>>>,
+    /// Index of the link that is asked first.
+    current: Cell<usize>,
+}
+
+impl Control {
+    /// A client that knows the instances at `addrs`, of which there must be at least one.
+    pub fn new(addrs: &[SocketAddr]) -> Control {
+        let links = addrs.iter().map(|addr| rpc::Link::new(*addr)).collect();
+        Control { inner: Rc::new(Inner { links: RefCell::new(links), current: Cell::new(0) }) }
+    }
+
+    /// Makes a call at the leader, repeating it until it is answered or `limit` is over.
+    ///
+    /// The call must be idempotent: an instance may carry it out although its answer is lost.
+    pub async fn call<T, F>(
+        &self,
+        step: &'static str,
+        limit: Duration,
+        call: impl Fn(control::ServiceClient, context::Context) -> F,
+    ) -> Result<T, Failure>
+    where
+        F: Future<Output = Result<Result<T, control::Refusal>, RpcError>>,
+    {
+        let end = Instant::now() + limit;
+        loop {
+            let link = self.link();
+            let left = end.saturating_duration_since(Instant::now());
+            let context = rpc::context(left.min(TRY_LIMIT));
+            let failure = match link.call(step, |client| call(client, context)).await {
+                Ok(Ok(answer)) => return Ok(answer),
+                Ok(Err(refusal)) => {
+                    let peer = link.addr();
+                    match refusal {
+                        control::Refusal::NotLeader { leader: Some(leader) } => self.prefer(leader),
+                        control::Refusal::NotLeader { leader: None }
+                        | control::Refusal::NotInitialised
+                        | control::Refusal::Stopping => self.next(),
+                        control::Refusal::Storage { .. } => {}
+                        control::Refusal::Fenced | control::Refusal::Invalid { .. } => {
+                            return Err(Failure::Refused { peer, refusal });
+                        }
+                    }
+                    Failure::Refused { peer, refusal }
+                }
+                Err(e) => {
+                    self.next();
+                    Failure::NoAnswer(e)
+                }
+            };
+            let pause = Duration::from_millis(rand::rng().random_range(PAUSE_MS));
+            if Instant::now() + pause >= end {
+                return Err(failure);
+            }
+            time::sleep(pause).await;
+        }
+    }
+
+    fn link(&self) -> Rc<rpc::Link<control::ServiceClient>> {
+        let links = self.inner.links.borrow();
+        links[self.inner.current.get() % links.len()].clone()
+    }
+
+    fn next(&self) {
+        self.inner.current.set(self.inner.current.get().wrapping_add(1));
+    }
+
+    /// Asks the instance at `addr` next, also if it was not configured.
+    fn prefer(&self, addr: SocketAddr) {
+        let mut links = self.inner.links.borrow_mut();
+        let index = links.iter().position(|l| l.addr() == addr).unwrap_or_else(|| {
+            links.push(rpc::Link::new(addr));
+            links.len() - 1
+        });
+        self.inner.current.set(index);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! [`state`] is what survives a restart, and [`coordination`] is pure decision code.
 //! The process modules wire these together.
 
+pub mod client;
+pub mod cmd;
 pub mod config;
 pub mod control;
 pub mod coordination;
