--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod coordination;
 pub mod daemon;
 pub mod error;
+pub mod load;
 pub mod metric;
 pub mod protocol;
 pub mod state;
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,121 @@
+//! Load and experiment tool: open-loop arrivals against entries, or directly against a backend
+//! server as a baseline.
+
+pub mod options;
+pub mod report;
+pub mod scrape;
+pub mod send;
+pub mod work;
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::time::{self, Instant};
+
+use crate::{
+    error::Result,
+    load::{options::Options, report::Report},
+};
+
+/// Most submissions in flight; arrivals beyond it are counted as skipped.
+const IN_FLIGHT_MAX: usize = 20_000;
+/// Time after the last arrival in which answers are awaited.
+const TAIL_LIMIT: Duration = Duration::from_secs(60);
+
+/// Runs the experiment and returns its report.
+pub async fn run(options: Options) -> Result<Report> {
+    let before = scrape::totals(&options.entries).await?;
+    let report = Rc::new(RefCell::new(Report::new(&options)));
+    let sender = Rc::new(send::Sender::new(&options));
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    for arrival in Arrivals::new(&options) {
+        time::sleep_until(started + arrival.at).await;
+        if sender.in_flight() >= IN_FLIGHT_MAX {
+            report.borrow_mut().skip();
+            continue;
+        }
+        let (sender, report) = (sender.clone(), report.clone());
+        let due = started + arrival.at;
+        tasks.push(actix_rt::spawn(async move {
+            let sample = sender.send(arrival, due).await;
+            report.borrow_mut().add(sample);
+        }));
+    }
+    let _ = time::timeout(TAIL_LIMIT, futures::future::join_all(tasks)).await;
+    let elapsed = started.elapsed();
+    let after = scrape::totals(&options.entries).await?;
+    let mut report = report.borrow().clone();
+    report.close(elapsed, after - before, sender.in_flight());
+    Ok(report)
+}
+
+/// One submission to be made.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// Time since the start of the run.
+    pub at: Duration,
+    pub number: u64,
+    pub team: usize,
+    /// Run times on a backend server of speed 1, in ms, in the order of the tasks.
+    pub work_ms: Vec<u64>,
+    /// Time after sending at which the caller cancels.
+    pub cancel_after: Option<Duration>,
+}
+
+/// Poisson arrivals, drawn from the seed alone.
+#[derive(Debug)]
+pub struct Arrivals {
+    options: Options,
+    random: Pcg64,
+    at: f64,
+    number: u64,
+}
+
+impl Arrivals {
+    pub fn new(options: &Options) -> Arrivals {
+        let random = Pcg64::seed_from_u64(options.seed);
+        Arrivals { options: options.clone(), random, at: 0.0, number: 0 }
+    }
+
+    /// Submissions per second at `at` seconds.
+    fn rate(&self, at: f64) -> f64 {
+        let options = &self.options;
+        let total = options.seconds;
+        let burst = at >= total * 0.4 && at < total * 0.5;
+        options.rate() * if burst { options.burst } else { 1.0 }
+    }
+}
+
+impl Iterator for Arrivals {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        let draw: f64 = self.random.random_range(f64::EPSILON..1.0);
+        self.at += -draw.ln() / self.rate(self.at);
+        if self.at > self.options.seconds {
+            return None;
+        }
+        self.number += 1;
+        let team = if self.random.random_bool(self.options.greedy) {
+            0
+        } else {
+            self.random.random_range(0..self.options.teams)
+        };
+        let work_ms =
+            (0..self.options.tasks).map(|_| self.options.work.draw(&mut self.random)).collect();
+        let cancel = self.random.random_bool(self.options.cancel);
+        let cancel_after = cancel.then(|| {
+            let ms = self.random.random_range(0..self.options.cancel_within_ms);
+            Duration::from_millis(ms)
+        });
+        Some(Arrival {
+            at: Duration::from_secs_f64(self.at),
+            number: self.number,
+            team,
+            work_ms,
+            cancel_after,
+        })
+    }
+}
--- /dev/null
+++ b/src/load/report.rs
@@ -0,0 +1,150 @@
+//! Histograms and totals of a run, printed as key=value lines.
+
+use std::{fmt, time::Duration};
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+
+use crate::load::{
+    options::Options,
+    scrape::Totals,
+    send::{End, Sample},
+};
+
+/// Results of a run.
+#[derive(Debug, Clone)]
+pub struct Report {
+    scenario: String,
+    policy: String,
+    class: &'static str,
+    load: f64,
+    /// Response times in µs of completed submissions, by team.
+    teams: IndexMap<usize, Histogram<u64>>,
+    ends: IndexMap<End, u64>,
+    ratios: f64,
+    completed_tasks: usize,
+    skipped: u64,
+    unanswered: usize,
+    elapsed: Duration,
+    totals: Totals,
+}
+
+impl Report {
+    pub fn new(options: &Options) -> Report {
+        Report {
+            scenario: options.scenario.clone(),
+            policy: options.policy.clone(),
+            class: options.class.name(),
+            load: options.load,
+            teams: IndexMap::new(),
+            ends: IndexMap::new(),
+            ratios: 0.0,
+            completed_tasks: 0,
+            skipped: 0,
+            unanswered: 0,
+            elapsed: Duration::ZERO,
+            totals: Totals::default(),
+        }
+    }
+
+    /// Takes a measurement.
+    pub fn add(&mut self, sample: Sample) {
+        *self.ends.entry(sample.end).or_default() += 1;
+        if sample.end != End::Completed {
+            return;
+        }
+        let histogram = self.teams.entry(sample.team).or_insert_with(histogram);
+        histogram.saturating_record(micros(sample.response));
+        self.completed_tasks += sample.tasks;
+        self.ratios += sample.response.as_secs_f64() / sample.ideal.as_secs_f64().max(1e-3);
+    }
+
+    /// Counts an arrival that was not sent because too many were in flight.
+    pub fn skip(&mut self) {
+        self.skipped += 1;
+    }
+
+    /// Takes over what is only known at the end.
+    pub fn close(&mut self, elapsed: Duration, totals: Totals, unanswered: usize) {
+        self.elapsed = elapsed;
+        self.totals = totals;
+        self.unanswered = unanswered;
+    }
+
+    /// Submissions that ended in a given way.
+    pub fn count(&self, end: End) -> u64 {
+        self.ends.get(&end).copied().unwrap_or(0)
+    }
+
+    fn all(&self) -> Histogram<u64> {
+        let mut all = histogram();
+        for histogram in self.teams.values() {
+            all.add(histogram).expect("histograms have the same bounds");
+        }
+        all
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new(3).expect("3 significant digits are valid")
+}
+
+fn micros(duration: Duration) -> u64 {
+    duration.as_micros().try_into().unwrap_or(u64::MAX)
+}
+
+fn ms(us: u64) -> f64 {
+    us as f64 / 1_000.0
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let head = format!(
+            "scenario={} load={:.2} policy={} class={}",
+            self.scenario, self.load, self.policy, self.class
+        );
+        let completed = self.count(End::Completed);
+        let all = self.all();
+        writeln!(
+            f,
+            "{head} measure=ends completed={completed} failed={} not_run={} wrong={} \
+             skipped={} unanswered={}",
+            self.count(End::Failed),
+            self.count(End::NotRun),
+            self.count(End::Wrong),
+            self.skipped,
+            self.unanswered
+        )?;
+        let ratio = self.ratios / completed.max(1) as f64;
+        writeln!(
+            f,
+            "{head} measure=response mean_over_ideal={ratio:.3} p50_ms={:.3} p99_ms={:.3} \
+             max_ms={:.3}",
+            ms(all.value_at_quantile(0.5)),
+            ms(all.value_at_quantile(0.99)),
+            ms(all.max())
+        )?;
+        let starts = self.totals.starts;
+        writeln!(
+            f,
+            "{head} measure=wasted messages={} starts={starts} per_start={:.4}",
+            self.totals.wasted,
+            self.totals.wasted / starts.max(1.0)
+        )?;
+        writeln!(
+            f,
+            "{head} measure=goodput tasks_per_s={:.1}",
+            self.completed_tasks as f64 / self.elapsed.as_secs_f64().max(1e-3)
+        )?;
+        for (team, histogram) in &self.teams {
+            writeln!(
+                f,
+                "{head} measure=team team=team-{team} completed={} p50_ms={:.3} p99_ms={:.3}",
+                histogram.len(),
+                ms(histogram.value_at_quantile(0.5)),
+                ms(histogram.value_at_quantile(0.99))
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/load/send.rs
@@ -0,0 +1,220 @@
+//! Sends submissions and classifies what comes back.
+
+use std::{cell::Cell, net::SocketAddr, time::Duration};
+
+use actix_http::Method;
+use serde_json::{json, value::RawValue};
+use tokio::time::{self, Instant};
+
+use crate::{
+    load::{
+        Arrival,
+        options::{Class, Options},
+        work,
+    },
+    protocol::{announce, id, job},
+    util,
+};
+
+/// How a submission ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum End {
+    Completed,
+    Failed,
+    NotRun,
+    /// No valid response, or an answer that does not belong to the submission.
+    Wrong,
+}
+
+/// One submission's measurement.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Sample {
+    pub team: usize,
+    pub end: End,
+    pub tasks: usize,
+    /// From the arrival's due time to the whole response.
+    pub response: Duration,
+    /// Time on an idle system with the fastest backend server.
+    pub ideal: Duration,
+    pub cancelled: bool,
+}
+
+/// Sends to entries in turn.
+pub struct Sender {
+    options: Options,
+    client: awc::Client,
+    /// Part of each key, so that runs with the same seed do not meet each other's keys.
+    nonce: u64,
+    in_flight: Cell<usize>,
+}
+
+impl Sender {
+    pub fn new(options: &Options) -> Sender {
+        let connector = awc::Connector::new().limit(0).timeout(Duration::from_secs(5));
+        let client = awc::Client::builder().connector(connector).disable_timeout().finish();
+        let nonce = rand::random();
+        Sender { options: options.clone(), client, nonce, in_flight: Cell::new(0) }
+    }
+
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// Sends a submission that was due at `due` and waits for the response.
+    pub async fn send(&self, arrival: Arrival, due: Instant) -> Sample {
+        self.in_flight.set(self.in_flight.get() + 1);
+        let end = self.outcome(&arrival).await;
+        let response = due.elapsed();
+        self.in_flight.set(self.in_flight.get() - 1);
+        let Options { slots, speed, .. } = self.options;
+        let ideal_ms = work::ideal_ms(&arrival.work_ms, slots, speed);
+        Sample {
+            team: arrival.team,
+            end,
+            tasks: arrival.work_ms.len(),
+            response,
+            ideal: Duration::from_secs_f64(ideal_ms / 1_000.0),
+            cancelled: arrival.cancel_after.is_some(),
+        }
+    }
+
+    async fn outcome(&self, arrival: &Arrival) -> End {
+        let Some(entry) = self.entry(arrival) else {
+            return self.direct(arrival).await;
+        };
+        let key = format!("load-{:x}-{}", self.nonce, arrival.number);
+        let (path, body) = self.body(arrival, &key);
+        let Some(cancel_after) = arrival.cancel_after else {
+            return self.post(entry, path, body, arrival).await;
+        };
+        let cancel = async {
+            time::sleep(cancel_after).await;
+            let body = job::Cancel { team: team(arrival.team), key: key.clone() };
+            let body = serde_json::to_vec(&body).expect("a cancel has string keys");
+            let _ = self.request(entry, "/v1/jobs/cancel", body).await;
+        };
+        let (end, ()) = tokio::join!(self.post(entry, path, body, arrival), cancel);
+        end
+    }
+
+    fn entry(&self, arrival: &Arrival) -> Option<SocketAddr> {
+        let entries = &self.options.entries;
+        (!entries.is_empty()).then(|| entries[arrival.number as usize % entries.len()])
+    }
+
+    fn body(&self, arrival: &Arrival, key: &str) -> (&'static str, Vec<u8>) {
+        let tasks: Vec<job::Task> =
+            arrival.work_ms.iter().enumerate().map(|(n, ms)| self.task(arrival, n, *ms)).collect();
+        let (team, deadline_ms) = (team(arrival.team), Some(self.options.deadline_ms));
+        let created_at_ms = util::unix_ms();
+        let encoded = match self.options.class {
+            Class::Job => {
+                let key = key.to_owned();
+                let job = job::Submission { team, key, created_at_ms, deadline_ms, tasks };
+                serde_json::to_vec(&job)
+            }
+            Class::Keyed | Class::Idempotent => {
+                let keyed = self.options.class == Class::Keyed;
+                let request = job::Request {
+                    team,
+                    idempotent: !keyed,
+                    key: keyed.then(|| key.to_owned()),
+                    created_at_ms: keyed.then_some(created_at_ms),
+                    deadline_ms,
+                    task: tasks.into_iter().next().expect("a request has one task"),
+                };
+                serde_json::to_vec(&request)
+            }
+        };
+        let path = if self.options.class == Class::Job { "/v1/jobs" } else { "/v1/requests" };
+        (path, encoded.expect("a submission has string keys"))
+    }
+
+    fn task(&self, arrival: &Arrival, index: usize, work_ms: u64) -> job::Task {
+        let declared = (work_ms as f64 * self.options.declared).round() as u32;
+        job::Task {
+            kind: "load".into(),
+            input: input(arrival, index, work_ms),
+            declared_ms: (self.options.declared > 0.0).then_some(declared),
+            needs: None,
+        }
+    }
+
+    async fn post(
+        &self,
+        entry: SocketAddr,
+        path: &'static str,
+        body: Vec<u8>,
+        arrival: &Arrival,
+    ) -> End {
+        match self.request(entry, path, body).await {
+            Some(job::Response::Completed { answers }) if matches(&answers, arrival) => {
+                End::Completed
+            }
+            Some(job::Response::Failed { .. }) => End::Failed,
+            Some(job::Response::NotRun { .. }) => End::NotRun,
+            Some(job::Response::Completed { .. } | job::Response::Running { .. }) | None => {
+                End::Wrong
+            }
+        }
+    }
+
+    async fn request(&self, entry: SocketAddr, path: &str, body: Vec<u8>) -> Option<job::Response> {
+        let request = self
+            .client
+            .request(Method::POST, format!("http://{entry}{path}"))
+            .insert_header(("content-type", "application/json"));
+        let mut response = request.send_body(body).await.ok()?;
+        let body = response.body().limit(BODY_MAX_BYTES).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Sends the tasks to the backend server itself.
+    async fn direct(&self, arrival: &Arrival) -> End {
+        let Some(backend) = self.options.direct else { return End::Wrong };
+        let runs = arrival.work_ms.iter().enumerate().map(|(index, work_ms)| {
+            let run = announce::Run {
+                team: team(arrival.team).0,
+                kind: "load".into(),
+                input: input(arrival, index, *work_ms),
+            };
+            let attempt = format!("{:x}-{}-{index}-0", self.nonce, arrival.number);
+            let request = self
+                .client
+                .post(format!("http://{backend}/run"))
+                .insert_header((announce::ATTEMPT_HEADER, attempt));
+            async move {
+                let mut response = request.send_json(&run).await.ok()?;
+                response.body().await.ok().filter(|_| response.status().is_success())
+            }
+        });
+        let answers = futures::future::join_all(runs).await;
+        if answers.iter().all(Option::is_some) { End::Completed } else { End::Failed }
+    }
+}
+
+/// Largest response, in bytes.
+const BODY_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+fn team(number: usize) -> id::Team {
+    id::Team(format!("team-{number}"))
+}
+
+fn input(arrival: &Arrival, index: usize, work_ms: u64) -> Box<RawValue> {
+    let input = json!({"work_ms": work_ms, "tag": tag(arrival, index)});
+    serde_json::value::to_raw_value(&input).expect("an input has string keys")
+}
+
+/// Marks a task so that its answer, which repeats the input, can be told from all others.
+fn tag(arrival: &Arrival, index: usize) -> String {
+    format!("{}/{index}", arrival.number)
+}
+
+/// Whether each answer belongs to its task.
+fn matches(answers: &[Box<RawValue>], arrival: &Arrival) -> bool {
+    answers.len() == arrival.work_ms.len()
+        && answers
+            .iter()
+            .enumerate()
+            .all(|(index, answer)| answer.get().contains(&format!("\"{}\"", tag(arrival, index))))
+}
--- /dev/null
+++ b/tests/workdir/mod.rs
@@ -0,0 +1,171 @@
+//! A temporary folder with settings files and the daemons started in it.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    fs::{self, File},
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Output, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use nix::{
+    sys::signal::{self, Signal},
+    unistd::Pid,
+};
+
+/// Generous limit for anything a test waits for.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// A temporary folder.
+pub struct Workdir {
+    dir: tempfile::TempDir,
+}
+
+/// A program of this project.
+#[derive(Debug, Clone, Copy)]
+pub enum Program {
+    Backend,
+    Control,
+    Entry,
+    Load,
+    Main,
+    Sidecar,
+}
+
+impl Program {
+    fn path(self) -> &'static str {
+        match self {
+            Program::Backend => env!("CARGO_BIN_EXE_briargauge-backend"),
+            Program::Control => env!("CARGO_BIN_EXE_briargauge-control"),
+            Program::Entry => env!("CARGO_BIN_EXE_briargauge-entry"),
+            Program::Load => env!("CARGO_BIN_EXE_briargauge-load"),
+            Program::Main => env!("CARGO_BIN_EXE_briargauge"),
+            Program::Sidecar => env!("CARGO_BIN_EXE_briargauge-sidecar"),
+        }
+    }
+}
+
+impl Workdir {
+    pub fn new() -> Workdir {
+        Workdir { dir: tempfile::tempdir().unwrap() }
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(name)
+    }
+
+    /// Writes a file and returns its path.
+    pub fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.path(name);
+        fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// Runs a program to its end.
+    pub fn run(&self, program: Program, args: &[&str]) -> Output {
+        Command::new(program.path()).args(args).current_dir(self.dir.path()).output().unwrap()
+    }
+
+    /// Starts a daemon with settings and waits until it serves.
+    pub fn start(&self, program: Program, name: &str, settings: &str) -> Daemon {
+        let path = self.file(&format!("{name}.json"), settings);
+        Daemon::start(program, &path, self.path(&format!("{name}.log")))
+    }
+}
+
+/// A running daemon; killed when dropped.
+pub struct Daemon {
+    child: Child,
+    pub http: Option<SocketAddr>,
+    pub rpc: Option<SocketAddr>,
+    log: PathBuf,
+}
+
+impl Daemon {
+    fn start(program: Program, settings: &Path, log: PathBuf) -> Daemon {
+        let stderr = File::options().append(true).create(true).open(&log).unwrap();
+        let mut child = Command::new(program.path())
+            .args(["--settings", settings.to_str().unwrap()])
+            .env("RUST_LOG", "info")
+            .stdout(Stdio::piped())
+            .stderr(stderr)
+            .spawn()
+            .unwrap();
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+        assert!(line.starts_with("listening"), "{program:?} did not start: {}", read(&log));
+        let addr = |name: &str| {
+            let word = line.split_whitespace().find_map(|w| w.strip_prefix(name))?;
+            word.parse().ok()
+        };
+        Daemon { http: addr("http="), rpc: addr("rpc="), child, log }
+    }
+
+    pub fn http(&self) -> SocketAddr {
+        self.http.unwrap()
+    }
+
+    pub fn rpc(&self) -> SocketAddr {
+        self.rpc.unwrap()
+    }
+
+    /// What it has logged.
+    pub fn log(&self) -> String {
+        read(&self.log)
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        signal::kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+
+    /// Kills it at once.
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Stops it as planned and returns its exit status.
+    pub fn stop(mut self) -> ExitStatus {
+        self.signal(Signal::SIGTERM);
+        self.wait()
+    }
+
+    /// Waits for its end.
+    pub fn wait(&mut self) -> ExitStatus {
+        let end = Instant::now() + LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "still running: {}", self.log());
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn read(path: &Path) -> String {
+    fs::read_to_string(path).unwrap_or_default()
+}
+
+/// Waits until `done` gives a value.
+pub fn wait_for<T>(what: &str, mut done: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + LIMIT;
+    loop {
+        if let Some(value) = done() {
+            return value;
+        }
+        assert!(Instant::now() < end, "waited too long for {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
