Control process with admissions, sessions and member list

Cause: entries and sidecars need a control process to talk to. Read barriers are shared by the calls that wait together. Shared interfaces: EntrySync gains number (a delayed report must not overwrite a newer one) and Demand gains held_per_s (a new leader must learn which shares are in use). machine::Op gains Limit, machine::Reply gains Invalid.

--- /dev/null
+++ b/src/control/meter.rs
@@ -0,0 +1,118 @@
+//! Metrics of a control instance.
+
+use prometheus::{IntCounterVec, IntGauge, Registry};
+
+use crate::{
+    metric,
+    protocol::wire::control::{Admission, Refusal},
+    state::machine,
+};
+
+/// Metrics of a control instance.
+pub struct Meter {
+    registry: Registry,
+    calls: IntCounterVec,
+    admissions: IntCounterVec,
+    refusals: IntCounterVec,
+    members: IntGauge,
+    sessions: IntGauge,
+    rules_version: IntGauge,
+    keys: IntGauge,
+    open_jobs: IntGauge,
+    answer_bytes: IntGauge,
+    in_flight: IntGauge,
+    leader: IntGauge,
+}
+
+impl Default for Meter {
+    fn default() -> Meter {
+        let registry = Registry::new();
+        let counter = |name, help, label| metric::counter(&registry, name, help, &[label]);
+        let gauge = |name, help| {
+            let gauge = IntGauge::new(name, help).expect("metric names are valid");
+            registry.register(Box::new(gauge.clone())).expect("each metric is registered once");
+            gauge
+        };
+        Meter {
+            calls: counter("control_calls_total", "Calls taken.", "call"),
+            admissions: counter("control_admissions_total", "Admissions by result.", "result"),
+            refusals: counter("control_refusals_total", "Refused calls by reason.", "reason"),
+            members: gauge("control_members", "Backend servers that hold a lease."),
+            sessions: gauge("control_sessions", "Open entry sessions."),
+            rules_version: gauge("control_rules_version", "Version of the rules applied here."),
+            keys: gauge("control_keys", "Keys kept."),
+            open_jobs: gauge("control_open_jobs", "Jobs without an outcome."),
+            answer_bytes: gauge("control_answer_bytes", "Bytes of the answers kept."),
+            in_flight: gauge("control_proposals_in_flight", "Proposals not yet applied."),
+            leader: gauge("control_leader", "1 if this instance leads."),
+            registry,
+        }
+    }
+}
+
+/// Counts something under way until it is dropped.
+pub struct Guard<'a>(&'a IntGauge);
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+impl Meter {
+    pub fn call(&self, call: &str) {
+        self.calls.with_label_values(&[call]).inc();
+    }
+
+    pub fn refused(&self, refusal: &Refusal) {
+        let reason = match refusal {
+            Refusal::NotLeader { .. } => "not_leader",
+            Refusal::NotInitialised => "not_initialised",
+            Refusal::Stopping => "stopping",
+            Refusal::Fenced => "fenced",
+            Refusal::Storage { .. } => "storage",
+            Refusal::Invalid { .. } => "invalid",
+        };
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    pub fn admission(&self, admission: &Admission) {
+        let result = match admission {
+            Admission::Admitted { .. } => "admitted",
+            Admission::Running { .. } => "running",
+            Admission::Finished { .. } => "finished",
+            Admission::Conflict => "conflict",
+            Admission::Expired => "expired",
+            Admission::Unknown => "unknown",
+        };
+        self.admissions.with_label_values(&[result]).inc();
+    }
+
+    /// Counts a proposal until the guard is dropped.
+    pub fn in_flight(&self) -> Guard<'_> {
+        self.in_flight.inc();
+        Guard(&self.in_flight)
+    }
+
+    /// Proposals not yet applied.
+    pub fn proposals(&self) -> usize {
+        self.in_flight.get().try_into().unwrap_or(0)
+    }
+
+    pub fn state(&self, state: &machine::State) {
+        self.sessions.set(state.sessions().live.len() as i64);
+        self.rules_version.set(state.rules().version as i64);
+        self.keys.set(state.keys() as i64);
+        self.open_jobs.set(state.open_jobs() as i64);
+        self.answer_bytes.set(state.answer_bytes() as i64);
+    }
+
+    pub fn leader(&self, leading: bool, members: usize) {
+        self.leader.set(leading.into());
+        self.members.set(members as i64);
+    }
+
+    pub fn render(&self) -> Vec<u8> {
+        metric::render(&self.registry)
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,3 +1,90 @@
 //! The control process: replicated log, sessions, members, rules.
 
+mod confirm;
+mod core;
+mod meter;
 pub mod replica;
+mod service;
+pub mod settings;
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::{Request, Response, StatusCode};
+use bytes::Bytes;
+use tokio::{sync::watch, time};
+
+use crate::{
+    control::{core::Core, replica::Replica, service::Handler, settings::Settings},
+    daemon,
+    error::Result,
+    protocol::wire::control::Service,
+    transport::{http, rpc},
+};
+
+/// How often leases are looked at. Adds to the length of a lease, so it is short against it.
+const TICK: Duration = Duration::from_millis(100);
+/// How often a stopping instance looks whether its calls have been answered.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// A running control instance.
+pub struct Control {
+    core: Rc<Core>,
+    rpc: rpc::Server,
+    http: http::Server,
+    _stop: watch::Sender<()>,
+}
+
+impl daemon::Process for Control {
+    type Settings = Settings;
+
+    const NAME: &'static str = "briargauge-control";
+
+    async fn start(settings: Settings) -> Result<Control> {
+        let replica = Replica::default();
+        let (rpc, http) = (settings.rpc, settings.http);
+        let core = Core::new(settings, replica);
+        let rpc = rpc::serve(rpc, Handler { core: core.clone() }.serve()).await?;
+        let asked = core.clone();
+        let http = http::serve(http, move |request| answer(asked.clone(), request)).await?;
+        let (stop, stopped) = watch::channel(());
+        actix_rt::spawn(tick(core.clone(), stopped));
+        Ok(Control { core, rpc, http, _stop: stop })
+    }
+
+    fn listening(&self) -> daemon::Listening {
+        daemon::Listening { http: Some(self.http.addr()), rpc: Some(self.rpc.addr()) }
+    }
+
+    async fn stop(self) -> usize {
+        self.core.stop_taking();
+        let limit = Duration::from_millis(self.core.settings.drain_limit_ms);
+        let answered = async {
+            while self.core.meter.proposals() > 0 {
+                time::sleep(DRAIN_POLL).await;
+            }
+        };
+        let _ = time::timeout(limit, answered).await;
+        self.http.stop();
+        self.core.meter.proposals()
+    }
+}
+
+async fn tick(core: Rc<Core>, mut stopped: watch::Receiver<()>) {
+    let mut interval = time::interval(TICK);
+    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = interval.tick() => core.tick(),
+            _ = stopped.changed() => return,
+        }
+    }
+}
+
+async fn answer(core: Rc<Core>, request: Request) -> Response<Bytes> {
+    match request.path() {
+        "/metrics" => http::text(StatusCode::OK, core.metrics()),
+        "/health" if core.stopping() => http::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+        "/health" => http::text(StatusCode::OK, "ok\n"),
+        _ => http::text(StatusCode::NOT_FOUND, "not found\n"),
+    }
+}
--- /dev/null
+++ b/src/control/service.rs
@@ -0,0 +1,106 @@
+//! The `wire::control` service.
+
+use std::rc::Rc;
+
+use tarpc::context::Context;
+
+use crate::{
+    control::core::Core,
+    protocol::{id, wire::control},
+};
+
+/// Handles calls; one clone per call.
+#[derive(Clone)]
+pub struct Handler {
+    pub core: Rc<Core>,
+}
+
+impl control::Service for Handler {
+    async fn register(
+        self,
+        _: Context,
+        hello: control::Hello,
+    ) -> Result<control::Session, control::Refusal> {
+        self.core.counted("register", self.core.register(hello)).await
+    }
+
+    async fn sync_entry(
+        self,
+        _: Context,
+        sync: control::EntrySync,
+    ) -> Result<control::EntryView, control::Refusal> {
+        self.core.counted("sync_entry", self.core.sync_entry(sync)).await
+    }
+
+    async fn sync_sidecar(
+        self,
+        _: Context,
+        sync: control::SidecarSync,
+    ) -> Result<control::SidecarView, control::Refusal> {
+        self.core.counted("sync_sidecar", self.core.sync_sidecar(sync)).await
+    }
+
+    async fn admit(
+        self,
+        _: Context,
+        admit: control::Admit,
+    ) -> Result<control::Admission, control::Refusal> {
+        self.core.counted("admit", self.core.admit(admit)).await
+    }
+
+    async fn finish(
+        self,
+        _: Context,
+        finish: control::Finish,
+    ) -> Result<control::Finished, control::Refusal> {
+        self.core.counted("finish", self.core.finish(finish)).await
+    }
+
+    async fn lookup(
+        self,
+        _: Context,
+        key: id::Key,
+    ) -> Result<control::Admission, control::Refusal> {
+        self.core.counted("lookup", self.core.lookup(key)).await
+    }
+
+    async fn change_rules(
+        self,
+        _: Context,
+        change: control::Change,
+    ) -> Result<control::Changed, control::Refusal> {
+        self.core.counted("change_rules", self.core.change_rules(change)).await
+    }
+
+    async fn rules(self, _: Context) -> Result<control::Rules, control::Refusal> {
+        self.core.counted("rules", self.core.rules()).await
+    }
+
+    async fn history(
+        self,
+        _: Context,
+        limit: u32,
+    ) -> Result<Vec<control::Accepted>, control::Refusal> {
+        self.core.counted("history", self.core.history(limit)).await
+    }
+
+    async fn members(self, _: Context) -> Result<Vec<control::Member>, control::Refusal> {
+        self.core.counted("members", self.core.members()).await
+    }
+
+    async fn status(self, _: Context) -> control::Status {
+        self.core.status()
+    }
+
+    async fn init(self, _: Context) -> Result<(), control::Refusal> {
+        self.core.counted("init", self.core.init()).await
+    }
+
+    async fn change_voters(
+        self,
+        _: Context,
+        change: control::VoterChange,
+    ) -> Result<(), control::Refusal> {
+        self.core.counted("change_voters", self.core.change_voters(change)).await
+    }
+}
--- /dev/null
+++ b/src/control/settings.rs
@@ -0,0 +1,74 @@
+//! Settings of a control instance.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use serde::Deserialize;
+
+use crate::{config, state::machine};
+
+/// Shortest retention of keys, in ms: a resubmission must find its key.
+const RETENTION_MIN_MS: u64 = 60_000;
+
+/// Settings of a control instance.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Number of this instance, unique in the cluster.
+    pub node: u64,
+    /// Where the folder of log and snapshots is, or is created.
+    pub data_folder: PathBuf,
+    /// Where `/health` and `/metrics` are served.
+    pub http: SocketAddr,
+    /// Where the calls of entries, sidecars, operators and other instances are served.
+    pub rpc: SocketAddr,
+    /// How long keys are remembered after their submission was created.
+    #[serde(default = "retention_ms")]
+    pub retention_ms: u64,
+    /// Most keys remembered.
+    #[serde(default = "keys_max")]
+    pub keys_max: u64,
+    /// Most memory for answers.
+    #[serde(default = "answers_max_bytes")]
+    pub answers_max_bytes: u64,
+    /// Time to hand leadership over and answer the calls in flight when stopping.
+    #[serde(default = "drain_limit_ms")]
+    pub drain_limit_ms: u64,
+}
+
+impl Settings {
+    pub fn limits(&self) -> machine::Limits {
+        machine::Limits {
+            retention_ms: self.retention_ms,
+            keys_max: self.keys_max,
+            answers_max_bytes: self.answers_max_bytes,
+        }
+    }
+}
+
+impl config::Settings for Settings {
+    fn check(&self) -> Result<(), (String, String)> {
+        if self.retention_ms < RETENTION_MIN_MS {
+            return Err(("retention_ms".into(), format!("must be at least {RETENTION_MIN_MS}")));
+        }
+        if self.keys_max == 0 {
+            return Err(("keys_max".into(), "must be at least 1".into()));
+        }
+        Ok(())
+    }
+}
+
+fn retention_ms() -> u64 {
+    machine::Limits::default().retention_ms
+}
+
+fn keys_max() -> u64 {
+    machine::Limits::default().keys_max
+}
+
+fn answers_max_bytes() -> u64 {
+    machine::Limits::default().answers_max_bytes
+}
+
+fn drain_limit_ms() -> u64 {
+    5_000
+}
--- a/src/protocol/wire/control.rs
+++ b/src/protocol/wire/control.rs
@@ -78,18 +78,24 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EntrySync {
     pub epoch: id::Epoch,
+    /// Increases with each call of the session. A call with a lower number is refused as
+    /// superseded, and an entry drops the answer of a call once it has sent a newer one.
+    pub number: u64,
     pub rules_version: u64,
     /// Revision of the member list it holds, `None` for none.
     pub members: Option<Revision>,
     pub demands: Vec<Demand>,
 }
 
-/// Task starts a team asked of this entry since the last report.
+/// Task starts a team asked of this entry since the last report. Sent for each team that asked or
+/// of whose quota the entry holds a share; a team that is absent counts as neither.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     pub team: id::Team,
     /// Asked, whether granted or not, in starts per second.
     pub starts_per_s: f64,
+    /// Share that the entry holds when it sends this, in starts per second, 0 for none.
+    pub held_per_s: f64,
 }
 
 /// What an entry learns.
@@ -100,7 +106,8 @@
     /// Sent if the reported version is not current.
     pub rules: Option<Rules>,
     pub members: Members,
-    /// This entry's part of each team's quota; teams that are absent have no quota.
+    /// This entry's part of each team's quota, replacing all earlier ones; teams that are absent
+    /// have no quota.
     pub shares: Vec<Share>,
 }
 
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -1,10 +1,12 @@
 //! The replicated state: every control instance applies the same commands in the same order.
 //!
-//! `apply` must be deterministic: time comes with the command.
+//! `apply` is a pure function of the state and the command: time comes with the command, limits
+//! are set by a command, and nothing else is consulted.
 
-use std::net::SocketAddr;
+mod admission;
+mod history;
+mod session;
 
-use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::{
@@ -31,6 +33,8 @@
     Fence(Vec<id::Epoch>),
     /// Records the open jobs of fenced sessions as failed.
     Abandon(Vec<id::Epoch>),
+    /// Sets how long and how much is kept. The leader proposes it when its settings differ.
+    Limit(Limits),
 }
 
 /// Result of a command.
@@ -43,62 +47,145 @@
     Done,
     /// The command's session is fenced.
     Fenced,
+    /// The command makes no sense, for example the end of another session's job.
+    Invalid(&'static str),
 }
 
-/// The replicated state.
-#[derive(Debug, Default, Clone, Serialize, Deserialize)]
-pub struct State {
-    sessions: IndexMap<u64, Session>,
-    jobs: IndexMap<id::Key, Job>,
+/// How long and how much the state keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// How long a key is remembered, counted from its submission's `created_at_ms`.
+    pub retention_ms: u64,
+    /// Most keys kept. Above it the oldest closed ones go early, and submissions as old are
+    /// refused from then on.
+    pub keys_max: u64,
+    /// Most bytes of answers kept. Above it the oldest answers are dropped, their keys are kept.
+    pub answers_max_bytes: u64,
 }
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct Session {
-    addr: SocketAddr,
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            retention_ms: 24 * 60 * 60 * 1_000,
+            keys_max: 2_000_000,
+            answers_max_bytes: 512 * 1024 * 1024,
+        }
+    }
 }
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
-struct Job {
-    job: id::Job,
-    run: id::Run,
-    digest: [u8; 32],
-    outcome: Option<wire::Outcome>,
+/// How far in the future `created_at_ms` may lie, for callers whose clocks run ahead, in ms.
+pub const FUTURE_MAX_MS: u64 = 5 * 60 * 1_000;
+/// How much longer than the retention a closed record is kept, so that a submission that another
+/// clock still counts as in range is answered from the record, in ms.
+pub const SKEW_MARGIN_MS: u64 = 5 * 60 * 1_000;
+
+pub use history::{DECISIONS_MAX, HISTORY_MAX, HISTORY_MAX_BYTES, NAME_MAX_BYTES, RULES_MAX_BYTES};
+
+/// The replicated state.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    now_ms: u64,
+    limits: Limits,
+    sessions: session::Sessions,
+    admissions: admission::Admissions,
+    history: history::History,
 }
 
 impl State {
     /// Applies the command at log position `index`.
     pub fn apply(&mut self, index: u64, command: Command) -> Reply {
+        self.now_ms = self.now_ms.max(command.now_ms);
+        let mut admissions = admission::Step {
+            now_ms: self.now_ms,
+            limits: self.limits,
+            sessions: &mut self.sessions,
+            admissions: &mut self.admissions,
+        };
+        admissions.sweep();
         match command.op {
-            Op::Register(hello) => {
-                self.sessions.insert(index, Session { addr: hello.addr });
-                Reply::Registered(id::Epoch(index))
+            Op::Register(hello) => Reply::Registered(self.sessions.register(index, &hello)),
+            Op::Admit(admit) => admissions.admit(index, &admit),
+            Op::Finish(finish) => admissions.finish(finish),
+            Op::Change(change) => Reply::Changed(self.history.change(self.now_ms, &change)),
+            Op::Fence(epochs) => {
+                for epoch in epochs {
+                    self.sessions.fence(index, epoch);
+                }
+                Reply::Done
             }
-            Op::Admit(admit) => Reply::Admission(self.admit(index, admit)),
-            Op::Finish(finish) => {
-                if let Some(job) = self.jobs.values_mut().find(|j| j.job == finish.job) {
-                    job.outcome = Some(finish.outcome);
+            Op::Abandon(epochs) => {
+                for epoch in epochs {
+                    admissions.abandon(epoch);
                 }
-                Reply::Finished(control::Finished::Recorded)
+                Reply::Done
+            }
+            Op::Limit(limits) => {
+                self.limits = limits;
+                Reply::Done
             }
-            Op::Change(_) | Op::Fence(_) | Op::Abandon(_) => Reply::Done,
         }
     }
 
-    fn admit(&mut self, index: u64, admit: control::Admit) -> control::Admission {
-        let job = self.jobs.entry(admit.key).or_insert(Job {
-            job: id::Job(index),
-            run: admit.run,
-            digest: admit.digest,
-            outcome: None,
-        });
-        let owner = self.sessions[&job.run.epoch.0].addr;
-        match &job.outcome {
-            _ if job.digest != admit.digest => control::Admission::Conflict,
-            Some(outcome) => {
-                control::Admission::Finished { job: job.job, owner, outcome: outcome.clone() }
-            }
-            None if job.run == admit.run => control::Admission::Admitted { job: job.job },
-            None => control::Admission::Running { job: job.job, owner },
-        }
+    /// The highest clock applied, ms since the Unix epoch.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// What is known of a key.
+    pub fn lookup(&self, key: &id::Key) -> control::Admission {
+        self.admissions.lookup(key, &self.sessions)
+    }
+
+    /// The rules in force.
+    pub fn rules(&self) -> &control::Rules {
+        self.history.rules()
     }
+
+    /// The newest `limit` accepted changes, newest first.
+    pub fn history(&self, limit: usize) -> Vec<control::Accepted> {
+        self.history.newest(limit)
+    }
+
+    /// The list of live entry sessions for sidecars.
+    pub fn sessions(&self) -> control::Sessions {
+        self.sessions.list()
+    }
+
+    /// Whether a session is open.
+    pub fn live(&self, epoch: id::Epoch) -> bool {
+        self.sessions.live(epoch)
+    }
+
+    /// The open session of an entry's process start.
+    pub fn session_of(&self, start: u64) -> Option<id::Epoch> {
+        self.sessions.of(start)
+    }
+
+    /// Sessions that are fenced and whose jobs have not been abandoned.
+    pub fn fenced(&self) -> Vec<id::Epoch> {
+        self.sessions.fenced()
+    }
+
+    /// Keys kept.
+    pub fn keys(&self) -> usize {
+        self.admissions.keys()
+    }
+
+    /// Jobs without an outcome.
+    pub fn open_jobs(&self) -> usize {
+        self.admissions.open_jobs()
+    }
+
+    /// Bytes of the answers kept.
+    pub fn answer_bytes(&self) -> u64 {
+        self.admissions.answer_bytes()
+    }
+}
+
+fn failed(reason: crate::protocol::job::Failure, detail: &str) -> wire::Outcome {
+    wire::Outcome::Failed { reason, detail: detail.into() }
 }
