Rule language: parser, checks, printer and lookups

Cause: operators configure teams, placement and drains in a plain text file. Change: protocol::rule parses one rule per line with the comment that names who asked for it, reports up to 20 faults with line numbers, the nearest known word, and both lines of duplicates and contradictions; state::machine refuses texts that do not parse. Conclusion: any valid file round-trips through the printer (quickcheck).

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,4 +3,5 @@
 pub mod announce;
 pub mod id;
 pub mod job;
+pub mod rule;
 pub mod wire;
--- a/src/state/machine/history.rs
+++ b/src/state/machine/history.rs
@@ -5,7 +5,10 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::{protocol::wire::control, util};
+use crate::{
+    protocol::{rule, wire::control},
+    util,
+};
 
 /// Answers kept for resends, about 4 days at 1,700 changes a day. A resend of an accepted change
 /// whose answer is gone meets a newer version and gets a conflict; it is never applied twice.
@@ -118,11 +121,8 @@
             let winner = self.accepted.back().map_or(String::new(), |a| a.operator.clone());
             return control::Changed::Conflict { version, winner };
         }
-        if let Err(mut detail) = check(&change.text) {
-            let end = (0..=DETAIL_MAX_BYTES.min(detail.len())).rev();
-            let end = end.into_iter().find(|i| detail.is_char_boundary(*i));
-            detail.truncate(end.unwrap_or(0));
-            return control::Changed::Invalid { detail };
+        if let Err(faults) = rule::Rules::parse(&change.text) {
+            return control::Changed::Invalid { detail: detail(&faults) };
         }
         let version = version + 1;
         let undo = Undo::new(&self.rules.text, &change.text);
@@ -173,8 +173,13 @@
     }
 }
 
-fn check(_text: &str) -> Result<(), String> {
-    Ok(())
+/// The faults as text, as many as there is room for.
+fn detail(faults: &rule::Faults) -> String {
+    let mut detail = faults.to_string();
+    let end = DETAIL_MAX_BYTES.min(detail.len());
+    let end = (0..=end).rev().find(|i| detail.is_char_boundary(*i)).unwrap_or(0);
+    detail.truncate(end);
+    detail
 }
 
 fn unfit(change: &control::Change) -> Option<String> {
