Sidecar and stand-in backend server: first working parts

Cause: attempts need a process that alone decides whether they start. Change: slot admission, lease, sidecar process, stand-in backend server, HTTP client.

--- /dev/null
+++ b/src/backend/starts.rs
@@ -0,0 +1,55 @@
+//! Counts the starts of each attempt, across restarts if there is a file.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    fs::{File, OpenOptions},
+    io::{BufRead, BufReader, Write},
+    path::Path,
+};
+
+use snafu::ResultExt;
+
+use crate::error::{self, Result};
+
+/// Starts per attempt id.
+pub struct Starts {
+    counts: RefCell<BTreeMap<String, u64>>,
+    file: Option<RefCell<File>>,
+}
+
+impl Starts {
+    /// Reads what is in the file; later starts are appended to it.
+    pub fn new(path: Option<&Path>) -> Result<Starts> {
+        let mut counts = BTreeMap::new();
+        let Some(path) = path else {
+            return Ok(Starts { counts: RefCell::new(counts), file: None });
+        };
+        let file = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .read(true)
+            .open(path)
+            .context(error::FileSnafu { step: "open starts", path })?;
+        for line in BufReader::new(&file).lines() {
+            let line = line.context(error::FileSnafu { step: "read starts", path })?;
+            *counts.entry(line).or_default() += 1;
+        }
+        Ok(Starts { counts: RefCell::new(counts), file: Some(RefCell::new(file)) })
+    }
+
+    /// Counts a start, in the file first.
+    pub fn add(&self, attempt: &str) {
+        if let Some(file) = &self.file
+            && let Err(e) = file.borrow_mut().write_all(format!("{attempt}\n").as_bytes())
+        {
+            log::error!("event=starts_file_failed error={e:?}");
+        }
+        *self.counts.borrow_mut().entry(attempt.to_owned()).or_default() += 1;
+    }
+
+    /// Counts per attempt id as JSON.
+    pub fn json(&self) -> String {
+        serde_json::to_string(&*self.counts.borrow()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/bin/briargauge-sidecar.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    briargauge::daemon::main::<briargauge::sidecar::Sidecar>()
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,3 +1,5 @@
 //! Pure decision code: time and randomness are arguments, messages go in, decisions come out.
 
 pub mod dispatch;
+pub mod lease;
+pub mod slot;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`state`] is what survives a restart, and [`coordination`] is pure decision code.
 //! The process modules wire these together.
 
+pub mod backend;
 pub mod config;
 pub mod control;
 pub mod coordination;
@@ -11,6 +12,7 @@
 pub mod error;
 pub mod metric;
 pub mod protocol;
+pub mod sidecar;
 pub mod state;
 pub mod transport;
 pub mod util;
--- a/src/protocol/announce.rs
+++ b/src/protocol/announce.rs
@@ -33,6 +33,14 @@
 /// Age of the last announcement after which a sidecar counts its backend server as gone, in ms.
 pub const ANNOUNCE_LEASE_MS: u64 = 2_000;
 
+/// Body of `POST /leave`. The sidecar answers once the attempts in flight have ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Leave {
+    /// The start that leaves, as announced.
+    pub start: u64,
+}
+
 /// Body of `POST /run` to the backend server.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Run {
--- /dev/null
+++ b/src/sidecar/meter.rs
@@ -0,0 +1,109 @@
+//! Metrics of the sidecar.
+
+use std::{cell::RefCell, time::Duration};
+
+use prometheus::{HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry};
+
+use crate::{
+    metric,
+    protocol::wire::sidecar::{Load, NotStarted, RunResult},
+};
+
+/// Counters and histograms of one sidecar.
+pub struct Meter {
+    registry: Registry,
+    starts: IntCounterVec,
+    refusals: IntCounterVec,
+    ends: IntCounterVec,
+    run_by_team: HistogramVec,
+    run_by_kind: HistogramVec,
+    load: IntGaugeVec,
+    syncs: IntCounterVec,
+    teams: RefCell<metric::Teams>,
+    kinds: RefCell<metric::Teams>,
+}
+
+impl Meter {
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Meter {
+        let registry = Registry::new();
+        let counter = |name, help, labels: &[&str]| metric::counter(&registry, name, help, labels);
+        let load = IntGaugeVec::new(Opts::new("sidecar_load", "Slots and queue"), &["of"])
+            .expect("metric names are valid");
+        registry.register(Box::new(load.clone())).expect("each metric is registered once");
+        Meter {
+            starts: counter("sidecar_starts_total", "Attempts started", &["team"]),
+            refusals: counter("sidecar_refusals_total", "Attempts not started", &["reason"]),
+            ends: counter("sidecar_ends_total", "Started attempts ended", &["result"]),
+            syncs: counter("sidecar_syncs_total", "Calls to control", &["result"]),
+            run_by_team: metric::seconds(
+                &registry,
+                "sidecar_run_seconds",
+                "Run time by team",
+                &["team"],
+            ),
+            run_by_kind: metric::seconds(
+                &registry,
+                "sidecar_kind_run_seconds",
+                "Run time by kind of task",
+                &["kind"],
+            ),
+            load,
+            teams: RefCell::default(),
+            kinds: RefCell::default(),
+            registry,
+        }
+    }
+
+    pub fn started(&self, team: &str) {
+        self.starts.with_label_values(&[self.teams.borrow_mut().label(team)]).inc();
+    }
+
+    pub fn refused(&self, reason: NotStarted) {
+        let reason = match reason {
+            NotStarted::WrongIncarnation => "wrong_incarnation",
+            NotStarted::NoLease => "no_lease",
+            NotStarted::Fenced => "fenced",
+            NotStarted::Draining => "draining",
+            NotStarted::Revoked => "revoked",
+            NotStarted::Expired => "expired",
+            NotStarted::Full => "full",
+            NotStarted::TooLarge => "too_large",
+            NotStarted::Unreachable => "unreachable",
+        };
+        self.refusals.with_label_values(&[reason]).inc();
+    }
+
+    pub fn ended(&self, team: &str, kind: &str, result: &RunResult, ran: Duration) {
+        let label = match result {
+            RunResult::Done { .. } => "done",
+            RunResult::Failed { .. } => "failed",
+            RunResult::NotStarted { reason } => {
+                self.refused(*reason);
+                return;
+            }
+        };
+        self.ends.with_label_values(&[label]).inc();
+        let ran = ran.as_secs_f64();
+        let team = self.teams.borrow_mut().label(team);
+        self.run_by_team.with_label_values(&[team]).observe(ran);
+        let kind = self.kinds.borrow_mut().label(kind);
+        self.run_by_kind.with_label_values(&[kind]).observe(ran);
+    }
+
+    pub fn load(&self, load: Load) {
+        let set = |of, value: u16| self.load.with_label_values(&[of]).set(value.into());
+        set("slots", load.slots);
+        set("busy", load.busy);
+        set("queued", load.queued);
+    }
+
+    pub fn synced(&self, result: &str) {
+        self.syncs.with_label_values(&[result]).inc();
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> Vec<u8> {
+        metric::render(&self.registry)
+    }
+}
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,75 @@
+//! The sidecar process: stands beside one backend server and alone decides whether an attempt
+//! starts there.
+
+pub mod attempt;
+pub mod core;
+pub mod meter;
+pub mod platform;
+pub mod service;
+pub mod settings;
+pub mod sync;
+pub mod web;
+pub mod worker;
+
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::task::JoinHandle;
+use tokio::time;
+
+use crate::{
+    daemon,
+    error::Result,
+    protocol::wire::sidecar::Service as _,
+    transport::{http, rpc},
+};
+
+/// Time for the last replies to leave their connections.
+const SETTLE: Duration = Duration::from_millis(50);
+
+/// A running sidecar.
+pub struct Sidecar {
+    core: Rc<core::Core<worker::Worker>>,
+    http: http::Server,
+    rpc: rpc::Server,
+    sync: JoinHandle<()>,
+}
+
+impl daemon::Process for Sidecar {
+    type Settings = settings::Settings;
+
+    const NAME: &'static str = "briargauge-sidecar";
+
+    async fn start(settings: settings::Settings) -> Result<Sidecar> {
+        let platform =
+            worker::Worker::new(settings.answer_max_bytes, settings.task.usage_interval_ms);
+        let core = core::Core::new(platform, settings);
+        let handler = service::Handler { core: core.clone() };
+        let rpc = rpc::serve(core.settings.rpc, handler.serve()).await?;
+        core.set_addr(core.settings.advertise.unwrap_or(rpc.addr()));
+        let http_addr = core.settings.http;
+        let web = core.clone();
+        let http = http::serve(http_addr, move |request| web::answer(web.clone(), request)).await?;
+        actix_rt::spawn(core.clone().tick_on());
+        let sync = actix_rt::spawn(sync::Control::new(core.clone()).run());
+        Ok(Sidecar { core, http, rpc, sync })
+    }
+
+    fn listening(&self) -> daemon::Listening {
+        daemon::Listening { http: Some(self.http.addr()), rpc: Some(self.rpc.addr()) }
+    }
+
+    async fn stop(self) -> usize {
+        let linger = time::sleep(self.core.settings.linger_ms);
+        self.core.stop();
+        let cut = self.core.drained(self.core.settings.drain_limit_ms).await;
+        // Tells control that the backend server is gone now that nothing runs.
+        self.core.urgent.notify_one();
+        linger.await;
+        self.http.drain(SETTLE).await;
+        self.http.stop();
+        time::sleep(SETTLE).await;
+        self.sync.abort();
+        self.core.close();
+        cut
+    }
+}
--- /dev/null
+++ b/src/sidecar/service.rs
@@ -0,0 +1,43 @@
+//! The calls of entries.
+
+use std::rc::Rc;
+
+use tarpc::context::Context;
+
+use crate::{
+    protocol::{
+        id,
+        wire::sidecar::{Cancelled, Reply, Revoked, Service, Task},
+    },
+    sidecar::{core::Core, platform::Platform},
+};
+
+/// The service of one sidecar.
+pub struct Handler<P: Platform> {
+    pub core: Rc<Core<P>>,
+}
+
+impl<P: Platform> Clone for Handler<P> {
+    fn clone(&self) -> Handler<P> {
+        Handler { core: self.core.clone() }
+    }
+}
+
+impl<P: Platform> Service for Handler<P> {
+    async fn run(self, _: Context, task: Task) -> Reply {
+        self.core.run(task).await
+    }
+
+    async fn cancel(self, _: Context, run: id::Run) -> Cancelled {
+        self.core.cancel(run)
+    }
+
+    async fn revoke(
+        self,
+        _: Context,
+        incarnation: id::Incarnation,
+        attempts: Vec<id::Attempt>,
+    ) -> Vec<Revoked> {
+        self.core.revoke(incarnation, &attempts)
+    }
+}
--- /dev/null
+++ b/src/sidecar/settings.rs
@@ -0,0 +1,147 @@
+//! Settings of the sidecar.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::{config, protocol::announce};
+
+/// Settings of the sidecar.
+#[serde_as]
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Where the backend server announces itself; also metrics and health.
+    pub http: SocketAddr,
+    /// Where entries call.
+    pub rpc: SocketAddr,
+    /// Address under which entries reach `rpc`, if another one.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    pub data_centre: String,
+    pub rack: String,
+    /// Control instances, tried in order.
+    pub control: Vec<SocketAddr>,
+    /// Attempts that may wait for a slot.
+    #[serde(default = "defaults::queue")]
+    pub queue: u16,
+    /// Longest answer of a task.
+    #[serde(default = "defaults::answer_max_bytes")]
+    pub answer_max_bytes: usize,
+    #[serde(default = "defaults::sync_interval_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub sync_interval_ms: Duration,
+    /// Time a control instance has to answer before the next one is tried.
+    #[serde(default = "defaults::control_call_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub control_call_ms: Duration,
+    /// Age of the last announcement after which the backend server counts as gone.
+    #[serde(default = "defaults::announce_lease_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub announce_lease_ms: Duration,
+    /// Time that running attempts have to end when the backend server or the sidecar leaves.
+    #[serde(default = "defaults::drain_limit_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub drain_limit_ms: Duration,
+    /// Least time for which a stopping sidecar goes on refusing attempts, so that entries learn
+    /// from control that it has left before they find its port closed.
+    #[serde(default = "defaults::linger_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub linger_ms: Duration,
+    #[serde(default)]
+    pub task: Task,
+}
+
+/// How running tasks are supervised on the platform.
+#[serde_as]
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Task {
+    /// Length of a task's worker lease; renewed three times within it.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub lease_ms: Duration,
+    /// How often the platform reports usage.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub usage_interval_ms: Duration,
+    /// Usage relative to the declared size above which a task is throttled.
+    pub throttle_ratio: f64,
+    /// Usage relative to the declared size above which a task is stopped.
+    pub stop_ratio: f64,
+    /// Time after which a throttled task is stopped if it is still above `throttle_ratio`.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub throttle_grace_ms: Duration,
+}
+
+impl Default for Task {
+    fn default() -> Task {
+        Task {
+            lease_ms: Duration::from_secs(3),
+            usage_interval_ms: Duration::from_secs(1),
+            throttle_ratio: 1.5,
+            stop_ratio: 3.0,
+            throttle_grace_ms: Duration::from_secs(2),
+        }
+    }
+}
+
+mod defaults {
+    use super::{Duration, announce};
+
+    pub fn queue() -> u16 {
+        8
+    }
+
+    pub fn answer_max_bytes() -> usize {
+        1024 * 1024
+    }
+
+    pub fn sync_interval_ms() -> Duration {
+        Duration::from_secs(1)
+    }
+
+    pub fn control_call_ms() -> Duration {
+        Duration::from_millis(800)
+    }
+
+    pub fn announce_lease_ms() -> Duration {
+        Duration::from_millis(announce::ANNOUNCE_LEASE_MS)
+    }
+
+    pub fn drain_limit_ms() -> Duration {
+        Duration::from_secs(30)
+    }
+
+    pub fn linger_ms() -> Duration {
+        Duration::from_millis(1_500)
+    }
+}
+
+impl config::Settings for Settings {
+    fn check(&self) -> Result<(), (String, String)> {
+        let fail = |key: &str, reason: &str| Err((key.to_owned(), reason.to_owned()));
+        if self.control.is_empty() {
+            return fail("control", "needs at least one address");
+        }
+        if self.answer_max_bytes == 0 {
+            return fail("answer_max_bytes", "must be positive");
+        }
+        if self.sync_interval_ms.is_zero() {
+            return fail("sync_interval_ms", "must be positive");
+        }
+        if self.control_call_ms.is_zero() {
+            return fail("control_call_ms", "must be positive");
+        }
+        let Task { lease_ms, usage_interval_ms, throttle_ratio, stop_ratio, .. } = self.task;
+        if lease_ms.as_millis() < 3 {
+            return fail("task.lease_ms", "must be at least 3");
+        }
+        if usage_interval_ms.is_zero() {
+            return fail("task.usage_interval_ms", "must be positive");
+        }
+        if !(throttle_ratio >= 1.0 && throttle_ratio <= stop_ratio) {
+            return fail("task.throttle_ratio", "must be between 1 and task.stop_ratio");
+        }
+        Ok(())
+    }
+}
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -5,7 +5,7 @@
 };
 
 use actix_http::{
-    HttpService, Payload, Request, Response, StatusCode,
+    HttpService, Method, Payload, Request, Response, StatusCode,
     body::{BoxBody, MessageBody},
     header,
 };
@@ -212,3 +212,131 @@
     response.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static(kind));
     response
 }
+
+/// Idle time after which a client closes a connection. Below [`KEEP_ALIVE`], so that no request
+/// is written to a connection that the server is about to close.
+const CLIENT_KEEP_ALIVE: Duration = Duration::from_secs(3);
+/// Age at which a client replaces a connection.
+const CLIENT_LIFETIME: Duration = Duration::from_secs(600);
+/// Time a client has to open a connection.
+const CLIENT_CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Why a request got no usable answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallError {
+    /// No connection could be made: nothing of the request was written.
+    NotSent(String),
+    /// The request was written, in part or whole; its answer is missing or not whole.
+    Broken(String),
+    /// The answer is longer than the given limit, in bytes.
+    TooLarge(usize),
+}
+
+impl std::fmt::Display for CallError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            CallError::NotSent(reason) => write!(f, "not sent: {reason}"),
+            CallError::Broken(reason) => write!(f, "broken: {reason}"),
+            CallError::TooLarge(limit) => write!(f, "answer over {limit} bytes"),
+        }
+    }
+}
+
+/// A request of a [`Client`].
+#[derive(Debug, Clone)]
+pub struct Call<'a> {
+    pub method: Method,
+    pub addr: SocketAddr,
+    pub path: &'a str,
+    pub headers: &'a [(&'static str, &'a str)],
+    pub body: Bytes,
+    /// Longest answer body, in bytes.
+    pub limit: usize,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: header::HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// The value of a header, if it is there exactly once and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut all = self.headers.get_all(name);
+        let value = all.next()?;
+        if all.next().is_some() {
+            return None;
+        }
+        value.to_str().ok()
+    }
+}
+
+/// An HTTP client with a bounded number of connections. Sends each request at most once: it
+/// follows no redirects and never repeats a request on another connection.
+#[derive(Clone)]
+pub struct Client {
+    client: awc::Client,
+}
+
+impl Client {
+    /// A client with at most `connections` connections in all; requests wait for a free one.
+    pub fn new(connections: usize) -> Client {
+        let connector = awc::Connector::new()
+            .limit(connections.max(1))
+            .conn_keep_alive(CLIENT_KEEP_ALIVE)
+            .conn_lifetime(CLIENT_LIFETIME)
+            .timeout(CLIENT_CONNECT_LIMIT);
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Client { client }
+    }
+
+    /// Sends a request and reads its whole answer. Dropping the future closes the connection.
+    ///
+    /// The answer must name its length: `awc` reports a connection that ends early like a body
+    /// that ends, so a missing part would go unnoticed otherwise.
+    pub async fn call(&self, call: Call<'_>) -> Result<Answer, CallError> {
+        let uri = format!("http://{}{}", call.addr, call.path);
+        let mut request = self.client.request(call.method, uri).address(call.addr);
+        for pair in call.headers {
+            request = request.insert_header(*pair);
+        }
+        let mut response = request.send_body(call.body).await.map_err(call_error)?;
+        let length = response
+            .headers()
+            .get(header::CONTENT_LENGTH)
+            .and_then(|v| v.to_str().ok())
+            .and_then(|v| v.parse::<usize>().ok())
+            .ok_or_else(|| CallError::Broken("answer without content-length".into()))?;
+        if length > call.limit {
+            return Err(CallError::TooLarge(call.limit));
+        }
+        let body = response.body().limit(call.limit).await;
+        let body = body.map_err(|e| CallError::Broken(format!("{e:?}")))?;
+        if body.len() != length {
+            let reason = format!("answer ended after {} of {length} bytes", body.len());
+            return Err(CallError::Broken(reason));
+        }
+        Ok(Answer { status: response.status(), headers: response.headers().clone(), body })
+    }
+}
+
+fn call_error(error: awc::error::SendRequestError) -> CallError {
+    use awc::error::{ConnectError, SendRequestError};
+    match error {
+        // Also reported when a connection ends before the head of the answer.
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            CallError::Broken("connection closed before an answer".into())
+        }
+        SendRequestError::Connect(e) => CallError::NotSent(e.to_string()),
+        SendRequestError::Url(e) => CallError::NotSent(e.to_string()),
+        e => CallError::Broken(format!("{e:?}")),
+    }
+}
