Sidecar process, slot admission, stand-in backend server

Cause: attempts need one place that alone decides whether they start, and tests need a backend server that counts starts and misbehaves on demand. Change: coordination::slot and coordination::lease (pure), the sidecar process with its stand-in of the platform, the stand-in backend server, an HTTP client that never repeats a request and notices truncated answers.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,14 @@
 //! The process modules wire these together.
 
 pub mod backend;
+pub mod client;
+pub mod cmd;
 pub mod config;
 pub mod control;
 pub mod coordination;
 pub mod daemon;
 pub mod error;
+pub mod load;
 pub mod metric;
 pub mod protocol;
 pub mod sidecar;
--- /dev/null
+++ b/tests/stand/control.rs
@@ -0,0 +1,172 @@
+//! A stand-in of control for tests of the sidecar.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, mpsc},
+    thread,
+    time::Duration,
+};
+
+use briargauge::{
+    protocol::{
+        id,
+        wire::control::{self, Refusal, Service as _},
+    },
+    transport::rpc,
+};
+use tarpc::context::Context;
+
+/// How the stand-in answers.
+#[derive(Debug, Clone)]
+pub struct Answers {
+    pub lease_ms: u64,
+    pub confirmed_age_ms: u64,
+    pub sessions: control::Sessions,
+    pub refusal: Option<Refusal>,
+    /// Calls get no answer for this long.
+    pub delay: Duration,
+    pub rules: Option<control::Rules>,
+    /// The last report and how many have come.
+    pub last: Option<control::SidecarSync>,
+    pub calls: usize,
+}
+
+/// A stand-in that serves from a thread of its own until the test process ends.
+#[derive(Clone)]
+pub struct Control {
+    pub addr: SocketAddr,
+    answers: Arc<Mutex<Answers>>,
+}
+
+#[derive(Clone)]
+struct Handler(Arc<Mutex<Answers>>);
+
+impl Control {
+    /// Confirms leases of 3 s for the sessions `live`.
+    pub fn start(live: &[u64]) -> Control {
+        let answers = Arc::new(Mutex::new(Answers {
+            lease_ms: 3_000,
+            confirmed_age_ms: 0,
+            sessions: sessions(live),
+            refusal: None,
+            delay: Duration::ZERO,
+            rules: None,
+            last: None,
+            calls: 0,
+        }));
+        let handler = Handler(answers.clone());
+        let (sender, receiver) = mpsc::channel();
+        thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let server = rpc::serve(([127, 0, 0, 1], 0).into(), handler.serve()).await.unwrap();
+                sender.send(server.addr()).unwrap();
+                std::future::pending::<()>().await;
+            });
+        });
+        Control { addr: receiver.recv().unwrap(), answers }
+    }
+
+    pub fn set(&self, change: impl FnOnce(&mut Answers)) {
+        change(&mut self.answers.lock().unwrap());
+    }
+
+    pub fn get(&self) -> Answers {
+        self.answers.lock().unwrap().clone()
+    }
+
+    /// The backend server as last reported.
+    pub fn member(&self) -> Option<control::Member> {
+        self.get().last?.member
+    }
+}
+
+/// A list that is complete up to the newest session in it.
+pub fn sessions(live: &[u64]) -> control::Sessions {
+    let as_of = live.iter().copied().max().unwrap_or(0);
+    control::Sessions { as_of, live: live.iter().copied().map(id::Epoch).collect() }
+}
+
+fn unused<T>() -> Result<T, Refusal> {
+    Err(Refusal::Invalid { detail: "not part of the stand-in".into() })
+}
+
+impl control::Service for Handler {
+    async fn sync_sidecar(
+        self,
+        _: Context,
+        sync: control::SidecarSync,
+    ) -> Result<control::SidecarView, Refusal> {
+        let answers = {
+            let mut answers = self.0.lock().unwrap();
+            answers.calls += 1;
+            answers.last = Some(sync.clone());
+            answers.clone()
+        };
+        actix_rt::time::sleep(answers.delay).await;
+        match answers.refusal {
+            Some(refusal) => Err(refusal),
+            None => Ok(control::SidecarView {
+                lease_ms: answers.lease_ms,
+                confirmed_age_ms: answers.confirmed_age_ms,
+                rules: answers.rules.filter(|r| r.version != sync.rules_version),
+                sessions: Some(answers.sessions).filter(|s| sync.sessions != Some(s.as_of)),
+            }),
+        }
+    }
+
+    async fn register(self, _: Context, _: control::Hello) -> Result<control::Session, Refusal> {
+        unused()
+    }
+
+    async fn sync_entry(
+        self,
+        _: Context,
+        _: control::EntrySync,
+    ) -> Result<control::EntryView, Refusal> {
+        unused()
+    }
+
+    async fn admit(self, _: Context, _: control::Admit) -> Result<control::Admission, Refusal> {
+        unused()
+    }
+
+    async fn finish(self, _: Context, _: control::Finish) -> Result<control::Finished, Refusal> {
+        unused()
+    }
+
+    async fn lookup(self, _: Context, _: id::Key) -> Result<control::Admission, Refusal> {
+        unused()
+    }
+
+    async fn change_rules(
+        self,
+        _: Context,
+        _: control::Change,
+    ) -> Result<control::Changed, Refusal> {
+        unused()
+    }
+
+    async fn rules(self, _: Context) -> Result<control::Rules, Refusal> {
+        unused()
+    }
+
+    async fn history(self, _: Context, _: u32) -> Result<Vec<control::Accepted>, Refusal> {
+        unused()
+    }
+
+    async fn members(self, _: Context) -> Result<Vec<control::Member>, Refusal> {
+        unused()
+    }
+
+    async fn status(self, _: Context) -> control::Status {
+        unreachable!("sidecars do not ask for the status")
+    }
+
+    async fn init(self, _: Context) -> Result<(), Refusal> {
+        unused()
+    }
+
+    async fn change_voters(self, _: Context, _: control::VoterChange) -> Result<(), Refusal> {
+        unused()
+    }
+}
