--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`state`] is what survives a restart, and [`coordination`] is pure decision code.
 //! The process modules wire these together.
 
+pub mod backend;
 pub mod client;
 pub mod cmd;
 pub mod config;
@@ -14,6 +15,7 @@
 pub mod load;
 pub mod metric;
 pub mod protocol;
+pub mod sidecar;
 pub mod state;
 pub mod transport;
 pub mod util;
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -38,14 +38,15 @@
 
 impl Program {
     fn path(self) -> &'static str {
-        match self {
-            Program::Backend => env!("CARGO_BIN_EXE_briargauge-backend"),
-            Program::Control => env!("CARGO_BIN_EXE_briargauge-control"),
-            Program::Entry => env!("CARGO_BIN_EXE_briargauge-entry"),
-            Program::Load => env!("CARGO_BIN_EXE_briargauge-load"),
-            Program::Main => env!("CARGO_BIN_EXE_briargauge"),
-            Program::Sidecar => env!("CARGO_BIN_EXE_briargauge-sidecar"),
-        }
+        let path = match self {
+            Program::Backend => option_env!("CARGO_BIN_EXE_briargauge-backend"),
+            Program::Control => option_env!("CARGO_BIN_EXE_briargauge-control"),
+            Program::Entry => option_env!("CARGO_BIN_EXE_briargauge-entry"),
+            Program::Load => option_env!("CARGO_BIN_EXE_briargauge-load"),
+            Program::Main => option_env!("CARGO_BIN_EXE_briargauge"),
+            Program::Sidecar => option_env!("CARGO_BIN_EXE_briargauge-sidecar"),
+        };
+        path.unwrap_or_else(|| panic!("{self:?} is not built"))
     }
 }
 
