Dispatch policy: windows, learned speed, fair queue, budgets, health

Cause: the dispatcher of the skeleton is a round robin without limits. Change: dispatch::core combines route, queue, limit, retry, health and speed; naive holds the baseline, selectable by Settings::policy. Windows per backend server bound attempts by slots less the estimate of other entries' attempts, taken from the load on replies. A member that returns while its attempts are in flight keeps its record: quickcheck found that a second record named the server twice in a cancel and doubled its window. Interface: Dispatcher::new(Settings), set_teams, queued, ejected are new.

--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -1,15 +1,22 @@
 //! Decides which attempt starts where and when, for one entry.
 
-use std::collections::VecDeque;
+mod core;
+mod reply;
+mod run;
+mod settings;
 
-use indexmap::IndexMap;
 use rand::RngCore;
 
-use crate::protocol::{
-    id, job,
-    wire::{control, sidecar},
+use crate::{
+    coordination::naive,
+    protocol::{
+        id, job,
+        wire::{control, sidecar},
+    },
 };
 
+pub use settings::{Policy, Preference, Settings, TeamSettings};
+
 /// A point in time, in µs since the process started.
 pub type Micros = u64;
 
@@ -69,85 +76,121 @@
 }
 
 /// Dispatcher of one entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Dispatcher {
-    members: Vec<control::Member>,
-    next: usize,
-    queue: VecDeque<id::Attempt>,
-    runs: IndexMap<id::Run, usize>,
+    inner: Inner,
+}
+
+#[derive(Debug)]
+enum Inner {
+    Briargauge(Box<core::Core>),
+    Naive(Box<naive::Naive>),
+}
+
+impl Default for Dispatcher {
+    fn default() -> Self {
+        Self::new(Settings::default())
+    }
+}
+
+/// Calls the same method of either policy.
+macro_rules! either {
+    ($self:ident, $inner:ident => $call:expr) => {
+        match &mut $self.inner {
+            Inner::Briargauge($inner) => $call,
+            Inner::Naive($inner) => $call,
+        }
+    };
 }
 
 impl Dispatcher {
-    /// Takes over a change of the member list.
-    pub fn set_members(&mut self, _now: Micros, members: &control::Members) {
-        if members.full {
-            self.members.clear();
+    /// A dispatcher that knows no backend servers yet.
+    pub fn new(settings: Settings) -> Self {
+        let inner = match settings.policy {
+            Policy::Briargauge => Inner::Briargauge(Box::new(core::Core::new(settings))),
+            Policy::Naive => Inner::Naive(Box::default()),
+        };
+        Self { inner }
+    }
+
+    /// Takes over the settings of all teams that have any; the others get the default.
+    pub fn set_teams(&mut self, now: Micros, teams: &[(id::Team, TeamSettings)]) {
+        match &mut self.inner {
+            Inner::Briargauge(core) => core.set_teams(now, teams),
+            Inner::Naive(_) => {}
         }
-        self.members.retain(|m| !members.removed.contains(&m.incarnation));
-        self.members.retain(|m| members.changed.iter().all(|c| c.incarnation != m.incarnation));
-        self.members.extend(members.changed.iter().cloned());
     }
 
-    /// Takes over this entry's parts of the teams' quotas.
-    pub fn set_shares(&mut self, _now: Micros, _shares: &[control::Share]) {}
+    /// Takes over a change of the member list.
+    pub fn set_members(&mut self, now: Micros, members: &control::Members) {
+        either!(self, inner => inner.set_members(now, members));
+    }
+
+    /// Takes over this entry's parts of the teams' quotas. A team that is not listed has no quota
+    /// and is not limited.
+    pub fn set_shares(&mut self, now: Micros, shares: &[control::Share]) {
+        match &mut self.inner {
+            Inner::Briargauge(core) => core.set_shares(now, shares),
+            Inner::Naive(_) => {}
+        }
+    }
 
     /// Checks whether a run could be taken now, before it is admitted durably.
-    pub fn check(&mut self, _now: Micros, _spec: &Spec) -> Result<(), job::Refusal> {
-        if self.members.is_empty() { Err(job::Refusal::NoBackend) } else { Ok(()) }
+    pub fn check(&mut self, now: Micros, spec: &Spec) -> Result<(), job::Refusal> {
+        either!(self, inner => inner.check(now, spec))
     }
 
-    /// Queues a run's tasks.
-    pub fn submit(&mut self, _now: Micros, run: id::Run, spec: Spec) -> Result<(), job::Refusal> {
-        self.runs.insert(run, spec.tasks.len());
-        for task in 0..spec.tasks.len() {
-            self.queue.push_back(id::Attempt { run, task: task as u16, number: 0 });
-        }
-        Ok(())
+    /// Queues a run's tasks. Checks the same as `check`.
+    pub fn submit(&mut self, now: Micros, run: id::Run, spec: Spec) -> Result<(), job::Refusal> {
+        either!(self, inner => inner.submit(now, run, &spec))
     }
 
     /// The next thing to do at `now`, if any. To be called until it returns `None`, after each
     /// input and at the time that `wake` gives.
-    pub fn poll(&mut self, _now: Micros, _random: &mut dyn RngCore) -> Option<Action> {
-        if self.members.is_empty() {
-            return None;
-        }
-        let attempt = self.queue.pop_front()?;
-        self.next = (self.next + 1) % self.members.len();
-        Some(Action::Start { attempt, incarnation: self.members[self.next].incarnation })
+    pub fn poll(&mut self, now: Micros, random: &mut dyn RngCore) -> Option<Action> {
+        either!(self, inner => inner.poll(now, random))
     }
 
     /// When `poll` must be called next though no input arrives.
     pub fn wake(&self) -> Option<Micros> {
-        None
+        match &self.inner {
+            Inner::Briargauge(core) => core.wake(),
+            Inner::Naive(naive) => naive.wake(),
+        }
     }
 
-    /// Takes the end of an attempt; `load` is what the reply carried.
+    /// Takes the end of an attempt; `load` is what the reply carried, counted after the attempt has
+    /// left its slot. To be called once for each started attempt, also after its run is removed.
     pub fn ended(
         &mut self,
-        _now: Micros,
+        now: Micros,
         attempt: id::Attempt,
-        _load: Option<sidecar::Load>,
+        load: Option<sidecar::Load>,
         ended: Ended,
     ) -> Next {
-        if !self.runs.contains_key(&attempt.run) {
-            return Next::Unused;
-        }
-        match ended {
-            Ended::Done { .. } => Next::Answered,
-            Ended::Failed { .. } | Ended::Lost => Next::RunFailed { started: true },
-            Ended::NotStarted(_) => {
-                self.queue.push_back(id::Attempt { number: attempt.number + 1, ..attempt });
-                Next::Retried
-            }
-        }
+        either!(self, inner => inner.ended(now, attempt, load, ended))
     }
 
     /// Forgets a run that has ended for whatever reason. Returns the backend servers at which it
     /// has attempts, each once, for cancelling, and whether any attempt may have started.
-    pub fn remove(&mut self, _now: Micros, run: id::Run) -> Removed {
-        self.runs.swap_remove(&run);
-        self.queue.retain(|a| a.run != run);
-        Removed { at: Vec::new(), started: true }
+    pub fn remove(&mut self, now: Micros, run: id::Run) -> Removed {
+        either!(self, inner => inner.remove(now, run))
+    }
+
+    /// Number of tasks that wait.
+    pub fn queued(&self) -> usize {
+        match &self.inner {
+            Inner::Briargauge(core) => core.queued,
+            Inner::Naive(naive) => naive.queued(),
+        }
+    }
+
+    /// Number of backend servers that are ejected for their health.
+    pub fn ejected(&self) -> usize {
+        match &self.inner {
+            Inner::Briargauge(core) => core.router.ejected(),
+            Inner::Naive(_) => 0,
+        }
     }
 }
 
--- /dev/null
+++ b/src/coordination/dispatch/reply.rs
@@ -0,0 +1,153 @@
+//! What the end of an attempt means for its task, its server and what is learned.
+
+use crate::{
+    coordination::{
+        dispatch::{Ended, Micros, Next, core::Core, run::Flight},
+        route,
+    },
+    protocol::{
+        id,
+        wire::sidecar::{self, NotStarted},
+    },
+};
+
+/// Refusals for size after which a task counts as one that never fits.
+const TOO_LARGE_MAX: u8 = 3;
+
+impl Core {
+    pub(super) fn ended(
+        &mut self,
+        now: Micros,
+        attempt: id::Attempt,
+        load: Option<sidecar::Load>,
+        ended: Ended,
+    ) -> Next {
+        let Some(at) = self.flight_index.remove(&attempt) else { return Next::Unused };
+        let flight = self.flights.remove(at);
+        self.leave_run(&flight);
+        self.router.ended(now, flight.server, flight.rate);
+        self.learn(now, &flight, load, ended);
+        self.router.settle(now, flight.server);
+        let Some(key) = flight.run else { return Next::Unused };
+        self.conclude(now, key, attempt, ended)
+    }
+
+    fn leave_run(&mut self, flight: &Flight) {
+        let Some(key) = flight.run else { return };
+        let run = &mut self.runs[key];
+        run.tasks[usize::from(flight.attempt.task)].flying -= 1;
+        run.flights.swap_remove(flight.at);
+        if let Some(moved) = run.flights.get(flight.at) {
+            self.flights[*moved].at = flight.at;
+        }
+    }
+
+    fn learn(&mut self, now: Micros, flight: &Flight, load: Option<sidecar::Load>, ended: Ended) {
+        let key = flight.server;
+        match ended {
+            Ended::Done { ran_us } => {
+                self.router.heard(now, key, load);
+                self.router.answered(key);
+                let server = &mut self.router.servers[key.0];
+                let waited = (now - flight.sent).saturating_sub(ran_us) as f64;
+                self.book.done(flight.class, &mut server.speed, ran_us);
+                let work = ran_us as f64 * server.speed.factor();
+                if load.is_some_and(|l| l.queued == 0 && l.busy < l.slots) {
+                    self.router.travelled(key, waited);
+                }
+                let excess = waited - 2.0 * self.router.rtt_us(key);
+                self.router.servers[key.0].window.ran(excess, ran_us as f64);
+                self.router.learned(key, self.book.overall_us());
+                let overall = self.book.overall_us();
+                let lane = &mut self.lanes[flight.lane];
+                lane.queue.charge(flight.team, work - flight.mean_us, overall);
+            }
+            Ended::Failed { .. } => {
+                self.router.heard(now, key, load);
+                let weight = self.failure_weight(flight);
+                self.book.failed(flight.class);
+                if self.router.servers[key.0].health.failed(now, weight) {
+                    self.router.eject(now, key);
+                }
+            }
+            Ended::NotStarted(reason) => self.refused(now, key, load, reason),
+            Ended::Lost => self.router.servers[key.0].health.pause(now),
+        }
+    }
+
+    fn refused(
+        &mut self,
+        now: Micros,
+        key: route::Key,
+        load: Option<sidecar::Load>,
+        reason: NotStarted,
+    ) {
+        self.router.heard(now, key, load);
+        let server = &mut self.router.servers[key.0];
+        match reason {
+            NotStarted::Full => server.window.refused(),
+            NotStarted::WrongIncarnation => server.health.close(),
+            NotStarted::Draining => server.serving = false,
+            NotStarted::NoLease | NotStarted::Unreachable => server.health.pause(now),
+            NotStarted::Fenced
+            | NotStarted::Revoked
+            | NotStarted::Expired
+            | NotStarted::TooLarge => {}
+        }
+    }
+
+    /// A failure says less of the server if tasks of the kind fail elsewhere too, and nothing if
+    /// they fail everywhere.
+    fn failure_weight(&self, flight: &Flight) -> f64 {
+        (1.0 - self.book.failure_rate(flight.class)).max(0.0)
+    }
+
+    fn conclude(&mut self, now: Micros, key: usize, attempt: id::Attempt, ended: Ended) -> Next {
+        let run = &mut self.runs[key];
+        if !matches!(ended, Ended::NotStarted(_)) {
+            run.started = true;
+        }
+        let task = &mut run.tasks[usize::from(attempt.task)];
+        if run.over || task.answered {
+            return Next::Unused;
+        }
+        match ended {
+            Ended::Done { .. } => {
+                task.answered = true;
+                run.answered += 1;
+                Next::Answered
+            }
+            Ended::NotStarted(_) if task.flying > 0 => Next::Retried,
+            Ended::NotStarted(reason) => {
+                task.refused += u8::from(reason == NotStarted::TooLarge);
+                let hopeless = task.refused >= TOO_LARGE_MAX
+                    || task.number == u16::MAX
+                    || matches!(reason, NotStarted::Fenced | NotStarted::Expired);
+                if hopeless {
+                    return self.fail(key);
+                }
+                self.requeue(now, key, attempt.task);
+                Next::Retried
+            }
+            Ended::Failed { .. } | Ended::Lost => {
+                if !run.restartable || task.number == u16::MAX {
+                    return self.fail(key);
+                }
+                if task.flying > 0 {
+                    return Next::Retried;
+                }
+                let team = run.team;
+                if self.teams[team.0 as usize].retries.take(now).is_err() {
+                    return self.fail(key);
+                }
+                self.enqueue(key, attempt.task);
+                Next::Retried
+            }
+        }
+    }
+
+    fn fail(&mut self, key: usize) -> Next {
+        self.stop(key);
+        Next::RunFailed { started: self.runs[key].may_have_started() }
+    }
+}
--- /dev/null
+++ b/src/coordination/naive.rs
@@ -0,0 +1,228 @@
+//! The baseline policy: round robin over backend servers up to a constant number of attempts each,
+//! first come, first served, a fixed timeout and three retries. No fairness, no learning, no
+//! health. Kept simple on purpose; `docs/dispatch.md` compares it with the real policy.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use indexmap::IndexMap;
+use rand::RngCore;
+
+use crate::{
+    coordination::dispatch::{Action, Ended, Micros, Next, Removed, Spec},
+    protocol::{
+        id, job,
+        wire::{control, sidecar},
+    },
+};
+
+/// Attempts in flight per slot.
+const QUEUE_FACTOR: usize = 2;
+/// Time after which a restartable task counts as failed.
+const TIMEOUT_US: Micros = 1_000_000;
+const RETRIES_MAX: u16 = 3;
+
+#[derive(Debug)]
+struct Server {
+    member: control::Member,
+    flying: usize,
+}
+
+#[derive(Debug)]
+struct Run {
+    spec: Spec,
+    /// Number of the next attempt and whether it is answered, per task.
+    tasks: Vec<(u16, bool)>,
+    started: bool,
+    over: bool,
+}
+
+/// State of the baseline.
+#[derive(Debug, Default)]
+pub struct Naive {
+    servers: IndexMap<id::Incarnation, Server>,
+    next: usize,
+    queue: VecDeque<(id::Run, u16)>,
+    runs: IndexMap<id::Run, Run>,
+    flights: BTreeMap<id::Attempt, id::Incarnation>,
+    timeouts: VecDeque<(Micros, id::Attempt)>,
+    deadlines: BTreeSet<(Micros, id::Run)>,
+}
+
+impl Naive {
+    pub(super) fn set_members(&mut self, _now: Micros, members: &control::Members) {
+        let kept = |i: &id::Incarnation| {
+            !members.removed.contains(i)
+                && (!members.full || members.changed.iter().any(|m| m.incarnation == *i))
+        };
+        self.servers.retain(|incarnation, _| kept(incarnation));
+        for member in &members.changed {
+            let flying = self.servers.get(&member.incarnation).map_or(0, |s| s.flying);
+            self.servers.insert(member.incarnation, Server { member: member.clone(), flying });
+        }
+    }
+
+    pub(super) fn check(&mut self, now: Micros, spec: &Spec) -> Result<(), job::Refusal> {
+        if spec.tasks.is_empty() || spec.tasks.len() > usize::from(u16::MAX) {
+            return Err(job::Refusal::BadRequest);
+        }
+        if self.servers.is_empty() {
+            return Err(job::Refusal::NoBackend);
+        }
+        let fits = |i| self.servers.values().any(|s| fits(&s.member, &spec.tasks[i]));
+        if !(0..spec.tasks.len()).all(fits) {
+            return Err(job::Refusal::NeverFits);
+        }
+        if spec.deadline <= now { Err(job::Refusal::DeadlineExceeded) } else { Ok(()) }
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        now: Micros,
+        id: id::Run,
+        spec: &Spec,
+    ) -> Result<(), job::Refusal> {
+        if self.runs.contains_key(&id) {
+            return Err(job::Refusal::KeyConflict);
+        }
+        self.check(now, spec)?;
+        let tasks = vec![(0, false); spec.tasks.len()];
+        self.queue.extend((0..tasks.len() as u16).map(|task| (id, task)));
+        self.deadlines.insert((spec.deadline, id));
+        self.runs.insert(id, Run { spec: spec.clone(), tasks, started: false, over: false });
+        Ok(())
+    }
+
+    pub(super) fn poll(&mut self, now: Micros, _random: &mut dyn RngCore) -> Option<Action> {
+        if let Some((deadline, id)) = self.deadlines.first().copied()
+            && deadline <= now
+        {
+            self.deadlines.pop_first();
+            let started = self.may_have_started(id);
+            if let Some(run) = self.runs.get_mut(&id) {
+                run.over = true;
+                return Some(Action::Expire { run: id, started });
+            }
+        }
+        while let Some((at, attempt)) = self.timeouts.front().copied()
+            && at <= now
+        {
+            self.timeouts.pop_front();
+            if self.flights.contains_key(&attempt) {
+                self.retry(attempt);
+            }
+        }
+        loop {
+            let (id, task) = *self.queue.front()?;
+            let Some(run) = self.runs.get(&id).filter(|run| !run.over) else {
+                self.queue.pop_front();
+                continue;
+            };
+            let spec = &run.spec.tasks[usize::from(task)];
+            let total = self.servers.len();
+            let at = (0..total).map(|i| (self.next + i) % total).find(|i| {
+                let server = &self.servers[*i];
+                let slots = usize::from(server.member.slots);
+                server.flying < slots * QUEUE_FACTOR && fits(&server.member, spec)
+            })?;
+            self.next = at + 1;
+            self.queue.pop_front();
+            return self.start(now, id, task, at);
+        }
+    }
+
+    fn start(&mut self, now: Micros, id: id::Run, task: u16, at: usize) -> Option<Action> {
+        let run = self.runs.get_mut(&id)?;
+        let state = &mut run.tasks[usize::from(task)];
+        let attempt = id::Attempt { run: id, task, number: state.0 };
+        state.0 += 1;
+        if run.spec.restartable {
+            self.timeouts.push_back((now + TIMEOUT_US, attempt));
+        }
+        let (incarnation, server) = self.servers.get_index_mut(at)?;
+        server.flying += 1;
+        self.flights.insert(attempt, *incarnation);
+        Some(Action::Start { attempt, incarnation: *incarnation })
+    }
+
+    pub(super) fn wake(&self) -> Option<Micros> {
+        let deadline = self.deadlines.first().map(|d| d.0);
+        let timeout = self.timeouts.front().map(|t| t.0);
+        [deadline, timeout].into_iter().flatten().min()
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        _now: Micros,
+        attempt: id::Attempt,
+        _load: Option<sidecar::Load>,
+        ended: Ended,
+    ) -> Next {
+        let Some(incarnation) = self.flights.remove(&attempt) else { return Next::Unused };
+        if let Some(server) = self.servers.get_mut(&incarnation) {
+            server.flying = server.flying.saturating_sub(1);
+        }
+        let Some(run) = self.runs.get_mut(&attempt.run) else { return Next::Unused };
+        run.started |= !matches!(ended, Ended::NotStarted(_));
+        let (number, answered) = &mut run.tasks[usize::from(attempt.task)];
+        if run.over || *answered {
+            return Next::Unused;
+        }
+        if let Ended::Done { .. } = ended {
+            *answered = true;
+            return Next::Answered;
+        }
+        let superseded = *number > attempt.number + 1;
+        let repeatable = run.spec.restartable || matches!(ended, Ended::NotStarted(_));
+        if superseded || (repeatable && self.retry(attempt)) {
+            return Next::Retried;
+        }
+        if let Some(run) = self.runs.get_mut(&attempt.run) {
+            run.over = true;
+        }
+        Next::RunFailed { started: self.may_have_started(attempt.run) }
+    }
+
+    pub(super) fn remove(&mut self, _now: Micros, id: id::Run) -> Removed {
+        let started = self.may_have_started(id);
+        if let Some(run) = self.runs.swap_remove(&id) {
+            self.deadlines.remove(&(run.spec.deadline, id));
+        }
+        let mut at: Vec<_> = self.of_run(id).collect();
+        at.sort_unstable();
+        at.dedup();
+        Removed { at, started }
+    }
+
+    pub(super) fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn retry(&mut self, attempt: id::Attempt) -> bool {
+        let Some(run) = self.runs.get(&attempt.run) else { return false };
+        let (number, answered) = run.tasks[usize::from(attempt.task)];
+        let allowed = number <= RETRIES_MAX && number == attempt.number + 1 && !answered;
+        if allowed {
+            self.queue.push_back((attempt.run, attempt.task));
+        }
+        allowed
+    }
+
+    fn of_run(&self, id: id::Run) -> impl Iterator<Item = id::Incarnation> {
+        let first = id::Attempt { run: id, task: 0, number: 0 };
+        let last = id::Attempt { run: id, task: u16::MAX, number: u16::MAX };
+        self.flights.range(first..=last).map(|(_, incarnation)| *incarnation)
+    }
+
+    fn may_have_started(&self, id: id::Run) -> bool {
+        self.runs.get(&id).is_some_and(|run| run.started) || self.of_run(id).next().is_some()
+    }
+}
+
+fn fits(member: &control::Member, task: &crate::coordination::dispatch::TaskSpec) -> bool {
+    let (needs, size) = (&task.needs, &member.size);
+    (member.kinds.is_empty() || member.kinds.contains(&task.kind))
+        && needs.cpus <= size.cpus
+        && needs.memory_mb <= size.memory_mb
+        && needs.accelerators <= size.accelerators
+        && member.state == control::MemberState::Serving
+}
--- /dev/null
+++ b/src/coordination/queue.rs
@@ -0,0 +1,102 @@
+//! Fair queue across teams: deficit round robin by weight over estimated run time.
+
+use std::collections::{BTreeSet, VecDeque};
+
+/// Most run time, in quanta, that a team can owe or save.
+const DEBT_MAX: f64 = 16.0;
+
+/// Key of a team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Team(pub u32);
+
+/// Something queued: the tasks of a run that fit the same backend servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Item {
+    /// The smallest is first within its team.
+    pub score: u64,
+    pub run: u32,
+    pub part: u16,
+}
+
+#[derive(Debug, Default)]
+struct Line {
+    items: BTreeSet<Item>,
+    deficit: f64,
+    waiting: bool,
+}
+
+/// Queue of all teams. Within a team the item with the lowest score is first.
+#[derive(Debug, Default)]
+pub struct Fair {
+    lines: Vec<Line>,
+    ring: VecDeque<Team>,
+}
+
+impl Fair {
+    /// Adds an item.
+    pub fn push(&mut self, team: Team, item: Item) {
+        if self.lines.len() <= team.0 as usize {
+            self.lines.resize_with(team.0 as usize + 1, Line::default);
+        }
+        let line = &mut self.lines[team.0 as usize];
+        line.items.insert(item);
+        if !line.waiting {
+            line.waiting = true;
+            line.deficit = line.deficit.min(0.0);
+            self.ring.push_back(team);
+        }
+    }
+
+    /// Takes an item out, wherever it is.
+    pub fn remove(&mut self, team: Team, item: Item) {
+        if let Some(line) = self.lines.get_mut(team.0 as usize) {
+            line.items.remove(&item);
+        }
+    }
+
+    /// The item whose turn it is. `quantum` gives a team's run time per round. Stays the same until
+    /// the team is charged or the item removed.
+    pub fn front(&mut self, quantum: impl Fn(Team) -> f64) -> Option<(Team, Item)> {
+        loop {
+            let team = *self.ring.front()?;
+            let alone = self.ring.len() == 1;
+            let line = &mut self.lines[team.0 as usize];
+            let Some(item) = line.items.first() else {
+                line.waiting = false;
+                self.ring.pop_front();
+                continue;
+            };
+            if line.deficit <= 0.0 {
+                line.deficit += quantum(team).max(1.0);
+                if alone {
+                    // There is nobody to owe anything to.
+                    line.deficit = line.deficit.max(1.0);
+                }
+            }
+            if line.deficit > 0.0 {
+                return Some((team, *item));
+            }
+            self.ring.rotate_left(1);
+        }
+    }
+
+    /// Charges a team for run time; negative to give back. A team in debt waits for its next round.
+    pub fn charge(&mut self, team: Team, cost: f64, quantum: f64) {
+        let line = &mut self.lines[team.0 as usize];
+        let bound = DEBT_MAX * quantum;
+        line.deficit = (line.deficit - cost).clamp(-bound, bound);
+    }
+
+    /// Takes everything out, for queueing it anew.
+    pub fn drain(&mut self) -> Vec<(Team, Item)> {
+        self.ring.clear();
+        let mut all = Vec::new();
+        for (index, line) in self.lines.iter_mut().enumerate() {
+            line.waiting = false;
+            all.extend(
+                std::mem::take(&mut line.items).into_iter().map(|i| (Team(index as u32), i)),
+            );
+        }
+        all
+    }
+}
