--- /dev/null
+++ b/src/entry/engine.rs
@@ -0,0 +1,448 @@
+//! Carries out what the dispatcher decides and gathers the answers of each run.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use prometheus::Histogram;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::{
+    sync::{Notify, oneshot},
+    time::{self, Instant},
+};
+
+use crate::{
+    coordination::dispatch::{self, Action, Dispatcher, Ended, Micros, Next},
+    entry::{
+        backend::{Backend, End, Report},
+        budget::{Budget, Hold},
+        meter::{Meter, Waste},
+        session::Session,
+        settings::Limits,
+    },
+    protocol::{
+        id, job,
+        wire::{Answer, Outcome, control, sidecar},
+    },
+    util,
+};
+
+/// Runs submissions; on a single thread, shared by reference.
+pub struct Engine {
+    start: Instant,
+    limits: Limits,
+    session: Rc<Session>,
+    meter: Rc<Meter>,
+    budget: Arc<Budget>,
+    dispatcher: RefCell<Dispatcher>,
+    random: RefCell<Pcg64Mcg>,
+    runs: RefCell<HashMap<id::Run, Running>>,
+    backends: RefCell<HashMap<id::Incarnation, Rc<Backend>>>,
+    /// Task starts asked for since the last report to control.
+    demand: RefCell<HashMap<id::Team, u64>>,
+    /// Something has changed that may let attempts start.
+    changed: Notify,
+}
+
+/// What is to be run.
+#[derive(Debug)]
+pub struct Work {
+    pub team: id::Team,
+    pub tasks: Vec<Task>,
+    pub deadline: Instant,
+    /// Whether tasks may be started more than once.
+    pub restartable: bool,
+}
+
+/// A task to be run.
+#[derive(Debug)]
+pub struct Task {
+    pub spec: dispatch::TaskSpec,
+    /// JSON text.
+    pub input: String,
+}
+
+/// How a run ended, with the memory that its answers take.
+#[derive(Debug)]
+pub struct Ending {
+    pub outcome: Outcome,
+    pub hold: Hold,
+}
+
+/// A run in progress.
+struct Running {
+    team: id::Team,
+    tasks: Vec<Task>,
+    deadline: Instant,
+    answers: Vec<Option<String>>,
+    answered: usize,
+    bytes: usize,
+    hold: Hold,
+    /// Attempts sent and not known to be unstarted. While it is 0, nothing of the run has started.
+    sent: usize,
+    time: Histogram,
+    ended: oneshot::Sender<Ending>,
+}
+
+impl Work {
+    pub fn spec(&self, engine: &Engine) -> dispatch::Spec {
+        dispatch::Spec {
+            team: self.team.clone(),
+            tasks: self.tasks.iter().map(|t| t.spec.clone()).collect(),
+            deadline: engine.micros(self.deadline),
+            restartable: self.restartable,
+        }
+    }
+}
+
+impl Engine {
+    pub fn new(
+        limits: Limits,
+        session: Rc<Session>,
+        meter: Rc<Meter>,
+        budget: Arc<Budget>,
+    ) -> Rc<Engine> {
+        Rc::new(Engine {
+            start: Instant::now(),
+            limits,
+            session,
+            meter,
+            budget,
+            dispatcher: RefCell::default(),
+            random: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
+            runs: RefCell::default(),
+            backends: RefCell::default(),
+            demand: RefCell::default(),
+            changed: Notify::new(),
+        })
+    }
+
+    fn now(&self) -> Micros {
+        self.micros(Instant::now())
+    }
+
+    fn micros(&self, at: Instant) -> Micros {
+        at.saturating_duration_since(self.start).as_micros() as Micros
+    }
+
+    /// Counts a submission's tasks as asked for, and checks whether they could be taken now.
+    pub fn check(&self, work: &Work) -> Result<(), job::Refusal> {
+        *self.demand.borrow_mut().entry(work.team.clone()).or_default() += work.tasks.len() as u64;
+        if !self.budget.has_room() {
+            return Err(job::Refusal::Overloaded);
+        }
+        self.dispatcher.borrow_mut().check(self.now(), &work.spec(self))
+    }
+
+    /// Task starts per second that each team asked for over the last `period`.
+    pub fn demands(&self, period: Duration) -> Vec<control::Demand> {
+        let seconds = period.as_secs_f64().max(0.001);
+        let demand = self.demand.take();
+        demand
+            .into_iter()
+            .map(|(team, starts)| control::Demand { team, starts_per_s: starts as f64 / seconds })
+            .collect()
+    }
+
+    /// Takes over member changes and quota shares.
+    pub fn update(&self, view: &control::EntryView) {
+        {
+            let mut backends = self.backends.borrow_mut();
+            if view.members.full {
+                let listed =
+                    |i: &id::Incarnation| view.members.changed.iter().any(|m| m.incarnation == *i);
+                backends.retain(|incarnation, _| listed(incarnation));
+            }
+            for incarnation in &view.members.removed {
+                backends.remove(incarnation);
+            }
+            for member in &view.members.changed {
+                let known = backends.get(&member.incarnation).map(|b| b.addr());
+                if known != Some(member.addr) {
+                    let backend = Backend::new(member, self.meter.clone());
+                    backends.insert(member.incarnation, backend);
+                }
+            }
+        }
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.set_members(self.now(), &view.members);
+        dispatcher.set_shares(self.now(), &view.shares);
+        self.changed.notify_one();
+    }
+
+    /// Runs `work`. Its end comes through the returned channel.
+    pub fn submit(
+        &self,
+        run: id::Run,
+        work: Work,
+    ) -> Result<oneshot::Receiver<Ending>, job::Refusal> {
+        let spec = work.spec(self);
+        self.dispatcher.borrow_mut().submit(self.now(), run, spec)?;
+        let (ended, ending) = oneshot::channel();
+        let count = work.tasks.len();
+        let running = Running {
+            time: self.meter.task(&work.team),
+            team: work.team,
+            tasks: work.tasks,
+            deadline: work.deadline,
+            answers: vec![None; count],
+            answered: 0,
+            bytes: 0,
+            hold: self.budget.hold(),
+            sent: 0,
+            ended,
+        };
+        self.runs.borrow_mut().insert(run, running);
+        self.changed.notify_one();
+        Ok(ending)
+    }
+
+    /// Answered and all tasks of a run in progress.
+    pub fn progress(&self, run: id::Run) -> Option<(usize, usize)> {
+        self.runs.borrow().get(&run).map(|r| (r.answered, r.tasks.len()))
+    }
+
+    /// Runs in progress.
+    pub fn running(&self) -> usize {
+        self.runs.borrow().len()
+    }
+
+    /// Ends a run because its caller wants it no more.
+    pub fn cancel(&self, run: id::Run) {
+        self.end(run, job::Failure::Cancelled, job::Refusal::Cancelled, "cancelled by the caller");
+    }
+
+    /// Ends a run whose deadline has passed.
+    pub fn expire(&self, run: id::Run) {
+        let detail = "the deadline passed";
+        self.end(run, job::Failure::DeadlineExceeded, job::Refusal::DeadlineExceeded, detail);
+    }
+
+    /// Ends all runs of sessions other than the current one.
+    pub fn abandon(&self) {
+        let epoch = self.session.epoch();
+        let old: Vec<id::Run> =
+            self.runs.borrow().keys().filter(|r| Some(r.epoch) != epoch).copied().collect();
+        for run in old {
+            let detail = "the entry's session has ended";
+            self.end(run, job::Failure::EntryLost, job::Refusal::ControlUnavailable, detail);
+        }
+    }
+
+    /// Ends a run as failed, or as not run if nothing of it can have started.
+    fn end(&self, run: id::Run, failure: job::Failure, refusal: job::Refusal, detail: &str) {
+        let Some(running) = self.runs.borrow_mut().remove(&run) else { return };
+        let detail = detail.to_owned();
+        let outcome = if running.sent > 0 {
+            Outcome::Failed { reason: failure, detail }
+        } else {
+            Outcome::NotRun { reason: refusal, detail }
+        };
+        self.remove(run);
+        let _ = running.ended.send(Ending { outcome, hold: running.hold });
+    }
+
+    /// Takes a run out of the dispatcher and cancels what is left of it, one message per sidecar.
+    fn remove(&self, run: id::Run) {
+        let removed = self.dispatcher.borrow_mut().remove(self.now(), run);
+        let backends = self.backends.borrow();
+        for backend in removed.at.iter().filter_map(|at| backends.get(at)) {
+            let backend = backend.clone();
+            actix_rt::spawn(async move { backend.cancel(run).await });
+        }
+        self.changed.notify_one();
+    }
+
+    /// Carries out the dispatcher's decisions for as long as the process runs.
+    pub async fn drive(self: Rc<Self>) {
+        loop {
+            // One notification may stand for many inputs: they are handled in one pass.
+            self.changed.notified().await;
+            loop {
+                self.pump();
+                let Some(wake) = self.dispatcher.borrow().wake() else { break };
+                let at = self.start + Duration::from_micros(wake);
+                // A wake-up in the past would spin while the lease is out.
+                let at = at.max(Instant::now() + WAKE_MIN);
+                tokio::select! {
+                    () = time::sleep_until(at) => {}
+                    () = self.changed.notified() => {}
+                }
+            }
+        }
+    }
+
+    fn pump(self: &Rc<Self>) {
+        // Without a lease the tasks stay queued: either it is renewed or the session ends.
+        while self.session.is_leased() {
+            let action = {
+                let random = &mut *self.random.borrow_mut();
+                self.dispatcher.borrow_mut().poll(self.now(), random)
+            };
+            match action {
+                Some(Action::Start { attempt, incarnation }) => self.start(attempt, incarnation),
+                Some(Action::Expire { run, .. }) => self.expire(run),
+                None => return,
+            }
+        }
+    }
+
+    fn start(self: &Rc<Self>, attempt: id::Attempt, incarnation: id::Incarnation) {
+        let unstarted = |reason| Report { load: None, end: End::NotStarted(reason) };
+        let backend = self.backends.borrow().get(&incarnation).cloned();
+        let mut runs = self.runs.borrow_mut();
+        let Some(running) = runs.get_mut(&attempt.run) else {
+            drop(runs);
+            return self.ended(attempt, unstarted(sidecar::NotStarted::Revoked));
+        };
+        running.sent += 1;
+        let Some(backend) = backend else {
+            drop(runs);
+            return self.ended(attempt, unstarted(sidecar::NotStarted::Unreachable));
+        };
+        if !self.session.may_start(attempt.run.epoch) {
+            drop(runs);
+            return self.ended(attempt, unstarted(sidecar::NotStarted::Fenced));
+        }
+        let message = running.message(attempt, incarnation);
+        let time = running.time.clone();
+        drop(runs);
+        self.meter.starts.inc();
+        let engine = self.clone();
+        actix_rt::spawn(async move {
+            let start = Instant::now();
+            let report = backend.run(message).await;
+            time.observe(start.elapsed().as_secs_f64());
+            engine.ended(attempt, report);
+        });
+    }
+
+    /// Takes the end of an attempt.
+    fn ended(&self, attempt: id::Attempt, report: Report) {
+        let ended = match &report.end {
+            End::Answer { ran_us, .. } => Ended::Done { ran_us: *ran_us },
+            End::Failed { ran_us, .. } => Ended::Failed { ran_us: *ran_us },
+            End::NotStarted(reason) => Ended::NotStarted(*reason),
+            End::Lost { .. } => Ended::Lost,
+        };
+        if let Ended::NotStarted(reason) = ended {
+            self.refused(attempt, reason);
+        }
+        let next = self.dispatcher.borrow_mut().ended(self.now(), attempt, report.load, ended);
+        self.changed.notify_one();
+        match (next, report.end) {
+            (Next::Answered, End::Answer { answer, .. }) => self.answered(attempt, answer),
+            (Next::RunFailed { .. }, end) => self.failed(attempt, end),
+            (Next::Retried, _) => {}
+            (Next::Unused, End::NotStarted(_)) => {}
+            (Next::Answered | Next::Unused, _) => {
+                let running = self.runs.borrow().contains_key(&attempt.run);
+                self.meter.wasted(if running { Waste::Unused } else { Waste::Late }, 2);
+            }
+        }
+    }
+
+    fn refused(&self, attempt: id::Attempt, reason: sidecar::NotStarted) {
+        if let Some(running) = self.runs.borrow_mut().get_mut(&attempt.run) {
+            running.sent -= 1;
+        }
+        if reason == sidecar::NotStarted::Fenced {
+            self.session.hurry.notify_one();
+        }
+        if reason != sidecar::NotStarted::Unreachable {
+            self.meter.wasted(Waste::Refused, 2);
+        }
+    }
+
+    fn answered(&self, attempt: id::Attempt, answer: String) {
+        let mut runs = self.runs.borrow_mut();
+        let Some(running) = runs.get_mut(&attempt.run) else { return };
+        if let Err(detail) = running.put(attempt.task, answer, &self.limits) {
+            drop(runs);
+            let (failure, refusal) = (job::Failure::TaskFailed, job::Refusal::Overloaded);
+            return self.end(attempt.run, failure, refusal, &detail);
+        }
+        if running.answered < running.answers.len() {
+            return;
+        }
+        let Some(running) = runs.remove(&attempt.run) else { return };
+        drop(runs);
+        self.remove(attempt.run);
+        let Running { answers, hold, ended, .. } = running;
+        let outcome = Outcome::Completed(Answer::Inline(answers.into_iter().flatten().collect()));
+        let _ = ended.send(Ending { outcome, hold });
+    }
+
+    /// Ends a run because of one of its attempts.
+    fn failed(&self, attempt: id::Attempt, end: End) {
+        let task = attempt.task;
+        let (failure, refusal, detail) = match end {
+            End::Failed { reason, detail, .. } => (reason, job::Refusal::NoBackend, detail),
+            End::Lost { detail } => (job::Failure::OutcomeUnknown, job::Refusal::NoBackend, detail),
+            End::NotStarted(reason) => {
+                let detail = format!("no backend server started it; the last one said {reason:?}");
+                (job::Failure::TaskFailed, refusal(reason), detail)
+            }
+            End::Answer { .. } => return,
+        };
+        self.end(attempt.run, failure, refusal, &format!("task {task}: {detail}"));
+    }
+}
+
+/// Shortest pause before the dispatcher is asked again without an input.
+const WAKE_MIN: Duration = Duration::from_micros(500);
+
+impl Running {
+    fn message(&self, attempt: id::Attempt, incarnation: id::Incarnation) -> sidecar::Task {
+        let task = &self.tasks[usize::from(attempt.task)];
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        sidecar::Task {
+            attempt,
+            incarnation,
+            team: self.team.clone(),
+            kind: task.spec.kind.clone(),
+            input: task.input.clone(),
+            declared_ms: task.spec.declared_ms,
+            needs: task.spec.needs,
+            left_ms: util::millis(left).try_into().unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Keeps a task's answer; an error tells which bound it exceeds.
+    fn put(&mut self, task: u16, answer: String, limits: &Limits) -> Result<(), String> {
+        let slot = &mut self.answers[usize::from(task)];
+        if slot.is_some() {
+            return Ok(());
+        }
+        let bytes = answer.len();
+        if bytes > limits.answer_max_bytes {
+            let max = limits.answer_max_bytes;
+            return Err(format!("the answer of task {task} has {bytes} bytes, at most {max}"));
+        }
+        self.bytes += bytes;
+        if self.bytes > limits.job_answer_max_bytes {
+            let max = limits.job_answer_max_bytes;
+            return Err(format!("the answers have more than {max} bytes"));
+        }
+        if !self.hold.grow(bytes) {
+            return Err("the entry's memory for answers is used up".into());
+        }
+        *slot = Some(answer);
+        self.answered += 1;
+        Ok(())
+    }
+}
+
+/// What a caller is told when no backend server started a task.
+fn refusal(reason: sidecar::NotStarted) -> job::Refusal {
+    match reason {
+        sidecar::NotStarted::Expired => job::Refusal::DeadlineExceeded,
+        sidecar::NotStarted::Full => job::Refusal::Overloaded,
+        sidecar::NotStarted::TooLarge => job::Refusal::NeverFits,
+        sidecar::NotStarted::Fenced => job::Refusal::ControlUnavailable,
+        sidecar::NotStarted::WrongIncarnation
+        | sidecar::NotStarted::NoLease
+        | sidecar::NotStarted::Draining
+        | sidecar::NotStarted::Revoked
+        | sidecar::NotStarted::Unreachable => job::Refusal::NoBackend,
+    }
+}
--- /dev/null
+++ b/src/entry/keyed.rs
@@ -0,0 +1,487 @@
+//! Life of a submission with a key: admission, run, record, and resubmissions of it.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use rand::Rng;
+use tokio::{
+    sync::watch,
+    time::{self, Instant},
+};
+
+use crate::{
+    entry::{
+        Core,
+        control::Rejected,
+        engine::{Ending, Work},
+        held::{self, Answers},
+    },
+    protocol::{
+        id, job,
+        wire::{self, Answer, Outcome, control, entry},
+    },
+};
+
+/// Time for control to tell whether a key is known, before a submission is refused.
+const LOOKUP_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time for which the end of a job is recorded in the background, while its session lasts.
+const FINISH_LIMIT: Duration = Duration::from_secs(600);
+/// Time for which a key whose admission got no answer is freed in the background.
+const RELEASE_LIMIT: Duration = Duration::from_secs(60);
+/// Longest single wait at the owner of a job.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+/// Mean pause between two questions about a job whose owner does not answer.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(300);
+/// Tries to fetch an answer from its owner.
+const FETCH_TRIES: u32 = 3;
+
+/// A submission with a key.
+#[derive(Debug)]
+pub struct Keyed {
+    pub key: id::Key,
+    pub created_at_ms: u64,
+    /// SHA-256 of the tasks.
+    pub digest: [u8; 32],
+    pub work: Work,
+}
+
+/// A submission with a key that this entry is handling.
+#[derive(Debug)]
+pub struct Active {
+    pub run: id::Run,
+    digest: [u8; 32],
+    tasks: usize,
+    stage: watch::Sender<Stage>,
+}
+
+/// How far a submission is.
+#[derive(Debug, Clone)]
+enum Stage {
+    /// Being admitted or run, here or elsewhere.
+    Running,
+    /// Its run here has ended; the end is being recorded.
+    Recording(Rc<Done>),
+    Ended(Rc<Done>),
+}
+
+/// How a submission ended.
+#[derive(Debug)]
+pub enum Done {
+    Completed(Rc<Answers>),
+    Failed {
+        reason: job::Failure,
+        detail: String,
+    },
+    NotRun {
+        reason: job::Refusal,
+        detail: String,
+    },
+    /// It still runs at another entry; the deadline has passed.
+    Running,
+}
+
+impl Done {
+    pub fn not_run(reason: job::Refusal, detail: impl Into<String>) -> Done {
+        Done::NotRun { reason, detail: detail.into() }
+    }
+
+    pub fn failed(reason: job::Failure, detail: impl Into<String>) -> Done {
+        Done::Failed { reason, detail: detail.into() }
+    }
+
+    /// The end of a run on this entry.
+    pub fn of(ending: Ending) -> Done {
+        match ending.outcome {
+            Outcome::Completed(Answer::Inline(texts)) => {
+                Done::Completed(Rc::new(Answers { texts, hold: ending.hold }))
+            }
+            Outcome::Completed(Answer::Held { .. }) => {
+                Done::failed(job::Failure::AnswerLost, "a run ended without its answers")
+            }
+            Outcome::Failed { reason, detail } => Done::Failed { reason, detail },
+            Outcome::NotRun { reason, detail } => Done::NotRun { reason, detail },
+        }
+    }
+
+    /// The outcome with all answers inline; `None` while running.
+    pub fn outcome(&self) -> Option<Outcome> {
+        Some(match self {
+            Done::Completed(answers) => Outcome::Completed(Answer::Inline(answers.texts.clone())),
+            Done::Failed { reason, detail } => {
+                Outcome::Failed { reason: *reason, detail: detail.clone() }
+            }
+            Done::NotRun { reason, detail } => {
+                Outcome::NotRun { reason: *reason, detail: detail.clone() }
+            }
+            Done::Running => return None,
+        })
+    }
+}
+
+/// Takes a submission, or joins it if this entry is handling it. Returns its run and its end.
+///
+/// The submission goes on if the returned future is dropped.
+pub async fn submit(core: &Rc<Core>, keyed: Keyed) -> (id::Run, Rc<Done>) {
+    let deadline = keyed.work.deadline;
+    if let Some(active) = core.active(&keyed.key) {
+        if active.digest != keyed.digest {
+            return (core.session.run(), Rc::new(refusal(job::Refusal::KeyConflict)));
+        }
+        return (active.run, join(&active, deadline).await);
+    }
+    let active = Rc::new(Active {
+        run: core.session.run(),
+        digest: keyed.digest,
+        tasks: keyed.work.tasks.len(),
+        stage: watch::Sender::new(Stage::Running),
+    });
+    let key = keyed.key.clone();
+    core.keys.borrow_mut().insert(key.clone(), active.clone());
+    let (owner, owned) = (core.clone(), active.clone());
+    actix_rt::spawn(async move {
+        let done = Rc::new(live(&owner, &owned, keyed).await);
+        owner.keys.borrow_mut().remove(&key);
+        owned.stage.send_replace(Stage::Ended(done));
+    });
+    let grace = Duration::from_millis(core.limits.finish_grace_ms);
+    (active.run, wait(&active, deadline + grace).await)
+}
+
+/// Waits for the end of a submission on behalf of its first caller.
+async fn wait(active: &Active, until: Instant) -> Rc<Done> {
+    if let Some(done) = ended(active, until).await {
+        return done;
+    }
+    match &*active.stage.borrow() {
+        Stage::Running => Rc::new(Done::Running),
+        Stage::Recording(done) => match **done {
+            // Without a record, the job may yet be recorded as failed.
+            Done::Completed(_) => {
+                let detail = "the end of the job could not be recorded in time";
+                Rc::new(Done::failed(job::Failure::OutcomeUnknown, detail))
+            }
+            _ => done.clone(),
+        },
+        Stage::Ended(done) => done.clone(),
+    }
+}
+
+/// Waits for the end of a submission on behalf of a resubmission.
+pub async fn join(active: &Active, until: Instant) -> Rc<Done> {
+    ended(active, until).await.unwrap_or_else(|| Rc::new(Done::Running))
+}
+
+async fn ended(active: &Active, until: Instant) -> Option<Rc<Done>> {
+    let mut stage = active.stage.subscribe();
+    let ended = time::timeout_at(until, stage.wait_for(|s| matches!(s, Stage::Ended(_)))).await;
+    match ended {
+        Ok(Ok(stage)) => match &*stage {
+            Stage::Ended(done) => Some(done.clone()),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+/// Takes a submission from admission to its recorded end.
+async fn live(core: &Rc<Core>, active: &Active, keyed: Keyed) -> Done {
+    let Keyed { key, created_at_ms, digest, work } = keyed;
+    let until = work.deadline;
+    let refused = core.check(&work).err();
+    if let Some(refusal) = refused
+        && let Some(done) = refuse(core, &key, until, refusal).await
+    {
+        return done;
+    }
+    if active.run.epoch == id::Epoch(0) {
+        return refusal(job::Refusal::ControlUnavailable);
+    }
+    let admit = control::Admit {
+        run: active.run,
+        key: key.clone(),
+        digest,
+        created_at_ms,
+        tasks: work.tasks.len() as u16,
+    };
+    loop {
+        let limit = Instant::now() + Duration::from_millis(core.limits.admit_limit_ms);
+        match core.admit(&admit, until.min(limit)).await {
+            Ok(control::Admission::Admitted { job }) => {
+                return match refused {
+                    Some(reason) => record(core, active.run, &key, job, &refusal(reason)).await,
+                    None => run(core, active, &key, job, work).await,
+                };
+            }
+            Ok(control::Admission::Running { job, owner }) => {
+                if let Some(done) = follow(core, &key, job, owner, until).await {
+                    return done;
+                }
+            }
+            Ok(control::Admission::Finished { job, owner, outcome }) => {
+                return fetch(core, job, owner, outcome, until).await;
+            }
+            Ok(control::Admission::Conflict) => return refusal(job::Refusal::KeyConflict),
+            Ok(control::Admission::Expired) => return refusal(job::Refusal::KeyExpired),
+            Ok(control::Admission::Unknown) => return refusal(job::Refusal::ControlUnavailable),
+            Err(rejected) => return unadmitted(core, admit, rejected),
+        }
+    }
+}
+
+/// Ends a submission that control did not admit.
+///
+/// Only this process can start attempts of this run id, and it does so only from `run`, after an
+/// `Admitted`. Once this function is called the run id is used no more except to free its key, so
+/// "not run" is true even if the record is, or will be, in the log.
+fn unadmitted(core: &Rc<Core>, admit: control::Admit, rejected: Rejected) -> Done {
+    let detail = match rejected {
+        Rejected::Fenced => {
+            core.session.hurry.notify_one();
+            "the entry's session has ended".to_owned()
+        }
+        Rejected::Invalid { detail } => detail,
+        Rejected::Unanswered { detail } => {
+            actix_rt::spawn(release(core.clone(), admit));
+            detail
+        }
+    };
+    Done::not_run(job::Refusal::ControlUnavailable, detail)
+}
+
+/// Frees the key of an admission that got no answer, so that a resubmission need not wait for the
+/// end of this entry's session.
+async fn release(core: Rc<Core>, admit: control::Admit) {
+    let until = Instant::now() + RELEASE_LIMIT;
+    if let Ok(control::Admission::Admitted { job }) = core.admit(&admit, until).await {
+        let outcome = Outcome::NotRun {
+            reason: job::Refusal::ControlUnavailable,
+            detail: "the admission was not answered in time".into(),
+        };
+        let finish = control::Finish { job, epoch: admit.run.epoch, outcome };
+        let _ = core.finish(&finish, until).await;
+    }
+}
+
+/// Refuses a submission, unless an earlier one with the same key is known (`None`): "not run" must
+/// also be true of that one.
+async fn refuse(
+    core: &Rc<Core>,
+    key: &id::Key,
+    until: Instant,
+    reason: job::Refusal,
+) -> Option<Done> {
+    let limit = Instant::now() + LOOKUP_LIMIT;
+    match core.lookup(key, until.min(limit)).await {
+        Ok(control::Admission::Unknown) => Some(refusal(reason)),
+        Ok(control::Admission::Finished { outcome: Outcome::NotRun { .. }, .. }) => {
+            Some(refusal(reason))
+        }
+        Ok(_) => None,
+        Err(_) => {
+            let detail = format!(
+                "{}; this call started nothing, but control could not be asked about earlier \
+                 submissions with this key: keep the key when submitting again",
+                reason.detail()
+            );
+            Some(Done::NotRun { reason, detail })
+        }
+    }
+}
+
+/// A refusal with its usual explanation.
+fn refusal(reason: job::Refusal) -> Done {
+    Done::not_run(reason, reason.detail())
+}
+
+/// Runs an admitted submission and records its end.
+async fn run(core: &Rc<Core>, active: &Active, key: &id::Key, job: id::Job, work: Work) -> Done {
+    core.jobs.borrow_mut().insert(job, key.clone());
+    let done = Rc::new(core.execute(active.run, work).await);
+    active.stage.send_replace(Stage::Recording(done.clone()));
+    let recorded = record(core, active.run, key, job, &done).await;
+    core.jobs.borrow_mut().remove(&job);
+    recorded
+}
+
+/// Records how a job ended; returns the end that stands.
+async fn record(core: &Rc<Core>, run: id::Run, key: &id::Key, job: id::Job, done: &Done) -> Done {
+    let outcome = match done {
+        Done::Completed(answers) if answers.bytes() > wire::ANSWER_INLINE_MAX_BYTES => {
+            core.held.borrow_mut().put(job, answers.clone());
+            Outcome::Completed(Answer::Held { digest: held::digest(&answers.texts) })
+        }
+        _ => match done.outcome() {
+            Some(outcome) => outcome,
+            None => return Done::Running,
+        },
+    };
+    let finish = control::Finish { job, epoch: run.epoch, outcome };
+    let until = Instant::now() + FINISH_LIMIT;
+    match core.finish(&finish, until).await {
+        Ok(control::Finished::Recorded) => copy(done),
+        Ok(control::Finished::Already { outcome }) if outcome == finish.outcome => copy(done),
+        Ok(control::Finished::Already { outcome }) => settled(core, outcome),
+        Err(Rejected::Fenced) => {
+            core.session.hurry.notify_one();
+            // An earlier try may have been recorded before the session ended.
+            let until = Instant::now() + LOOKUP_LIMIT;
+            match core.lookup(key, until).await {
+                Ok(control::Admission::Finished { job: recorded, outcome, .. })
+                    if recorded == job =>
+                {
+                    if outcome == finish.outcome {
+                        copy(done)
+                    } else {
+                        settled(core, outcome)
+                    }
+                }
+                _ => match done {
+                    Done::Completed(_) => {
+                        let detail = "the entry's session ended before the job's end was recorded";
+                        Done::failed(job::Failure::EntryLost, detail)
+                    }
+                    _ => copy(done),
+                },
+            }
+        }
+        Err(rejected) => {
+            log::error!("event=finish_failed run={run} job={job} error={rejected:?}");
+            match done {
+                Done::Completed(_) => {
+                    let detail = "the end of the job could not be recorded";
+                    Done::failed(job::Failure::OutcomeUnknown, detail)
+                }
+                _ => copy(done),
+            }
+        }
+    }
+}
+
+fn copy(done: &Done) -> Done {
+    match done {
+        Done::Completed(answers) => Done::Completed(answers.clone()),
+        Done::Failed { reason, detail } => Done::failed(*reason, detail.clone()),
+        Done::NotRun { reason, detail } => Done::not_run(*reason, detail.clone()),
+        Done::Running => Done::Running,
+    }
+}
+
+/// A recorded outcome whose answers, if any, are inline.
+pub fn settled(core: &Core, outcome: Outcome) -> Done {
+    match outcome {
+        Outcome::Completed(Answer::Held { .. }) => {
+            Done::failed(job::Failure::AnswerLost, "the answer is no longer held")
+        }
+        outcome => {
+            let mut hold = core.budget.hold();
+            if let Outcome::Completed(Answer::Inline(texts)) = &outcome {
+                hold.grow(texts.iter().map(String::len).sum());
+            }
+            Done::of(Ending { outcome, hold })
+        }
+    }
+}
+
+/// The end of a finished job, with its answers from the owner if the log does not hold them.
+async fn fetch(
+    core: &Rc<Core>,
+    job: id::Job,
+    owner: SocketAddr,
+    outcome: Outcome,
+    until: Instant,
+) -> Done {
+    let Outcome::Completed(Answer::Held { digest }) = outcome else {
+        return settled(core, outcome);
+    };
+    let lost = |detail: String| Done::failed(job::Failure::AnswerLost, detail);
+    if owner == core.addr.get() {
+        return match core.held.borrow_mut().get(job) {
+            Some(answers) if held::digest(&answers.texts) == digest => Done::Completed(answers),
+            _ => lost("the answer is no longer held".into()),
+        };
+    }
+    let mut last = String::new();
+    for _ in 0..FETCH_TRIES {
+        let limit = until.min(Instant::now() + WAIT_LIMIT);
+        match core.ask(owner, job, limit).await {
+            Ok(entry::Waited::Ended(Outcome::Completed(Answer::Inline(texts))))
+                if held::digest(&texts) == digest =>
+            {
+                return settled(core, Outcome::Completed(Answer::Inline(texts)));
+            }
+            Ok(_) => return lost(format!("peer={owner}: the answer is no longer held")),
+            Err(e) => last = e.to_string(),
+        }
+        pause(until).await;
+    }
+    lost(last)
+}
+
+/// Waits until a job that another run has is recorded as ended. Returns `None` if its key has
+/// been freed, and `Running` if `until` has passed.
+async fn follow(
+    core: &Rc<Core>,
+    key: &id::Key,
+    job: id::Job,
+    owner: SocketAddr,
+    until: Instant,
+) -> Option<Done> {
+    while Instant::now() < until {
+        if owner != core.addr.get() {
+            let limit = until.min(Instant::now() + WAIT_LIMIT);
+            match core.ask(owner, job, limit).await {
+                Ok(entry::Waited::Ended(outcome)) => return Some(settled(core, outcome)),
+                Ok(entry::Waited::Running { .. }) => continue,
+                Ok(entry::Waited::Unknown) => {}
+                Err(e) => log::info!("event=owner_unreachable job={job} {e}"),
+            }
+        }
+        // The owner may have died: its jobs are recorded as failed once nothing of it can start.
+        pause(until).await;
+        match core.lookup(key, until).await {
+            Ok(control::Admission::Running { job: now, .. }) if now == job => {}
+            Ok(control::Admission::Finished { job: now, owner, outcome }) if now == job => {
+                return Some(fetch(core, job, owner, outcome, until).await);
+            }
+            // Freed, and perhaps taken again with other content: that is for control to compare.
+            Ok(_) => return None,
+            Err(_) => {}
+        }
+    }
+    Some(Done::Running)
+}
+
+async fn pause(until: Instant) {
+    let pause = FOLLOW_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5));
+    time::sleep(pause.min(until.saturating_duration_since(Instant::now()))).await;
+}
+
+/// What is known of a key: for status queries and cancels.
+pub enum Known {
+    Here(Rc<Active>),
+    Running { job: id::Job, owner: SocketAddr },
+    Ended(Done),
+    Unknown,
+    Unavailable(String),
+}
+
+/// Finds a submission, here or at control.
+pub async fn find(core: &Rc<Core>, key: &id::Key, until: Instant) -> Known {
+    if let Some(active) = core.active(key) {
+        return Known::Here(active);
+    }
+    match core.lookup(key, until).await {
+        Ok(control::Admission::Running { job, owner }) => Known::Running { job, owner },
+        Ok(control::Admission::Finished { job, owner, outcome }) => {
+            Known::Ended(fetch(core, job, owner, outcome, until).await)
+        }
+        Ok(_) => Known::Unknown,
+        Err(rejected) => Known::Unavailable(format!("{rejected:?}")),
+    }
+}
+
+impl Active {
+    /// Answered and all tasks.
+    pub fn progress(&self, core: &Core) -> (usize, usize) {
+        core.engine.progress(self.run).unwrap_or((0, self.tasks))
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,277 @@
+//! The entry process: takes submissions from callers and is responsible for their outcome.
+
+pub mod api;
+pub mod backend;
+pub mod budget;
+pub mod control;
+pub mod engine;
+pub mod held;
+pub mod keyed;
+pub mod meter;
+pub mod peer;
+pub mod session;
+pub mod settings;
+pub mod submission;
+mod sync;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::time::{self, Instant};
+
+use crate::{
+    daemon,
+    entry::{
+        budget::Budget,
+        engine::{Engine, Work},
+        held::Held,
+        keyed::{Active, Done},
+        meter::Meter,
+        session::Session,
+        settings::{Limits, Settings},
+    },
+    error::Result,
+    protocol::{
+        id, job,
+        wire::{control as wire_control, entry as wire_entry},
+    },
+    transport::{http, rpc},
+};
+
+/// How often a stopping entry looks whether its submissions have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// A running entry.
+pub struct Entry {
+    core: Rc<Core>,
+    http: http::Server,
+    rpc: rpc::Server,
+}
+
+/// State shared by the parts of an entry.
+pub struct Core {
+    pub limits: Limits,
+    pub data_centre: String,
+    /// Where other entries reach this one.
+    pub addr: Cell<SocketAddr>,
+    pub control: control::Client,
+    pub session: Rc<Session>,
+    pub engine: Rc<Engine>,
+    pub meter: Rc<Meter>,
+    pub budget: Arc<Budget>,
+    pub held: RefCell<Held>,
+    /// Submissions with a key that this entry is handling.
+    pub keys: RefCell<HashMap<id::Key, Rc<Active>>>,
+    /// Jobs that this entry runs.
+    pub jobs: RefCell<HashMap<id::Job, id::Key>>,
+    /// The process is stopping: the health check says so.
+    pub unhealthy: Cell<bool>,
+    /// No new work is taken.
+    pub refusing: Cell<bool>,
+    /// Requests being answered.
+    pub requests: Cell<usize>,
+    peers: RefCell<HashMap<SocketAddr, Rc<rpc::Link<wire_entry::ServiceClient>>>>,
+}
+
+impl Core {
+    fn new(settings: &Settings) -> Rc<Core> {
+        let limits = settings.limits.clone();
+        let session = Rc::new(Session::new());
+        let meter = Rc::new(Meter::new());
+        let budget = Budget::new(limits.memory_max_bytes);
+        let engine = Engine::new(limits.clone(), session.clone(), meter.clone(), budget.clone());
+        let held = Held::new(limits.held_max_bytes, Duration::from_millis(limits.held_max_ms));
+        Rc::new(Core {
+            limits,
+            data_centre: settings.data_centre.clone(),
+            addr: Cell::new(settings.advertise.unwrap_or(settings.rpc)),
+            control: control::Client::new(&settings.control),
+            session,
+            engine,
+            meter,
+            budget,
+            held: RefCell::new(held),
+            keys: RefCell::default(),
+            jobs: RefCell::default(),
+            unhealthy: Cell::new(false),
+            refusing: Cell::new(false),
+            requests: Cell::new(0),
+            peers: RefCell::default(),
+        })
+    }
+
+    /// The submission with this key, if this entry is handling it.
+    pub fn active(&self, key: &id::Key) -> Option<Rc<Active>> {
+        self.keys.borrow().get(key).cloned()
+    }
+
+    /// Whether new work can be taken now.
+    pub fn check(&self, work: &Work) -> Result<(), job::Refusal> {
+        if self.refusing.get() {
+            return Err(job::Refusal::Stopping);
+        }
+        if self.session.epoch().is_none() {
+            return Err(job::Refusal::ControlUnavailable);
+        }
+        let age = self.session.confirmed_age();
+        if age.is_none_or(|age| age > self.limits.rules_confirm_limit()) {
+            return Err(job::Refusal::RulesUnconfirmed);
+        }
+        self.engine.check(work)
+    }
+
+    /// Runs work to its end, at the latest until its deadline.
+    pub async fn execute(&self, run: id::Run, work: Work) -> Done {
+        let deadline = work.deadline;
+        if self.session.epoch() != Some(run.epoch) {
+            let detail = "the entry's session has ended";
+            return Done::not_run(job::Refusal::ControlUnavailable, detail);
+        }
+        let mut ending = match self.engine.submit(run, work) {
+            Ok(ending) => ending,
+            Err(reason) => return Done::not_run(reason, reason.detail()),
+        };
+        let ended = match time::timeout_at(deadline, &mut ending).await {
+            Ok(ended) => ended,
+            Err(_) => {
+                self.engine.expire(run);
+                ending.await
+            }
+        };
+        match ended {
+            Ok(ending) => Done::of(ending),
+            Err(_) => Done::failed(job::Failure::OutcomeUnknown, "the run was dropped"),
+        }
+    }
+
+    pub async fn admit(
+        &self,
+        admit: &wire_control::Admit,
+        until: Instant,
+    ) -> Result<wire_control::Admission, control::Rejected> {
+        let call = |client: wire_control::ServiceClient, context| {
+            let admit = admit.clone();
+            async move { client.admit(context, admit).await }
+        };
+        self.control.call("admit", until, call).await
+    }
+
+    pub async fn finish(
+        &self,
+        finish: &wire_control::Finish,
+        until: Instant,
+    ) -> Result<wire_control::Finished, control::Rejected> {
+        let call = |client: wire_control::ServiceClient, context| {
+            let finish = finish.clone();
+            async move { client.finish(context, finish).await }
+        };
+        self.control.call("finish", until, call).await
+    }
+
+    pub async fn lookup(
+        &self,
+        key: &id::Key,
+        until: Instant,
+    ) -> Result<wire_control::Admission, control::Rejected> {
+        let call = |client: wire_control::ServiceClient, context| {
+            let key = key.clone();
+            async move { client.lookup(context, key).await }
+        };
+        self.control.call("lookup", until, call).await
+    }
+
+    /// Waits at another entry for the end of one of its jobs.
+    pub async fn ask(
+        &self,
+        owner: SocketAddr,
+        job: id::Job,
+        until: Instant,
+    ) -> Result<wire_entry::Waited> {
+        let context = rpc::context(until.saturating_duration_since(Instant::now()));
+        let call =
+            |client: wire_entry::ServiceClient| async move { client.wait(context, job).await };
+        self.peer(owner).call("wait", call).await
+    }
+
+    /// Cancels a job at the entry that runs it.
+    pub async fn cancel_at(
+        &self,
+        owner: SocketAddr,
+        job: id::Job,
+        until: Instant,
+    ) -> Result<wire_entry::Waited> {
+        let context = rpc::context(until.saturating_duration_since(Instant::now()));
+        let call =
+            |client: wire_entry::ServiceClient| async move { client.cancel(context, job).await };
+        self.peer(owner).call("cancel", call).await
+    }
+
+    fn peer(&self, addr: SocketAddr) -> Rc<rpc::Link<wire_entry::ServiceClient>> {
+        let mut peers = self.peers.borrow_mut();
+        // Entries come and go: an unbounded map would keep a link to each that ever lived.
+        if peers.len() >= PEERS_MAX && !peers.contains_key(&addr) {
+            peers.clear();
+        }
+        peers.entry(addr).or_insert_with(|| rpc::Link::new(addr)).clone()
+    }
+}
+
+/// Links to other entries kept at once.
+const PEERS_MAX: usize = 1_024;
+
+impl daemon::Process for Entry {
+    type Settings = Settings;
+
+    const NAME: &'static str = "briargauge-entry";
+
+    async fn start(settings: Settings) -> Result<Entry> {
+        let core = Core::new(&settings);
+        let rpc = peer::serve(settings.rpc, &core).await?;
+        if settings.advertise.is_none() {
+            core.addr.set(rpc.addr());
+        }
+        let handler = core.clone();
+        let http = http::serve(settings.http, move |request| api::handle(handler.clone(), request))
+            .await?;
+        actix_rt::spawn(core.engine.clone().drive());
+        actix_rt::spawn(sync::keep(core.clone()));
+        Ok(Entry { core, http, rpc })
+    }
+
+    fn listening(&self) -> daemon::Listening {
+        daemon::Listening { http: Some(self.http.addr()), rpc: Some(self.rpc.addr()) }
+    }
+
+    async fn stop(self) -> usize {
+        let core = &self.core;
+        core.unhealthy.set(true);
+        time::sleep(Duration::from_millis(core.limits.drain_notice_ms)).await;
+        core.refusing.set(true);
+        let end = Instant::now() + Duration::from_millis(core.limits.drain_limit_ms);
+        self.http.drain(end.saturating_duration_since(Instant::now())).await;
+        // Jobs whose callers have hung up, and waits of other entries.
+        while core.left() > 0 && Instant::now() < end {
+            time::sleep(DRAIN_POLL).await;
+        }
+        self.http.stop();
+        let cut = self.http.in_flight() + core.left();
+        for (key, active) in core.keys.borrow().iter() {
+            let (run, team) = (active.run, &key.team);
+            log::warn!("event=cut_off run={run} team={team} key={:?}", key.key);
+        }
+        cut
+    }
+}
+
+impl Core {
+    /// Submissions that have not ended.
+    fn left(&self) -> usize {
+        self.keys.borrow().len()
+    }
+}
--- /dev/null
+++ b/src/entry/submission.rs
@@ -0,0 +1,143 @@
+//! Reads and checks what callers send.
+
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+use sha2::{Digest, Sha256};
+use tokio::time::Instant;
+
+use crate::{
+    coordination::dispatch::TaskSpec,
+    entry::{
+        engine::{Task, Work},
+        keyed::Keyed,
+        settings::Limits,
+    },
+    protocol::{id, job},
+};
+
+/// Longest name of a kind of task, in bytes.
+pub const KIND_MAX_BYTES: usize = 128;
+
+/// A valid submission.
+#[derive(Debug)]
+pub enum Submission {
+    Keyed(Keyed),
+    /// An idempotent request without a key.
+    Unkeyed(Work),
+}
+
+/// What is wrong with a submission.
+pub type Wrong = String;
+
+/// Reads the body of `POST /v1/jobs`.
+pub fn job(body: &Bytes, arrived: Instant, limits: &Limits) -> Result<Keyed, Wrong> {
+    let job::Submission { team, key, created_at_ms, deadline_ms, tasks } = parse(body)?;
+    let key = check_key(team, key)?;
+    if tasks.is_empty() {
+        return Err("tasks: at least one is needed".into());
+    }
+    if tasks.len() > limits.tasks_max {
+        return Err(format!("tasks: {} are too many, at most {}", tasks.len(), limits.tasks_max));
+    }
+    let work = work(key.team.clone(), tasks, arrived + limits.deadline(deadline_ms), false)?;
+    Ok(Keyed { digest: digest(&work), key, created_at_ms, work })
+}
+
+/// Reads the body of `POST /v1/requests`.
+pub fn request(body: &Bytes, arrived: Instant, limits: &Limits) -> Result<Submission, Wrong> {
+    let job::Request { team, idempotent, key, created_at_ms, deadline_ms, task } = parse(body)?;
+    let deadline = arrived + limits.deadline(deadline_ms);
+    match (key, created_at_ms) {
+        (Some(key), Some(created_at_ms)) => {
+            let key = check_key(team, key)?;
+            let work = work(key.team.clone(), vec![task], deadline, false)?;
+            Ok(Submission::Keyed(Keyed { digest: digest(&work), key, created_at_ms, work }))
+        }
+        (Some(_), None) => Err("created_at_ms: needed with a key".into()),
+        (None, Some(_)) => Err("key: needed with created_at_ms".into()),
+        (None, None) if !idempotent => Err("key: needed, as the request is not idempotent".into()),
+        (None, None) => {
+            check_team(&team)?;
+            work(team, vec![task], deadline, true).map(Submission::Unkeyed)
+        }
+    }
+}
+
+/// Reads the body of `POST /v1/jobs/cancel`.
+pub fn cancel(body: &Bytes) -> Result<id::Key, Wrong> {
+    let job::Cancel { team, key } = parse(body)?;
+    check_key(team, key)
+}
+
+/// Reads the query of `GET /v1/jobs`.
+pub fn query(query: &str) -> Result<id::Key, Wrong> {
+    let (mut team, mut key) = (None, None);
+    for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+        match &*name {
+            "team" => team = Some(value.into_owned()),
+            "key" => key = Some(value.into_owned()),
+            _ => return Err(format!("{name}: unknown parameter")),
+        }
+    }
+    let team = team.ok_or("team: missing parameter")?;
+    let key = key.ok_or("key: missing parameter")?;
+    check_key(id::Team(team), key)
+}
+
+/// Errors of `serde_json` name the field, line and column.
+fn parse<T: DeserializeOwned>(body: &Bytes) -> Result<T, Wrong> {
+    serde_json::from_slice(body).map_err(|e| e.to_string())
+}
+
+fn check_team(team: &id::Team) -> Result<(), Wrong> {
+    check_length("team", &team.0, id::TEAM_MAX_BYTES)
+}
+
+fn check_key(team: id::Team, key: String) -> Result<id::Key, Wrong> {
+    check_team(&team)?;
+    check_length("key", &key, id::KEY_MAX_BYTES)?;
+    Ok(id::Key { team, key })
+}
+
+fn check_length(field: &str, value: &str, max: usize) -> Result<(), Wrong> {
+    match value.len() {
+        0 => Err(format!("{field}: must not be empty")),
+        n if n > max => Err(format!("{field}: {n} bytes are too long, at most {max}")),
+        _ => Ok(()),
+    }
+}
+
+fn work(
+    team: id::Team,
+    tasks: Vec<job::Task>,
+    deadline: Instant,
+    restartable: bool,
+) -> Result<Work, Wrong> {
+    let mut checked = Vec::with_capacity(tasks.len());
+    for (index, task) in tasks.into_iter().enumerate() {
+        let job::Task { kind, input, declared_ms, needs } = task;
+        check_length("kind", &kind, KIND_MAX_BYTES).map_err(|e| format!("tasks[{index}].{e}"))?;
+        let spec = TaskSpec { kind, declared_ms, needs: needs.unwrap_or_default() };
+        checked.push(Task { spec, input: Box::<str>::from(input).into_string() });
+    }
+    Ok(Work { team, tasks: checked, deadline, restartable })
+}
+
+/// Digest of a submission's tasks: a resubmission must repeat them byte by byte.
+///
+/// The deadline is left out, as a resubmission may have less time.
+fn digest(work: &Work) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    for Task { spec, input } in &work.tasks {
+        for text in [&spec.kind, input] {
+            hash.update((text.len() as u64).to_be_bytes());
+            hash.update(text);
+        }
+        let declared = spec.declared_ms.map_or(u64::MAX, u64::from);
+        hash.update(declared.to_be_bytes());
+        hash.update(spec.needs.cpus.to_be_bytes());
+        hash.update(spec.needs.memory_mb.to_be_bytes());
+        hash.update(spec.needs.accelerators.to_be_bytes());
+    }
+    hash.finalize().into()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod coordination;
 pub mod daemon;
+pub mod entry;
 pub mod error;
 pub mod metric;
 pub mod protocol;
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -79,8 +79,10 @@
     Failed { reason: Failure, detail: String },
     /// No task was started, and none will be.
     NotRun { reason: Refusal, detail: String },
-    /// Still running; only for status queries.
+    /// Still running: for status queries, and for resubmissions whose deadline passes.
     Running { done: usize, tasks: usize },
+    /// No submission with this key is known: for status queries and cancels.
+    Unknown { detail: String },
 }
 
 /// Why a submission failed. Part of the public interface.
@@ -130,3 +132,55 @@
     /// The entry is stopping.
     Stopping,
 }
+
+impl Failure {
+    /// The reason as it appears in JSON, logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Failure::TaskFailed => "task_failed",
+            Failure::OutcomeUnknown => "outcome_unknown",
+            Failure::DeadlineExceeded => "deadline_exceeded",
+            Failure::Cancelled => "cancelled",
+            Failure::EntryLost => "entry_lost",
+            Failure::AnswerLost => "answer_lost",
+        }
+    }
+}
+
+impl Refusal {
+    /// The reason as it appears in JSON, logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Refusal::BadRequest => "bad_request",
+            Refusal::KeyConflict => "key_conflict",
+            Refusal::KeyExpired => "key_expired",
+            Refusal::NeverFits => "never_fits",
+            Refusal::OverQuota => "over_quota",
+            Refusal::Overloaded => "overloaded",
+            Refusal::NoBackend => "no_backend",
+            Refusal::DeadlineExceeded => "deadline_exceeded",
+            Refusal::Cancelled => "cancelled",
+            Refusal::RulesUnconfirmed => "rules_unconfirmed",
+            Refusal::ControlUnavailable => "control_unavailable",
+            Refusal::Stopping => "stopping",
+        }
+    }
+
+    /// What the reason means, for callers.
+    pub fn detail(self) -> &'static str {
+        match self {
+            Refusal::BadRequest => "the submission is not valid",
+            Refusal::KeyConflict => "the key was used before with other content",
+            Refusal::KeyExpired => "created_at_ms is out of the time for which keys are kept",
+            Refusal::NeverFits => "no backend server could ever run a task of the submission",
+            Refusal::OverQuota => "the team is over its quota",
+            Refusal::Overloaded => "the queues are full",
+            Refusal::NoBackend => "no backend server is available",
+            Refusal::DeadlineExceeded => "the deadline passed before any task started",
+            Refusal::Cancelled => "cancelled by the caller before any task started",
+            Refusal::RulesUnconfirmed => "the entry cannot confirm that its rules are in force",
+            Refusal::ControlUnavailable => "control did not admit the submission",
+            Refusal::Stopping => "the entry is stopping",
+        }
+    }
+}
--- /dev/null
+++ b/tests/fake/control.rs
@@ -0,0 +1,257 @@
+//! A control instance that keeps its records in memory and misbehaves on request.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    future,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use briargauge::{
+    protocol::{
+        id,
+        wire::{
+            Outcome,
+            control::{
+                Accepted, Admission, Admit, Change, Changed, EntrySync, EntryView, Finish,
+                Finished, Hello, Member, Members, Refusal, Revision, Rules, Service, Session,
+                SidecarSync, SidecarView, Status, VoterChange,
+            },
+        },
+    },
+    transport::rpc,
+};
+use tarpc::context::Context;
+
+#[derive(Debug, Clone)]
+pub struct Record {
+    pub job: id::Job,
+    pub run: id::Run,
+    owner: SocketAddr,
+    digest: [u8; 32],
+    pub outcome: Option<Outcome>,
+}
+
+/// Calls that a control instance can fail to answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Call {
+    Sync,
+    Admit,
+    Finish,
+    Lookup,
+}
+
+#[derive(Default)]
+pub struct Control {
+    server: RefCell<Option<rpc::Server>>,
+    index: Cell<u64>,
+    sessions: RefCell<HashMap<id::Epoch, SocketAddr>>,
+    pub fenced: RefCell<HashSet<id::Epoch>>,
+    pub jobs: RefCell<HashMap<String, Record>>,
+    members: RefCell<Vec<Member>>,
+    syncs: Cell<usize>,
+    pub calls: RefCell<HashMap<Call, usize>>,
+    /// Calls carried out but never answered.
+    pub mute: RefCell<HashSet<Call>>,
+    /// Age of each confirmation.
+    pub age_ms: Cell<u64>,
+    /// Another instance that leads.
+    pub leader: Cell<Option<SocketAddr>>,
+    /// Keys created before this are expired.
+    pub oldest_ms: Cell<u64>,
+}
+
+impl Control {
+    pub async fn start() -> Rc<Control> {
+        let control = Rc::new(Control::default());
+        let server = rpc::serve(super::any(), Shim(control.clone()).serve()).await.unwrap();
+        control.server.replace(Some(server));
+        control
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.server.borrow().as_ref().unwrap().addr()
+    }
+
+    pub fn add(&self, member: Member) {
+        self.members.borrow_mut().push(member);
+    }
+
+    /// Waits until as many further reports have been answered and the answers taken over.
+    pub async fn synced(&self, count: usize) {
+        let after = self.syncs.get() + count + 1;
+        super::until("reports", || self.syncs.get() >= after).await;
+    }
+
+    /// Ends all sessions; open jobs are recorded as failed if `abandon`.
+    pub fn fence(&self, abandon: bool) {
+        self.fenced.borrow_mut().extend(self.sessions.borrow().keys().copied());
+        for record in self.jobs.borrow_mut().values_mut().filter(|_| abandon) {
+            record.outcome.get_or_insert(Outcome::Failed {
+                reason: briargauge::protocol::job::Failure::EntryLost,
+                detail: "fenced".into(),
+            });
+        }
+    }
+
+    pub fn counted(&self, call: Call) -> usize {
+        self.calls.borrow().get(&call).copied().unwrap_or(0)
+    }
+
+    fn next(&self) -> u64 {
+        self.index.set(self.index.get() + 1);
+        self.index.get()
+    }
+
+    fn led(&self) -> Result<(), Refusal> {
+        match self.leader.get() {
+            Some(leader) => Err(Refusal::NotLeader { leader: Some(leader) }),
+            None => Ok(()),
+        }
+    }
+
+    fn live(&self, epoch: id::Epoch) -> Result<(), Refusal> {
+        self.led()?;
+        let fenced = self.fenced.borrow().contains(&epoch);
+        if fenced { Err(Refusal::Fenced) } else { Ok(()) }
+    }
+
+    /// Counts a call; does not return if it is to stay unanswered.
+    async fn count(&self, call: Call) {
+        *self.calls.borrow_mut().entry(call).or_default() += 1;
+        if self.mute.borrow().contains(&call) {
+            future::pending::<()>().await;
+        }
+    }
+
+    fn admission(record: &Record) -> Admission {
+        match &record.outcome {
+            Some(outcome) => Admission::Finished {
+                job: record.job,
+                owner: record.owner,
+                outcome: outcome.clone(),
+            },
+            None => Admission::Running { job: record.job, owner: record.owner },
+        }
+    }
+
+    fn record(&self, admit: Admit) -> Admission {
+        if admit.created_at_ms < self.oldest_ms.get() {
+            return Admission::Expired;
+        }
+        let mut jobs = self.jobs.borrow_mut();
+        if let Some(record) = jobs.get(&admit.key.key) {
+            let freed = matches!(record.outcome, Some(Outcome::NotRun { .. }));
+            if !freed && record.digest != admit.digest {
+                return Admission::Conflict;
+            }
+            if record.run == admit.run && record.outcome.is_none() {
+                return Admission::Admitted { job: record.job };
+            }
+            if !freed {
+                return Control::admission(record);
+            }
+        }
+        let job = id::Job(self.next());
+        let owner = self.sessions.borrow()[&admit.run.epoch];
+        let record = Record { job, run: admit.run, owner, digest: admit.digest, outcome: None };
+        jobs.insert(admit.key.key, record);
+        Admission::Admitted { job }
+    }
+}
+
+#[derive(Clone)]
+struct Shim(Rc<Control>);
+
+fn unused<T>() -> Result<T, Refusal> {
+    Err(Refusal::Invalid { detail: "not part of the stand-in".into() })
+}
+
+impl Service for Shim {
+    async fn register(self, _: Context, hello: Hello) -> Result<Session, Refusal> {
+        self.0.led()?;
+        let epoch = id::Epoch(self.0.next());
+        self.0.sessions.borrow_mut().insert(epoch, hello.addr);
+        Ok(Session { epoch, lease_ms: 3_000 })
+    }
+
+    async fn sync_entry(self, _: Context, sync: EntrySync) -> Result<EntryView, Refusal> {
+        self.0.count(Call::Sync).await;
+        self.0.live(sync.epoch)?;
+        self.0.syncs.set(self.0.syncs.get() + 1);
+        let members = Members {
+            revision: Revision { term: 1, number: 1 },
+            full: true,
+            changed: self.0.members.borrow().clone(),
+            removed: Vec::new(),
+        };
+        let rules = (sync.rules_version == 0).then(|| Rules { version: 1, text: String::new() });
+        Ok(EntryView { confirmed_age_ms: self.0.age_ms.get(), rules, members, shares: Vec::new() })
+    }
+
+    async fn admit(self, _: Context, admit: Admit) -> Result<Admission, Refusal> {
+        self.0.live(admit.run.epoch)?;
+        let admission = self.0.record(admit);
+        self.0.count(Call::Admit).await;
+        Ok(admission)
+    }
+
+    async fn finish(self, _: Context, finish: Finish) -> Result<Finished, Refusal> {
+        self.0.live(finish.epoch)?;
+        let finished = {
+            let mut jobs = self.0.jobs.borrow_mut();
+            let Some(record) = jobs.values_mut().find(|r| r.job == finish.job) else {
+                return unused();
+            };
+            match &record.outcome {
+                Some(outcome) => Finished::Already { outcome: outcome.clone() },
+                None => {
+                    record.outcome = Some(finish.outcome);
+                    Finished::Recorded
+                }
+            }
+        };
+        self.0.count(Call::Finish).await;
+        Ok(finished)
+    }
+
+    async fn lookup(self, _: Context, key: id::Key) -> Result<Admission, Refusal> {
+        self.0.led()?;
+        self.0.count(Call::Lookup).await;
+        let jobs = self.0.jobs.borrow();
+        Ok(jobs.get(&key.key).map_or(Admission::Unknown, Control::admission))
+    }
+
+    async fn sync_sidecar(self, _: Context, _: SidecarSync) -> Result<SidecarView, Refusal> {
+        unused()
+    }
+
+    async fn change_rules(self, _: Context, _: Change) -> Result<Changed, Refusal> {
+        unused()
+    }
+
+    async fn rules(self, _: Context) -> Result<Rules, Refusal> {
+        unused()
+    }
+
+    async fn history(self, _: Context, _: u32) -> Result<Vec<Accepted>, Refusal> {
+        unused()
+    }
+
+    async fn members(self, _: Context) -> Result<Vec<Member>, Refusal> {
+        unused()
+    }
+
+    async fn status(self, _: Context) -> Status {
+        unreachable!("not part of the stand-in")
+    }
+
+    async fn init(self, _: Context) -> Result<(), Refusal> {
+        unused()
+    }
+
+    async fn change_voters(self, _: Context, _: VoterChange) -> Result<(), Refusal> {
+        unused()
+    }
+}
--- /dev/null
+++ b/tests/fake/sidecar.rs
@@ -0,0 +1,224 @@
+//! A sidecar that runs tasks in no time and misbehaves on request.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashSet,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use briargauge::{
+    protocol::{
+        id, job,
+        wire::{
+            control::{Member, MemberState},
+            sidecar::{Cancelled, Load, NotStarted, Reply, Revoked, RunResult, Service, Task},
+        },
+    },
+    transport::rpc,
+};
+use tarpc::context::Context;
+use tokio::{sync::watch, time};
+
+use super::relay::Relay;
+
+/// What a sidecar does with an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    Refuse(NotStarted),
+    /// It starts and fails.
+    Fail,
+    /// It starts and answers after this many ms.
+    Late(u64),
+    /// It starts; the reply names another attempt.
+    Crossed,
+    BadCrc,
+    BadJson,
+    /// The connection breaks before it starts.
+    CutBefore,
+    /// The connection breaks after it has started.
+    CutAfter,
+    /// It starts and answers when the test says so.
+    Hold,
+}
+
+type Plan = Rc<dyn Fn(&Task) -> Fault>;
+
+pub struct Sidecar {
+    pub relay: Rc<Relay>,
+    pub incarnation: id::Incarnation,
+    server: RefCell<Option<rpc::Server>>,
+    plan: RefCell<Plan>,
+    /// Attempts started, in order.
+    pub started: RefCell<Vec<id::Attempt>>,
+    revoked: RefCell<HashSet<id::Attempt>>,
+    pub cancels: RefCell<Vec<id::Run>>,
+    pub runs: Cell<usize>,
+    release: watch::Sender<bool>,
+}
+
+impl Sidecar {
+    pub async fn start() -> Rc<Sidecar> {
+        let server = Rc::new(RefCell::new(None));
+        let shim = Shim(server.clone());
+        let rpc = rpc::serve(super::any(), shim.serve()).await.unwrap();
+        let relay = Relay::start(rpc.addr()).await;
+        let sidecar = Rc::new(Sidecar {
+            relay,
+            incarnation: id::Incarnation(rand::random()),
+            server: RefCell::new(Some(rpc)),
+            plan: RefCell::new(Rc::new(|_| Fault::None)),
+            started: RefCell::default(),
+            revoked: RefCell::default(),
+            cancels: RefCell::default(),
+            runs: Cell::new(0),
+            release: watch::channel(false).0,
+        });
+        *server.borrow_mut() = Some(sidecar.clone());
+        sidecar
+    }
+
+    pub fn member(&self) -> Member {
+        self.member_at(self.relay.addr)
+    }
+
+    pub fn member_at(&self, addr: SocketAddr) -> Member {
+        Member {
+            incarnation: self.incarnation,
+            addr,
+            data_centre: "fukuoka".into(),
+            rack: "r1".into(),
+            slots: 1_000,
+            connections: 64,
+            kinds: Vec::new(),
+            size: job::Needs { cpus: 64, memory_mb: 131_072, accelerators: 0 },
+            state: MemberState::Serving,
+        }
+    }
+
+    /// Decides what happens to each attempt from now on.
+    pub fn plan(&self, plan: impl Fn(&Task) -> Fault + 'static) {
+        self.plan.replace(Rc::new(plan));
+    }
+
+    /// Lets held attempts answer.
+    pub fn release(&self) {
+        self.release.send_replace(true);
+    }
+
+    pub fn starts(&self) -> usize {
+        self.started.borrow().len()
+    }
+
+    /// Whether a task of a run has started more than once.
+    pub fn has_repeats(&self) -> bool {
+        let started = self.started.borrow();
+        let mut seen = HashSet::new();
+        !started.iter().all(|a| seen.insert((a.run, a.task)))
+    }
+
+    async fn run(&self, task: Task) -> Reply {
+        self.runs.set(self.runs.get() + 1);
+        let attempt = task.attempt;
+        let plan = self.plan.borrow().clone();
+        let fault = plan(&task);
+        let reply = |attempt, result| {
+            let load = Load { slots: 1_000, busy: 0, queued: 0 };
+            Reply { attempt, load, result }
+        };
+        let unstarted = |reason| reply(attempt, RunResult::NotStarted { reason });
+        match fault {
+            Fault::Refuse(reason) => return unstarted(reason),
+            Fault::CutBefore => {
+                self.relay.cut();
+                // Late enough for the entry to have revoked it, as a sidecar's queue would be.
+                super::until("revoked", || self.revoked.borrow().contains(&attempt)).await;
+            }
+            _ => {}
+        }
+        if self.revoked.borrow().contains(&attempt) {
+            return unstarted(NotStarted::Revoked);
+        }
+        self.started.borrow_mut().push(attempt);
+        let done = |answer: String| {
+            let crc = crc32fast::hash(answer.as_bytes());
+            RunResult::Done { answer, crc, ran_us: 10 }
+        };
+        let result = match fault {
+            Fault::Fail => RunResult::Failed {
+                reason: job::Failure::TaskFailed,
+                detail: "status=500".into(),
+                ran_us: 10,
+            },
+            Fault::Late(ms) => {
+                time::sleep(Duration::from_millis(ms)).await;
+                done(task.input)
+            }
+            Fault::Hold => {
+                let _ = self.release.subscribe().wait_for(|released| *released).await;
+                done(task.input)
+            }
+            Fault::Crossed => {
+                let other = id::Attempt { task: attempt.task + 1, ..attempt };
+                return reply(other, done(task.input));
+            }
+            Fault::BadCrc => RunResult::Done { answer: task.input, crc: 1, ran_us: 10 },
+            Fault::BadJson => done("{".into()),
+            Fault::CutAfter => {
+                self.relay.cut();
+                done(task.input)
+            }
+            Fault::None | Fault::Refuse(_) | Fault::CutBefore => done(task.input),
+        };
+        reply(attempt, result)
+    }
+
+    fn revoke(&self, attempts: Vec<id::Attempt>) -> Vec<Revoked> {
+        let started = self.started.borrow();
+        let revoke = |attempt: id::Attempt| {
+            if started.contains(&attempt) {
+                return Revoked::Started;
+            }
+            self.revoked.borrow_mut().insert(attempt);
+            Revoked::NotStarted
+        };
+        attempts.into_iter().map(revoke).collect()
+    }
+}
+
+#[derive(Clone)]
+struct Shim(Rc<RefCell<Option<Rc<Sidecar>>>>);
+
+impl Shim {
+    fn sidecar(&self) -> Rc<Sidecar> {
+        self.0.borrow().clone().unwrap()
+    }
+}
+
+impl Service for Shim {
+    async fn run(self, _: Context, task: Task) -> Reply {
+        let sidecar = self.sidecar();
+        // As the page says, a broken connection must not end a started attempt.
+        actix_rt::spawn(async move { sidecar.run(task).await }).await.unwrap()
+    }
+
+    async fn cancel(self, _: Context, run: id::Run) -> Cancelled {
+        self.sidecar().cancels.borrow_mut().push(run);
+        Cancelled { queued: 0, running: 1 }
+    }
+
+    async fn revoke(
+        self,
+        _: Context,
+        incarnation: id::Incarnation,
+        attempts: Vec<id::Attempt>,
+    ) -> Vec<Revoked> {
+        let sidecar = self.sidecar();
+        if incarnation != sidecar.incarnation {
+            return vec![Revoked::Unknown; attempts.len()];
+        }
+        sidecar.revoke(attempts)
+    }
+}
