--- /dev/null
+++ b/tests/sidecar.rs
@@ -0,0 +1,469 @@
+//! The sidecar process between a stand-in of control and the stand-in backend server.
+
+mod stand;
+mod workdir;
+
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep;
+use briargauge::{
+    protocol::{
+        id, job,
+        wire::{
+            control::{MemberState, Refusal},
+            sidecar::{self, NotStarted, Reply, Revoked, RunResult},
+        },
+    },
+    transport::rpc::{self, Link},
+};
+use futures::{FutureExt, future};
+use nix::sys::signal::Signal;
+use serde_json::json;
+use stand::{Stand, attempt, control, failed, get, refused, send, until};
+
+/// Guards against a sidecar that does not get an attempt to its backend server and back.
+#[actix_rt::test]
+async fn runs_an_attempt() {
+    let stand = Stand::new().await;
+    let reply = stand.run(1, json!({"part": 7})).await;
+    let RunResult::Done { answer, crc, .. } = &reply.result else { panic!("{reply:?}") };
+    assert_eq!(answer, r#"{"backend":"b1","echo":{"part":7}}"#);
+    assert_eq!(*crc, crc32fast::hash(answer.as_bytes()));
+    assert_eq!(reply.attempt, attempt(1));
+    assert_eq!(reply.load, sidecar::Load { slots: 8, busy: 0, queued: 0 });
+    assert_eq!(stand.starts().await, json!({"5-1-0-0": 1}));
+}
+
+/// Sends attempts until one ends as `wanted`; returns how many were sent.
+async fn until_refused(stand: &Stand, first: u64, wanted: Option<NotStarted>) -> u64 {
+    let mut seq = first;
+    until("a refusal", async || {
+        seq += 1;
+        let reply = stand.run(seq, json!({})).await;
+        (refused(&reply) == wanted).then_some(seq)
+    })
+    .await
+}
+
+/// Guards against starts by a sidecar that cannot know which entries are fenced.
+#[actix_rt::test]
+async fn stale_lease_starts_nothing() {
+    let stand = Stand::new().await;
+    stand.control.set(|a| a.lease_ms = 300);
+    sleep(Duration::from_millis(300)).await;
+    stand.control.set(|a| a.refusal = Some(Refusal::Stopping));
+    let seq = until_refused(&stand, 100, Some(NotStarted::NoLease)).await;
+    let held = stand.starts().await;
+    let reply = stand.run(seq + 1, json!({})).await;
+    assert_eq!(refused(&reply), Some(NotStarted::NoLease));
+    assert_eq!(stand.starts().await, held);
+    stand.control.set(|a| a.refusal = None);
+    until_refused(&stand, 1_000_000, None).await;
+    // Refused for good: the same attempt does not start now that there is a lease.
+    let reply = stand.run(seq + 1, json!({})).await;
+    assert_eq!(refused(&reply), Some(NotStarted::NoLease));
+}
+
+/// Guards against a lease that counts from the answer instead of from the sending of the call,
+/// or that ignores the age of a relayed confirmation.
+#[actix_rt::test]
+async fn old_confirmations_give_no_lease() {
+    for (delay_ms, age_ms) in [(500, 0), (0, 400)] {
+        let stand = Stand::new().await;
+        stand.control.set(|a| {
+            a.lease_ms = 400;
+            a.delay = Duration::from_millis(delay_ms);
+            a.confirmed_age_ms = age_ms;
+        });
+        until_refused(&stand, 1, Some(NotStarted::NoLease)).await;
+        let calls = stand.control.get().calls;
+        until("more confirmations", async || (stand.control.get().calls > calls + 3).then_some(()))
+            .await;
+        let reply = stand.run(1_000_000, json!({})).await;
+        assert_eq!(refused(&reply), Some(NotStarted::NoLease));
+    }
+}
+
+/// Guards against starts for an entry whose jobs may already be recorded as failed.
+#[actix_rt::test]
+async fn fenced_epoch_starts_nothing() {
+    let stand = Stand::new().await;
+    stand.control.set(|a| a.sessions = control::sessions(&[9]));
+    until_refused(&stand, 1, Some(NotStarted::Fenced)).await;
+    let of_epoch = |epoch, seq| {
+        let run = id::Run { epoch: id::Epoch(epoch), seq };
+        let mut task = stand.task(0, json!({}));
+        task.attempt.run = run;
+        task
+    };
+    // A listed session and one that is newer than the list may start.
+    for epoch in [9, 12] {
+        let reply = stand.send(of_epoch(epoch, 1)).await;
+        assert!(matches!(reply.result, RunResult::Done { .. }), "{reply:?}");
+    }
+    // An older list does not bring the session back.
+    stand.control.set(|a| a.sessions = control::sessions(&[stand::EPOCH]));
+    let calls = stand.control.get().calls;
+    until("another sync", async || (stand.control.get().calls > calls + 1).then_some(())).await;
+    let reply = stand.send(of_epoch(stand::EPOCH, 500)).await;
+    assert_eq!(refused(&reply), Some(NotStarted::Fenced));
+}
+
+/// Guards against a sidecar that loses control when one instance is down or does not lead.
+#[actix_rt::test]
+async fn finds_the_leader() {
+    let dir = workdir::Workdir::new();
+    let leader = control::Control::start(&[stand::EPOCH]);
+    let follower = control::Control::start(&[]);
+    follower.set(|a| a.refusal = Some(Refusal::NotLeader { leader: Some(leader.addr) }));
+    let closed = std::net::TcpListener::bind(stand::HOST).unwrap().local_addr().unwrap();
+    let settings = json!({ "control": [closed, follower.addr] });
+    let sidecar = stand::start_sidecar(&dir, &leader, stand::HOST, settings);
+    let _backend = stand::start_backend(&dir, sidecar.http(), stand::HOST, json!({}));
+    let member = until("the leader to be told", async || leader.member()).await;
+    assert_eq!((member.addr, member.slots), (sidecar.rpc(), 8));
+    assert_eq!(follower.get().last.map(|l| l.rules_version), Some(0));
+}
+
+async fn cancel(stand: &Stand, seq: u64) -> sidecar::Cancelled {
+    let run = attempt(seq).run;
+    let call = |c: sidecar::ServiceClient| async move {
+        c.cancel(rpc::context(workdir::LIMIT), run).await
+    };
+    stand.link.call("cancel", call).await.unwrap()
+}
+
+async fn revoke(stand: &Stand, incarnation: id::Incarnation, seqs: &[u64]) -> Vec<Revoked> {
+    let attempts = seqs.iter().map(|s| attempt(*s)).collect();
+    let call = |c: sidecar::ServiceClient| async move {
+        c.revoke(rpc::context(workdir::LIMIT), incarnation, attempts).await
+    };
+    stand.link.call("revoke", call).await.unwrap()
+}
+
+/// Waits until the backend server has been sent an attempt.
+async fn started(stand: &Stand, seq: u64) {
+    let id = attempt(seq).to_string();
+    until("a start", async || stand.starts().await.get(&id).map(|_| ())).await;
+}
+
+/// Guards against cancelled work that still holds a slot, starts later, or hides that it started.
+#[actix_rt::test]
+async fn cancel_stops_running_and_drops_queued() {
+    let stand = Stand::with(json!({}), json!({"slots": 1})).await;
+    let check = async {
+        started(&stand, 1).await;
+        until("a queued attempt", async || {
+            let metrics = stand.metrics().await;
+            metrics.contains("sidecar_load{of=\"queued\"} 1").then_some(())
+        })
+        .await;
+        assert_eq!(cancel(&stand, 2).await, sidecar::Cancelled { queued: 1, running: 0 });
+        assert_eq!(cancel(&stand, 1).await, sidecar::Cancelled { queued: 0, running: 1 });
+    };
+    let long = stand.run(1, json!({"work_ms": 25_000}));
+    let queued = async {
+        started(&stand, 1).await;
+        stand.run(2, json!({})).await
+    };
+    let (long, queued, ()) = future::join3(long, queued, check).await;
+    assert_eq!(failed(&long), Some(job::Failure::Cancelled));
+    assert_eq!(refused(&queued), Some(NotStarted::Revoked));
+    // A later attempt of a cancelled run does not start either.
+    let mut late = stand.task(2, json!({}));
+    late.attempt.task = 1;
+    assert_eq!(refused(&stand.send(late).await), Some(NotStarted::Revoked));
+    assert_eq!(stand.starts().await, json!({"5-1-0-0": 1}));
+    until("the task to be stopped", async || {
+        let seen = get(stand.backend.http(), "/seen").await;
+        (seen["stopped"] == json!(["5-1-0-0"])).then_some(())
+    })
+    .await;
+}
+
+/// Guards against a task that starts here after its entry was told that it may start elsewhere.
+#[actix_rt::test]
+async fn revoked_attempts_never_start() {
+    let stand = Stand::new().await;
+    let long = stand.run(1, json!({"work_ms": 1_500}));
+    let check = async {
+        started(&stand, 1).await;
+        let told = revoke(&stand, stand.incarnation, &[1, 2]).await;
+        assert_eq!(told, [Revoked::Started, Revoked::NotStarted]);
+        let other = id::Incarnation(stand.incarnation.0 ^ 1);
+        assert_eq!(revoke(&stand, other, &[3]).await, [Revoked::Unknown]);
+        assert_eq!(refused(&stand.run(2, json!({})).await), Some(NotStarted::Revoked));
+    };
+    let (long, ()) = future::join(long, check).await;
+    assert!(matches!(long.result, RunResult::Done { .. }), "{long:?}");
+    assert_eq!(stand.starts().await, json!({"5-1-0-0": 1}));
+}
+
+/// Guards against a slot that is freed, or a task that is started again, because the connection
+/// over which it was asked for has gone.
+#[actix_rt::test]
+async fn lost_connection_neither_frees_nor_restarts() {
+    let stand = Stand::with(json!({}), json!({"slots": 1})).await;
+    let lost = Link::new(stand.sidecar.rpc());
+    let long = stand.task(1, json!({"work_ms": 1_500}));
+    {
+        let call = send(&lost, long.clone()).fuse();
+        futures::pin_mut!(call);
+        let begun = started(&stand, 1).fuse();
+        futures::pin_mut!(begun);
+        futures::select! {
+            reply = call => panic!("{reply:?}"),
+            () = begun => {}
+        }
+    }
+    drop(lost);
+    // A resend joins the running attempt; another task waits for its slot.
+    let (again, next) = future::join(stand.send(long), stand.run(2, json!({}))).await;
+    assert!(matches!(again.result, RunResult::Done { .. }), "{again:?}");
+    assert!(matches!(next.result, RunResult::Done { .. }), "{next:?}");
+    assert_eq!(stand.starts().await, json!({"5-1-0-0": 1, "5-2-0-0": 1}));
+    assert_eq!(get(stand.backend.http(), "/seen").await["busy_max"], json!(1));
+    // Ended since: its outcome is not told again, and above all it does not run again.
+    let late = stand.run(1, json!({})).await;
+    assert_eq!(failed(&late), Some(job::Failure::OutcomeUnknown));
+}
+
+/// Guards against starting queued work that nobody waits for any more.
+#[actix_rt::test]
+async fn queued_attempt_of_lost_connection_is_dropped() {
+    let stand = Stand::with(json!({}), json!({"slots": 1})).await;
+    let running = stand.run(1, json!({"work_ms": 2_000}));
+    let check = async {
+        started(&stand, 1).await;
+        let lost = Link::new(stand.sidecar.rpc());
+        let call = send(&lost, stand.task(2, json!({})));
+        assert!(actix_rt::time::timeout(Duration::from_millis(100), call).await.is_err());
+    };
+    future::join(running, check).await;
+    assert!(matches!(stand.run(3, json!({})).await.result, RunResult::Done { .. }));
+    assert_eq!(stand.starts().await, json!({"5-1-0-0": 1, "5-3-0-0": 1}));
+    assert_eq!(revoke(&stand, stand.incarnation, &[2]).await, [Revoked::NotStarted]);
+}
+
+/// Keeps sending attempts until one is refused as draining; returns all replies.
+async fn load_until_draining(stand: &Stand, lane: u64) -> Vec<Reply> {
+    let mut replies = Vec::new();
+    for n in 0.. {
+        let reply = stand.run(lane * 1_000 + n, json!({"work_ms": 20})).await;
+        let draining = refused(&reply) == Some(NotStarted::Draining);
+        replies.push(reply);
+        if draining {
+            break;
+        }
+    }
+    replies
+}
+
+fn assert_none_cut(replies: &[Reply], starts: &serde_json::Value) {
+    for reply in replies {
+        let id = reply.attempt.to_string();
+        match &reply.result {
+            RunResult::Done { .. } => assert_eq!(starts[&id], json!(1), "{id}"),
+            RunResult::NotStarted { .. } => assert!(starts.get(&id).is_none(), "{id}"),
+            RunResult::Failed { .. } => panic!("cut: {reply:?}"),
+        }
+    }
+    assert!(replies.iter().any(|r| matches!(r.result, RunResult::Done { .. })));
+}
+
+/// Guards against a planned stop of a backend server that cuts off a task or accepts a new one.
+#[actix_rt::test]
+async fn backend_leaves_under_load() {
+    let mut stand = Stand::new().await;
+    let load = future::join_all((0..14).map(|lane| load_until_draining(&stand, lane)));
+    let leave = async {
+        sleep(Duration::from_millis(200)).await;
+        stand.backend.signal(Signal::SIGTERM);
+    };
+    let (replies, ()) = future::join(load, leave).await;
+    let late = stand.run(900_000, json!({})).await;
+    assert!(stand.backend.wait().success());
+    let starts = stand.starts_in_file();
+    assert_eq!(refused(&late), Some(NotStarted::Draining));
+    assert_none_cut(&replies.concat(), &starts);
+    until("control to be told", async || stand.control.member().is_none().then_some(())).await;
+}
+
+/// Guards against a planned stop of a sidecar that cuts off a task or accepts a new one.
+#[actix_rt::test]
+async fn sidecar_leaves_under_load() {
+    let mut stand = Stand::with(json!({"linger_ms": 500}), json!({})).await;
+    let load = future::join_all((0..14).map(|lane| load_until_draining(&stand, lane)));
+    let leave = async {
+        sleep(Duration::from_millis(200)).await;
+        stand.sidecar.signal(Signal::SIGTERM);
+    };
+    let (replies, ()) = future::join(load, leave).await;
+    assert!(stand.sidecar.wait().success());
+    assert_none_cut(&replies.concat(), &stand.starts().await);
+    assert!(stand.control.member().is_none());
+}
+
+/// Guards against control learning of a leaving backend server only after its last task.
+#[actix_rt::test]
+async fn control_learns_at_once_of_leaving() {
+    let settings = json!({"sync_interval_ms": 60_000});
+    let mut stand = Stand::with(settings, json!({})).await;
+    let long = stand.run(1, json!({"work_ms": 1_000}));
+    let check = async {
+        started(&stand, 1).await;
+        stand.backend.signal(Signal::SIGTERM);
+        until("control to be told", async || {
+            (stand.control.member()?.state == MemberState::Draining).then_some(())
+        })
+        .await;
+    };
+    let (reply, ()) = future::join(long, check).await;
+    assert!(matches!(reply.result, RunResult::Done { .. }), "{reply:?}");
+    assert!(stand.backend.wait().success());
+}
+
+/// Guards against work meant for one life of a backend server reaching the next, and against
+/// calling a task unstarted that died with its backend server.
+#[actix_rt::test]
+async fn restarted_backend_is_a_new_incarnation() {
+    let Stand { dir, control, sidecar, backend, link, incarnation } = Stand::new().await;
+    let task = stand::task(incarnation, 1, json!({"work_ms": 25_000}));
+    let addr = backend.http().to_string();
+    let restart = async {
+        until("a start", async || get(backend.http(), "/starts").await.get("5-1-0-0").map(|_| ()))
+            .await;
+        backend.kill();
+        stand::start_backend(&dir, sidecar.http(), &addr, json!({}))
+    };
+    let (reply, backend) = future::join(send(&link, task.clone()), restart).await;
+    assert_eq!(failed(&reply), Some(job::Failure::OutcomeUnknown));
+    let new = stand::serving(&control, Some(incarnation)).await;
+    let again = send(&link, task).await;
+    assert_eq!(refused(&again), Some(NotStarted::WrongIncarnation));
+    let reply = send(&link, stand::task(new, 2, json!({}))).await;
+    assert!(matches!(reply.result, RunResult::Done { .. }), "{reply:?}");
+    assert_eq!(get(backend.http(), "/starts").await, json!({"5-1-0-0": 1, "5-2-0-0": 1}));
+}
+
+/// Guards against a restarted sidecar, which remembers nothing, starting what it started before.
+#[actix_rt::test]
+async fn restarted_sidecar_is_a_new_incarnation() {
+    let Stand { dir, control, sidecar, backend, link, incarnation } = Stand::new().await;
+    let task = stand::task(incarnation, 1, json!({}));
+    let first = send(&link, task.clone()).await;
+    assert!(matches!(first.result, RunResult::Done { .. }), "{first:?}");
+    let http = sidecar.http().to_string();
+    sidecar.kill();
+    let sidecar = stand::start_sidecar(&dir, &control, &http, json!({}));
+    let new = stand::serving(&control, Some(incarnation)).await;
+    let link = Link::new(sidecar.rpc());
+    assert_eq!(refused(&send(&link, task).await), Some(NotStarted::WrongIncarnation));
+    let reply = send(&link, stand::task(new, 2, json!({}))).await;
+    assert!(matches!(reply.result, RunResult::Done { .. }), "{reply:?}");
+    assert_eq!(get(backend.http(), "/starts").await, json!({"5-1-0-0": 1, "5-2-0-0": 1}));
+}
+
+/// Guards against tasks that go on after their deadline, or start after it.
+#[actix_rt::test]
+async fn deadline_stops_running_and_drops_queued() {
+    let stand = Stand::with(json!({}), json!({"slots": 1})).await;
+    let within = |seq, left_ms| {
+        let task = stand.task(seq, json!({"work_ms": 25_000}));
+        stand.send(sidecar::Task { left_ms, ..task })
+    };
+    let begin = Instant::now();
+    let queued = async {
+        started(&stand, 1).await;
+        within(2, 50).await
+    };
+    let (running, queued) = future::join(within(1, 1_500), queued).await;
+    assert_eq!(failed(&running), Some(job::Failure::DeadlineExceeded));
+    assert_eq!(refused(&queued), Some(NotStarted::Expired));
+    assert!(begin.elapsed() < Duration::from_secs(20));
+    assert_eq!(stand.starts().await, json!({"5-1-0-0": 1}));
+}
+
+/// Guards against starting what the worker cannot hold.
+#[actix_rt::test]
+async fn refuses_what_cannot_fit() {
+    let backend = json!({
+        "kinds": ["quote"],
+        "size": { "cpus": 4, "memory_mb": 1000, "accelerators": 0 }
+    });
+    let stand = Stand::with(json!({}), backend).await;
+    let task = stand.task(1, json!({}));
+    let large = job::Needs { cpus: 5, ..job::Needs::default() };
+    let reply = stand.send(sidecar::Task { needs: large, ..task.clone() }).await;
+    assert_eq!(refused(&reply), Some(NotStarted::TooLarge));
+    let attempt = attempt(2);
+    let reply = stand.send(sidecar::Task { kind: "book".into(), attempt, ..task }).await;
+    assert_eq!(refused(&reply), Some(NotStarted::TooLarge));
+    assert_eq!(stand.starts().await, json!({}));
+}
+
+/// Guards against calling a task unstarted, or keeping its slot, when its worker lease runs out
+/// because the backend server hangs.
+#[actix_rt::test]
+async fn worker_lease_ends_tasks_of_a_frozen_backend() {
+    let settings = json!({"announce_lease_ms": 800, "task": {"lease_ms": 300}});
+    let stand = Stand::with(settings, json!({"slots": 1})).await;
+    let frozen = async {
+        started(&stand, 1).await;
+        stand.backend.signal(Signal::SIGSTOP);
+    };
+    let (reply, ()) = future::join(stand.run(1, json!({"work_ms": 25_000})), frozen).await;
+    assert_eq!(failed(&reply), Some(job::Failure::OutcomeUnknown));
+    assert_eq!(reply.load.busy, 0);
+    assert_eq!(refused(&stand.run(2, json!({})).await), Some(NotStarted::Unreachable));
+    until("control to be told", async || stand.control.member().is_none().then_some(())).await;
+    // The same life of the backend server goes on when it is thawed.
+    stand.backend.signal(Signal::SIGCONT);
+    assert_eq!(stand::serving(&stand.control, None).await, stand.incarnation);
+    let reply = stand.run(3, json!({})).await;
+    assert!(matches!(reply.result, RunResult::Done { .. }), "{reply:?}");
+}
+
+/// Guards against a task that takes far more of the worker than it declared.
+#[actix_rt::test]
+async fn oversized_task_is_throttled_then_stopped() {
+    let settings = json!({"task": {"usage_interval_ms": 30, "throttle_grace_ms": 200}});
+    let stand = Stand::with(settings, json!({})).await;
+    let run = |seq, uses_mb: u32, left_ms| {
+        let uses = json!({"work_ms": 25_000, "uses": {"memory_mb": uses_mb}});
+        let needs = job::Needs { memory_mb: 100, ..job::Needs::default() };
+        stand.send(sidecar::Task { needs, left_ms, ..stand.task(seq, uses) })
+    };
+    let (kept, above, far) =
+        future::join3(run(1, 120, 1_500), run(2, 200, 25_000), run(3, 400, 25_000)).await;
+    assert_eq!(failed(&kept), Some(job::Failure::DeadlineExceeded));
+    assert_eq!(failed(&above), Some(job::Failure::TaskFailed));
+    assert_eq!(failed(&far), Some(job::Failure::TaskFailed));
+    until("both to be checkpointed", async || {
+        let seen = get(stand.backend.http(), "/seen").await;
+        let done = json!(["5-2-0-0", "5-3-0-0"]);
+        (seen["throttled"] == json!(["5-2-0-0"]) && seen["checkpointed"] == done).then_some(())
+    })
+    .await;
+}
+
+/// Guards against metrics that miss refusals, or that grow with what callers invent.
+#[actix_rt::test]
+async fn metrics_count_starts_and_refusals() {
+    let stand = Stand::new().await;
+    stand.run(1, json!({})).await;
+    let stale = id::Incarnation(stand.incarnation.0 ^ 1);
+    let task = stand.task(2, json!({}));
+    stand.send(sidecar::Task { incarnation: stale, ..task }).await;
+    let metrics = stand.metrics().await;
+    for line in [
+        "sidecar_starts_total{team=\"repair\"} 1",
+        "sidecar_refusals_total{reason=\"wrong_incarnation\"} 1",
+        "sidecar_ends_total{result=\"done\"} 1",
+        "sidecar_run_seconds_count{team=\"repair\"} 1",
+        "sidecar_kind_run_seconds_count{kind=\"quote\"} 1",
+        "sidecar_load{of=\"busy\"} 0",
+    ] {
+        assert!(metrics.lines().any(|l| l == line), "{line} is not in {metrics}");
+    }
+}
