--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod coordination;
 pub mod daemon;
+pub mod entry;
 pub mod error;
 pub mod load;
 pub mod metric;
