--- /dev/null
+++ b/src/control/replica/drive.rs
@@ -0,0 +1,657 @@
+//! Runs the agreement: carries messages, storage results and time to it and does what it asks.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use tokio::{
+    sync::{Notify, mpsc::UnboundedReceiver, oneshot},
+    time,
+};
+
+use super::{
+    Inner, POLL, Settings,
+    peers::{Incoming, Peers},
+    role,
+    storage::{self, Done, Job},
+    voter,
+};
+use crate::{
+    coordination::consensus::{self, Change, Instance, Role, Save, Start},
+    error::Result,
+    protocol::wire::{
+        control::{self, Refusal},
+        peer::{self, Body, Chunk, Entry, Hello, Id, Member, Message, Meta, Payload},
+    },
+    state::{
+        log::{Log, files::Files},
+        machine,
+        snapshot::Snapshot,
+    },
+    transport::rpc,
+};
+
+/// Entries kept in memory after a snapshot for followers that are a little behind.
+const TAIL: u64 = 1_000;
+/// Ticks in a heartbeat interval.
+const TICKS: u64 = 5;
+/// Heartbeat intervals between two introductions.
+const HELLO_HEARTBEATS: u64 = 4;
+
+type Waiter<T> = oneshot::Sender<Result<T, Refusal>>;
+type Reply<T> = oneshot::Receiver<Result<T, Refusal>>;
+
+/// What became of an asked-for change of the members.
+pub(super) enum Taken {
+    Unchanged,
+    Appended(Reply<machine::Reply>),
+    /// It can be asked for again later.
+    Busy(String),
+}
+
+/// The running agreement of a replica.
+pub(super) struct Drive {
+    core: RefCell<Core>,
+    peers: Peers,
+    settings: Settings,
+    peer_addr: Cell<SocketAddr>,
+    client_addr: Cell<SocketAddr>,
+    server: RefCell<Option<rpc::Server>>,
+    wake: Notify,
+    started: Instant,
+    stopping: Cell<bool>,
+    closed: Cell<bool>,
+}
+
+struct Core {
+    instance: Instance,
+    storage: Option<storage::Storage>,
+    /// A save is being stored.
+    saving: bool,
+    /// The folder is getting a new disk id.
+    renewing: bool,
+    compacting: bool,
+    /// Why storing fails at present.
+    fault: Option<String>,
+    /// Calls that wait for the entry at an index of a term.
+    proposals: BTreeMap<u64, (u64, Waiter<machine::Reply>)>,
+    barriers: BTreeMap<u64, Waiter<()>>,
+    /// Confirmed barriers that wait for an index to be applied.
+    confirmed: Vec<(u64, Waiter<()>)>,
+    next_barrier: u64,
+    snapshot: Option<Snapshot>,
+    /// Log bytes since the last snapshot.
+    log_bytes: u64,
+    /// Peer addresses that instances told themselves.
+    routes: BTreeMap<Id, SocketAddr>,
+    incoming: BTreeMap<Id, Incoming>,
+    hello_at: u64,
+    role: Role,
+}
+
+pub(super) async fn start(files: Box<dyn Files>, settings: Settings) -> Result<Rc<Inner>> {
+    let (log, saved) = Log::open(files, settings.node)?;
+    let mut state = machine::State::default();
+    if let Some(snapshot) = &saved.snapshot {
+        state = decode(snapshot).map_err(|reason| crate::error::Error::Corrupt {
+            step: "read_snapshot",
+            path: settings.folder.clone(),
+            offset: 0,
+            reason,
+        })?;
+    }
+    let base = saved.snapshot.as_ref().map_or_else(Meta::default, |s| s.meta.clone());
+    let applied = base.index;
+    let start = Start {
+        id: saved.id,
+        hard: saved.hard,
+        base,
+        entries: saved.entries,
+        timing: settings.timing,
+        seed: rand::random(),
+    };
+    let log_bytes = log.bytes();
+    let (storage, results) = storage::start(log);
+    let core = Core {
+        instance: Instance::new(start, 0),
+        storage: Some(storage),
+        saving: false,
+        renewing: false,
+        compacting: false,
+        fault: None,
+        proposals: BTreeMap::new(),
+        barriers: BTreeMap::new(),
+        confirmed: Vec::new(),
+        next_barrier: 0,
+        snapshot: saved.snapshot,
+        log_bytes,
+        routes: BTreeMap::new(),
+        incoming: BTreeMap::new(),
+        hello_at: 0,
+        role: Role::Follower,
+    };
+    let addr = settings.peer_addr;
+    let drive = Drive {
+        core: RefCell::new(core),
+        peers: Peers::default(),
+        peer_addr: Cell::new(addr),
+        client_addr: Cell::new(settings.client_addr),
+        settings,
+        server: RefCell::new(None),
+        wake: Notify::new(),
+        started: Instant::now(),
+        stopping: Cell::new(false),
+        closed: Cell::new(false),
+    };
+    let inner = Rc::new(Inner {
+        state: RefCell::new(state),
+        applied: Cell::new(applied),
+        drive: Some(drive),
+    });
+    let service = peer::Service::serve(Server(Rc::downgrade(&inner)));
+    let server = rpc::serve(addr, service).await?;
+    let drive = inner.drive.as_ref().expect("just set");
+    drive.peer_addr.set(server.addr());
+    *drive.server.borrow_mut() = Some(server);
+    actix_rt::spawn(run(inner.clone(), results));
+    Ok(inner)
+}
+
+/// Serves the other instances.
+#[derive(Clone)]
+struct Server(Weak<Inner>);
+
+impl peer::Service for Server {
+    async fn step(self, _: tarpc::context::Context, message: Message) {
+        if let Some(inner) = self.0.upgrade()
+            && let Some(drive) = &inner.drive
+        {
+            drive.step(message);
+        }
+    }
+
+    async fn hello(self, _: tarpc::context::Context, hello: Hello) {
+        if let Some(inner) = self.0.upgrade()
+            && let Some(drive) = &inner.drive
+        {
+            let mut core = drive.core.borrow_mut();
+            core.routes.insert(hello.id, hello.peer);
+            core.instance.hello(hello);
+        }
+    }
+
+    async fn chunk(self, _: tarpc::context::Context, chunk: Chunk) -> bool {
+        let Some(inner) = self.0.upgrade() else { return false };
+        let Some(drive) = &inner.drive else { return false };
+        let from = chunk.head.from;
+        let added = drive.core.borrow_mut().incoming.entry(from).or_default().add(chunk);
+        match added {
+            Ok(message) => {
+                message.into_iter().for_each(|message| drive.step(message));
+                true
+            }
+            Err(()) => false,
+        }
+    }
+}
+
+async fn run(inner: Rc<Inner>, mut results: UnboundedReceiver<Done>) {
+    let drive = inner.drive.as_ref().expect("only replicas with a disk run");
+    let tick = Duration::from_millis((drive.settings.timing.heartbeat_ms / TICKS).max(1));
+    let mut ticks = time::interval(tick);
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    while !drive.stopping.get() {
+        tokio::select! {
+            () = drive.wake.notified() => {}
+            _ = ticks.tick() => drive.tick(),
+            done = results.recv() => match done {
+                Some(done) => drive.done(&inner, done),
+                None => break,
+            },
+        }
+        if let Err(reason) = drive.pump(&inner) {
+            log::error!("event=replica_failed reason={reason:?}");
+            break;
+        }
+    }
+    drive.close();
+    while results.recv().await.is_some() {}
+    drive.closed.set(true);
+}
+
+impl Drive {
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn step(&self, message: Message) {
+        let mut core = self.core.borrow_mut();
+        // An instance that cannot store must not take part.
+        if core.fault.is_none() && !core.renewing && !self.stopping.get() {
+            core.instance.step(self.now(), message);
+            self.wake.notify_one();
+        }
+    }
+
+    fn tick(&self) {
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        if core.fault.is_some() || core.renewing {
+            return;
+        }
+        core.instance.tick(now);
+        if now >= core.hello_at {
+            core.hello_at = now + HELLO_HEARTBEATS * self.settings.timing.heartbeat_ms;
+            self.introduce(&mut core);
+        }
+    }
+
+    /// Tells other instances of this one while no leader knows it, or knows it by other addresses.
+    fn introduce(&self, core: &mut Core) {
+        let hello = Hello {
+            cluster: core.instance.cluster(),
+            id: core.instance.id(),
+            peer: self.peer_addr.get(),
+            client: self.client_addr.get(),
+        };
+        if core.instance.role() == Role::Leader {
+            return core.instance.hello(hello);
+        }
+        let listed = core
+            .instance
+            .members()
+            .iter()
+            .any(|m| m.id == hello.id && m.peer == hello.peer && m.client == hello.client);
+        if listed && core.instance.leader().is_some() {
+            return;
+        }
+        let known = core.instance.members().iter().map(|m| m.peer);
+        let mut addrs: Vec<SocketAddr> = self
+            .settings
+            .peers
+            .iter()
+            .copied()
+            .chain(known)
+            .chain(core.routes.values().copied())
+            .collect();
+        addrs.sort_unstable();
+        addrs.dedup();
+        for addr in addrs.into_iter().filter(|addr| *addr != hello.peer) {
+            self.peers.hello(addr, hello);
+        }
+    }
+
+    /// Takes a result of the storage thread.
+    fn done(&self, inner: &Inner, done: Done) {
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        match done {
+            Done::Saved(save) => {
+                core.saving = false;
+                self.recovered(&mut core);
+                if let Some(snapshot) = save.install {
+                    self.installed(&mut core, inner, snapshot);
+                }
+                core.instance.saved(now, save.mark);
+                for message in save.after {
+                    self.send(&core, message);
+                }
+            }
+            Done::Renewed(id) => {
+                log::warn!("event=disk_renewed node={} disk={}", id.node.0, id.disk.0);
+                core.renewing = false;
+                self.recovered(&mut core);
+                core.instance.renamed(id);
+            }
+            Done::Compacted(snapshot) => {
+                core.compacting = false;
+                core.instance.compact(snapshot.meta.index.saturating_sub(TAIL));
+                if core.snapshot.as_ref().is_none_or(|s| s.meta.index < snapshot.meta.index) {
+                    core.snapshot = Some(snapshot);
+                }
+            }
+            Done::NotCompacted(detail) => {
+                core.compacting = false;
+                log::error!("event=snapshot_failed {detail}");
+            }
+            Done::Failed(detail) => {
+                if core.fault.is_none() {
+                    log::error!("event=storage_failed {detail}");
+                }
+                core.fault = Some(detail);
+                core.instance.storage_failed(now);
+            }
+        }
+    }
+
+    fn recovered(&self, core: &mut Core) {
+        if core.fault.take().is_some() {
+            log::info!("event=storage_recovered");
+        }
+    }
+
+    fn installed(&self, core: &mut Core, inner: &Inner, snapshot: Snapshot) {
+        match decode(&snapshot) {
+            Ok(state) => {
+                *inner.state.borrow_mut() = state;
+                inner.applied.set(snapshot.meta.index);
+                core.log_bytes = 0;
+                core.snapshot = Some(snapshot);
+            }
+            Err(reason) => {
+                log::error!("event=snapshot_unreadable reason={reason:?}");
+                self.stopping.set(true);
+            }
+        }
+    }
+
+    /// Does what the agreement asks for.
+    fn pump(&self, inner: &Rc<Inner>) -> Result<(), String> {
+        let mut core = self.core.borrow_mut();
+        let output = core.instance.take();
+        for message in output.send {
+            self.send(&core, message);
+        }
+        for entry in output.committed {
+            core.apply(inner, entry)?;
+        }
+        for (token, confirmed) in output.barriers {
+            let Some(waiter) = core.barriers.remove(&token) else { continue };
+            match confirmed {
+                Some(index) => core.confirmed.push((index, waiter)),
+                None => drop(waiter.send(Err(Refusal::NotLeader { leader: None }))),
+            }
+        }
+        core.answer_barriers(inner.applied.get());
+        for head in output.snapshots {
+            self.send_snapshot(inner, &mut core, head);
+        }
+        if output.discard && !core.renewing {
+            core.renewing = true;
+            core.submit(Job::Renew);
+        }
+        if !core.saving
+            && let Some(save) = core.instance.take_save()
+        {
+            core.saving = true;
+            core.log_bytes += size(&save);
+            core.submit(Job::Save(save));
+        }
+        self.compact(inner, &mut core);
+        core.role_changed();
+        Ok(())
+    }
+
+    fn send(&self, core: &Core, message: Message) {
+        if let Some(addr) = core.route(message.to) {
+            self.peers.send(addr, message);
+        }
+    }
+
+    fn send_snapshot(&self, inner: &Rc<Inner>, core: &mut Core, mut head: Message) {
+        let to = head.to;
+        let (Some(snapshot), Some(addr)) = (core.snapshot.clone(), core.route(to)) else {
+            return core.instance.snapshot_failed(to);
+        };
+        if let Body::Snapshot { meta, .. } = &mut head.body {
+            *meta = snapshot.meta;
+        }
+        let inner = inner.clone();
+        actix_rt::spawn(async move {
+            let drive = inner.drive.as_ref().expect("only replicas with a disk send");
+            if !drive.peers.snapshot(addr, head, snapshot.data).await {
+                drive.core.borrow_mut().instance.snapshot_failed(to);
+            }
+        });
+    }
+
+    /// Makes a snapshot once the log has outgrown both the limit and the last snapshot, so that
+    /// the cost of snapshots stays in proportion to that of the log.
+    fn compact(&self, inner: &Inner, core: &mut Core) {
+        let last = core.snapshot.as_ref().map_or(0, |s| s.data.len() as u64);
+        if core.compacting || core.log_bytes < self.settings.snapshot_bytes.max(2 * last) {
+            return;
+        }
+        let Some(meta) = core.instance.meta(inner.applied.get()) else { return };
+        let data = postcard::to_stdvec(&*inner.state.borrow()).expect("states serialise");
+        core.compacting = true;
+        core.log_bytes = 0;
+        core.submit(Job::Compact(Snapshot { meta, data: Bytes::from(data) }));
+    }
+
+    /// Refuses calls while this instance can store nothing or stops.
+    fn check(&self, core: &Core) -> Result<(), Refusal> {
+        match &core.fault {
+            _ if self.stopping.get() => Err(Refusal::Stopping),
+            Some(detail) => Err(Refusal::Storage { detail: detail.clone() }),
+            None => Ok(()),
+        }
+    }
+
+    fn refusal(&self, core: &Core, refusal: consensus::Refusal) -> Refusal {
+        match refusal {
+            consensus::Refusal::NotLeader => Refusal::NotLeader { leader: core.leader() },
+            consensus::Refusal::NotInitialised => Refusal::NotInitialised,
+            consensus::Refusal::Busy(detail) | consensus::Refusal::Invalid(detail) => {
+                Refusal::Invalid { detail }
+            }
+        }
+    }
+
+    pub fn propose(&self, command: Bytes) -> Result<Reply<machine::Reply>, Refusal> {
+        let mut core = self.core.borrow_mut();
+        self.check(&core)?;
+        let (index, term) =
+            core.instance.propose(command).map_err(|refusal| self.refusal(&core, refusal))?;
+        Ok(self.wait_for(&mut core, index, term))
+    }
+
+    fn wait_for(&self, core: &mut Core, index: u64, term: u64) -> Reply<machine::Reply> {
+        let (waiter, reply) = oneshot::channel();
+        core.proposals.insert(index, (term, waiter));
+        self.wake.notify_one();
+        reply
+    }
+
+    pub fn barrier(&self) -> Result<Reply<()>, Refusal> {
+        let mut core = self.core.borrow_mut();
+        self.check(&core)?;
+        core.next_barrier += 1;
+        let token = core.next_barrier;
+        core.instance.barrier(token).map_err(|refusal| self.refusal(&core, refusal))?;
+        let (waiter, reply) = oneshot::channel();
+        core.barriers.insert(token, waiter);
+        self.wake.notify_one();
+        Ok(reply)
+    }
+
+    pub fn init(&self) -> Result<(), Refusal> {
+        let mut core = self.core.borrow_mut();
+        self.check(&core)?;
+        let member = Member {
+            id: core.instance.id(),
+            peer: self.peer_addr.get(),
+            client: self.client_addr.get(),
+            votes: true,
+        };
+        let formed = core.instance.init(self.now(), rand::random(), member);
+        self.wake.notify_one();
+        formed.map_err(|refusal| self.refusal(&core, refusal))
+    }
+
+    /// Adds the instance that has introduced itself with `addr`.
+    pub fn add(&self, addr: SocketAddr) -> Result<Taken, Refusal> {
+        let hello = {
+            let core = self.core.borrow();
+            let mut applicants = core.instance.applicants();
+            applicants.find(|hello| hello.peer == addr || hello.client == addr).copied()
+        };
+        match hello {
+            Some(hello) => self.change(Change::Add(hello)),
+            None if self.leading().is_some() => {
+                Ok(Taken::Busy(format!("no instance at {addr} has introduced itself")))
+            }
+            None => Err(self.refusal(&self.core.borrow(), consensus::Refusal::NotLeader)),
+        }
+    }
+
+    pub fn change(&self, change: Change) -> Result<Taken, Refusal> {
+        let mut core = self.core.borrow_mut();
+        self.check(&core)?;
+        match core.instance.change(change) {
+            Ok(None) => Ok(Taken::Unchanged),
+            Ok(Some(index)) => {
+                let term = core.instance.term();
+                Ok(Taken::Appended(self.wait_for(&mut core, index, term)))
+            }
+            Err(consensus::Refusal::Busy(detail)) => Ok(Taken::Busy(detail)),
+            Err(refusal) => Err(self.refusal(&core, refusal)),
+        }
+    }
+
+    pub fn leading(&self) -> Option<u64> {
+        let core = self.core.borrow();
+        (core.instance.role() == Role::Leader).then(|| core.instance.term())
+    }
+
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.core.borrow().leader()
+    }
+
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.peer_addr.get()
+    }
+
+    pub fn advertise(&self, addr: SocketAddr) {
+        self.client_addr.set(addr);
+    }
+
+    pub fn status(&self, applied: u64) -> control::Status {
+        let core = self.core.borrow();
+        let instance = &core.instance;
+        control::Status {
+            node: instance.id().node,
+            disk: instance.id().disk,
+            role: role(instance),
+            term: instance.term(),
+            leader: core.leader(),
+            commit: instance.commit(),
+            applied,
+            voters: instance.members().iter().map(voter).collect(),
+            rules_version: 0,
+        }
+    }
+
+    pub fn hand_over_limit(&self) -> Duration {
+        Duration::from_millis(2 * self.settings.timing.election_max_ms)
+    }
+
+    /// Asks another voter to lead, unless that is under way. Whether there is one.
+    pub fn hand_over(&self) -> bool {
+        let mut core = self.core.borrow_mut();
+        let asked = core.instance.transfer(self.now());
+        self.wake.notify_one();
+        !matches!(asked, Err(consensus::Refusal::Invalid(_)))
+    }
+
+    pub async fn stop(&self) {
+        self.stopping.set(true);
+        self.wake.notify_one();
+        while !self.closed.get() {
+            time::sleep(POLL).await;
+        }
+    }
+
+    /// Refuses waiting calls and lets the storage thread end.
+    fn close(&self) {
+        self.stopping.set(true);
+        self.server.borrow_mut().take();
+        let mut core = self.core.borrow_mut();
+        core.proposals.clear();
+        core.barriers.clear();
+        core.confirmed.clear();
+        core.storage = None;
+    }
+}
+
+impl Core {
+    fn submit(&self, job: Job) {
+        if let Some(storage) = &self.storage {
+            storage.submit(job);
+        }
+    }
+
+    fn apply(&mut self, inner: &Inner, entry: Entry) -> Result<(), String> {
+        let reply = match &entry.payload {
+            Payload::Command(bytes) => {
+                let command = postcard::from_bytes(bytes)
+                    .map_err(|e| format!("command {} does not decode: {e}", entry.index))?;
+                inner.state.borrow_mut().apply(entry.index, command)
+            }
+            Payload::Empty | Payload::Members(_) => machine::Reply::Done,
+        };
+        inner.applied.set(entry.index);
+        if let Some((term, waiter)) = self.proposals.remove(&entry.index) {
+            let result = if term == entry.term { Ok(reply) } else { Err(lost()) };
+            let _ = waiter.send(result);
+        }
+        Ok(())
+    }
+
+    fn answer_barriers(&mut self, applied: u64) {
+        for (index, waiter) in std::mem::take(&mut self.confirmed) {
+            if index <= applied {
+                let _ = waiter.send(Ok(()));
+            } else {
+                self.confirmed.push((index, waiter));
+            }
+        }
+    }
+
+    /// Ends waiting calls when leadership has ended, and logs the new role.
+    fn role_changed(&mut self) {
+        let role = self.instance.role();
+        if role != Role::Leader {
+            for (_, (_, waiter)) in std::mem::take(&mut self.proposals) {
+                let _ = waiter.send(Err(lost()));
+            }
+        }
+        if role != self.role {
+            log::info!("event=role role={role:?} term={}", self.instance.term());
+            self.role = role;
+        }
+    }
+
+    fn route(&self, to: Id) -> Option<SocketAddr> {
+        let member = || self.instance.members().iter().find(|m| m.id == to).map(|m| m.peer);
+        self.routes.get(&to).copied().or_else(member)
+    }
+
+    fn leader(&self) -> Option<SocketAddr> {
+        let leader = self.instance.leader()?;
+        Some(self.instance.members().iter().find(|m| m.id == leader)?.client)
+    }
+}
+
+fn lost() -> Refusal {
+    Refusal::Storage { detail: "leadership ended before the record was committed".to_owned() }
+}
+
+fn decode(snapshot: &Snapshot) -> Result<machine::State, String> {
+    postcard::from_bytes(&snapshot.data).map_err(|e| e.to_string())
+}
+
+/// Log bytes of a save, roughly.
+fn size(save: &Save) -> u64 {
+    const RECORD_BYTES: usize = 16;
+    let entry = |entry: &Entry| match &entry.payload {
+        Payload::Command(bytes) => bytes.len() + RECORD_BYTES,
+        Payload::Empty | Payload::Members(_) => RECORD_BYTES,
+    };
+    save.entries.iter().map(entry).sum::<usize>() as u64
+}
--- /dev/null
+++ b/src/control/replica/storage.rs
@@ -0,0 +1,125 @@
+//! The thread that writes the log, so that a sync never holds up the event thread.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc,
+    },
+    thread,
+    time::Duration,
+};
+
+use tokio::sync::mpsc as events;
+
+use crate::{
+    coordination::consensus::Save,
+    error::Result,
+    protocol::wire::peer::Id,
+    state::{
+        log::{Log, Record},
+        snapshot::Snapshot,
+    },
+};
+
+/// Pause before a failed write is tried again.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Work for the thread, done in order.
+pub(super) enum Job {
+    Save(Save),
+    Compact(Snapshot),
+    Renew,
+}
+
+/// What became of a job.
+pub(super) enum Done {
+    Saved(Save),
+    Compacted(Snapshot),
+    Renewed(Id),
+    /// The job is tried again until it succeeds.
+    Failed(String),
+    /// A snapshot could not be stored; it is not tried again.
+    NotCompacted(String),
+}
+
+/// The running thread. It ends, and closes the log, when this is dropped.
+pub(super) struct Storage {
+    jobs: mpsc::Sender<Job>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Storage {
+    pub fn submit(&self, job: Job) {
+        // The thread ends before this only if the replica has gone.
+        let _ = self.jobs.send(job);
+    }
+}
+
+impl Drop for Storage {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Starts the thread. The channel of results closes once the log is closed.
+pub(super) fn start(log: Log) -> (Storage, events::UnboundedReceiver<Done>) {
+    let (jobs, queue) = mpsc::channel();
+    let (done, results) = events::unbounded_channel();
+    let ended = Arc::new(AtomicBool::new(false));
+    let writer = Writer { log, done, ended: ended.clone() };
+    thread::spawn(move || writer.run(&queue));
+    (Storage { jobs, ended }, results)
+}
+
+/// What the thread holds; the log is closed before the channel.
+struct Writer {
+    log: Log,
+    done: events::UnboundedSender<Done>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Writer {
+    fn run(mut self, queue: &mpsc::Receiver<Job>) {
+        while let Ok(job) = queue.recv() {
+            let result = match job {
+                Job::Save(save) => {
+                    let records = records(&save);
+                    let stored = self.persist(|log| match &save.install {
+                        Some(snapshot) => log.install(snapshot, &records),
+                        None if records.is_empty() => Ok(()),
+                        None => log.append(&records),
+                    });
+                    stored.map(|()| Done::Saved(save))
+                }
+                Job::Renew => self.persist(Log::renew).map(Done::Renewed),
+                Job::Compact(snapshot) => Some(match self.log.compact(&snapshot) {
+                    Ok(()) => Done::Compacted(snapshot),
+                    Err(e) => Done::NotCompacted(e.to_string()),
+                }),
+            };
+            if result.and_then(|done| self.done.send(done).ok()).is_none() {
+                return;
+            }
+        }
+    }
+
+    /// Repeats a write until it succeeds; `None` if the replica stops meanwhile.
+    fn persist<T>(&mut self, write: impl Fn(&mut Log) -> Result<T>) -> Option<T> {
+        loop {
+            match write(&mut self.log) {
+                Ok(value) => return Some(value),
+                Err(e) => self.done.send(Done::Failed(e.to_string())).ok()?,
+            }
+            if self.ended.load(Ordering::Relaxed) {
+                return None;
+            }
+            thread::sleep(RETRY);
+        }
+    }
+}
+
+fn records(save: &Save) -> Vec<Record> {
+    let hard = save.hard.map(Record::Hard);
+    hard.into_iter().chain(save.entries.iter().cloned().map(Record::Entry)).collect()
+}
--- a/src/protocol/wire/mod.rs
+++ b/src/protocol/wire/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod control;
 pub mod entry;
+pub mod peer;
 pub mod sidecar;
 
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/src/state/snapshot.rs
@@ -0,0 +1,69 @@
+//! Snapshot files: the replicated state up to a log position.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::{
+    error::{self, Error, Result},
+    protocol::wire::peer::Meta,
+    state::log::files::{self, Files},
+};
+
+const PREFIX: &str = "snapshot-";
+const MAGIC: &[u8; 8] = b"bgsnap01";
+
+/// A state that replaces all entries up to `meta.index`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    pub meta: Meta,
+    /// Serialised state machine.
+    pub data: Bytes,
+}
+
+impl Snapshot {
+    /// Makes the snapshot durable and removes older ones.
+    pub fn store(&self, files: &dyn Files) -> Result<()> {
+        let body = postcard::to_stdvec(self).expect("snapshots serialise");
+        let crc = crc32fast::hash(&body).to_le_bytes();
+        let name = format!("{PREFIX}{:020}", self.meta.index);
+        files::replace(files, &name, &[MAGIC, &crc, &body])?;
+        for old in list(files)?.into_iter().filter(|old| *old < name) {
+            files
+                .remove(&old)
+                .context(error::FileSnafu { step: "remove", path: files.path(&old) })?;
+        }
+        Ok(())
+    }
+
+    /// The newest snapshot in a folder.
+    pub fn load(files: &dyn Files) -> Result<Option<Snapshot>> {
+        let Some(name) = list(files)?.into_iter().max() else { return Ok(None) };
+        let path = files.path(&name);
+        let bytes =
+            files.read(&name).context(error::FileSnafu { step: "read_snapshot", path: &path })?;
+        let corrupt = |offset: u64, reason: &str| Error::Corrupt {
+            step: "read_snapshot",
+            path: path.clone(),
+            offset,
+            reason: reason.to_owned(),
+        };
+        if bytes.len() < 12 || bytes[..8] != *MAGIC {
+            return Err(corrupt(0, "not a snapshot"));
+        }
+        if bytes[8..12] != crc32fast::hash(&bytes[12..]).to_le_bytes() {
+            return Err(corrupt(12, "checksum differs"));
+        }
+        postcard::from_bytes(&bytes[12..]).map(Some).map_err(|e| corrupt(12, &e.to_string()))
+    }
+}
+
+fn list(files: &dyn Files) -> Result<Vec<String>> {
+    let names =
+        files.list().context(error::FileSnafu { step: "list", path: files.path(PREFIX) })?;
+    let is_snapshot = |name: &String| {
+        name.strip_prefix(PREFIX)
+            .is_some_and(|n| n.len() == 20 && n.bytes().all(|b| b.is_ascii_digit()))
+    };
+    Ok(names.into_iter().filter(is_snapshot).collect())
+}
