--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Pure decision code: time and randomness are arguments, messages go in, decisions come out.
 
+pub mod consensus;
 pub mod dispatch;
 pub mod health;
 pub mod lease;
