Entry session leases and quota shares at the control leader

Cause: an entry that dies must be fenced and its jobs settled, and quotas must hold across entries. The control service runs both, applies drains of new rules to the member list, and proposes the limits of its settings when they differ.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -10,9 +10,12 @@
 
 use crate::{
     control::{confirm::Confirm, meter::Meter, replica::Replica, settings::Settings},
-    coordination::member::{self, LEASE_MS},
+    coordination::{
+        member::{self, LEASE_MS},
+        quota, session,
+    },
     protocol::{
-        id,
+        id, rule,
         wire::control::{self, Refusal},
     },
     state::machine::{self, Op, Reply},
@@ -29,19 +32,33 @@
     pub meter: Meter,
     confirm: Confirm,
     started: Instant,
+    /// Whether a stop has been asked for; calls are still taken.
     stopping: Cell<bool>,
+    /// Whether calls are refused.
+    closed: Cell<bool>,
+    /// Whether fences or limits are being proposed.
+    settling: Cell<bool>,
     soft: RefCell<Soft>,
+    /// The rules last parsed, with their version.
+    rules: RefCell<(u64, Rc<rule::Rules>)>,
 }
 
 /// The leader's memory: rebuilt in each term from what entries and sidecars report.
 struct Soft {
     term: u64,
     members: member::Table,
+    leases: session::Leases,
+    quotas: quota::Table,
 }
 
 impl Soft {
     fn new(now: member::Millis, term: u64) -> Soft {
-        Soft { term, members: member::Table::new(now, term) }
+        Soft {
+            term,
+            members: member::Table::new(now, term),
+            leases: session::Leases::new(now),
+            quotas: quota::Table::default(),
+        }
     }
 }
 
@@ -54,7 +71,10 @@
             meter: Meter::default(),
             started: Instant::now(),
             stopping: Cell::new(false),
+            closed: Cell::new(false),
+            settling: Cell::new(false),
             soft: RefCell::new(Soft::new(0, 0)),
+            rules: RefCell::default(),
         })
     }
 
@@ -78,12 +98,11 @@
 
     /// The term that this instance leads. Begins a new memory when the term is new.
     fn lead(&self) -> Result<u64, Refusal> {
+        if self.closed.get() {
+            return Err(Refusal::Stopping);
+        }
         let Some(term) = self.replica.leading() else {
-            return Err(if self.stopping.get() {
-                Refusal::Stopping
-            } else {
-                Refusal::NotLeader { leader: None }
-            });
+            return Err(Refusal::NotLeader { leader: None });
         };
         let mut soft = self.soft.borrow_mut();
         if soft.term != term {
@@ -113,9 +132,34 @@
         Ok(start)
     }
 
+    /// The rules in force here. Applies their drains to the member list when they are new.
+    fn current_rules(&self, state: &machine::State) -> Rc<rule::Rules> {
+        let held = state.rules();
+        let (version, rules) = &mut *self.rules.borrow_mut();
+        if *version != held.version {
+            *rules = Rc::new(rule::Rules::parse(&held.text).unwrap_or_else(|faults| {
+                log::error!("event=rules_invalid version={} faults={faults:?}", held.version);
+                rule::Rules::default()
+            }));
+            *version = held.version;
+            self.soft.borrow_mut().members.drain(|m| drained(rules, m));
+        }
+        rules.clone()
+    }
+
     pub async fn register(&self, hello: control::Hello) -> Result<control::Session, Refusal> {
+        // Without the barrier a new leader may not yet know a session of an earlier term.
+        self.confirmed().await?;
+        let known = self.replica.state().session_of(hello.start).is_some();
+        let (addr, start) = (hello.addr, hello.start);
         match self.propose(Op::Register(hello)).await? {
-            Reply::Registered(epoch) => Ok(control::Session { epoch, lease_ms: LEASE_MS }),
+            Reply::Registered(epoch) => {
+                log::info!("event=session_opened epoch={} addr={addr} start={start:x}", epoch.0);
+                if !known {
+                    self.soft.borrow_mut().quotas.join(epoch);
+                }
+                Ok(control::Session { epoch, lease_ms: LEASE_MS })
+            }
             other => Err(unexpected(&other)),
         }
     }
@@ -129,12 +173,20 @@
         if !state.live(sync.epoch) {
             return Err(Refusal::Fenced);
         }
-        let soft = self.soft.borrow();
+        let rules = self.current_rules(&state);
+        let now = self.now();
+        let mut soft = self.soft.borrow_mut();
+        if !soft.quotas.report(sync.epoch, sync.number, &sync.demands) {
+            let detail = format!("a newer sync than number {} was answered", sync.number);
+            return Err(Refusal::Invalid { detail });
+        }
+        soft.leases.renew(now, sync.epoch);
+        let (live, fenced) = (state.sessions().live, state.fenced());
         Ok(control::EntryView {
             confirmed_age_ms: util::millis(start.elapsed()),
             rules: newer_rules(&state, sync.rules_version),
-            members: soft.members.since(self.now(), sync.members),
-            shares: Vec::new(),
+            members: soft.members.since(now, sync.members),
+            shares: soft.quotas.grant(sync.epoch, &rules, &live, &fenced),
         })
     }
 
@@ -144,8 +196,10 @@
     ) -> Result<control::SidecarView, Refusal> {
         let start = self.confirmed().await?;
         let state = self.replica.state();
+        let rules = self.current_rules(&state);
         if let Some(member) = &sync.member {
-            self.soft.borrow_mut().members.announce(self.now(), member, false);
+            let drained = drained(&rules, member);
+            self.soft.borrow_mut().members.announce(self.now(), member, drained);
         }
         let sessions = state.sessions();
         Ok(control::SidecarView {
@@ -229,19 +283,50 @@
         Err(Refusal::Invalid { detail: "this instance keeps its state in memory".into() })
     }
 
-    /// Regular work of a leader.
-    pub fn tick(&self) {
+    /// Regular work of a leader: lapsed leases, drains of new rules, and what must be proposed.
+    pub fn tick(self: &Rc<Self>) {
         if self.lead().is_err() {
             return;
         }
         let now = self.now();
-        for member in self.soft.borrow_mut().members.expire(now) {
-            log::warn!(
-                "event=member_lapsed addr={} incarnation={:x}",
-                member.addr,
-                member.incarnation.0
-            );
+        let state = self.replica.state();
+        self.current_rules(&state);
+        let (live, fenced) = (state.sessions().live, state.fenced());
+        let mut soft = self.soft.borrow_mut();
+        if soft.leases.stalled(now) {
+            log::warn!("event=stalled consequence=leases_start_anew");
+            soft.members.forgive(now);
+        }
+        for member in soft.members.expire(now) {
+            let (addr, incarnation) = (member.addr, member.incarnation.0);
+            log::warn!("event=member_lapsed addr={addr} incarnation={incarnation:x}");
         }
+        soft.quotas.retain(&live, &fenced);
+        let due = soft.leases.poll(now, &live, &fenced);
+        let mut ops = Vec::new();
+        if state.limits() != self.settings.limits() {
+            ops.push(Op::Limit(self.settings.limits()));
+        }
+        if !due.fence.is_empty() {
+            ops.push(Op::Fence(due.fence));
+        }
+        if !due.abandon.is_empty() {
+            ops.push(Op::Abandon(due.abandon));
+        }
+        if !ops.is_empty() && !self.settling.replace(true) {
+            actix_rt::spawn(self.clone().settle(ops));
+        }
+    }
+
+    async fn settle(self: Rc<Self>, ops: Vec<Op>) {
+        for op in ops {
+            let what = format!("{op:?}");
+            match self.propose(op).await {
+                Ok(_) => log::info!("event=settled op={what:?}"),
+                Err(refusal) => log::warn!("event=not_settled op={what:?} refusal={refusal:?}"),
+            }
+        }
+        self.settling.set(false);
     }
 
     /// Metrics as text.
@@ -253,16 +338,25 @@
         self.meter.render()
     }
 
-    /// Refuses new calls; those in flight go on.
-    pub fn stop_taking(&self) {
+    /// Announces the stop; calls are still taken.
+    pub fn announce_stop(&self) {
         self.stopping.set(true);
     }
 
+    /// Refuses new calls; those in flight go on.
+    pub fn close(&self) {
+        self.closed.set(true);
+    }
+
     pub fn stopping(&self) -> bool {
         self.stopping.get()
     }
 }
 
+fn drained(rules: &rule::Rules, member: &control::Member) -> bool {
+    rules.drains(&member.data_centre, &member.rack, member.addr)
+}
+
 fn newer_rules(state: &machine::State, held: u64) -> Option<control::Rules> {
     let rules = state.rules();
     (rules.version != held).then(|| rules.clone())
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -56,7 +56,8 @@
     }
 
     async fn stop(self) -> usize {
-        self.core.stop_taking();
+        self.core.announce_stop();
+        self.core.close();
         let limit = Duration::from_millis(self.core.settings.drain_limit_ms);
         let answered = async {
             while self.core.meter.proposals() > 0 {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,3 +2,5 @@
 
 pub mod dispatch;
 pub mod member;
+pub mod quota;
+pub mod session;
