--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,3 +12,5 @@
 pub mod route;
 pub mod slot;
 pub mod speed;
+pub mod quota;
+pub mod session;
