--- a/src/coordination/slot.rs
+++ b/src/coordination/slot.rs
@@ -141,6 +141,11 @@
         self.incarnation
     }
 
+    /// Takes over changed limits; what runs goes on.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     pub fn load(&self) -> Load {
         Load {
             slots: self.limits.slots,
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -346,6 +346,11 @@
                 && backend.announce.addr == announce.addr
             {
                 backend.heard = now;
+                if backend.announce != announce {
+                    backend.slots.set_limits(limits(&self.settings, &announce));
+                    backend.announce = announce;
+                    self.urgent.notify_one();
+                }
                 return (!backend.left).then(|| backend.slots.incarnation());
             }
         }
@@ -356,32 +361,25 @@
             announce.start,
             incarnation.0
         );
-        let limits = slot::Limits {
-            slots: announce.slots,
-            connections: announce.connections,
-            queue: self.settings.queue,
-            kinds: announce.kinds.clone(),
-            size: announce.size,
-        };
-        let slots = slot::Slots::new(incarnation, limits);
+        let slots = slot::Slots::new(incarnation, limits(&self.settings, &announce));
         let tasks = {
             let mut state = self.state.borrow_mut();
             state.backend = Some(Backend { announce, slots, heard: now, left: false });
             std::mem::take(&mut state.tasks)
         };
-        self.abandon(tasks);
+        self.abandon(tasks, "backend server restarted");
         self.urgent.notify_one();
         Some(incarnation)
     }
 
-    /// Ends the attempts of a former incarnation.
-    fn abandon(&self, tasks: HashMap<id::Attempt, Held>) {
+    /// Ends attempts whose incarnation has ended.
+    fn abandon(&self, tasks: HashMap<id::Attempt, Held>, detail: &str) {
         for (attempt, held) in tasks {
             let result = if held.task.is_some() {
                 RunResult::NotStarted { reason: NotStarted::WrongIncarnation }
             } else {
                 held.stop.set(attempt::Reason::Abandoned);
-                lost("backend server restarted")
+                lost(detail)
             };
             self.answer(attempt, held.waiters, result);
         }
@@ -426,6 +424,15 @@
         }
     }
 
+    /// Ends what still runs: its outcome is not known.
+    pub fn cut_off(&self) {
+        let tasks = std::mem::take(&mut self.state.borrow_mut().tasks);
+        for attempt in tasks.keys() {
+            log::warn!("event=cut_off attempt={attempt}");
+        }
+        self.abandon(tasks, "sidecar stopped");
+    }
+
     /// Ends the ticker.
     pub fn close(&self) {
         self.ticking.set(false);
@@ -495,6 +502,16 @@
     }
 }
 
+fn limits(settings: &settings::Settings, announce: &announce::Announce) -> slot::Limits {
+    slot::Limits {
+        slots: announce.slots,
+        connections: announce.connections,
+        queue: settings.queue,
+        kinds: announce.kinds.clone(),
+        size: announce.size,
+    }
+}
+
 fn ask(now: Micros, task: &Task) -> slot::Ask {
     slot::Ask {
         attempt: task.attempt,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -50,7 +50,7 @@
         let web = core.clone();
         let http = http::serve(http_addr, move |request| web::answer(web.clone(), request)).await?;
         actix_rt::spawn(core.clone().tick_on());
-        let sync = actix_rt::spawn(sync::Control::new(core.clone()).run());
+        let sync = actix_rt::spawn(sync::run(core.clone()));
         Ok(Sidecar { core, http, rpc, sync })
     }
 
@@ -62,6 +62,7 @@
         let linger = time::sleep(self.core.settings.linger_ms);
         self.core.stop();
         let cut = self.core.drained(self.core.settings.drain_limit_ms).await;
+        self.core.cut_off();
         // Tells control that the backend server is gone now that nothing runs.
         self.core.urgent.notify_one();
         linger.await;
--- a/src/sidecar/worker.rs
+++ b/src/sidecar/worker.rs
@@ -14,7 +14,7 @@
 
 use actix_http::Method;
 use bytes::Bytes;
-use serde_json::value::RawValue;
+use serde_json::json;
 use tokio::{sync::Notify, time};
 
 use crate::{
@@ -196,14 +196,7 @@
         let Some(client) = self.client() else {
             return End::Unreachable("no backend server announced".into());
         };
-        let input = match RawValue::from_string(order.input) {
-            Ok(input) => input,
-            Err(e) => return End::Unreachable(format!("input is not JSON: {e}")),
-        };
-        let run = announce::Run { team: order.team.0, kind: order.kind, input };
-        let Ok(body) = serde_json::to_vec(&run) else {
-            return End::Unreachable("request does not encode".into());
-        };
+        let body = encode(&order);
         let attempt = order.attempt.to_string();
         let call = http::Call {
             method: Method::POST,
@@ -221,6 +214,13 @@
     }
 }
 
+/// The body of an [`announce::Run`]. Its input was checked by the entry and is not parsed again.
+fn encode(order: &Order) -> String {
+    let team = json!(order.team.0);
+    let kind = json!(order.kind);
+    format!("{{\"team\":{team},\"kind\":{kind},\"input\":{}}}", order.input)
+}
+
 /// Takes an answer only if it is whole, valid, and for this attempt.
 fn checked(attempt: &str, answer: http::Answer) -> End {
     let echoed = answer.header(announce::ATTEMPT_HEADER);
@@ -234,6 +234,11 @@
         let detail: String = text.chars().take(DETAIL_MAX_BYTES).collect();
         return End::Failed(format!("status {}: {detail}", answer.status.as_u16()));
     }
+    // Without a stated length only a text that has its own end is known to be whole.
+    let ends_itself = text.trim_start().starts_with(['{', '[', '"']);
+    if !answer.sized && !ends_itself {
+        return End::Unknown("answer states no length".into());
+    }
     match serde_json::from_str::<serde::de::IgnoredAny>(&text) {
         Ok(_) => End::Answered(text),
         Err(e) => End::Unknown(format!("answer is not JSON: {e}")),
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -254,12 +254,14 @@
     pub limit: usize,
 }
 
-/// A whole answer.
+/// An answer.
 #[derive(Debug, Clone)]
 pub struct Answer {
     pub status: StatusCode,
     pub headers: header::HeaderMap,
     pub body: Bytes,
+    /// Whether the length was stated. If not, the end of `body` may be missing.
+    pub sized: bool,
 }
 
 impl Answer {
@@ -300,8 +302,8 @@
 
     /// Sends a request and reads its whole answer. Dropping the future closes the connection.
     ///
-    /// The answer must name its length: `awc` reports a connection that ends early like a body
-    /// that ends, so a missing part would go unnoticed otherwise.
+    /// `awc` reports a connection that ends early like a body that ends. So a body is compared
+    /// with its stated length; without one, see [`Answer::sized`].
     pub async fn call(&self, call: Call<'_>) -> Result<Answer, CallError> {
         let uri = format!("http://{}{}", call.addr, call.path);
         let mut request = self.client.request(call.method, uri).address(call.addr);
@@ -309,22 +311,22 @@
             request = request.insert_header(*pair);
         }
         let mut response = request.send_body(call.body).await.map_err(call_error)?;
-        let length = response
-            .headers()
-            .get(header::CONTENT_LENGTH)
-            .and_then(|v| v.to_str().ok())
-            .and_then(|v| v.parse::<usize>().ok())
-            .ok_or_else(|| CallError::Broken("answer without content-length".into()))?;
-        if length > call.limit {
+        let length = response.headers().get(header::CONTENT_LENGTH);
+        let length = length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+        if length.is_some_and(|l| l > call.limit) {
             return Err(CallError::TooLarge(call.limit));
         }
         let body = response.body().limit(call.limit).await;
-        let body = body.map_err(|e| CallError::Broken(format!("{e:?}")))?;
-        if body.len() != length {
+        let body = body.map_err(|e| match e {
+            awc::error::PayloadError::Overflow => CallError::TooLarge(call.limit),
+            e => CallError::Broken(format!("{e:?}")),
+        })?;
+        if let Some(length) = length.filter(|l| *l != body.len()) {
             let reason = format!("answer ended after {} of {length} bytes", body.len());
             return Err(CallError::Broken(reason));
         }
-        Ok(Answer { status: response.status(), headers: response.headers().clone(), body })
+        let headers = response.headers().clone();
+        Ok(Answer { status: response.status(), headers, body, sized: length.is_some() })
     }
 }
 
--- /dev/null
+++ b/tests/backend.rs
@@ -0,0 +1,213 @@
+//! Misbehaviour of the backend server, as it comes out of the sidecar.
+
+mod stand;
+mod workdir;
+
+use actix_http::Method;
+use briargauge::{
+    protocol::{
+        job,
+        wire::sidecar::{self, NotStarted, Reply, RunResult},
+    },
+    transport::http::{self, CallError},
+};
+use futures::future;
+use serde_json::{Value, json};
+use stand::{Stand, failed, get, refused, until};
+
+fn is_done(reply: &Reply) -> bool {
+    matches!(reply.result, RunResult::Done { .. })
+}
+
+/// Guards against passing on an answer that is not whole, not valid or not for this attempt, and
+/// against calling a task unstarted that may have run.
+#[actix_rt::test]
+async fn bad_answers_are_failures() {
+    let stand = Stand::with(json!({"answer_max_bytes": 2_000}), json!({})).await;
+    let unknown = job::Failure::OutcomeUnknown;
+    let cases = [
+        (json!("truncate"), unknown),
+        (json!("wrong_header"), unknown),
+        (json!("not_json"), unknown),
+        (json!({"oversize": {"bytes": 2_001}}), unknown),
+        (json!("drop_before"), unknown),
+        (json!("drop_after"), unknown),
+        (json!("fail_fast"), job::Failure::TaskFailed),
+    ];
+    let mut expected = serde_json::Map::new();
+    for (seq, (fault, reason)) in (1..).zip(cases) {
+        stand.fault(fault.clone()).await;
+        let reply = stand.run(seq, json!({})).await;
+        assert_eq!(failed(&reply), Some(reason), "{fault}: {reply:?}");
+        assert_eq!(reply.load.busy, 0, "{fault}");
+        if fault != json!("drop_before") {
+            expected.insert(format!("5-{seq}-0-0"), json!(1));
+        }
+        stand.fault(json!("none")).await;
+        assert!(is_done(&stand.run(100 + seq, json!({})).await), "after {fault}");
+        expected.insert(format!("5-{}-0-0", 100 + seq), json!(1));
+    }
+    // Nothing was sent a second time over another connection.
+    assert_eq!(stand.starts().await, Value::Object(expected));
+}
+
+/// Guards against handing a second copy of an answer to the next attempt on the connection.
+#[actix_rt::test]
+async fn doubled_answers_do_not_cross() {
+    let stand = Stand::with(json!({}), json!({"fault": "double"})).await;
+    for seq in 1..=40 {
+        let reply = stand.run(seq, json!({"seq": seq})).await;
+        match &reply.result {
+            RunResult::Done { answer, .. } => {
+                let answer: Value = serde_json::from_str(answer).unwrap();
+                assert_eq!(answer["echo"], json!({"seq": seq}));
+            }
+            RunResult::Failed { reason, .. } => assert_eq!(*reason, job::Failure::OutcomeUnknown),
+            RunResult::NotStarted { .. } => panic!("{reply:?}"),
+        }
+    }
+    let starts = stand.starts().await;
+    assert!(starts.as_object().unwrap().values().all(|n| *n == json!(1)), "{starts}");
+}
+
+/// Guards against answers that reach the wrong attempt when they come late and out of order.
+#[actix_rt::test]
+async fn late_and_crossed_answers_reach_their_attempts() {
+    let stand = Stand::with(json!({"queue": 60}), json!({"fault": {"answer_late": {"ms": 30}}}));
+    let stand = stand.await;
+    let run = |seq: u64| {
+        let stand = &stand;
+        async move {
+            let work_ms = seq * 37 % 50;
+            let reply = stand.run(seq, json!({"seq": seq, "work_ms": work_ms})).await;
+            let RunResult::Done { answer, .. } = reply.result else { panic!("{reply:?}") };
+            let answer: Value = serde_json::from_str(&answer).unwrap();
+            assert_eq!(answer["echo"]["seq"], json!(seq));
+        }
+    };
+    future::join_all((1..=60).map(run)).await;
+}
+
+/// Guards against a slow backend server whose tasks outlive their deadlines.
+#[actix_rt::test]
+async fn delayed_and_late_answers_meet_the_deadline() {
+    let stand = Stand::new().await;
+    for (seq, fault) in [(1, "delay"), (2, "answer_late")] {
+        stand.fault(json!({fault: {"ms": 25_000}})).await;
+        let task = stand.task(seq, json!({}));
+        let reply = stand.send(sidecar::Task { left_ms: 500, ..task }).await;
+        assert_eq!(failed(&reply), Some(job::Failure::DeadlineExceeded), "{fault}");
+    }
+    stand.fault(json!({"delay": {"ms": 50}})).await;
+    let reply = stand.run(3, json!({})).await;
+    let RunResult::Done { ran_us, .. } = reply.result else { panic!("{reply:?}") };
+    assert!(ran_us >= 50_000);
+}
+
+/// Guards against a frozen backend server that keeps its slots and goes on being offered work.
+#[actix_rt::test]
+async fn frozen_backend_is_gone() {
+    let settings = json!({"announce_lease_ms": 800, "task": {"lease_ms": 300}});
+    let stand = Stand::with(settings, json!({})).await;
+    stand.fault(json!("freeze")).await;
+    let reply = stand.run(1, json!({})).await;
+    assert_eq!(failed(&reply), Some(job::Failure::OutcomeUnknown));
+    until("control to be told", async || stand.control.member().is_none().then_some(())).await;
+    assert_eq!(refused(&stand.run(2, json!({})).await), Some(NotStarted::Unreachable));
+    stand.fault(json!("none")).await;
+    stand::serving(&stand.control, None).await;
+    assert!(is_done(&stand.run(3, json!({})).await));
+}
+
+/// Guards against calling a task unstarted whose backend server died under it, and against
+/// calling one started that found the port closed.
+#[actix_rt::test]
+async fn dead_backend_is_unknown_then_unreachable() {
+    let mut stand = Stand::with(json!({"announce_lease_ms": 60_000}), json!({})).await;
+    stand.fault(json!("die")).await;
+    assert_eq!(failed(&stand.run(1, json!({})).await), Some(job::Failure::OutcomeUnknown));
+    assert_eq!(stand.backend.wait().code(), Some(70));
+    let reply = stand.run(2, json!({})).await;
+    assert_eq!(refused(&reply), Some(NotStarted::Unreachable));
+    assert_eq!(reply.load.busy, 0);
+    assert_eq!(stand.starts_in_file(), json!({}));
+}
+
+/// Guards against a stand-in that hides a second start behind its own restart.
+#[actix_rt::test]
+async fn starts_are_counted_across_restarts() {
+    let stand = Stand::new().await;
+    assert!(is_done(&stand.run(1, json!({})).await));
+    let Stand { dir, sidecar, backend, .. } = stand;
+    backend.kill();
+    let backend = stand::start_backend(&dir, sidecar.http(), stand::HOST, json!({}));
+    assert_eq!(get(backend.http(), "/starts").await, json!({"5-1-0-0": 1}));
+    let call = http::Call {
+        method: Method::POST,
+        addr: backend.http(),
+        path: "/run",
+        headers: &[("x-attempt", "5-1-0-0")],
+        body: json!({"team": "t", "kind": "k", "input": null}).to_string().into(),
+        limit: 1_000,
+    };
+    http::Client::new(1).call(call).await.unwrap();
+    assert_eq!(get(backend.http(), "/starts").await, json!({"5-1-0-0": 2}));
+}
+
+/// Guards against a client that opens more connections than a backend server accepts.
+#[actix_rt::test]
+async fn slots_and_connections_bound_what_runs() {
+    for (slots, connections) in [(3, 64), (8, 2)] {
+        let settings = json!({"slots": slots, "connections": connections});
+        let stand = Stand::with(json!({"queue": 20}), settings).await;
+        let run = |seq| stand.run(seq, json!({"work_ms": 20}));
+        let replies = future::join_all((1..=20).map(run)).await;
+        assert!(replies.iter().all(is_done), "{replies:?}");
+        let seen = get(stand.backend.http(), "/seen").await;
+        assert!(seen["busy_max"].as_u64().unwrap() <= slots.min(connections), "{seen}");
+    }
+}
+
+/// Serves one connection with fixed bytes, then closes it.
+async fn serve_bytes(bytes: &'static [u8]) -> std::net::SocketAddr {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let listener = tokio::net::TcpListener::bind(stand::HOST).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut head = [0; 1_024];
+        stream.read(&mut head).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+    });
+    addr
+}
+
+async fn call(addr: std::net::SocketAddr) -> Result<http::Answer, CallError> {
+    let body = "{}".into();
+    let headers = &[];
+    let call = http::Call { method: Method::POST, addr, path: "/run", headers, body, limit: 100 };
+    http::Client::new(1).call(call).await
+}
+
+/// Guards against taking a broken-off body for a whole one, following a redirect (which would run
+/// a task twice), or calling a request unsent that was written.
+#[actix_rt::test]
+async fn client_tells_what_happened() {
+    let cut = serve_bytes(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n12").await;
+    assert!(matches!(call(cut).await, Err(CallError::Broken(_))));
+    let closed = serve_bytes(b"").await;
+    assert!(matches!(call(closed).await, Err(CallError::Broken(_))));
+    let unsized_body = serve_bytes(b"HTTP/1.1 200 OK\r\n\r\n12").await;
+    assert!(!call(unsized_body).await.unwrap().sized);
+    let chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n12\r\n";
+    let chunked = call(serve_bytes(chunked).await).await;
+    assert!(chunked.is_err() || !chunked.unwrap().sized);
+    let large = serve_bytes(b"HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n").await;
+    assert_eq!(call(large).await.unwrap_err(), CallError::TooLarge(100));
+    let moved = b"HTTP/1.1 307 Moved\r\nlocation: /run\r\ncontent-length: 0\r\n\r\n";
+    let moved = serve_bytes(moved).await;
+    assert_eq!(call(moved).await.unwrap().status.as_u16(), 307);
+    let port = std::net::TcpListener::bind(stand::HOST).unwrap().local_addr().unwrap();
+    assert!(matches!(call(port).await, Err(CallError::NotSent(_))));
+}
