Fix clippy findings in the tests of slot and backend

Change: collapse a match arm, read a whole request in the byte server, generate the unused calls of the control stand-in by a macro.

--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -175,8 +175,10 @@
     let addr = listener.local_addr().unwrap();
     actix_rt::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
-        let mut head = [0; 1_024];
-        stream.read(&mut head).await.unwrap();
+        let mut head = bytes::BytesMut::new();
+        while !head.ends_with(b"\r\n\r\n{}") {
+            assert_ne!(stream.read_buf(&mut head).await.unwrap(), 0);
+        }
         stream.write_all(bytes).await.unwrap();
         stream.shutdown().await.unwrap();
     });
--- a/tests/slot.rs
+++ b/tests/slot.rs
@@ -508,10 +508,8 @@
                     }
                 }
                 Step::Cancel { run } => refused.extend(slots.cancel(run).0),
-                Step::Revoke { attempt } => {
-                    if slots.revoke(attempt) == Revoked::NotStarted {
-                        refused.insert(attempt);
-                    }
+                Step::Revoke { attempt } if slots.revoke(attempt) == Revoked::NotStarted => {
+                    refused.insert(attempt);
                 }
                 _ => {}
             }
--- a/tests/stand/control.rs
+++ b/tests/stand/control.rs
@@ -86,8 +86,13 @@
     control::Sessions { as_of, live: live.iter().copied().map(id::Epoch).collect() }
 }
 
-fn unused<T>() -> Result<T, Refusal> {
-    Err(Refusal::Invalid { detail: "not part of the stand-in".into() })
+/// Calls that sidecars do not make.
+macro_rules! unused {
+    ($($name:ident($($arg:ty),*) -> $answer:ty;)*) => {$(
+        async fn $name(self, _: Context, $(_: $arg),*) -> Result<$answer, Refusal> {
+            Err(Refusal::Invalid { detail: "not part of the stand-in".into() })
+        }
+    )*};
 }
 
 impl control::Service for Handler {
@@ -114,59 +119,21 @@
         }
     }
 
-    async fn register(self, _: Context, _: control::Hello) -> Result<control::Session, Refusal> {
-        unused()
-    }
-
-    async fn sync_entry(
-        self,
-        _: Context,
-        _: control::EntrySync,
-    ) -> Result<control::EntryView, Refusal> {
-        unused()
-    }
-
-    async fn admit(self, _: Context, _: control::Admit) -> Result<control::Admission, Refusal> {
-        unused()
-    }
-
-    async fn finish(self, _: Context, _: control::Finish) -> Result<control::Finished, Refusal> {
-        unused()
-    }
-
-    async fn lookup(self, _: Context, _: id::Key) -> Result<control::Admission, Refusal> {
-        unused()
-    }
-
-    async fn change_rules(
-        self,
-        _: Context,
-        _: control::Change,
-    ) -> Result<control::Changed, Refusal> {
-        unused()
-    }
-
-    async fn rules(self, _: Context) -> Result<control::Rules, Refusal> {
-        unused()
-    }
-
-    async fn history(self, _: Context, _: u32) -> Result<Vec<control::Accepted>, Refusal> {
-        unused()
-    }
-
-    async fn members(self, _: Context) -> Result<Vec<control::Member>, Refusal> {
-        unused()
-    }
-
     async fn status(self, _: Context) -> control::Status {
         unreachable!("sidecars do not ask for the status")
     }
 
-    async fn init(self, _: Context) -> Result<(), Refusal> {
-        unused()
-    }
-
-    async fn change_voters(self, _: Context, _: control::VoterChange) -> Result<(), Refusal> {
-        unused()
+    unused! {
+        register(control::Hello) -> control::Session;
+        sync_entry(control::EntrySync) -> control::EntryView;
+        admit(control::Admit) -> control::Admission;
+        finish(control::Finish) -> control::Finished;
+        lookup(id::Key) -> control::Admission;
+        change_rules(control::Change) -> control::Changed;
+        rules() -> control::Rules;
+        history(u32) -> Vec<control::Accepted>;
+        members() -> Vec<control::Member>;
+        init() -> ();
+        change_voters(control::VoterChange) -> ();
     }
 }
