Control runs on the replicated log

Cause: the control service still ran on the in-memory placeholder. Change: settings gain peer, peers and advertise; the daemon starts, hands over and stops the replica; status, init and change_voters reach it; the listening line names the peer address; sync messages carry the fields that quota shares need.

--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -62,7 +62,7 @@
     }
 
     fn listening(&self) -> daemon::Listening {
-        daemon::Listening { http: Some(self.announce.addr), rpc: None }
+        daemon::Listening { http: Some(self.announce.addr), rpc: None, peer: None }
     }
 
     async fn stop(self) -> usize {
--- a/src/control/confirm.rs
+++ b/src/control/confirm.rs
@@ -10,7 +10,7 @@
 
 /// Shares read barriers: calls that arrive while one is under way wait for the next one, which
 /// starts after they arrived. So a call costs a heartbeat round only when it is alone.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Confirm {
     replica: Replica,
     inner: Rc<RefCell<Inner>>,
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -96,13 +96,20 @@
         result
     }
 
+    fn not_leader(&self) -> Refusal {
+        match self.replica.status().role {
+            control::Role::Blank => Refusal::NotInitialised,
+            _ => Refusal::NotLeader { leader: self.replica.leader() },
+        }
+    }
+
     /// The term that this instance leads. Begins a new memory when the term is new.
     fn lead(&self) -> Result<u64, Refusal> {
         if self.closed.get() {
             return Err(Refusal::Stopping);
         }
         let Some(term) = self.replica.leading() else {
-            return Err(Refusal::NotLeader { leader: None });
+            return Err(self.not_leader());
         };
         let mut soft = self.soft.borrow_mut();
         if soft.term != term {
@@ -261,26 +268,17 @@
     }
 
     pub fn status(&self) -> control::Status {
-        let leading = self.replica.leading();
-        control::Status {
-            node: id::Node(self.settings.node),
-            disk: id::Disk(0),
-            role: if leading.is_some() { control::Role::Leader } else { control::Role::Follower },
-            term: leading.unwrap_or(0),
-            leader: None,
-            commit: 0,
-            applied: 0,
-            voters: Vec::new(),
-            rules_version: self.replica.state().rules().version,
-        }
+        let rules_version = self.replica.state().rules().version;
+        control::Status { rules_version, ..self.replica.status() }
     }
 
     pub async fn init(&self) -> Result<(), Refusal> {
-        Ok(())
+        self.replica.init().await
     }
 
-    pub async fn change_voters(&self, _change: control::VoterChange) -> Result<(), Refusal> {
-        Err(Refusal::Invalid { detail: "this instance keeps its state in memory".into() })
+    pub async fn change_voters(&self, change: control::VoterChange) -> Result<(), Refusal> {
+        self.lead()?;
+        self.replica.change_voters(change).await
     }
 
     /// Regular work of a leader: lapsed leases, drains of new rules, and what must be proposed.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -40,10 +40,12 @@
     const NAME: &'static str = "briargauge-control";
 
     async fn start(settings: Settings) -> Result<Control> {
-        let replica = Replica::default();
         let (rpc, http) = (settings.rpc, settings.http);
+        let replica = Replica::start(settings.replica()).await?;
+        let advertise = settings.advertise;
         let core = Core::new(settings, replica);
         let rpc = rpc::serve(rpc, Handler { core: core.clone() }.serve()).await?;
+        core.replica.advertise(advertise.unwrap_or(rpc.addr()));
         let asked = core.clone();
         let http = http::serve(http, move |request| answer(asked.clone(), request)).await?;
         let (stop, stopped) = watch::channel(());
@@ -52,7 +54,11 @@
     }
 
     fn listening(&self) -> daemon::Listening {
-        daemon::Listening { http: Some(self.http.addr()), rpc: Some(self.rpc.addr()) }
+        daemon::Listening {
+            http: Some(self.http.addr()),
+            rpc: Some(self.rpc.addr()),
+            peer: self.core.replica.peer_addr(),
+        }
     }
 
     async fn stop(self) -> usize {
@@ -66,6 +72,7 @@
         };
         let _ = time::timeout(limit, answered).await;
         self.http.stop();
+        self.core.replica.stop().await;
         self.core.meter.proposals()
     }
 }
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::{config, state::machine};
+use crate::{config, control::replica, protocol::id, state::machine};
 
 /// Shortest retention of keys, in ms: a resubmission must find its key.
 const RETENTION_MIN_MS: u64 = 60_000;
@@ -19,8 +19,17 @@
     pub data_folder: PathBuf,
     /// Where `/health` and `/metrics` are served.
     pub http: SocketAddr,
-    /// Where the calls of entries, sidecars, operators and other instances are served.
+    /// Where the calls of entries, sidecars and operators are served.
     pub rpc: SocketAddr,
+    /// Address under which they reach `rpc`, if another one.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
+    /// Where other control instances connect.
+    #[serde(default = "peer")]
+    pub peer: SocketAddr,
+    /// `peer` addresses of other control instances, for an instance that knows no leader.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// How long keys are remembered after their submission was created.
     #[serde(default = "retention_ms")]
     pub retention_ms: u64,
@@ -36,6 +45,14 @@
 }
 
 impl Settings {
+    pub fn replica(&self) -> replica::Settings {
+        replica::Settings {
+            client_addr: self.advertise.unwrap_or(self.rpc),
+            peers: self.peers.clone(),
+            ..replica::Settings::new(id::Node(self.node), self.peer, self.data_folder.clone())
+        }
+    }
+
     pub fn limits(&self) -> machine::Limits {
         machine::Limits {
             retention_ms: self.retention_ms,
@@ -69,6 +86,10 @@
     machine::Limits::default().answers_max_bytes
 }
 
+fn peer() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 fn drain_limit_ms() -> u64 {
     5_000
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -37,6 +37,8 @@
 pub struct Listening {
     pub http: Option<SocketAddr>,
     pub rpc: Option<SocketAddr>,
+    /// Where other control instances connect.
+    pub peer: Option<SocketAddr>,
 }
 
 /// Runs a daemon until a signal stops it.
@@ -95,9 +97,9 @@
         source,
     })?;
     let process = P::start(settings).await?;
-    let Listening { http, rpc } = process.listening();
+    let Listening { http, rpc, peer } = process.listening();
     let mut line = String::from("listening");
-    for (name, addr) in [("http", http), ("rpc", rpc)] {
+    for (name, addr) in [("http", http), ("rpc", rpc), ("peer", peer)] {
         if let Some(addr) = addr {
             line += &format!(" {name}={addr}");
         }
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -139,7 +139,11 @@
         let demand = self.demand.take();
         demand
             .into_iter()
-            .map(|(team, starts)| control::Demand { team, starts_per_s: starts as f64 / seconds })
+            .map(|(team, starts)| control::Demand {
+                team,
+                starts_per_s: starts as f64 / seconds,
+                held_per_s: 0.0,
+            })
             .collect()
     }
 
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -79,6 +79,7 @@
         sent.set(Instant::now());
         let sync = control::EntrySync {
             epoch,
+            number: core.session.report(),
             rules_version: core.session.rules_version(),
             members: known,
             demands: demands.clone(),
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -55,7 +55,7 @@
     }
 
     fn listening(&self) -> daemon::Listening {
-        daemon::Listening { http: Some(self.http.addr()), rpc: Some(self.rpc.addr()) }
+        daemon::Listening { http: Some(self.http.addr()), rpc: Some(self.rpc.addr()), peer: None }
     }
 
     async fn stop(self) -> usize {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -1,6 +1,6 @@
 //! The control process through its calls.
 
-use std::{rc::Rc, time::Duration};
+use std::{path::Path, rc::Rc, time::Duration};
 
 use briargauge::{
     config,
@@ -16,10 +16,10 @@
     transport::rpc,
 };
 
-fn settings() -> Settings {
-    let text =
-        r#"{"node": 1, "data_folder": "unused", "http": "127.0.0.1:0", "rpc": "127.0.0.1:0"}"#;
-    config::parse("test".as_ref(), text).expect("settings are valid")
+fn settings(folder: &Path) -> Settings {
+    let text = r#"{"node": 1, "data_folder": "", "http": "127.0.0.1:0", "rpc": "127.0.0.1:0"}"#;
+    let settings = config::parse("test".as_ref(), text).expect("settings are valid");
+    Settings { data_folder: folder.to_owned(), ..settings }
 }
 
 struct Client(Rc<rpc::Link<ServiceClient>>);
@@ -39,6 +39,7 @@
 }
 
 calls! {
+    init() -> ();
     register(hello: control::Hello) -> control::Session;
     sync_entry(sync: control::EntrySync) -> control::EntryView;
     sync_sidecar(sync: control::SidecarSync) -> control::SidecarView;
@@ -47,10 +48,18 @@
     lookup(key: id::Key) -> Admission;
 }
 
-async fn start() -> (Control, Client) {
-    let control = Control::start(settings()).await.expect("control starts");
+async fn start() -> (Running, Client) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let control = Control::start(settings(folder.path())).await.expect("control starts");
     let addr = control.listening().rpc.expect("control serves calls");
-    (control, Client(rpc::Link::new(addr)))
+    let client = Client(rpc::Link::new(addr));
+    client.init().await.expect("a cluster is formed");
+    (Running { control, _folder: folder }, client)
+}
+
+struct Running {
+    control: Control,
+    _folder: tempfile::TempDir,
 }
 
 fn hello(start: u64) -> control::Hello {
@@ -89,7 +98,7 @@
     let known = client.lookup(key("a")).await;
     assert!(matches!(known, Ok(Admission::Finished { outcome: o, .. }) if o == outcome));
     assert_eq!(client.lookup(key("b")).await, Ok(Admission::Unknown));
-    assert_eq!(control.stop().await, 0);
+    assert_eq!(control.control.stop().await, 0);
 }
 
 /// Guards against syncs that refuse live sessions, accept unknown ones or resend known lists.
@@ -128,5 +137,5 @@
     let view = client.sync_entry(sync(session.epoch, 1)).await.expect("answered");
     assert_eq!(view.members.changed, std::slice::from_ref(&member));
     assert_eq!(client.sync_entry(sync(id::Epoch(99), 1)).await, Err(Refusal::Fenced));
-    control.stop().await;
+    control.control.stop().await;
 }
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -83,6 +83,7 @@
     child: Child,
     pub http: Option<SocketAddr>,
     pub rpc: Option<SocketAddr>,
+    pub peer: Option<SocketAddr>,
     log: PathBuf,
 }
 
@@ -103,7 +104,7 @@
             let word = line.split_whitespace().find_map(|w| w.strip_prefix(name))?;
             word.parse().ok()
         };
-        Daemon { http: addr("http="), rpc: addr("rpc="), child, log }
+        Daemon { http: addr("http="), rpc: addr("rpc="), peer: addr("peer="), child, log }
     }
 
     pub fn http(&self) -> SocketAddr {
