First run from end to end; read responses in clients

Cause: the first run through separate processes gave only unreadable responses: raw JSON answers cannot be read through an internally tagged enum. Response times above 2 µs were lost in a histogram without range.

Change: responses are read through a flat struct; the histogram covers an hour; the load tool reads the entry's metric names.

Ruled out: the entry, which answered a plain HTTP client correctly.

--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -11,6 +11,9 @@
     send::{End, Sample},
 };
 
+/// Longest response time that is told apart, in µs.
+const RESPONSE_MAX_US: u64 = 3_600_000_000;
+
 /// Results of a run.
 #[derive(Debug, Clone)]
 pub struct Report {
@@ -86,7 +89,7 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("3 significant digits are valid")
+    Histogram::new_with_max(RESPONSE_MAX_US, 3).expect("the bounds are valid")
 }
 
 fn micros(duration: Duration) -> u64 {
--- a/src/load/scrape.rs
+++ b/src/load/scrape.rs
@@ -6,8 +6,8 @@
 
 /// Largest metrics page, in bytes.
 const PAGE_MAX_BYTES: usize = 16 * 1024 * 1024;
-const STARTS: &str = "briargauge_starts_total";
-const WASTED: &str = "briargauge_wasted_messages_total";
+const STARTS: &str = "briargauge_entry_starts_total";
+const WASTED: &str = "briargauge_entry_wasted_messages_total";
 
 /// Sums over all labels and entries.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -1,6 +1,6 @@
 //! What callers send to an entry and get back, as JSON. `docs/api.md` describes it for callers.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de};
 use serde_json::value::RawValue;
 
 use crate::protocol::id;
@@ -71,7 +71,7 @@
 
 /// Body of every response of an entry.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(tag = "status", rename_all = "snake_case")]
+#[serde(tag = "status", rename_all = "snake_case", try_from = "Flat")]
 pub enum Response {
     /// Every task ran once; answers are in the order of the tasks.
     Completed { answers: Vec<Box<RawValue>> },
@@ -85,6 +85,39 @@
     Unknown { detail: String },
 }
 
+/// A response with the fields of all variants: raw JSON cannot be read through a tagged enum.
+#[derive(Debug, Deserialize)]
+struct Flat {
+    status: String,
+    #[serde(default)]
+    answers: Vec<Box<RawValue>>,
+    #[serde(default)]
+    reason: String,
+    #[serde(default)]
+    detail: String,
+    #[serde(default)]
+    done: usize,
+    #[serde(default)]
+    tasks: usize,
+}
+
+impl TryFrom<Flat> for Response {
+    type Error = de::value::Error;
+
+    fn try_from(flat: Flat) -> Result<Response, Self::Error> {
+        let Flat { status, answers, reason, detail, done, tasks } = flat;
+        let reason = de::value::StrDeserializer::new(&reason);
+        Ok(match status.as_str() {
+            "completed" => Response::Completed { answers },
+            "failed" => Response::Failed { reason: Failure::deserialize(reason)?, detail },
+            "not_run" => Response::NotRun { reason: Refusal::deserialize(reason)?, detail },
+            "running" => Response::Running { done, tasks },
+            "unknown" => Response::Unknown { detail },
+            _ => return Err(de::Error::custom(format!("unknown status '{status}'"))),
+        })
+    }
+}
+
 /// Why a submission failed. Part of the public interface.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
