Entry: rules, demand reports and dispatch settings; links share a connection

Calls made at once on a new rpc::Link each opened a connection, and a late failure of an old connection dropped its successor. Handlers of callers that had hung up went on; a large answer was copied whole into the connection's buffer. Change: entry::policy maps rules to the dispatcher; dispatch settings of the entry; rpc::Link connects once for all waiting calls; transport::http drops handlers of closed connections, hands bodies over in chunks and counts open connections so that a stop waits for idle ones.

--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -157,6 +157,10 @@
             }
             ExitCode::SUCCESS
         }
+        job::Response::Unknown { detail } => {
+            eprintln!("unknown: {detail}");
+            ExitCode::from(cmd::EXIT_REFUSED)
+        }
     }
 }
 
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -114,7 +114,7 @@
     match submission::request(&body, arrived, &core.limits) {
         Ok(Submission::Keyed(keyed)) => submit(core, keyed, Class::Keyed, arrived).await,
         Ok(Submission::Unkeyed(work)) => {
-            let team = work.team.clone();
+            let team = work.spec.team.clone();
             let run = core.session.run();
             let done = Rc::new(unkeyed(core, run, work).await);
             let reply = Reply { run, done, progress: (0, 1) };
@@ -131,16 +131,16 @@
     arrived: Instant,
 ) -> Response<Bytes> {
     let key = keyed.key.clone();
-    let tasks = keyed.work.tasks.len();
+    let tasks = keyed.work.inputs.len();
     let (run, done) = keyed::submit(core, keyed).await;
     let progress = core.active(&key).map_or((0, tasks), |active| active.progress(core));
     answer(core, &key.team, Some((class, arrived)), Reply { run, done, progress })
 }
 
 /// Runs a request without a key; ends it if the caller hangs up.
-async fn unkeyed(core: &Rc<Core>, run: id::Run, work: Work) -> Done {
-    if let Err(reason) = core.check(&work) {
-        return Done::not_run(reason, reason.detail());
+async fn unkeyed(core: &Rc<Core>, run: id::Run, mut work: Work) -> Done {
+    if let Err(refusal) = core.check(&mut work) {
+        return refusal;
     }
     let _hang_up = CancelOnDrop { core, run };
     core.execute(run, work).await
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -15,12 +15,15 @@
     entry::{
         backend::{Backend, End, Report},
         budget::{Budget, Hold},
+        keyed::Done,
         meter::{Meter, Waste},
+        policy::Policy,
         session::Session,
-        settings::Limits,
+        settings::{Limits, Settings},
     },
     protocol::{
         id, job,
+        rule::Rules,
         wire::{Answer, Outcome, control, sidecar},
     },
     util,
@@ -39,6 +42,9 @@
     backends: RefCell<HashMap<id::Incarnation, Rc<Backend>>>,
     /// Task starts asked for since the last report to control.
     demand: RefCell<HashMap<id::Team, u64>>,
+    /// This entry's parts of quotas, in task starts per second.
+    shares: RefCell<HashMap<id::Team, f64>>,
+    policy: RefCell<Policy>,
     /// Something has changed that may let attempts start.
     changed: Notify,
 }
@@ -46,19 +52,11 @@
 /// What is to be run.
 #[derive(Debug)]
 pub struct Work {
-    pub team: id::Team,
-    pub tasks: Vec<Task>,
+    /// Its deadline is set by [`Engine::check`].
+    pub spec: dispatch::Spec,
+    /// JSON texts in the order of the tasks.
+    pub inputs: Vec<String>,
     pub deadline: Instant,
-    /// Whether tasks may be started more than once.
-    pub restartable: bool,
-}
-
-/// A task to be run.
-#[derive(Debug)]
-pub struct Task {
-    pub spec: dispatch::TaskSpec,
-    /// JSON text.
-    pub input: String,
 }
 
 /// How a run ended, with the memory that its answers take.
@@ -70,9 +68,7 @@
 
 /// A run in progress.
 struct Running {
-    team: id::Team,
-    tasks: Vec<Task>,
-    deadline: Instant,
+    work: Work,
     answers: Vec<Option<String>>,
     answered: usize,
     bytes: usize,
@@ -83,35 +79,26 @@
     ended: oneshot::Sender<Ending>,
 }
 
-impl Work {
-    pub fn spec(&self, engine: &Engine) -> dispatch::Spec {
-        dispatch::Spec {
-            team: self.team.clone(),
-            tasks: self.tasks.iter().map(|t| t.spec.clone()).collect(),
-            deadline: engine.micros(self.deadline),
-            restartable: self.restartable,
-        }
-    }
-}
-
 impl Engine {
     pub fn new(
-        limits: Limits,
+        settings: &Settings,
         session: Rc<Session>,
         meter: Rc<Meter>,
         budget: Arc<Budget>,
     ) -> Rc<Engine> {
         Rc::new(Engine {
             start: Instant::now(),
-            limits,
+            limits: settings.limits.clone(),
             session,
             meter,
             budget,
-            dispatcher: RefCell::default(),
+            dispatcher: RefCell::new(Dispatcher::new(settings.dispatcher())),
             random: RefCell::new(Pcg64Mcg::from_rng(&mut rand::rng())),
             runs: RefCell::default(),
             backends: RefCell::default(),
             demand: RefCell::default(),
+            shares: RefCell::default(),
+            policy: RefCell::default(),
             changed: Notify::new(),
         })
     }
@@ -125,21 +112,48 @@
     }
 
     /// Counts a submission's tasks as asked for, and checks whether they could be taken now.
-    pub fn check(&self, work: &Work) -> Result<(), job::Refusal> {
-        *self.demand.borrow_mut().entry(work.team.clone()).or_default() += work.tasks.len() as u64;
+    pub fn check(&self, work: &mut Work) -> Result<(), Done> {
+        let (team, tasks) = (&work.spec.team, work.spec.tasks.len());
+        let mut demand = self.demand.borrow_mut();
+        match demand.get_mut(team) {
+            Some(starts) => *starts += tasks as u64,
+            None => {
+                demand.insert(team.clone(), tasks as u64);
+            }
+        }
+        drop(demand);
         if !self.budget.has_room() {
-            return Err(job::Refusal::Overloaded);
+            let detail = "the entry's memory for answers is used up";
+            return Err(Done::not_run(job::Refusal::Overloaded, detail));
         }
-        self.dispatcher.borrow_mut().check(self.now(), &work.spec(self))
+        let now = self.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        self.policy.borrow_mut().apply(now, &mut dispatcher, work)?;
+        work.spec.deadline = self.micros(work.deadline);
+        dispatcher.check(now, &work.spec).map_err(Done::refused)
+    }
+
+    /// Takes over new rules.
+    pub fn set_rules(&self, rules: Rules) {
+        self.policy.borrow_mut().set(self.now(), &mut self.dispatcher.borrow_mut(), rules);
+        self.changed.notify_one();
     }
 
-    /// Task starts per second that each team asked for over the last `period`.
+    /// Task starts per second that each team asked for over the last `period`, and the share held.
     pub fn demands(&self, period: Duration) -> Vec<control::Demand> {
         let seconds = period.as_secs_f64().max(0.001);
-        let demand = self.demand.take();
+        let mut demand = self.demand.take();
+        let shares = self.shares.borrow();
+        for team in shares.keys() {
+            demand.entry(team.clone()).or_default();
+        }
         demand
             .into_iter()
-            .map(|(team, starts)| control::Demand { team, starts_per_s: starts as f64 / seconds })
+            .map(|(team, starts)| control::Demand {
+                held_per_s: shares.get(&team).copied().unwrap_or(0.0),
+                starts_per_s: starts as f64 / seconds,
+                team,
+            })
             .collect()
     }
 
@@ -166,6 +180,8 @@
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.set_members(self.now(), &view.members);
         dispatcher.set_shares(self.now(), &view.shares);
+        let shares = view.shares.iter().map(|s| (s.team.clone(), s.starts_per_s)).collect();
+        self.shares.replace(shares);
         self.changed.notify_one();
     }
 
@@ -175,16 +191,12 @@
         run: id::Run,
         work: Work,
     ) -> Result<oneshot::Receiver<Ending>, job::Refusal> {
-        let spec = work.spec(self);
-        self.dispatcher.borrow_mut().submit(self.now(), run, spec)?;
+        self.dispatcher.borrow_mut().submit(self.now(), run, work.spec.clone())?;
         let (ended, ending) = oneshot::channel();
-        let count = work.tasks.len();
         let running = Running {
-            time: self.meter.task(&work.team),
-            team: work.team,
-            tasks: work.tasks,
-            deadline: work.deadline,
-            answers: vec![None; count],
+            time: self.meter.task(&work.spec.team),
+            answers: vec![None; work.inputs.len()],
+            work,
             answered: 0,
             bytes: 0,
             hold: self.budget.hold(),
@@ -198,7 +210,13 @@
 
     /// Answered and all tasks of a run in progress.
     pub fn progress(&self, run: id::Run) -> Option<(usize, usize)> {
-        self.runs.borrow().get(&run).map(|r| (r.answered, r.tasks.len()))
+        self.runs.borrow().get(&run).map(|r| (r.answered, r.answers.len()))
+    }
+
+    /// Tasks waiting to be sent, and backend servers ejected for their health.
+    pub fn waiting(&self) -> (usize, usize) {
+        let dispatcher = self.dispatcher.borrow();
+        (dispatcher.queued(), dispatcher.ejected())
     }
 
     /// Runs in progress.
@@ -393,16 +411,17 @@
 
 impl Running {
     fn message(&self, attempt: id::Attempt, incarnation: id::Incarnation) -> sidecar::Task {
-        let task = &self.tasks[usize::from(attempt.task)];
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let Work { spec, inputs, deadline } = &self.work;
+        let task = &spec.tasks[usize::from(attempt.task)];
+        let left = deadline.saturating_duration_since(Instant::now());
         sidecar::Task {
             attempt,
             incarnation,
-            team: self.team.clone(),
-            kind: task.spec.kind.clone(),
-            input: task.input.clone(),
-            declared_ms: task.spec.declared_ms,
-            needs: task.spec.needs,
+            team: spec.team.clone(),
+            kind: task.kind.clone(),
+            input: inputs[usize::from(attempt.task)].clone(),
+            declared_ms: task.declared_ms,
+            needs: task.needs,
             left_ms: util::millis(left).try_into().unwrap_or(u32::MAX),
         }
     }
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -64,7 +64,7 @@
 }
 
 /// How a submission ended.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub enum Done {
     Completed(Rc<Answers>),
     Failed {
@@ -84,6 +84,11 @@
         Done::NotRun { reason, detail: detail.into() }
     }
 
+    /// A refusal with its usual explanation.
+    pub fn refused(reason: job::Refusal) -> Done {
+        Done::not_run(reason, reason.detail())
+    }
+
     pub fn failed(reason: job::Failure, detail: impl Into<String>) -> Done {
         Done::Failed { reason, detail: detail.into() }
     }
@@ -124,14 +129,14 @@
     let deadline = keyed.work.deadline;
     if let Some(active) = core.active(&keyed.key) {
         if active.digest != keyed.digest {
-            return (core.session.run(), Rc::new(refusal(job::Refusal::KeyConflict)));
+            return (core.session.run(), Rc::new(Done::refused(job::Refusal::KeyConflict)));
         }
         return (active.run, join(&active, deadline).await);
     }
     let active = Rc::new(Active {
         run: core.session.run(),
         digest: keyed.digest,
-        tasks: keyed.work.tasks.len(),
+        tasks: keyed.work.inputs.len(),
         stage: watch::Sender::new(Stage::Running),
     });
     let key = keyed.key.clone();
@@ -184,30 +189,30 @@
 
 /// Takes a submission from admission to its recorded end.
 async fn live(core: &Rc<Core>, active: &Active, keyed: Keyed) -> Done {
-    let Keyed { key, created_at_ms, digest, work } = keyed;
+    let Keyed { key, created_at_ms, digest, mut work } = keyed;
     let until = work.deadline;
-    let refused = core.check(&work).err();
-    if let Some(refusal) = refused
+    let refused = core.check(&mut work).err();
+    if let Some(refusal) = &refused
         && let Some(done) = refuse(core, &key, until, refusal).await
     {
         return done;
     }
     if active.run.epoch == id::Epoch(0) {
-        return refusal(job::Refusal::ControlUnavailable);
+        return Done::refused(job::Refusal::ControlUnavailable);
     }
     let admit = control::Admit {
         run: active.run,
         key: key.clone(),
         digest,
         created_at_ms,
-        tasks: work.tasks.len() as u16,
+        tasks: work.inputs.len() as u16,
     };
     loop {
         let limit = Instant::now() + Duration::from_millis(core.limits.admit_limit_ms);
         match core.admit(&admit, until.min(limit)).await {
             Ok(control::Admission::Admitted { job }) => {
                 return match refused {
-                    Some(reason) => record(core, active.run, &key, job, &refusal(reason)).await,
+                    Some(refusal) => record(core, active.run, &key, job, &refusal).await,
                     None => run(core, active, &key, job, work).await,
                 };
             }
@@ -219,9 +224,11 @@
             Ok(control::Admission::Finished { job, owner, outcome }) => {
                 return fetch(core, job, owner, outcome, until).await;
             }
-            Ok(control::Admission::Conflict) => return refusal(job::Refusal::KeyConflict),
-            Ok(control::Admission::Expired) => return refusal(job::Refusal::KeyExpired),
-            Ok(control::Admission::Unknown) => return refusal(job::Refusal::ControlUnavailable),
+            Ok(control::Admission::Conflict) => return Done::refused(job::Refusal::KeyConflict),
+            Ok(control::Admission::Expired) => return Done::refused(job::Refusal::KeyExpired),
+            Ok(control::Admission::Unknown) => {
+                return Done::refused(job::Refusal::ControlUnavailable);
+            }
             Err(rejected) => return unadmitted(core, admit, rejected),
         }
     }
@@ -263,35 +270,25 @@
 
 /// Refuses a submission, unless an earlier one with the same key is known (`None`): "not run" must
 /// also be true of that one.
-async fn refuse(
-    core: &Rc<Core>,
-    key: &id::Key,
-    until: Instant,
-    reason: job::Refusal,
-) -> Option<Done> {
+async fn refuse(core: &Rc<Core>, key: &id::Key, until: Instant, refusal: &Done) -> Option<Done> {
     let limit = Instant::now() + LOOKUP_LIMIT;
     match core.lookup(key, until.min(limit)).await {
-        Ok(control::Admission::Unknown) => Some(refusal(reason)),
+        Ok(control::Admission::Unknown) => Some(refusal.clone()),
         Ok(control::Admission::Finished { outcome: Outcome::NotRun { .. }, .. }) => {
-            Some(refusal(reason))
+            Some(refusal.clone())
         }
         Ok(_) => None,
         Err(_) => {
+            let Done::NotRun { reason, detail } = refusal else { return Some(refusal.clone()) };
             let detail = format!(
-                "{}; this call started nothing, but control could not be asked about earlier \
+                "{detail}; this call started nothing, but control could not be asked about earlier \
                  submissions with this key: keep the key when submitting again",
-                reason.detail()
             );
-            Some(Done::NotRun { reason, detail })
+            Some(Done::NotRun { reason: *reason, detail })
         }
     }
 }
 
-/// A refusal with its usual explanation.
-fn refusal(reason: job::Refusal) -> Done {
-    Done::not_run(reason, reason.detail())
-}
-
 /// Runs an admitted submission and records its end.
 async fn run(core: &Rc<Core>, active: &Active, key: &id::Key, job: id::Job, work: Work) -> Done {
     core.jobs.borrow_mut().insert(job, key.clone());
@@ -317,8 +314,8 @@
     let finish = control::Finish { job, epoch: run.epoch, outcome };
     let until = Instant::now() + FINISH_LIMIT;
     match core.finish(&finish, until).await {
-        Ok(control::Finished::Recorded) => copy(done),
-        Ok(control::Finished::Already { outcome }) if outcome == finish.outcome => copy(done),
+        Ok(control::Finished::Recorded) => done.clone(),
+        Ok(control::Finished::Already { outcome }) if outcome == finish.outcome => done.clone(),
         Ok(control::Finished::Already { outcome }) => settled(core, outcome),
         Err(Rejected::Fenced) => {
             core.session.hurry.notify_one();
@@ -329,7 +326,7 @@
                     if recorded == job =>
                 {
                     if outcome == finish.outcome {
-                        copy(done)
+                        done.clone()
                     } else {
                         settled(core, outcome)
                     }
@@ -339,7 +336,7 @@
                         let detail = "the entry's session ended before the job's end was recorded";
                         Done::failed(job::Failure::EntryLost, detail)
                     }
-                    _ => copy(done),
+                    _ => done.clone(),
                 },
             }
         }
@@ -350,21 +347,12 @@
                     let detail = "the end of the job could not be recorded";
                     Done::failed(job::Failure::OutcomeUnknown, detail)
                 }
-                _ => copy(done),
+                _ => done.clone(),
             }
         }
     }
 }
 
-fn copy(done: &Done) -> Done {
-    match done {
-        Done::Completed(answers) => Done::Completed(answers.clone()),
-        Done::Failed { reason, detail } => Done::failed(*reason, detail.clone()),
-        Done::NotRun { reason, detail } => Done::not_run(*reason, detail.clone()),
-        Done::Running => Done::Running,
-    }
-}
-
 /// A recorded outcome whose answers, if any, are inline.
 pub fn settled(core: &Core, outcome: Outcome) -> Done {
     match outcome {
--- a/src/entry/meter.rs
+++ b/src/entry/meter.rs
@@ -52,6 +52,7 @@
     wasted: [IntCounter; 4],
     pub queued: IntGauge,
     pub running: IntGauge,
+    pub ejected: IntGauge,
     pub rules_version: IntGauge,
     pub confirmed_age_ms: IntGauge,
     pub held_bytes: IntGauge,
@@ -103,6 +104,7 @@
             starts,
             wasted: ["refused", "lost", "late", "unused"].map(|c| wasted.with_label_values(&[c])),
             queued: gauge("briargauge_entry_queued_tasks", "Tasks waiting to be sent."),
+            ejected: gauge("briargauge_entry_ejected", "Backend servers ejected for their health."),
             running: gauge("briargauge_entry_running", "Submissions in progress."),
             rules_version: gauge("briargauge_entry_rules_version", "Version of the rules held."),
             confirmed_age_ms: gauge(
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 pub mod keyed;
 pub mod meter;
 pub mod peer;
+mod policy;
 pub mod session;
 pub mod settings;
 pub mod submission;
@@ -85,7 +86,7 @@
         let session = Rc::new(Session::new());
         let meter = Rc::new(Meter::new());
         let budget = Budget::new(limits.memory_max_bytes);
-        let engine = Engine::new(limits.clone(), session.clone(), meter.clone(), budget.clone());
+        let engine = Engine::new(settings, session.clone(), meter.clone(), budget.clone());
         let held = Held::new(limits.held_max_bytes, Duration::from_millis(limits.held_max_ms));
         Rc::new(Core {
             limits,
@@ -112,16 +113,16 @@
     }
 
     /// Whether new work can be taken now.
-    pub fn check(&self, work: &Work) -> Result<(), job::Refusal> {
+    pub fn check(&self, work: &mut Work) -> Result<(), Done> {
         if self.refusing.get() {
-            return Err(job::Refusal::Stopping);
+            return Err(Done::refused(job::Refusal::Stopping));
         }
         if self.session.epoch().is_none() {
-            return Err(job::Refusal::ControlUnavailable);
+            return Err(Done::refused(job::Refusal::ControlUnavailable));
         }
         let age = self.session.confirmed_age();
         if age.is_none_or(|age| age > self.limits.rules_confirm_limit()) {
-            return Err(job::Refusal::RulesUnconfirmed);
+            return Err(Done::refused(job::Refusal::RulesUnconfirmed));
         }
         self.engine.check(work)
     }
@@ -259,6 +260,7 @@
         while core.left() > 0 && Instant::now() < end {
             time::sleep(DRAIN_POLL).await;
         }
+        self.http.idle_out(end.saturating_duration_since(Instant::now())).await;
         self.http.stop();
         let cut = self.http.in_flight() + core.left();
         for (key, active) in core.keys.borrow().iter() {
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -20,6 +20,7 @@
     confirmed: Cell<Option<Instant>>,
     rules: RefCell<control::Rules>,
     seq: Cell<u64>,
+    reports: Cell<u64>,
     /// Asks for a report to control at once.
     pub hurry: Notify,
 }
@@ -33,6 +34,7 @@
             confirmed: Cell::new(None),
             rules: RefCell::new(control::Rules { version: 0, text: String::new() }),
             seq: Cell::new(0),
+            reports: Cell::new(0),
             hurry: Notify::new(),
         }
     }
@@ -48,6 +50,12 @@
         id::Run { epoch: self.epoch.get().unwrap_or(id::Epoch(0)), seq }
     }
 
+    /// Number of the next report to control.
+    pub fn report(&self) -> u64 {
+        self.reports.set(self.reports.get() + 1);
+        self.reports.get()
+    }
+
     /// Whether attempts of `epoch` may be started now.
     ///
     /// The process may have been frozen since the last report, so this is asked before each start.
@@ -68,6 +76,10 @@
         self.rules.borrow().version
     }
 
+    pub fn rules_text(&self) -> String {
+        self.rules.borrow().text.clone()
+    }
+
     /// Opens a session whose `register` was sent at `sent`.
     pub fn open(&self, sent: Instant, session: control::Session) {
         self.epoch.set(Some(session.epoch));
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -1,10 +1,10 @@
 //! Settings of an entry.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use serde::Deserialize;
 
-use crate::{config, protocol::job};
+use crate::{config, coordination::dispatch, protocol::job};
 
 /// Highest allowed `rules_confirm_limit_ms`: a change must be in force everywhere within 8 s.
 const RULES_CONFIRM_MAX_MS: u64 = 8_000;
@@ -25,6 +25,60 @@
     pub control: Vec<SocketAddr>,
     #[serde(default)]
     pub limits: Limits,
+    #[serde(default)]
+    pub dispatch: Dispatch,
+}
+
+/// Settings of the dispatch policy.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Dispatch {
+    pub policy: Policy,
+    /// Most tasks that wait, of all teams together.
+    pub waiting_max: usize,
+    /// Longest expected wait with which a submission is still taken.
+    pub wait_max_ms: u64,
+    /// Known round trips to data centres, by name; others are learned.
+    pub round_trips_us: BTreeMap<String, u64>,
+}
+
+/// Which policy decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    Briargauge,
+    /// The baseline for comparisons.
+    Naive,
+}
+
+impl Default for Dispatch {
+    fn default() -> Dispatch {
+        let default = dispatch::Settings::default();
+        Dispatch {
+            policy: Policy::Briargauge,
+            waiting_max: default.waiting_max,
+            wait_max_ms: default.wait_max_us / 1_000,
+            round_trips_us: BTreeMap::new(),
+        }
+    }
+}
+
+impl Settings {
+    /// Settings of the dispatcher.
+    pub fn dispatcher(&self) -> dispatch::Settings {
+        let Dispatch { policy, waiting_max, wait_max_ms, round_trips_us } = self.dispatch.clone();
+        dispatch::Settings {
+            policy: match policy {
+                Policy::Briargauge => dispatch::Policy::Briargauge,
+                Policy::Naive => dispatch::Policy::Naive,
+            },
+            data_centre: self.data_centre.clone(),
+            round_trips: round_trips_us.into_iter().collect(),
+            waiting_max,
+            wait_max_us: wait_max_ms.saturating_mul(1_000),
+            ..dispatch::Settings::default()
+        }
+    }
 }
 
 /// Limits of an entry; each has a default.
--- a/src/entry/submission.rs
+++ b/src/entry/submission.rs
@@ -6,12 +6,8 @@
 use tokio::time::Instant;
 
 use crate::{
-    coordination::dispatch::TaskSpec,
-    entry::{
-        engine::{Task, Work},
-        keyed::Keyed,
-        settings::Limits,
-    },
+    coordination::dispatch::{Spec, TaskSpec},
+    entry::{engine::Work, keyed::Keyed, settings::Limits},
     protocol::{id, job},
 };
 
@@ -113,14 +109,16 @@
     deadline: Instant,
     restartable: bool,
 ) -> Result<Work, Wrong> {
-    let mut checked = Vec::with_capacity(tasks.len());
+    let mut inputs = Vec::with_capacity(tasks.len());
+    let mut specs = Vec::with_capacity(tasks.len());
     for (index, task) in tasks.into_iter().enumerate() {
         let job::Task { kind, input, declared_ms, needs } = task;
         check_length("kind", &kind, KIND_MAX_BYTES).map_err(|e| format!("tasks[{index}].{e}"))?;
-        let spec = TaskSpec { kind, declared_ms, needs: needs.unwrap_or_default() };
-        checked.push(Task { spec, input: Box::<str>::from(input).into_string() });
+        specs.push(TaskSpec { kind, declared_ms, needs: needs.unwrap_or_default() });
+        inputs.push(Box::<str>::from(input).into_string());
     }
-    Ok(Work { team, tasks: checked, deadline, restartable })
+    let spec = Spec { team, tasks: specs, deadline: 0, restartable };
+    Ok(Work { spec, inputs, deadline })
 }
 
 /// Digest of a submission's tasks: a resubmission must repeat them byte by byte.
@@ -128,7 +126,7 @@
 /// The deadline is left out, as a resubmission may have less time.
 fn digest(work: &Work) -> [u8; 32] {
     let mut hash = Sha256::new();
-    for Task { spec, input } in &work.tasks {
+    for (spec, input) in work.spec.tasks.iter().zip(&work.inputs) {
         for text in [&spec.kind, input] {
             hash.update((text.len() as u64).to_be_bytes());
             hash.update(text);
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     entry::{Core, control::Rejected},
-    protocol::wire::control,
+    protocol::{rule::Rules, wire::control},
 };
 
 /// Time for one report, over all tries.
@@ -79,6 +79,7 @@
         sent.set(Instant::now());
         let sync = control::EntrySync {
             epoch,
+            number: core.session.report(),
             rules_version: core.session.rules_version(),
             members: known,
             demands: demands.clone(),
@@ -89,7 +90,7 @@
         Ok(view) => {
             *revision = Some(view.members.revision);
             if core.session.renew(sent.get(), &view) {
-                log::info!("event=rules version={}", core.session.rules_version());
+                take_rules(core);
             }
             core.engine.update(&view);
         }
@@ -102,11 +103,26 @@
     }
 }
 
+fn take_rules(core: &Core) {
+    let version = core.session.rules_version();
+    match Rules::parse(&core.session.rules_text()) {
+        Ok(rules) => {
+            log::info!("event=rules version={version}");
+            core.engine.set_rules(rules);
+        }
+        // Control accepts only texts that parse, by the same code unless versions are mixed.
+        Err(e) => log::error!("event=rules_invalid version={version} error={e:?}"),
+    }
+}
+
 fn observe(core: &Core) {
     core.held.borrow_mut().trim();
     let age = core.session.confirmed_age().map_or(-1, |age| age.as_millis() as i64);
     core.meter.confirmed_age_ms.set(age);
     core.meter.rules_version.set(core.session.rules_version() as i64);
+    let (queued, ejected) = core.engine.waiting();
+    core.meter.queued.set(queued as i64);
+    core.meter.ejected.set(ejected as i64);
     core.meter.running.set(core.engine.running() as i64);
     core.meter.held_bytes.set(core.budget.used() as i64);
 }
--- a/src/load/send.rs
+++ b/src/load/send.rs
@@ -153,9 +153,12 @@
             }
             Some(job::Response::Failed { .. }) => End::Failed,
             Some(job::Response::NotRun { .. }) => End::NotRun,
-            Some(job::Response::Completed { .. } | job::Response::Running { .. }) | None => {
-                End::Wrong
-            }
+            Some(
+                job::Response::Completed { .. }
+                | job::Response::Running { .. }
+                | job::Response::Unknown { .. },
+            )
+            | None => End::Wrong,
         }
     }
 
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -26,6 +26,9 @@
 /// How often a stopping server looks whether its requests have ended.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
+/// Time after [`KEEP_ALIVE`] within which an idle connection has closed: the timer is coarse.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
 /// Why a request body could not be read.
 #[derive(Debug)]
 pub enum BodyError {
@@ -35,6 +38,10 @@
     Broken(String),
 }
 
+/// Part of an answer that is handed to a connection at once; the rest waits uncopied in the body
+/// until a slow reader has taken it.
+const CHUNK_MAX_BYTES: usize = 32 * 1024;
+
 /// A listening HTTP server.
 pub struct Server {
     addr: SocketAddr,
@@ -46,6 +53,24 @@
     /// Whether answers carry `Connection: close`.
     closing: Cell<bool>,
     in_flight: Cell<usize>,
+    /// Open connections.
+    connections: Cell<usize>,
+}
+
+/// Counts a connection for as long as it is open.
+struct Connected(Rc<Shared>);
+
+impl Connected {
+    fn new(shared: &Rc<Shared>) -> Connected {
+        shared.connections.set(shared.connections.get() + 1);
+        Connected(shared.clone())
+    }
+}
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
 }
 
 /// Counts a request for as long as its answer is being written.
@@ -82,7 +107,11 @@
         mut self: std::pin::Pin<&mut Self>,
         _: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Bytes, Infallible>>> {
-        std::task::Poll::Ready(self.body.take().filter(|b| !b.is_empty()).map(Ok))
+        let body = match &mut self.body {
+            Some(body) if body.len() > CHUNK_MAX_BYTES => Some(body.split_to(CHUNK_MAX_BYTES)),
+            _ => self.body.take().filter(|b| !b.is_empty()),
+        };
+        std::task::Poll::Ready(body.map(Ok))
     }
 }
 
@@ -96,6 +125,11 @@
         self.shared.in_flight.get()
     }
 
+    /// Open connections, idle ones included.
+    pub fn connections(&self) -> usize {
+        self.shared.connections.get()
+    }
+
     /// From now on each answer closes its connection.
     pub fn close_connections(&self) {
         self.shared.closing.set(true);
@@ -111,6 +145,15 @@
         self.in_flight()
     }
 
+    /// Waits until all connections have closed, which idle ones do after [`KEEP_ALIVE`], at most
+    /// `limit`: a request that arrives on one meanwhile is still answered.
+    pub async fn idle_out(&self, limit: Duration) {
+        let end = time::Instant::now() + limit.min(KEEP_ALIVE + IDLE_MARGIN);
+        while self.connections() > 0 && time::Instant::now() < end {
+            time::sleep(DRAIN_POLL).await;
+        }
+    }
+
     /// Closes the listener; open connections go on until they are idle.
     pub fn stop(&self) {
         let _ = self.stop.send(());
@@ -127,7 +170,11 @@
         TcpListener::bind(addr).await.context(error::NetSnafu { step: "listen", peer: addr })?;
     let addr = listener.local_addr().context(error::NetSnafu { step: "listen", peer: addr })?;
     let (stop, stopped) = watch::channel(());
-    let shared = Rc::new(Shared { closing: Cell::new(false), in_flight: Cell::new(0) });
+    let shared = Rc::new(Shared {
+        closing: Cell::new(false),
+        in_flight: Cell::new(0),
+        connections: Cell::new(0),
+    });
     actix_rt::spawn(accept(listener, handler, shared.clone(), stopped));
     Ok(Server { addr, shared, stop })
 }
@@ -141,10 +188,13 @@
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<Bytes>> + 'static,
 {
+    let counted = shared.clone();
     let service = HttpService::build()
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(HEAD_LIMIT)
         .tcp_nodelay(true)
+        // Ends a handler whose caller has hung up.
+        .h1_allow_half_closed(false)
         .finish(fn_service(move |request: Request| {
             answer(handler.clone(), shared.clone(), request)
         }))
@@ -157,7 +207,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                actix_rt::spawn(service.call(stream));
+                let connected = Connected::new(&counted);
+                let connection = service.call(stream);
+                actix_rt::spawn(async move {
+                    let _ = connection.await;
+                    drop(connected);
+                });
             }
             Err(e) => {
                 log::warn!("event=accept_failed error={e:?}");
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -1,6 +1,12 @@
 //! Remote calls between the system's own processes: `tarpc` over TCP.
 
-use std::{cell::RefCell, future::Future, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use futures::StreamExt;
 use serde::{Serialize, de::DeserializeOwned};
@@ -13,7 +19,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{Mutex, watch},
     time,
 };
 use tokio_util::codec::{Decoder, LengthDelimitedCodec};
@@ -81,12 +87,24 @@
 /// A connection to one peer that is opened on demand and again after a failure.
 pub struct Link<C> {
     addr: SocketAddr,
-    client: RefCell<Option<C>>,
+    /// The open connection and its number.
+    client: RefCell<Option<(u64, C)>>,
+    opened: Cell<u64>,
+    /// Tries to connect.
+    tried: Cell<u64>,
+    /// Held while connecting, so that calls made meanwhile share the connection.
+    connecting: Mutex<()>,
 }
 
 impl<C: Client> Link<C> {
     pub fn new(addr: SocketAddr) -> Rc<Link<C>> {
-        Rc::new(Link { addr, client: RefCell::new(None) })
+        Rc::new(Link {
+            addr,
+            client: RefCell::new(None),
+            opened: Cell::new(0),
+            tried: Cell::new(0),
+            connecting: Mutex::new(()),
+        })
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -95,11 +113,41 @@
 
     /// The open connection, or a new one.
     pub async fn client(&self) -> Result<C> {
-        if let Some(client) = &*self.client.borrow() {
-            return Ok(client.clone());
+        Ok(self.numbered().await?.1)
+    }
+
+    async fn numbered(&self) -> Result<(u64, C)> {
+        if let Some(open) = self.open() {
+            return Ok(open);
+        }
+        let tried = self.tried.get();
+        let _connecting = self.connecting.lock().await;
+        if let Some(open) = self.open() {
+            return Ok(open);
+        }
+        if self.tried.get() != tried {
+            // Calls that waited for a try that failed fail with it.
+            let source = std::io::ErrorKind::NotConnected.into();
+            return Err(Error::Net { step: "connect", peer: self.addr, source });
         }
+        self.tried.set(tried + 1);
         let client: C = connect(self.addr).await?;
-        Ok(self.client.borrow_mut().get_or_insert(client).clone())
+        let number = self.opened.get() + 1;
+        self.opened.set(number);
+        self.client.replace(Some((number, client.clone())));
+        Ok((number, client))
+    }
+
+    fn open(&self) -> Option<(u64, C)> {
+        self.client.borrow().clone()
+    }
+
+    /// Drops a connection that broke, unless another call has replaced it.
+    fn broke(&self, number: u64) {
+        let mut client = self.client.borrow_mut();
+        if client.as_ref().is_some_and(|(open, _)| *open == number) {
+            client.take();
+        }
     }
 
     /// Makes a call; drops the connection if it broke. A call that timed out leaves it open.
@@ -110,10 +158,10 @@
     where
         F: Future<Output = Result<T, client::RpcError>>,
     {
-        let client = self.client().await?;
+        let (number, client) = self.numbered().await?;
         call(client).await.map_err(|source| {
             if !matches!(source, client::RpcError::DeadlineExceeded) {
-                self.client.borrow_mut().take();
+                self.broke(number);
             }
             Error::Rpc { step, peer: self.addr, source }
         })
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -11,7 +11,7 @@
     daemon::Process,
     entry::{
         Entry,
-        settings::{Limits, Settings},
+        settings::{Dispatch, Limits, Settings},
     },
 };
 use serde_json::{Value, json};
@@ -58,6 +58,7 @@
         data_centre: "fukuoka".into(),
         control: control.to_vec(),
         limits,
+        dispatch: Dispatch::default(),
     };
     let entry = Entry::start(settings).await.unwrap();
     let addr = entry.listening().http.unwrap();
