Agreement: simulated faults, and the old voter goes before its successor votes

Cause: the agreement had no test. Drawn schedules found a group of three stuck for good: a folder lost, its successor made a voter, and that folder lost as well leaves two of four voters. A learner that has caught up now takes its place after the old voter of its node is removed.

--- a/src/coordination/consensus/members.rs
+++ b/src/coordination/consensus/members.rs
@@ -1,6 +1,7 @@
 //! Changes of the members: one at a time, and each is committed before the next begins.
 
 use super::{Change, Hello, Instance, Member, Payload, Refusal, Role};
+use crate::protocol::id;
 
 impl Instance {
     /// Takes up a change that an operator asks for. Returns the index of its entry, `None`
@@ -70,8 +71,8 @@
             return;
         }
         let next = self
-            .promotion()
-            .or_else(|| self.removal())
+            .removal()
+            .or_else(|| self.promotion())
             .or_else(|| self.moved())
             .or_else(|| self.admission());
         if let Some(members) = next {
@@ -79,28 +80,37 @@
         }
     }
 
-    /// Lets a learner vote that has caught up.
+    /// Lets a learner vote that has caught up and whose node has no other voter.
     fn promotion(&self) -> Option<Vec<Member>> {
         let mut members = self.log.members().to_vec();
-        let learner = members.iter_mut().find(|m| !m.votes && self.caught_up(&m.id))?;
+        let voting: Vec<id::Node> = self.voters().map(|m| m.id.node).collect();
+        let learner = members
+            .iter_mut()
+            .find(|m| !m.votes && !voting.contains(&m.id.node) && self.caught_up(&m.id))?;
         learner.votes = true;
-        // With one voter gone and another silent, one more voter could stop all commits.
         self.would_work(&members).then_some(members)
     }
 
-    /// Removes a member that is silent and whose node has another member instead. A voter goes only
-    /// once a newer member of its node votes.
+    /// Removes a silent member that another of its node takes the place of: a voter once the other
+    /// has caught up, a learner at once.
+    ///
+    /// The old voter goes before the new one votes. With both in a group of three, commits would
+    /// need three of four, and if the new folder were lost as well, nothing could ever commit
+    /// again; without the old one, the other two go on as before.
     fn removal(&self) -> Option<Vec<Member>> {
         let members = self.log.members();
-        let old = members.iter().enumerate().find(|(at, old)| {
-            let instead = |(other, m): (usize, &Member)| {
-                m.id.node == old.id.node
-                    && (other > *at && (m.votes || !old.votes)
-                        || !old.votes && m.id != old.id && self.answering(&m.id))
+        let replaced = |(at, old): &(usize, &Member)| {
+            let mut others = members
+                .iter()
+                .enumerate()
+                .filter(|(_, m)| m.id.node == old.id.node && m.id != old.id);
+            let by = |(other, m): (usize, &Member)| match old.votes {
+                true => self.caught_up(&m.id),
+                false => other > *at || self.answering(&m.id),
             };
-            !self.answering(&old.id) && members.iter().enumerate().any(instead)
-        });
-        let old = old?.1.id;
+            !self.answering(&old.id) && others.any(by)
+        };
+        let old = members.iter().enumerate().find(replaced)?.1.id;
         let rest: Vec<Member> = members.iter().filter(|m| m.id != old).copied().collect();
         self.would_work(&rest).then_some(rest)
     }
--- a/src/coordination/consensus/mod.rs
+++ b/src/coordination/consensus/mod.rs
@@ -5,8 +5,8 @@
 //! sends only once the rest of the [`Save`] is durable.
 //!
 //! A voter is a node together with its data folder. An instance whose folder was replaced is
-//! another member: it joins as a learner, votes once it has caught up, and only then is the old
-//! voter of its node removed.
+//! another member: it joins as a learner, and once it has caught up it takes the place of the old
+//! voter of its node.
 
 mod election;
 mod entries;
--- /dev/null
+++ b/tests/consensus/world.rs
@@ -0,0 +1,582 @@
+//! A simulated group of instances: network, disks, clock and faults are under the test's control,
+//! and what must always hold is checked after every step.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    net::SocketAddr,
+};
+
+use briargauge::{
+    coordination::consensus::{Change, Instance, Mark, Role, Save, Start, Timing},
+    protocol::{
+        id,
+        wire::peer::{Body, Entry, Hard, Hello, Id, Member, Message, Meta, Payload},
+    },
+    state::snapshot::Snapshot,
+};
+use bytes::Bytes;
+
+const CLUSTER: u64 = 77;
+/// Step of the simulated clock while it runs.
+const TICK_MS: u64 = 15;
+
+/// A data folder.
+#[derive(Clone)]
+pub struct Disk {
+    pub id: Id,
+    hard: Hard,
+    snapshot: Option<Snapshot>,
+    entries: Vec<Entry>,
+}
+
+impl Disk {
+    fn new(id: Id) -> Disk {
+        Disk { id, hard: Hard::default(), snapshot: None, entries: Vec::new() }
+    }
+
+    fn base(&self) -> Meta {
+        self.snapshot.as_ref().map_or_else(Meta::default, |s| s.meta.clone())
+    }
+
+    fn store(&mut self, save: &Save) {
+        if let Some(snapshot) = &save.install {
+            self.snapshot = Some(snapshot.clone());
+            self.entries.clear();
+        }
+        self.hard = save.hard.unwrap_or(self.hard);
+        for entry in &save.entries {
+            self.entries.retain(|e| e.index < entry.index);
+            self.entries.push(entry.clone());
+        }
+    }
+
+    fn configs(&self, from: u64) -> Vec<Vec<Member>> {
+        let base = Some(self.base()).filter(|base| base.index >= from);
+        [named(&self.entries, from), base.into_iter().map(|base| base.members).collect()].concat()
+    }
+}
+
+pub struct Slot {
+    pub disk: Disk,
+    /// `None` while crashed.
+    pub instance: Option<Instance>,
+    frozen: bool,
+    saving: Option<Save>,
+    /// Applied index and digest of everything applied.
+    applied: (u64, u64),
+    /// Proposals that wait to be committed, by index and term.
+    waiting: BTreeSet<(u64, u64)>,
+    /// Barriers that wait, with what had been acknowledged when they were asked for.
+    barriers: BTreeMap<u64, u64>,
+}
+
+pub struct World {
+    pub now: u64,
+    pub slots: Vec<Slot>,
+    net: VecDeque<Message>,
+    cuts: BTreeSet<(usize, usize)>,
+    next: u64,
+    /// Digest after each committed index, as first seen.
+    committed: BTreeMap<u64, u64>,
+    leaders: BTreeMap<u64, Id>,
+    /// Highest acknowledged index.
+    pub acknowledged: u64,
+    pub barriers_passed: u64,
+    lost: BTreeSet<Id>,
+    /// Index of the last committed entry that names members.
+    grouped: u64,
+}
+
+impl World {
+    /// A working group of `count` voters.
+    pub fn new(count: usize, seed: u64) -> World {
+        let slot = |node: usize| Slot {
+            disk: Disk::new(Id { node: id::Node(node as u64), disk: id::Disk(1 + node as u64) }),
+            instance: None,
+            frozen: false,
+            saving: None,
+            applied: (0, 0),
+            waiting: BTreeSet::new(),
+            barriers: BTreeMap::new(),
+        };
+        let mut world = World {
+            now: 0,
+            slots: (0..count).map(slot).collect(),
+            net: VecDeque::new(),
+            cuts: BTreeSet::new(),
+            next: 1_000 + (seed << 32),
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            acknowledged: 0,
+            barriers_passed: 0,
+            lost: BTreeSet::new(),
+            grouped: 0,
+        };
+        let members = world.slots.iter().map(|slot| member(slot.disk.id, true)).collect();
+        let first = Entry { index: 1, term: 1, payload: Payload::Members(members) };
+        for at in 0..count {
+            let disk = &mut world.slots[at].disk;
+            disk.hard = Hard { cluster: Some(CLUSTER), term: 1, vote: None };
+            disk.entries = vec![first.clone()];
+            world.restart(at);
+        }
+        world
+    }
+
+    fn fresh(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let term = |slot: &Slot| {
+            let instance = slot.instance.as_ref()?;
+            (instance.role() == Role::Leader).then(|| instance.term())
+        };
+        let leaders = (0..self.slots.len()).filter(|at| term(&self.slots[*at]).is_some());
+        leaders.max_by_key(|at| term(&self.slots[*at]))
+    }
+
+    pub fn term(&self, at: usize) -> u64 {
+        self.slots[at].instance.as_ref().map_or(0, Instance::term)
+    }
+
+    pub fn restart(&mut self, at: usize) {
+        let seed = self.fresh();
+        let now = self.now;
+        let slot = &mut self.slots[at];
+        if slot.instance.is_some() {
+            return;
+        }
+        let start = Start {
+            id: slot.disk.id,
+            hard: slot.disk.hard,
+            base: slot.disk.base(),
+            entries: slot.disk.entries.clone(),
+            timing: Timing::default(),
+            seed,
+        };
+        slot.applied = slot.disk.snapshot.as_ref().map_or((0, 0), state);
+        slot.instance = Some(Instance::new(start, now));
+        slot.frozen = false;
+        self.pump(at);
+    }
+
+    /// Stops an instance; a save under way is stored or lost as a whole.
+    pub fn crash(&mut self, at: usize, stored: bool) {
+        let slot = &mut self.slots[at];
+        if let Some(save) = slot.saving.take()
+            && stored
+        {
+            slot.disk.store(&save);
+        }
+        slot.instance = None;
+        slot.waiting.clear();
+        slot.barriers.clear();
+    }
+
+    /// Replaces the folder of an instance by an empty one, if that leaves a majority of every
+    /// group that any instance may be in.
+    pub fn lose_disk(&mut self, at: usize) -> bool {
+        let id = self.slots[at].disk.id;
+        let gone = |m: &Member| m.id == id || self.lost.contains(&m.id);
+        let survives = |members: &Vec<Member>| {
+            let voters = members.iter().filter(|m| m.votes).count();
+            let left = members.iter().filter(|m| m.votes && !gone(m)).count();
+            voters == 0 || left > voters / 2
+        };
+        // Groups before the last one that is committed can elect no one any more.
+        let from = self.grouped;
+        let memory = self.slots.iter().filter_map(|s| s.instance.as_ref());
+        let current = memory.filter(|i| i.last() >= from);
+        let mut configs: Vec<Vec<Member>> = current.map(|i| i.members().to_vec()).collect();
+        configs.extend(self.slots.iter().flat_map(|slot| slot.disk.configs(from)));
+        configs.extend(self.net.iter().flat_map(|message| match &message.body {
+            Body::Append { entries, .. } => named(entries, from),
+            Body::Snapshot { meta, .. } if meta.index >= from => vec![meta.members.clone()],
+            _ => Vec::new(),
+        }));
+        if !configs.iter().all(survives) {
+            return false;
+        }
+        self.lost.insert(id);
+        self.crash(at, false);
+        let disk = id::Disk(self.fresh());
+        self.slots[at].disk = Disk::new(Id { node: id.node, disk });
+        self.restart(at);
+        true
+    }
+
+    /// Puts an older copy of the folder in place.
+    pub fn restore(&mut self, at: usize, copy: Disk) {
+        self.crash(at, false);
+        self.slots[at].disk = copy;
+        self.restart(at);
+    }
+
+    pub fn freeze(&mut self, at: usize, frozen: bool) {
+        self.slots[at].frozen = frozen;
+        self.pump(at);
+    }
+
+    /// Drops all that `from` sends to `to`.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.insert((from, to));
+    }
+
+    pub fn isolate(&mut self, at: usize) {
+        for other in 0..self.slots.len() {
+            self.cuts.extend([(at, other), (other, at)]);
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Ends all faults.
+    pub fn repair(&mut self) {
+        self.heal();
+        for at in 0..self.slots.len() {
+            self.slots[at].frozen = false;
+            self.restart(at);
+        }
+    }
+
+    pub fn propose(&mut self, at: usize) -> bool {
+        let value = self.fresh();
+        let Some(instance) = self.running(at) else { return false };
+        let proposed = instance.propose(Bytes::from(value.to_le_bytes().to_vec()));
+        let taken = proposed.is_ok();
+        self.slots[at].waiting.extend(proposed.ok());
+        self.pump(at);
+        taken
+    }
+
+    pub fn barrier(&mut self, at: usize) {
+        let token = self.fresh();
+        let acknowledged = self.acknowledged;
+        let Some(instance) = self.running(at) else { return };
+        if instance.barrier(token).is_ok() {
+            self.slots[at].barriers.insert(token, acknowledged);
+        }
+        self.pump(at);
+    }
+
+    pub fn transfer(&mut self, at: usize) {
+        let now = self.now;
+        let Some(instance) = self.running(at) else { return };
+        let _ = instance.transfer(now);
+        self.pump(at);
+    }
+
+    /// Removes the voter at `target`, or adds it back. A removal is left out if it would take the
+    /// majority from a group that has just lost a folder: no group survives that.
+    pub fn change(&mut self, at: usize, target: usize) {
+        let id = self.slots[target].disk.id;
+        let Some(instance) = &mut self.slots[at].instance else { return };
+        let present = instance.members().iter().any(|m| m.id == id);
+        let rest = instance.members().iter().filter(|m| m.votes && m.id != id);
+        let rest: Vec<Id> = rest.map(|m| m.id).collect();
+        let left = rest.iter().filter(|id| !self.lost.contains(id)).count();
+        let hello = hello(id, Some(CLUSTER));
+        let _ = match present {
+            true if rest.len() < 2 || left <= rest.len() / 2 => return,
+            true => instance.change(Change::Remove(id)),
+            false => instance.change(Change::Add(hello)),
+        };
+        self.pump(at);
+    }
+
+    pub fn compact(&mut self, at: usize) {
+        let slot = &mut self.slots[at];
+        let Some(instance) = &mut slot.instance else { return };
+        let (index, digest) = slot.applied;
+        let old = slot.disk.snapshot.as_ref().map_or(0, |s| s.meta.index);
+        // A snapshot must not overtake a save that is under way.
+        if index <= old || slot.saving.is_some() {
+            return;
+        }
+        let Some(meta) = instance.meta(index) else { return };
+        slot.disk.entries.retain(|e| e.index > index);
+        let data = [index.to_le_bytes(), digest.to_le_bytes()].concat();
+        slot.disk.snapshot = Some(Snapshot { meta, data: Bytes::from(data) });
+        instance.compact(index.saturating_sub(2));
+    }
+
+    fn running(&mut self, at: usize) -> Option<&mut Instance> {
+        let slot = &mut self.slots[at];
+        slot.instance.as_mut().filter(|_| !slot.frozen)
+    }
+
+    /// Finishes the save of an instance.
+    pub fn sync(&mut self, at: usize) {
+        let now = self.now;
+        let slot = &mut self.slots[at];
+        if slot.frozen {
+            return;
+        }
+        if let Some(save) = slot.saving.take() {
+            slot.disk.store(&save);
+            if let Some(snapshot) = &save.install {
+                slot.applied = state(snapshot);
+            }
+            let mark: Mark = save.mark;
+            slot.instance.as_mut().expect("crashes drop saves").saved(now, mark);
+            self.post(save.after);
+        }
+        self.pump(at);
+    }
+
+    /// The disk of an instance fails for the moment; its save stays to be repeated.
+    pub fn fail_save(&mut self, at: usize) {
+        let now = self.now;
+        if self.slots[at].saving.is_some()
+            && let Some(instance) = self.running(at)
+        {
+            instance.storage_failed(now);
+            self.pump(at);
+        }
+    }
+
+    fn post(&mut self, messages: Vec<Message>) {
+        for message in messages {
+            let (from, to) = (message.from.node.0 as usize, message.to.node.0 as usize);
+            if !self.cuts.contains(&(from, to)) {
+                self.net.push_back(message);
+            }
+        }
+    }
+
+    /// Delivers the message at a position, or drops or doubles it.
+    pub fn deliver(&mut self, position: usize, dropped: bool, doubled: bool) {
+        if self.net.is_empty() {
+            return;
+        }
+        let position = position % self.net.len();
+        let Some(message) = self.net.remove(position) else { return };
+        if doubled {
+            self.net.push_back(message.clone());
+        }
+        if !dropped {
+            self.arrive(message);
+        }
+    }
+
+    fn arrive(&mut self, message: Message) {
+        let now = self.now;
+        let at = message.to.node.0 as usize;
+        if self.slots[at].frozen {
+            return self.net.push_back(message);
+        }
+        if let Some(instance) = self.running(at) {
+            instance.step(now, message);
+            self.pump(at);
+        }
+    }
+
+    /// Lets time pass with a working network and working disks, but for cuts.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += TICK_MS;
+            let now = self.now;
+            for at in 0..self.slots.len() {
+                if let Some(instance) = self.running(at) {
+                    instance.tick(now);
+                    self.pump(at);
+                }
+            }
+            // Two rounds, so that an exchange fits into a tick.
+            for _ in 0..2 {
+                for _ in 0..self.net.len() {
+                    if let Some(message) = self.net.pop_front() {
+                        self.arrive(message);
+                    }
+                }
+                (0..self.slots.len()).for_each(|at| self.sync(at));
+            }
+            self.introduce();
+        }
+    }
+
+    pub fn run_until(&mut self, what: &str, mut met: impl FnMut(&mut World) -> bool) {
+        for _ in 0..1_000 {
+            if met(self) {
+                return;
+            }
+            self.run(TICK_MS);
+        }
+        panic!("not within 15 s: {what}\n{}", self.describe());
+    }
+
+    /// Runs until an instance leads and is in charge; returns which.
+    pub fn settle(&mut self) -> usize {
+        self.acknowledge();
+        self.leader().expect("it just acknowledged")
+    }
+
+    /// Gets one more proposal acknowledged.
+    pub fn acknowledge(&mut self) {
+        let before = self.acknowledged;
+        self.run_until("a leader commits", |world| {
+            let Some(leader) = world.leader() else { return false };
+            world.propose(leader);
+            world.run(2 * TICK_MS);
+            world.acknowledged > before
+        });
+    }
+
+    pub fn members(&self, at: usize) -> &[Member] {
+        self.slots[at].instance.as_ref().map_or(&[], Instance::members)
+    }
+
+    /// Whether every running instance knows a member as voter, and nothing is under way.
+    pub fn votes_everywhere(&self, id: Id) -> bool {
+        let running = self.slots.iter().filter_map(|slot| slot.instance.as_ref());
+        let voters = |i: &Instance| i.members().iter().filter(|m| m.votes).count();
+        running.clone().all(|i| i.members().iter().any(|m| m.id == id && m.votes))
+            && running.clone().all(|i| i.commit() == i.last() && voters(i) == self.slots.len())
+    }
+
+    pub fn describe(&self) -> String {
+        let line = |slot: &Slot| match &slot.instance {
+            Some(i) => format!(
+                "{:?} {:?} term={} commit={} last={} applied={} members={:?}\n",
+                i.id(),
+                i.role(),
+                i.term(),
+                i.commit(),
+                i.last(),
+                slot.applied.0,
+                i.members().iter().map(|m| (m.id, m.votes)).collect::<Vec<_>>()
+            ),
+            None => format!("{:?} down\n", slot.disk.id),
+        };
+        self.slots.iter().map(line).collect()
+    }
+
+    fn introduce(&mut self) {
+        for from in 0..self.slots.len() {
+            let Some(instance) = self.running(from) else { continue };
+            if instance.leader().is_some() {
+                continue;
+            }
+            let hello = hello(instance.id(), instance.cluster());
+            for to in 0..self.slots.len() {
+                if to != from
+                    && !self.cuts.contains(&(from, to))
+                    && let Some(instance) = self.running(to)
+                {
+                    instance.hello(hello);
+                }
+            }
+        }
+    }
+
+    /// Does what an instance asks for and checks what must hold.
+    fn pump(&mut self, at: usize) {
+        let slot = &mut self.slots[at];
+        let Some(instance) = slot.instance.as_mut().filter(|_| !slot.frozen) else { return };
+        let output = instance.take();
+        let (term, leads) = (instance.term(), instance.role() == Role::Leader);
+        if leads {
+            let leader = *self.leaders.entry(term).or_insert(instance.id());
+            assert_eq!(leader, instance.id(), "two leaders in term {term}");
+        } else {
+            slot.waiting.clear();
+        }
+        if slot.saving.is_none() {
+            slot.saving = instance.take_save();
+        }
+        for entry in output.committed {
+            let (index, digest) = slot.applied;
+            assert_eq!(entry.index, index + 1, "entries are applied without gaps");
+            slot.applied = (entry.index, chain(digest, &entry));
+            let known = *self.committed.entry(entry.index).or_insert(slot.applied.1);
+            assert_eq!(known, slot.applied.1, "committed entry {} changed", entry.index);
+            if matches!(entry.payload, Payload::Members(_)) {
+                self.grouped = self.grouped.max(entry.index);
+            }
+            if slot.waiting.remove(&(entry.index, entry.term)) {
+                self.acknowledged = self.acknowledged.max(entry.index);
+            }
+        }
+        for (token, confirmed) in output.barriers {
+            let Some(needed) = slot.barriers.remove(&token) else { continue };
+            if let Some(index) = confirmed {
+                assert!(index >= needed, "a read at {index} misses acknowledged {needed}");
+                self.barriers_passed += 1;
+            }
+        }
+        let mut snapshots = Vec::new();
+        for mut head in output.snapshots {
+            let stored = slot.disk.snapshot.clone().expect("compacted only with a snapshot");
+            if let Body::Snapshot { meta, data, .. } = &mut head.body {
+                (*meta, *data) = (stored.meta, stored.data);
+            }
+            snapshots.push(head);
+        }
+        if output.discard {
+            slot.disk.id.disk = id::Disk(self.next + 500_000);
+            self.next += 1;
+            self.lost.insert(instance.id());
+            instance.renamed(slot.disk.id);
+        }
+        self.post(output.send);
+        self.post(snapshots);
+    }
+
+    /// Checks that a group without faults works again and that all instances agree.
+    pub fn check_recovery(&mut self) {
+        self.repair();
+        self.acknowledge();
+        let (index, passed) = (self.acknowledged, self.barriers_passed);
+        self.run_until("members have caught up and lost folders are replaced", |world| {
+            let Some(leader) = world.leader() else { return false };
+            let instance = world.slots[leader].instance.as_ref().expect("it leads");
+            let members = instance.members().to_vec();
+            let holds = |m: &Member| {
+                let slot = &world.slots[m.id.node.0 as usize];
+                m.votes && slot.disk.id == m.id && slot.applied.0 >= index
+            };
+            members.iter().all(holds)
+        });
+        self.run_until("a barrier passes", |world| {
+            world.leader().map(|leader| world.barrier(leader));
+            world.barriers_passed > passed
+        });
+    }
+}
+
+/// The groups that entries name from an index on.
+fn named(entries: &[Entry], from: u64) -> Vec<Vec<Member>> {
+    let members = entries.iter().filter_map(|e| match &e.payload {
+        Payload::Members(members) if e.index >= from => Some(members.clone()),
+        _ => None,
+    });
+    members.collect()
+}
+
+fn state(snapshot: &Snapshot) -> (u64, u64) {
+    let number = |at: usize| u64::from_le_bytes(snapshot.data[at..at + 8].try_into().unwrap());
+    (number(0), number(8))
+}
+
+fn chain(digest: u64, entry: &Entry) -> u64 {
+    let bytes = postcard::to_stdvec(entry).unwrap();
+    let step = u64::from(crc32fast::hash(&bytes)) << 32 | entry.index;
+    (digest ^ step).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+fn addr(id: Id) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1 + id.node.0 as u16))
+}
+
+fn member(id: Id, votes: bool) -> Member {
+    Member { id, peer: addr(id), client: addr(id), votes }
+}
+
+fn hello(id: Id, cluster: Option<u64>) -> Hello {
+    Hello { cluster, id, peer: addr(id), client: addr(id) }
+}
