Log: recovery against a plain list under injected faults

Cause: the log had no test of its own. Change: tests/log.rs injects short writes, full disks and failed syncs, cuts the tail at every byte, damages every byte before the last frame, and compares what is recovered with a plain list.

--- /dev/null
+++ b/tests/log.rs
@@ -0,0 +1,435 @@
+//! The log against a plain list, under faults of the files.
+
+use std::{
+    collections::BTreeMap,
+    fs, io,
+    path::PathBuf,
+    sync::{Arc, Mutex},
+};
+
+use briargauge::{
+    error::Error,
+    protocol::{
+        id,
+        wire::peer::{Entry, Hard, Member, Meta, Payload},
+    },
+    state::{
+        log::{
+            Log, Record, Saved,
+            files::{Files, Folder, Handle},
+        },
+        snapshot::Snapshot,
+    },
+};
+use bytes::Bytes;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use tempfile::TempDir;
+
+const NODE: id::Node = id::Node(3);
+
+/// Files in memory. What was not synced is lost, or kept in part, at a crash.
+#[derive(Clone, Default)]
+struct Memory(Arc<Mutex<Content>>);
+
+#[derive(Default)]
+struct Content {
+    files: BTreeMap<String, File>,
+    /// Bytes that can still be written before the disk is full.
+    space: Option<usize>,
+    fail_sync: bool,
+}
+
+#[derive(Default, Clone)]
+struct File {
+    bytes: Vec<u8>,
+    synced: usize,
+    /// Whether the folder was synced since the file got its name.
+    named: bool,
+}
+
+struct Open {
+    name: String,
+    memory: Memory,
+    /// A failed sync may have dropped what was written; a later one would not bring it back.
+    failed: bool,
+}
+
+impl Memory {
+    fn change<T>(&self, change: impl FnOnce(&mut Content) -> T) -> T {
+        change(&mut self.0.lock().unwrap())
+    }
+
+    /// Drops names that were not synced, and unsynced bytes but for `keep` of each file.
+    fn crash(&self, keep: usize) {
+        self.change(|content| {
+            content.files.retain(|_, file| file.named);
+            for file in content.files.values_mut() {
+                let len = file.bytes.len().min(file.synced + keep);
+                file.bytes.truncate(len);
+                file.synced = len;
+            }
+        });
+    }
+
+    fn open(&self) -> Result<(Log, Saved), Error> {
+        Log::open(Box::new(self.clone()), NODE)
+    }
+}
+
+impl Files for Memory {
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.change(|content| content.files.keys().cloned().collect()))
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        Ok(self.change(|content| content.files[name].bytes.clone()))
+    }
+
+    fn create(&self, name: &str) -> io::Result<Box<dyn Handle>> {
+        self.change(|content| content.files.insert(name.to_owned(), File::default()));
+        Ok(Box::new(Open { name: name.to_owned(), memory: self.clone(), failed: false }))
+    }
+
+    fn open(&self, name: &str, len: u64) -> io::Result<Box<dyn Handle>> {
+        self.change(|content| {
+            let file = content.files.get_mut(name).unwrap();
+            file.bytes.truncate(len as usize);
+            file.synced = len as usize;
+        });
+        Ok(Box::new(Open { name: name.to_owned(), memory: self.clone(), failed: false }))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.change(|content| {
+            let file = content.files.remove(from).unwrap();
+            assert_eq!(file.synced, file.bytes.len(), "{from} is synced before it gets its name");
+            content.files.insert(to.to_owned(), file);
+        });
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.change(|content| content.files.remove(name));
+        Ok(())
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.change(|content| {
+            if content.fail_sync {
+                return Err(io::Error::other("injected sync error"));
+            }
+            content.files.values_mut().for_each(|file| file.named = true);
+            Ok(())
+        })
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        PathBuf::from("/memory").join(name)
+    }
+}
+
+impl Handle for Open {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        assert!(!self.failed, "a file is not used after an error");
+        self.memory.change(|content| {
+            let fits = content.space.map_or(bytes.len(), |space| space.min(bytes.len()));
+            content.space = content.space.map(|space| space - fits);
+            let file = content.files.get_mut(&self.name).unwrap();
+            file.bytes.extend_from_slice(&bytes[..fits]);
+            self.failed = fits < bytes.len();
+            if self.failed { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+        })
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        assert!(!self.failed, "a file is not used after an error");
+        self.memory.change(|content| {
+            self.failed = content.fail_sync;
+            if self.failed {
+                return Err(io::Error::other("injected sync error"));
+            }
+            let file = content.files.get_mut(&self.name).unwrap();
+            file.synced = file.bytes.len();
+            Ok(())
+        })
+    }
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    let payload = Payload::Command(Bytes::from(vec![index as u8; 5 + index as usize % 40]));
+    Entry { index, term, payload }
+}
+
+fn snapshot(index: u64, term: u64) -> Snapshot {
+    let members: Vec<Member> = Vec::new();
+    Snapshot { meta: Meta { index, term, members }, data: Bytes::from_static(b"state") }
+}
+
+/// What the log must hold: plain values without files.
+#[derive(Debug, Clone, Default, PartialEq)]
+struct Model {
+    hard: Hard,
+    base: (u64, u64),
+    entries: Vec<Entry>,
+}
+
+impl Model {
+    fn of(saved: Saved) -> Model {
+        let base = saved.snapshot.map_or((0, 0), |s| (s.meta.index, s.meta.term));
+        Model { hard: saved.hard, base, entries: saved.entries }
+    }
+
+    fn last(&self) -> u64 {
+        self.base.0 + self.entries.len() as u64
+    }
+
+    fn term(&self, index: u64) -> u64 {
+        let at = index - self.base.0;
+        if at == 0 { self.base.1 } else { self.entries[at as usize - 1].term }
+    }
+
+    /// Appends `count` entries of a new term, in place of the last `replaced`. Entries are only
+    /// ever removed by others in their place.
+    fn append(&mut self, count: u8, replaced: u8) -> Vec<Record> {
+        let replaced = if count == 0 { 0 } else { replaced };
+        let kept = self.entries.len().saturating_sub(replaced.into());
+        self.entries.truncate(kept);
+        self.hard.term += 1;
+        let mut records = vec![Record::Hard(self.hard)];
+        for _ in 0..count {
+            let entry = entry(self.last() + 1, self.hard.term);
+            self.entries.push(entry.clone());
+            records.push(Record::Entry(entry));
+        }
+        records
+    }
+
+    fn compact(&mut self, index: u64) -> Snapshot {
+        let term = self.term(index);
+        self.entries.drain(..(index - self.base.0) as usize);
+        self.base = (index, term);
+        snapshot(index, term)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Append {
+        count: u8,
+        replaced: u8,
+    },
+    /// The disk takes so many more bytes, then is full for one append.
+    Full {
+        count: u8,
+        space: u8,
+    },
+    SyncError {
+        count: u8,
+        replaced: u8,
+    },
+    Compact(u8),
+    Install(u8),
+    Crash {
+        keep: u8,
+    },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let (count, other) = (u8::arbitrary(g) % 6, u8::arbitrary(g));
+        match u8::arbitrary(g) % 12 {
+            0..5 => Step::Append { count, replaced: other % 4 },
+            5 => Step::Full { count, space: other },
+            6 => Step::SyncError { count, replaced: other % 4 },
+            7..9 => Step::Compact(other),
+            9 => Step::Install(count),
+            _ => Step::Crash { keep: other },
+        }
+    }
+}
+
+/// Plays steps on the log and the model and compares them after each crash.
+fn play(steps: Vec<Step>) -> bool {
+    let memory = Memory::default();
+    let (mut log, _) = memory.open().unwrap();
+    let mut model = Model::default();
+    for step in steps {
+        match step {
+            Step::Append { count, replaced } => {
+                log.append(&model.append(count, replaced)).unwrap();
+            }
+            Step::Full { count, space } => {
+                memory.change(|content| content.space = Some(space.into()));
+                let records = model.append(count, 0);
+                let taken = log.append(&records);
+                memory.change(|content| content.space = None);
+                if taken.is_err() {
+                    log.append(&records).unwrap();
+                }
+            }
+            Step::SyncError { count, replaced } => {
+                let records = model.append(count, replaced);
+                memory.change(|content| content.fail_sync = true);
+                assert!(log.append(&records).is_err());
+                memory.change(|content| content.fail_sync = false);
+                log.append(&records).unwrap();
+            }
+            Step::Compact(a) => {
+                let span = model.last() - model.base.0;
+                if span > 0 {
+                    let index = model.base.0 + 1 + u64::from(a) % span;
+                    log.compact(&model.compact(index)).unwrap();
+                }
+            }
+            Step::Install(ahead) => {
+                model.hard.term += 1;
+                model.base = (model.last() + u64::from(ahead), model.hard.term);
+                model.entries.clear();
+                let hard = Record::Hard(model.hard);
+                log.install(&snapshot(model.base.0, model.base.1), &[hard]).unwrap();
+            }
+            Step::Crash { keep } => {
+                drop(log);
+                memory.crash(keep.into());
+                let (opened, saved) = memory.open().unwrap();
+                assert_eq!(Model::of(saved), model);
+                log = opened;
+            }
+        }
+    }
+    drop(log);
+    memory.crash(0);
+    Model::of(memory.open().unwrap().1) == model
+}
+
+/// Guards against acknowledged records that a crash, a full disk or a failed sync takes away.
+#[test]
+fn recovery_equals_a_plain_list() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 11))
+        .tests(3_000)
+        .quickcheck(play as fn(Vec<Step>) -> bool);
+}
+
+/// A folder with four appended batches; also the file's length after each.
+fn written(folder: &TempDir) -> (PathBuf, Vec<u64>) {
+    let (mut log, _) = open(folder).unwrap();
+    let mut model = Model::default();
+    let path = folder.path().join(format!("{:020}.log", 1));
+    let append = |count| {
+        log.append(&model.append(count, 0)).unwrap();
+        fs::metadata(&path).unwrap().len()
+    };
+    let ends = [2, 1, 3, 2].map(append).to_vec();
+    (path, ends)
+}
+
+fn open(folder: &TempDir) -> Result<(Log, Saved), Error> {
+    Log::open(Box::new(Folder::open(folder.path())?), NODE)
+}
+
+/// Guards against a torn tail that stops the start, or that takes whole batches with it.
+#[test]
+fn truncation_at_every_byte_keeps_the_whole_batches() {
+    let folder = TempDir::new().unwrap();
+    let (path, ends) = written(&folder);
+    let whole = fs::read(&path).unwrap();
+    let mut model = Model::default();
+    let mut states = vec![model.clone()];
+    for count in [2, 1, 3, 2] {
+        model.append(count, 0);
+        states.push(model.clone());
+    }
+    for len in 0..=whole.len() {
+        fs::write(&path, &whole[..len]).unwrap();
+        let (mut log, saved) = open(&folder).unwrap();
+        let batches = ends.iter().filter(|end| **end <= len as u64).count();
+        let mut expected = states[batches].clone();
+        assert_eq!(Model::of(saved), expected, "cut to {len} bytes");
+        log.append(&expected.append(2, 1)).unwrap();
+        drop(log);
+        assert_eq!(Model::of(open(&folder).unwrap().1), expected, "append after cut to {len}");
+    }
+}
+
+/// Guards against damage before the tail that is taken for a torn tail, which would drop
+/// acknowledged records without a word.
+#[test]
+fn damage_in_the_middle_is_refused_with_file_and_offset() {
+    let folder = TempDir::new().unwrap();
+    let (path, ends) = written(&folder);
+    let whole = fs::read(&path).unwrap();
+    for at in 0..ends[2] {
+        let mut bytes = whole.clone();
+        bytes[at as usize] ^= 0x20;
+        fs::write(&path, &bytes).unwrap();
+        let Err(Error::Corrupt { path: named, offset, .. }) = open(&folder) else {
+            panic!("damage at {at} is not noticed");
+        };
+        let frame = ends.iter().rev().find(|end| **end <= at).copied();
+        let frame = frame.unwrap_or(if at < 36 { 0 } else { 36 });
+        assert_eq!((named, offset), (path.clone(), frame), "damage at {at}");
+    }
+    fs::remove_file(&path).unwrap();
+    fs::write(folder.path().join(format!("{:020}.log", 2)), &whole).unwrap();
+    assert!(matches!(open(&folder), Err(Error::Corrupt { .. })), "a segment is missing");
+}
+
+/// Guards against a damaged snapshot, or one that was lost, that is taken for no snapshot.
+#[test]
+fn damaged_and_missing_snapshots_are_refused() {
+    let folder = TempDir::new().unwrap();
+    let (mut log, _) = open(&folder).unwrap();
+    let mut model = Model::default();
+    log.append(&model.append(9, 0)).unwrap();
+    log.install(&snapshot(40, 2), &[]).unwrap();
+    drop(log);
+    let path = folder.path().join(format!("snapshot-{:020}", 40));
+    let whole = fs::read(&path).unwrap();
+    for at in 0..whole.len() {
+        let mut bytes = whole.clone();
+        bytes[at] ^= 0x20;
+        fs::write(&path, &bytes).unwrap();
+        assert!(matches!(open(&folder), Err(Error::Corrupt { .. })), "damage at {at}");
+    }
+    fs::remove_file(&path).unwrap();
+    assert!(matches!(open(&folder), Err(Error::Corrupt { .. })), "the snapshot is missing");
+}
+
+/// Guards against two processes on one folder, and against a folder of another node.
+#[test]
+fn one_process_of_one_node_uses_a_folder() {
+    let folder = TempDir::new().unwrap();
+    let (log, first) = open(&folder).unwrap();
+    assert!(matches!(open(&folder), Err(Error::File { step: "lock", .. })));
+    drop(log);
+    let (mut log, again) = open(&folder).unwrap();
+    assert_eq!(first.id, again.id);
+    let renewed = log.renew().unwrap();
+    drop(log);
+    assert_ne!(first.id.disk, renewed.disk);
+    assert_eq!(open(&folder).unwrap().1.id, renewed);
+    let other = Log::open(Box::new(Folder::open(folder.path()).unwrap()), id::Node(4));
+    assert!(matches!(other, Err(Error::Corrupt { .. })));
+    let other = TempDir::new().unwrap();
+    assert_ne!(open(&other).unwrap().1.id.disk, renewed.disk);
+}
+
+/// Guards against a log that keeps every segment.
+#[test]
+fn compaction_removes_segments() {
+    let memory = Memory::default();
+    let (mut log, _) = memory.open().unwrap();
+    let payload = |index: u64| Entry {
+        payload: Payload::Command(Bytes::from(vec![1; 1 << 20])),
+        ..entry(index, 1)
+    };
+    for index in 1..=40 {
+        log.append(&[Record::Entry(payload(index))]).unwrap();
+    }
+    assert!(log.bytes() > 40 << 20);
+    log.compact(&snapshot(40, 1)).unwrap();
+    assert!(log.bytes() <= 17 << 20, "{} bytes are left", log.bytes());
+    drop(log);
+    assert_eq!(memory.open().unwrap().1.entries, []);
+}
