Differential tests of the replicated state

Cause: admissions and rules must give the same answers whatever is repeated, late or reordered. Sessions are kept in order of their epochs, which the comparison showed to depend on earlier removals.

--- a/src/state/machine/session.rs
+++ b/src/state/machine/session.rs
@@ -1,8 +1,10 @@
 //! Sessions of entries.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+};
 
-use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::{id, wire::control};
@@ -15,7 +17,7 @@
 pub struct Sessions {
     /// Log index of the last registration or fence.
     changed: u64,
-    table: IndexMap<id::Epoch, Session>,
+    table: BTreeMap<id::Epoch, Session>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -98,7 +100,7 @@
     pub fn forget(&mut self, epoch: id::Epoch) {
         let session = self.table.get(&epoch);
         if session.is_some_and(|s| s.state == Phase::Abandoned && s.records == 0) {
-            self.table.swap_remove(&epoch);
+            self.table.remove(&epoch);
         }
     }
 
--- /dev/null
+++ b/tests/machine/naive.rs
@@ -0,0 +1,243 @@
+//! The replicated state written without any concern for cost: every list is kept whole and
+//! searched from end to end.
+
+use briargauge::{
+    protocol::{
+        id, job,
+        rule::Rules,
+        wire::{self, control},
+    },
+    state::machine::{Command, FUTURE_MAX_MS, Limits, Op, Reply, SKEW_MARGIN_MS},
+};
+
+#[derive(Debug, Default)]
+pub struct Naive {
+    now_ms: u64,
+    limits: Limits,
+    horizon_ms: u64,
+    sessions: Vec<Session>,
+    submissions: Vec<Submission>,
+    decisions: Vec<(control::Change, control::Changed)>,
+    accepted: Vec<control::Accepted>,
+}
+
+#[derive(Debug)]
+struct Session {
+    epoch: id::Epoch,
+    hello: control::Hello,
+    live: bool,
+    abandoned: bool,
+}
+
+#[derive(Debug)]
+struct Submission {
+    job: id::Job,
+    admit: control::Admit,
+    outcome: Option<wire::Outcome>,
+    /// The submission, by position, whose freed key this one took over.
+    after: Option<usize>,
+}
+
+impl Naive {
+    /// The replies that are right; several where the bounded version may have dropped detail.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Vec<Reply> {
+        self.now_ms = self.now_ms.max(command.now_ms);
+        let kept_ms = self.limits.retention_ms + SKEW_MARGIN_MS;
+        self.horizon_ms = self.horizon_ms.max(self.now_ms - kept_ms);
+        let reply = match &command.op {
+            Op::Register(hello) => {
+                let known = self.sessions.iter().find(|s| s.live && s.hello.start == hello.start);
+                let epoch = known.map_or(id::Epoch(index), |s| s.epoch);
+                if known.is_none() {
+                    let hello = hello.clone();
+                    self.sessions.push(Session { epoch, hello, live: true, abandoned: false });
+                }
+                Reply::Registered(epoch)
+            }
+            Op::Admit(admit) if !self.is_live(admit.run.epoch) => Reply::Fenced,
+            Op::Admit(admit) => Reply::Admission(self.admit(index, admit)),
+            Op::Finish(finish) => return self.finish(finish),
+            Op::Change(change) => Reply::Changed(self.change(change)),
+            Op::Fence(epochs) => {
+                for session in &mut self.sessions {
+                    session.live &= !epochs.contains(&session.epoch);
+                }
+                Reply::Done
+            }
+            Op::Abandon(epochs) => {
+                epochs.iter().for_each(|epoch| self.abandon(*epoch));
+                Reply::Done
+            }
+            Op::Limit(limits) => {
+                self.limits = *limits;
+                Reply::Done
+            }
+        };
+        vec![reply]
+    }
+
+    fn is_live(&self, epoch: id::Epoch) -> bool {
+        self.sessions.iter().any(|s| s.epoch == epoch && s.live)
+    }
+
+    /// The newest submission with a key, unless it is forgotten.
+    fn newest(&self, key: &id::Key) -> Option<usize> {
+        let at = self.submissions.iter().rposition(|s| s.admit.key == *key)?;
+        (!self.forgotten(at)).then_some(at)
+    }
+
+    fn forgotten(&self, at: usize) -> bool {
+        let submission = &self.submissions[at];
+        submission.outcome.is_some() && submission.admit.created_at_ms < self.horizon_ms
+    }
+
+    fn in_range(&self, created_at_ms: u64) -> bool {
+        created_at_ms >= self.now_ms - self.limits.retention_ms
+            && created_at_ms >= self.horizon_ms
+            && created_at_ms <= self.now_ms + FUTURE_MAX_MS
+    }
+
+    fn admit(&mut self, index: u64, admit: &control::Admit) -> control::Admission {
+        let newest = self.newest(&admit.key);
+        if let Some(at) = newest {
+            let known = &self.submissions[at];
+            if known.admit.digest != admit.digest {
+                return control::Admission::Conflict;
+            }
+            let freed = matches!(known.outcome, Some(wire::Outcome::NotRun { .. }));
+            if known.outcome.is_none() && known.admit.run == admit.run {
+                return control::Admission::Admitted { job: known.job };
+            }
+            if !freed || self.late(at, admit.run) {
+                return self.lookup(&admit.key);
+            }
+        }
+        if !self.in_range(admit.created_at_ms) {
+            return control::Admission::Expired;
+        }
+        let job = id::Job(index);
+        let admit = admit.clone();
+        self.submissions.push(Submission { job, admit, outcome: None, after: newest });
+        control::Admission::Admitted { job }
+    }
+
+    /// Whether a run had the key before, or is older than one of its session that had.
+    fn late(&self, at: usize, run: id::Run) -> bool {
+        let submission = &self.submissions[at];
+        let known = submission.admit.run;
+        (known.epoch == run.epoch && known.seq >= run.seq)
+            || submission.after.is_some_and(|after| self.late(after, run))
+    }
+
+    fn finish(&mut self, finish: &control::Finish) -> Vec<Reply> {
+        let live = self.is_live(finish.epoch);
+        let already = |outcome| Reply::Finished(control::Finished::Already { outcome });
+        let unknown = || {
+            let reason = job::Failure::OutcomeUnknown;
+            let detail = "the job is not known".into();
+            if live { already(wire::Outcome::Failed { reason, detail }) } else { Reply::Fenced }
+        };
+        let Some(at) = self.submissions.iter().position(|s| s.job == finish.job) else {
+            return vec![unknown()];
+        };
+        let newest = self.newest(&self.submissions[at].admit.key);
+        let submission = &self.submissions[at];
+        let not_run = matches!(finish.outcome, wire::Outcome::NotRun { .. });
+        match &submission.outcome {
+            Some(wire::Outcome::NotRun { reason, .. }) if newest != Some(at) => {
+                let outcome = wire::Outcome::NotRun { reason: *reason, detail: String::new() };
+                let exact = if not_run {
+                    Reply::Finished(control::Finished::Recorded)
+                } else {
+                    already(outcome)
+                };
+                vec![exact, unknown()]
+            }
+            _ if self.forgotten(at) => vec![unknown()],
+            Some(outcome) if *outcome == finish.outcome => {
+                vec![Reply::Finished(control::Finished::Recorded)]
+            }
+            Some(outcome) => vec![already(outcome.clone())],
+            None if !live => vec![Reply::Fenced],
+            None if submission.admit.run.epoch != finish.epoch => {
+                vec![Reply::Invalid("the job belongs to another session")]
+            }
+            None => {
+                self.submissions[at].outcome = Some(finish.outcome.clone());
+                vec![Reply::Finished(control::Finished::Recorded)]
+            }
+        }
+    }
+
+    fn abandon(&mut self, epoch: id::Epoch) {
+        let fenced = |s: &&mut Session| s.epoch == epoch && !s.live && !s.abandoned;
+        let Some(session) = self.sessions.iter_mut().find(fenced) else { return };
+        session.abandoned = true;
+        for submission in &mut self.submissions {
+            if submission.admit.run.epoch == epoch && submission.outcome.is_none() {
+                submission.outcome = Some(wire::Outcome::Failed {
+                    reason: job::Failure::EntryLost,
+                    detail: "the entry that ran the job was lost".into(),
+                });
+            }
+        }
+    }
+
+    fn change(&mut self, change: &control::Change) -> control::Changed {
+        if let Some((first, answer)) = self.decisions.iter().find(|(c, _)| c.id == change.id) {
+            let other = control::Changed::Invalid { detail: String::new() };
+            return if first == change { answer.clone() } else { other };
+        }
+        let version = self.rules().version;
+        let answer = if change.base != version {
+            let winner = self.accepted.last().map_or(String::new(), |a| a.operator.clone());
+            control::Changed::Conflict { version, winner }
+        } else if Rules::parse(&change.text).is_err() {
+            control::Changed::Invalid { detail: String::new() }
+        } else {
+            let version = version + 1;
+            self.accepted.push(control::Accepted {
+                version,
+                id: change.id.clone(),
+                operator: change.operator.clone(),
+                at_ms: self.now_ms,
+                text: change.text.clone(),
+            });
+            control::Changed::Accepted { version }
+        };
+        self.decisions.push((change.clone(), answer.clone()));
+        answer
+    }
+
+    pub fn lookup(&self, key: &id::Key) -> control::Admission {
+        let Some(at) = self.newest(key) else { return control::Admission::Unknown };
+        let submission = &self.submissions[at];
+        let job = submission.job;
+        let session = self.sessions.iter().find(|s| s.epoch == submission.admit.run.epoch);
+        let owner = session.expect("only live sessions admit").hello.addr;
+        match &submission.outcome {
+            None => control::Admission::Running { job, owner },
+            Some(outcome) => control::Admission::Finished { job, owner, outcome: outcome.clone() },
+        }
+    }
+
+    pub fn rules(&self) -> control::Rules {
+        let newest = self.accepted.last();
+        control::Rules {
+            version: newest.map_or(0, |a| a.version),
+            text: newest.map_or(String::new(), |a| a.text.clone()),
+        }
+    }
+
+    pub fn history(&self, limit: usize) -> Vec<control::Accepted> {
+        self.accepted.iter().rev().take(limit).cloned().collect()
+    }
+
+    pub fn live(&self) -> Vec<id::Epoch> {
+        self.sessions.iter().filter(|s| s.live).map(|s| s.epoch).collect()
+    }
+
+    pub fn open_jobs(&self) -> usize {
+        self.submissions.iter().filter(|s| s.outcome.is_none()).count()
+    }
+}
