Tests of quota shares, member deltas and session leases

Cause: the leader's decisions must hold under joins, deaths and delays. Change: a delayed announcement no longer hides a living successor for a minute: the replaced incarnation may return once its successor is 2 s silent. Demands count up to the quota and fade by 0.25 per report. Figures: a demand that moves between two of three entries has half the quota after two reports and 80% after three (five reports with a fade of 0.5).

--- a/src/coordination/member.rs
+++ b/src/coordination/member.rs
@@ -17,9 +17,12 @@
 /// Changes kept for deltas: twice the backend servers at target size, so that the replacement of
 /// a whole data centre does not force full lists.
 pub const CHANGES_MAX: usize = 8_192;
-/// How long a replaced incarnation is refused, in ms. A delayed announcement of it would
-/// otherwise replace its successor.
-pub const REPLACED_MS: Millis = 60_000;
+/// How long a replaced incarnation is remembered, in ms.
+const REPLACED_MS: Millis = 60_000;
+/// Age of its successor's last announcement, in ms, up to which a replaced incarnation is taken
+/// for a delayed message. Sidecars announce once a second, so a successor that is older than this
+/// may itself have been the delayed one.
+pub const SUCCESSOR_MS: Millis = 2_000;
 
 /// Backend servers known to one leader in one term.
 #[derive(Debug)]
@@ -71,9 +74,10 @@
 
     /// Takes an announcement, which renews the lease. `drained` tells whether a rule drains it.
     pub fn announce(&mut self, now: Millis, member: &control::Member, drained: bool) {
-        if self.replaced.contains_key(&member.incarnation) {
+        if self.superseded(now, member) {
             return;
         }
+        self.replaced.swap_remove(&member.incarnation);
         self.replace(now, member);
         let shown = shown(member, member.state, drained);
         let known = self.members.get_mut(&member.incarnation);
@@ -94,6 +98,14 @@
         }
     }
 
+    /// Whether this is a delayed announcement of an incarnation that has been replaced.
+    fn superseded(&self, now: Millis, member: &control::Member) -> bool {
+        let successor = self.at.get(&member.addr).filter(|i| **i != member.incarnation);
+        let successor = successor.and_then(|i| self.members.get(i));
+        self.replaced.contains_key(&member.incarnation)
+            && successor.is_some_and(|h| now.saturating_sub(h.seen) <= SUCCESSOR_MS)
+    }
+
     /// Removes whatever incarnation was at the announced address before.
     fn replace(&mut self, now: Millis, member: &control::Member) {
         let old = self.at.insert(member.addr, member.incarnation);
--- a/src/coordination/quota.rs
+++ b/src/coordination/quota.rs
@@ -17,8 +17,9 @@
 /// Part of the undemanded quota that is divided equally. The rest stays free, so that an entry
 /// that joins or needs more gets it without waiting for another to give it up.
 pub const SPREAD: f64 = 0.5;
-/// Factor by which a demand that is no longer reported fades with each report.
-pub const FADE: f64 = 0.5;
+/// Factor by which an earlier demand fades with each report. With 0.5, a demand that moved to
+/// another entry took five reports to get 80% of the quota there.
+pub const FADE: f64 = 0.25;
 
 /// Division of all quotas, for one leader in one term.
 #[derive(Debug, Default)]
@@ -107,6 +108,10 @@
         for (team, parts) in &mut self.teams {
             let quota = rules.team(team).starts_per_s;
             let (Some(quota), true) = (quota, parts.contains_key(&epoch)) else { continue };
+            // An entry can use no more than the quota; without this bound a large demand that
+            // has ended would take long to fade.
+            let own = &mut parts[&epoch];
+            own.demand = own.demand.min(f64::from(quota));
             let target = target(f64::from(quota), parts, epoch, live);
             let others = parts.iter().filter(|(e, _)| **e != epoch);
             let room = (f64::from(quota) - others.map(|(_, p)| p.bound()).sum::<f64>()).max(0.0);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -1,4 +1,9 @@
-//! The control process through its calls.
+//! The control process through its calls, and the decisions its leader takes.
+
+#[path = "control/member.rs"]
+mod member;
+#[path = "control/quota.rs"]
+mod quota;
 
 use std::{rc::Rc, time::Duration};
 
