--- /dev/null
+++ b/tests/stand/mod.rs
@@ -0,0 +1,192 @@
+//! A sidecar process between a stand-in of control and the stand-in backend server.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use actix_http::Method;
+use briargauge::{
+    protocol::{
+        id, job,
+        wire::sidecar::{self, NotStarted, Reply, RunResult},
+    },
+    transport::{
+        http,
+        rpc::{self, Link},
+    },
+};
+use serde_json::{Value, json};
+
+use crate::workdir::{self, Daemon, Program, Workdir};
+
+pub mod control;
+
+/// The epoch that is live.
+pub const EPOCH: u64 = 5;
+/// Any free port.
+pub const HOST: &str = "127.0.0.1:0";
+
+/// One sidecar with its backend server and control.
+pub struct Stand {
+    pub dir: Workdir,
+    pub control: control::Control,
+    pub sidecar: Daemon,
+    pub backend: Daemon,
+    pub link: std::rc::Rc<Link<sidecar::ServiceClient>>,
+    pub incarnation: id::Incarnation,
+}
+
+impl Stand {
+    pub async fn new() -> Stand {
+        Stand::with(json!({}), json!({})).await
+    }
+
+    pub async fn with(sidecar: Value, backend: Value) -> Stand {
+        let dir = Workdir::new();
+        let control = control::Control::start(&[EPOCH]);
+        let sidecar = start_sidecar(&dir, &control, HOST, sidecar);
+        let backend = start_backend(&dir, sidecar.http(), HOST, backend);
+        let incarnation = serving(&control, None).await;
+        let link = Link::new(sidecar.rpc());
+        Stand { dir, control, sidecar, backend, link, incarnation }
+    }
+
+    /// Sends an attempt and waits for its end.
+    pub async fn run(&self, seq: u64, input: Value) -> Reply {
+        self.send(self.task(seq, input)).await
+    }
+
+    pub async fn send(&self, task: sidecar::Task) -> Reply {
+        send(&self.link, task).await
+    }
+
+    pub fn task(&self, seq: u64, input: Value) -> sidecar::Task {
+        task(self.incarnation, seq, input)
+    }
+
+    pub async fn metrics(&self) -> String {
+        let answer = request(Method::GET, self.sidecar.http(), "/metrics", String::new()).await;
+        String::from_utf8(answer.body.to_vec()).unwrap()
+    }
+
+    /// Starts as the backend server has appended them to its file.
+    pub fn starts_in_file(&self) -> Value {
+        let mut starts = std::collections::BTreeMap::<String, u64>::new();
+        for line in std::fs::read_to_string(self.dir.path("starts")).unwrap().lines() {
+            *starts.entry(line.into()).or_default() += 1;
+        }
+        json!(starts)
+    }
+
+    /// Starts of each attempt at the backend server.
+    pub async fn starts(&self) -> Value {
+        get(self.backend.http(), "/starts").await
+    }
+
+    pub async fn fault(&self, fault: Value) {
+        post(self.backend.http(), "/fault", fault).await;
+    }
+}
+
+pub fn start_sidecar(
+    dir: &Workdir,
+    control: &control::Control,
+    http: &str,
+    extra: Value,
+) -> Daemon {
+    let mut settings = json!({
+        "http": http, "rpc": HOST, "control": [control.addr],
+        "data_centre": "saga", "rack": "s1", "linger_ms": 100, "sync_interval_ms": 100
+    });
+    merge(&mut settings, extra);
+    dir.start(Program::Sidecar, "sidecar", &settings.to_string())
+}
+
+pub fn start_backend(dir: &Workdir, sidecar: SocketAddr, http: &str, extra: Value) -> Daemon {
+    let starts = dir.path("starts");
+    let mut settings =
+        json!({ "http": http, "sidecar": sidecar, "name": "b1", "starts_file": starts });
+    merge(&mut settings, extra);
+    dir.start(Program::Backend, "backend", &settings.to_string())
+}
+
+pub fn merge(into: &mut Value, extra: Value) {
+    let Value::Object(extra) = extra else { panic!("settings are an object") };
+    into.as_object_mut().unwrap().extend(extra);
+}
+
+pub fn task(incarnation: id::Incarnation, seq: u64, input: Value) -> sidecar::Task {
+    sidecar::Task {
+        attempt: attempt(seq),
+        incarnation,
+        team: id::Team("repair".into()),
+        kind: "quote".into(),
+        input: input.to_string(),
+        declared_ms: None,
+        needs: job::Needs::default(),
+        left_ms: 30_000,
+    }
+}
+
+pub fn attempt(seq: u64) -> id::Attempt {
+    id::Attempt { run: id::Run { epoch: id::Epoch(EPOCH), seq }, task: 0, number: 0 }
+}
+
+pub async fn send(link: &Link<sidecar::ServiceClient>, task: sidecar::Task) -> Reply {
+    let call =
+        |c: sidecar::ServiceClient| async move { c.run(rpc::context(workdir::LIMIT), task).await };
+    link.call("run", call).await.unwrap()
+}
+
+/// Waits until `done` gives a value, without blocking other futures.
+pub async fn until<T>(what: &str, mut done: impl AsyncFnMut() -> Option<T>) -> T {
+    let end = Instant::now() + workdir::LIMIT;
+    loop {
+        if let Some(value) = done().await {
+            return value;
+        }
+        assert!(Instant::now() < end, "waited too long for {what}");
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Waits until a backend server other than `old` is reported to control.
+pub async fn serving(control: &control::Control, old: Option<id::Incarnation>) -> id::Incarnation {
+    until("an announced backend server", async || {
+        let incarnation = control.member()?.incarnation;
+        (Some(incarnation) != old).then_some(incarnation)
+    })
+    .await
+}
+
+pub async fn request(method: Method, addr: SocketAddr, path: &str, body: String) -> http::Answer {
+    let limit = 16 * 1024 * 1024;
+    let call = http::Call { method, addr, path, headers: &[], body: body.into(), limit };
+    http::Client::new(1).call(call).await.unwrap()
+}
+
+pub async fn get(addr: SocketAddr, path: &str) -> Value {
+    let answer = request(Method::GET, addr, path, String::new()).await;
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+pub async fn post(addr: SocketAddr, path: &str, body: Value) -> http::Answer {
+    request(Method::POST, addr, path, body.to_string()).await
+}
+
+pub fn refused(reply: &Reply) -> Option<NotStarted> {
+    match &reply.result {
+        RunResult::NotStarted { reason } => Some(*reason),
+        _ => None,
+    }
+}
+
+pub fn failed(reply: &Reply) -> Option<job::Failure> {
+    match &reply.result {
+        RunResult::Failed { reason, .. } => Some(*reason),
+        _ => None,
+    }
+}
