Commands local, rules, drain and settings

Cause: operators need rules, drains and a settings check; newcomers a system in one process.

Change: four commands; the command line logs warnings; tarpc's own lines stay out of the log except warnings.

Conclusion: local does not complete yet: the entry takes submissions before it has a session.

--- /dev/null
+++ b/src/cmd/drain.rs
@@ -0,0 +1,105 @@
+use std::process::ExitCode;
+
+use crate::{
+    client, cmd,
+    cmd::util,
+    error::{self, Result},
+    protocol::{rule, wire::control},
+};
+
+pub const USAGE: &str = "
+Lets a data centre, a rack or a backend server take no new work, or ends that.
+This is a change of the rules: it adds or removes one `drain` line.
+
+Usage:
+    briargauge drain [options] TARGET REASON
+    briargauge drain [options] --end TARGET
+
+TARGET is `data-centre NAME`, `rack DATA-CENTRE/NAME` or `server ADDR`, as one
+argument. REASON says why; the line names the operator as the one who asked.
+
+Options:
+    -c, --control ADDRS   rpc addresses of control instances, comma-separated
+                          (default: $BRIARGAUGE_CONTROL)
+    -o, --operator NAME   who asks for it (default: $USER)
+        --end             remove the line
+";
+
+/// How often the change is tried again when another operator was faster.
+const TRIES: usize = 5;
+
+pub fn run(args: &[String]) -> Result<ExitCode> {
+    let mut options = util::control_options();
+    options.optopt("o", "operator", "", "NAME");
+    options.optflag("", "end", "");
+    let matches = util::parse(&options, args)?;
+    let operator = matches
+        .opt_str("operator")
+        .or_else(|| std::env::var("USER").ok())
+        .ok_or_else(|| util::usage("--operator is missing, and USER is not set"))?;
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    let edit = match (matches.opt_present("end"), &words[..]) {
+        (false, [target, reason]) => Edit::Add(format!("drain {target} # {operator}: {reason}")),
+        (true, [target]) => Edit::Remove(format!("drain {target}")),
+        _ => return Err(util::usage("expected TARGET REASON, or --end TARGET")),
+    };
+    let client = util::control(&matches)?;
+    util::block_on(change(&client, &operator, &edit))
+}
+
+/// A change of one line.
+enum Edit {
+    Add(String),
+    /// Removes the line with these words before its comment.
+    Remove(String),
+}
+
+impl Edit {
+    fn apply(&self, text: &str) -> Result<String> {
+        let lines = text.lines().map(str::to_owned);
+        let lines: Vec<String> = match self {
+            Edit::Add(line) => lines.chain([line.clone()]).collect(),
+            Edit::Remove(words) => {
+                let kept = |line: &String| rule_words(line) != rule_words(words);
+                let left: Vec<String> = lines.filter(kept).collect();
+                if left.len() == text.lines().count() {
+                    return Err(util::usage(format!("there is no rule `{words}`")));
+                }
+                left
+            }
+        };
+        let text = lines.join("\n") + "\n";
+        rule::Rules::parse(&text).map_err(|faults| {
+            let reason = faults.to_string();
+            error::InputSnafu { step: "check rules", at: "drain", reason }.build()
+        })?;
+        Ok(text)
+    }
+}
+
+fn rule_words(line: &str) -> Vec<&str> {
+    line.split('#').next().unwrap_or_default().split_whitespace().collect()
+}
+
+async fn change(client: &client::Control, operator: &str, edit: &Edit) -> Result<ExitCode> {
+    let mut conflict = String::new();
+    for _ in 0..TRIES {
+        let rules = cmd::rules::rules(client).await?;
+        let change = control::Change {
+            id: format!("{:016x}", rand::random::<u64>()),
+            operator: operator.to_owned(),
+            base: rules.version,
+            text: edit.apply(&rules.text)?,
+        };
+        match cmd::rules::change(client, change).await? {
+            control::Changed::Accepted { version } => {
+                println!("accepted as version {version}");
+                return Ok(ExitCode::SUCCESS);
+            }
+            control::Changed::Conflict { winner, .. } => conflict = winner,
+            control::Changed::Invalid { detail } => return Err(util::usage(detail)),
+        }
+    }
+    eprintln!("refused: other operators were faster each time, last {conflict}");
+    Ok(ExitCode::from(cmd::EXIT_REFUSED))
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,9 +1,13 @@
 //! Commands of the operators' command line, one file each.
 
 pub mod cancel;
+pub mod drain;
 pub mod init;
+pub mod local;
 pub mod members;
+pub mod rules;
 pub mod servers;
+pub mod settings;
 pub mod status;
 pub mod submit;
 pub mod util;
@@ -11,7 +15,10 @@
 
 use std::process::ExitCode;
 
-use crate::error::{self, Result};
+use crate::{
+    daemon,
+    error::{self, Result},
+};
 
 const USAGE: &str = "
 Submits jobs to briargauge and operates it.
@@ -22,10 +29,14 @@
 
 Commands:
     cancel      Cancel a job.
+    drain       Let a data centre, rack or backend server take no new work.
     help        Print the usage text of a command.
     init        Form a new cluster, once.
+    local       Run a whole system in one process and submit a job file to it.
     members     Show control instances; add or remove a voter.
+    rules       Check, apply and show the rules.
     servers     List the backend servers that are announced.
+    settings    Check a settings file.
     status      Show what is known of a job.
     submit      Submit a job file and print the whole answer.
     version     Print the version.
@@ -48,9 +59,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Command {
     Cancel,
+    Drain,
     Init,
+    Local,
     Members,
+    Rules,
     Servers,
+    Settings,
     Status,
     Submit,
     Version,
@@ -60,9 +75,13 @@
     fn new(name: &str) -> Option<Command> {
         Some(match name {
             "cancel" => Command::Cancel,
+            "drain" => Command::Drain,
             "init" => Command::Init,
+            "local" => Command::Local,
             "members" => Command::Members,
+            "rules" => Command::Rules,
             "servers" => Command::Servers,
+            "settings" => Command::Settings,
             "status" => Command::Status,
             "submit" => Command::Submit,
             "version" => Command::Version,
@@ -73,9 +92,13 @@
     fn usage(self) -> &'static str {
         match self {
             Command::Cancel => cancel::USAGE,
+            Command::Drain => drain::USAGE,
             Command::Init => init::USAGE,
+            Command::Local => local::USAGE,
             Command::Members => members::USAGE,
+            Command::Rules => rules::USAGE,
             Command::Servers => servers::USAGE,
+            Command::Settings => settings::USAGE,
             Command::Status => status::USAGE,
             Command::Submit => submit::USAGE,
             Command::Version => version::USAGE,
@@ -85,9 +108,13 @@
     fn run(self, args: &[String]) -> Result<ExitCode> {
         match self {
             Command::Cancel => cancel::run(args),
+            Command::Drain => drain::run(args),
             Command::Init => init::run(args),
+            Command::Local => local::run(args),
             Command::Members => members::run(args),
+            Command::Rules => rules::run(args),
             Command::Servers => servers::run(args),
+            Command::Settings => settings::run(args),
             Command::Status => status::run(args),
             Command::Submit => submit::run(args),
             Command::Version => version::run(args),
@@ -97,6 +124,7 @@
 
 /// Runs the command line `args`, without the program's name.
 pub fn main(args: &[String]) -> ExitCode {
+    daemon::init_log("warn");
     match dispatch(args) {
         Ok(code) => code,
         Err(e) => {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -43,9 +43,7 @@
 
 /// Runs a daemon until a signal stops it.
 pub fn main<P: Process>() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format(log_line)
-        .init();
+    init_log("info");
     let settings = match settings::<P>() {
         Ok(Some(settings)) => settings,
         Ok(None) => return ExitCode::SUCCESS,
@@ -64,6 +62,13 @@
     }
 }
 
+/// Sends log lines to stderr; `RUST_LOG` goes before `level`.
+pub fn init_log(level: &str) {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level))
+        .format(log_line)
+        .init();
+}
+
 /// Writes one `key=value` line: time, level, then the event's own pairs.
 fn log_line(out: &mut env_logger::fmt::Formatter, record: &log::Record<'_>) -> std::io::Result<()> {
     use std::io::Write;
