Entry: tests of every status code and of failing peers

Cause: the first version was only tested on one good job. The stand-in for control knows its sessions.

--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -1,17 +1,390 @@
-//! The entry process against stand-ins for control and sidecars.
+//! The entry process against stand-ins for control and sidecars that fail.
 
 mod fake;
 
-use fake::{World, numbered, post};
+use std::{net::SocketAddr, rc::Rc};
+
+use briargauge::{
+    daemon::Process,
+    entry::settings::Limits,
+    protocol::wire::{Outcome, sidecar::NotStarted},
+};
+use fake::{
+    Answer, World,
+    control::{Call, Control},
+    get, job, limits, numbered, post,
+    sidecar::{Fault, Sidecar},
+};
+use futures::future;
+use serde_json::json;
+
+async fn submit(addr: SocketAddr, key: &str, tasks: usize) -> Answer {
+    post(addr, "/v1/jobs", numbered(key, tasks).to_string()).await
+}
+
+fn submitted(
+    addr: SocketAddr,
+    key: &'static str,
+    tasks: usize,
+) -> actix_rt::task::JoinHandle<Answer> {
+    actix_rt::spawn(submit(addr, key, tasks))
+}
 
 /// Guards against a job whose answers are out of order, missing or wrapped wrongly.
 #[test]
 fn a_job_is_answered_whole_and_in_order() {
     fake::run(async {
         let world = World::new().await;
-        let answer = post(world.addr, "/v1/jobs", numbered("k", 4).to_string()).await;
+        world.sidecar.plan(|task| Fault::Late(40 - 10 * u64::from(task.attempt.task)));
+        let answer = submit(world.addr, "k", 4).await;
         insta::assert_snapshot!(answer.text, @r#"{"status":"completed","answers":[0,1,2,3]}"#);
         assert_eq!(answer.code, 200);
         assert_eq!(world.sidecar.starts(), 4);
     });
 }
+
+/// Guards against an answer that was crossed, harmed or doubled and reaches a caller.
+#[test]
+fn a_harmed_answer_fails_only_its_own_job() {
+    fake::run(async {
+        for fault in [Fault::Crossed, Fault::BadCrc, Fault::BadJson] {
+            let world = World::new().await;
+            world.sidecar.relay.doubling.set(true);
+            world.sidecar.plan(move |task| if task.input == "3" { fault } else { Fault::None });
+            let jobs = (0..8).map(|n| {
+                let inputs = [json!(n * 10), json!(if n == 5 { 3 } else { n * 10 + 1 })];
+                let body = job(&format!("k{n}"), &inputs).to_string();
+                async move { (inputs, post(world.addr, "/v1/jobs", body).await) }
+            });
+            for (number, (inputs, answer)) in future::join_all(jobs).await.into_iter().enumerate() {
+                if number == 5 {
+                    assert_eq!(answer.short(), "502 failed outcome_unknown", "{fault:?}");
+                } else {
+                    assert_eq!(answer.body["answers"], json!(inputs), "{fault:?}");
+                }
+            }
+            assert!(!world.sidecar.has_repeats());
+        }
+    });
+}
+
+/// Guards against a task that is lost, or started twice, when its connection breaks.
+#[test]
+fn a_broken_connection_never_starts_a_task_twice() {
+    fake::run(async {
+        let world = World::new().await;
+        let first = |task: &briargauge::protocol::wire::sidecar::Task| task.attempt.number == 0;
+        world.sidecar.plan(move |task| match task.attempt.task {
+            3 if first(task) => Fault::CutBefore,
+            _ => Fault::None,
+        });
+        let before = submit(world.addr, "before", 1).await;
+        assert_eq!(before.short(), "200 completed");
+        world.sidecar.plan(move |task| if first(task) { Fault::CutBefore } else { Fault::None });
+        let one = submit(world.addr, "one", 1).await;
+        assert_eq!((one.short().as_str(), world.sidecar.starts()), ("200 completed", 2));
+
+        world.sidecar.plan(|_| Fault::CutAfter);
+        let after = submit(world.addr, "after", 1).await;
+        assert_eq!(after.short(), "502 failed outcome_unknown");
+        assert_eq!(world.sidecar.starts(), 3);
+        assert!(!world.sidecar.has_repeats());
+    });
+}
+
+/// Guards against a second run for a resubmission to the same entry, during or after the first.
+#[test]
+fn a_resubmission_joins_the_run() {
+    fake::run(async {
+        let world = World::new().await;
+        world.sidecar.plan(|_| Fault::Hold);
+        let first = submitted(world.addr, "k", 3);
+        fake::until("started", || world.sidecar.starts() == 3).await;
+        let second = submitted(world.addr, "k", 3);
+        let mut impatient = numbered("k", 3);
+        impatient["deadline_ms"] = json!(50);
+        let impatient = post(world.addr, "/v1/jobs", impatient.to_string()).await;
+        assert_eq!(impatient.short(), "202 running");
+        world.sidecar.release();
+        let first = first.await.unwrap();
+        assert_eq!(first.short(), "200 completed");
+        assert_eq!(second.await.unwrap(), first);
+        assert_eq!(submit(world.addr, "k", 3).await.text, first.text);
+        assert_eq!(world.sidecar.starts(), 3);
+    });
+}
+
+/// Guards against a second run for a resubmission to another entry, and against a large answer
+/// that is lost or taken from another job.
+#[test]
+fn a_resubmission_to_another_entry_gets_the_same_answer() {
+    fake::run(async {
+        let world = World::new().await;
+        let (_second, other) = fake::entry(&[world.control.addr()], limits()).await;
+        world.control.synced(2).await;
+        world.sidecar.plan(|_| Fault::Hold);
+        let inputs = [json!("x".repeat(20_000)), json!("y")];
+        let body = job("large", &inputs).to_string();
+        let (one, two) = (body.clone(), body.clone());
+        let first = actix_rt::spawn(async move { post(world.addr, "/v1/jobs", one).await });
+        fake::until("started", || world.sidecar.starts() == 2).await;
+        let second = actix_rt::spawn(async move { post(other, "/v1/jobs", two).await });
+        fake::until("asked", || world.control.counted(Call::Admit) == 2).await;
+        let query = get(other, "/v1/jobs?team=desk&key=large").await;
+        assert_eq!((query.code, &query.body["tasks"]), (202, &json!(2)));
+        world.sidecar.release();
+        let first = first.await.unwrap();
+        assert_eq!(first.body["answers"], json!(inputs));
+        assert_eq!(second.await.unwrap().text, first.text);
+        assert_eq!(post(other, "/v1/jobs", body.clone()).await.text, first.text);
+
+        drop(world.entry);
+        let lost = post(other, "/v1/jobs", body).await;
+        assert_eq!(lost.short(), "502 failed answer_lost");
+        assert_eq!(world.sidecar.starts(), 2);
+    });
+}
+
+/// Guards against a second start, or an endless wait, when the entry that ran a job is gone.
+#[test]
+fn a_job_of_a_lost_entry_is_failed_and_never_restarted() {
+    fake::run(async {
+        let world = World::new().await;
+        let (_second, other) = fake::entry(&[world.control.addr()], limits()).await;
+        world.control.synced(2).await;
+        world.sidecar.plan(|_| Fault::Hold);
+        let _first = submitted(world.addr, "k", 1);
+        fake::until("started", || world.sidecar.starts() == 1).await;
+        drop(world.entry);
+        let second = submitted(other, "k", 1);
+        fake::until("asked again", || world.control.counted(Call::Lookup) >= 2).await;
+        world.control.fence(true);
+        assert_eq!(second.await.unwrap().short(), "502 failed entry_lost");
+        assert_eq!(world.sidecar.starts(), 1);
+    });
+}
+
+/// Guards against a job of an ended session that completes, or an entry that stays fenced.
+#[test]
+fn a_fenced_entry_fails_its_jobs_and_registers_anew() {
+    fake::run(async {
+        let world = World::new().await;
+        world.sidecar.plan(|_| Fault::Hold);
+        let running = submitted(world.addr, "k", 2);
+        fake::until("started", || world.sidecar.starts() == 2).await;
+        world.control.fence(false);
+        assert_eq!(running.await.unwrap().short(), "502 failed entry_lost");
+        world.sidecar.release();
+        world.control.synced(1).await;
+        assert_eq!(submit(world.addr, "k2", 2).await.short(), "200 completed");
+        assert_eq!(world.sidecar.starts(), 4);
+    });
+}
+
+/// Guards against a start by an entry whose session may have ended without its knowledge.
+#[test]
+fn nothing_starts_without_a_lease() {
+    fake::run(async {
+        let control = Control::start().await;
+        let sidecar = Sidecar::start().await;
+        control.add(sidecar.member());
+        control.lease_ms.set(200);
+        let (_entry, addr) = fake::entry(&[control.addr()], limits()).await;
+        control.synced(1).await;
+        control.mute(Call::Sync, true);
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        let mut body = numbered("k", 2);
+        body["deadline_ms"] = json!(300);
+        let answer = post(addr, "/v1/jobs", body.to_string()).await;
+        assert_eq!(answer.short(), "503 not_run deadline_exceeded");
+        assert_eq!(sidecar.runs.get(), 0);
+        // The record frees the key.
+        assert!(matches!(control.outcome("k"), Some(Outcome::NotRun { .. })));
+        control.mute(Call::Sync, false);
+        control.synced(1).await;
+        assert_eq!(submit(addr, "k", 2).await.short(), "200 completed");
+    });
+}
+
+/// Guards against a run after "not run", and against a key that stays blocked by an admission
+/// whose answer was lost.
+#[test]
+fn an_unanswered_admission_starts_nothing() {
+    fake::run(async {
+        let world = World::with_limits(Limits { admit_limit_ms: 200, ..limits() }).await;
+        world.control.mute(Call::Admit, true);
+        let answer = submit(world.addr, "k", 2).await;
+        assert_eq!(answer.short(), "503 not_run control_unavailable");
+        assert!(world.control.jobs.borrow().contains_key("k"));
+        world.control.mute(Call::Admit, false);
+        let freed = || matches!(world.control.outcome("k"), Some(Outcome::NotRun { .. }));
+        fake::until("freed", freed).await;
+        assert_eq!(world.sidecar.runs.get(), 0);
+        assert_eq!(submit(world.addr, "k", 2).await.short(), "200 completed");
+        assert_eq!(world.sidecar.starts(), 2);
+    });
+}
+
+/// Guards against a completed answer that control may yet record as failed, and against a job
+/// whose end is never recorded.
+#[test]
+fn a_job_counts_as_completed_only_once_recorded() {
+    fake::run(async {
+        let world = World::with_limits(Limits { finish_grace_ms: 100, ..limits() }).await;
+        world.control.mute(Call::Finish, true);
+        let mut body = numbered("k", 2);
+        body["deadline_ms"] = json!(300);
+        let answer = post(world.addr, "/v1/jobs", body.to_string()).await;
+        assert_eq!(answer.short(), "502 failed outcome_unknown");
+        world.control.mute(Call::Finish, false);
+        assert_eq!(submit(world.addr, "k", 2).await.short(), "200 completed");
+        assert_eq!(world.sidecar.starts(), 2);
+    });
+}
+
+/// Guards against an entry that keeps asking an instance that does not lead, or is gone.
+#[test]
+fn the_leader_is_found() {
+    fake::run(async {
+        let (gone, leader, follower) =
+            (fake::relay::closed().await, Control::start().await, Control::start().await);
+        let sidecar = Sidecar::start().await;
+        leader.add(sidecar.member());
+        follower.leader.set(Some(leader.addr()));
+        let (_entry, addr) = fake::entry(&[gone, follower.addr()], limits()).await;
+        leader.synced(1).await;
+        assert_eq!(submit(addr, "k", 1).await.short(), "200 completed");
+        // Leadership moves.
+        follower.add(sidecar.member());
+        follower.leader.set(None);
+        leader.leader.set(Some(follower.addr()));
+        leader.fence(false);
+        follower.synced(1).await;
+        assert_eq!(submit(addr, "k2", 1).await.short(), "200 completed");
+    });
+}
+
+/// Guards against a job that ends with its caller's connection, and a request that does not.
+#[test]
+fn hanging_up_cancels_only_requests_without_a_key() {
+    fake::run(async {
+        let world = World::new().await;
+        world.sidecar.plan(|_| Fault::Hold);
+        let job = submitted(world.addr, "k", 2);
+        fake::until("started", || world.sidecar.starts() == 2).await;
+        job.abort();
+        let body = json!({"team": "desk", "idempotent": true,
+            "task": {"kind": "quote", "input": 1}});
+        let addr = world.addr;
+        let request =
+            actix_rt::spawn(async move { post(addr, "/v1/requests", body.to_string()).await });
+        fake::until("started", || world.sidecar.starts() == 3).await;
+        request.abort();
+        fake::until("cancelled", || world.sidecar.cancels.borrow().len() == 1).await;
+        let unkeyed = world.sidecar.started.borrow()[2].run;
+        assert_eq!(*world.sidecar.cancels.borrow(), [unkeyed]);
+        world.sidecar.release();
+        let completed = || matches!(world.control.outcome("k"), Some(Outcome::Completed(_)));
+        fake::until("completed", completed).await;
+        assert_eq!(submit(world.addr, "k", 2).await.short(), "200 completed");
+        assert_eq!(world.sidecar.starts(), 3);
+    });
+}
+
+/// Guards against a cancel that stays at the wrong entry, or is sent once per task.
+#[test]
+fn a_cancel_at_another_entry_ends_the_job() {
+    fake::run(async {
+        let world = World::new().await;
+        let (_second, other) = fake::entry(&[world.control.addr()], limits()).await;
+        world.control.synced(2).await;
+        world.sidecar.plan(|_| Fault::Hold);
+        let running = submitted(world.addr, "k", 5);
+        fake::until("started", || world.sidecar.starts() == 5).await;
+        let body = json!({"team": "desk", "key": "k"}).to_string();
+        let cancelled = post(other, "/v1/jobs/cancel", body).await;
+        assert_eq!(cancelled.short(), "502 failed cancelled");
+        assert_eq!(running.await.unwrap().short(), "502 failed cancelled");
+        fake::until("cancelled", || world.sidecar.cancels.borrow().len() == 1).await;
+    });
+}
+
+/// Guards against a planned stop that cuts a job off, or takes new work to the end.
+#[test]
+fn a_stop_finishes_what_is_in_flight() {
+    fake::run(async {
+        let world = World::new().await;
+        let addr = world.addr;
+        world.sidecar.plan(|_| Fault::Hold);
+        let running = submitted(addr, "k", 2);
+        fake::until("started", || world.sidecar.starts() == 2).await;
+        let stop = actix_rt::spawn(world.entry.stop());
+        let mut health = get(addr, "/health").await;
+        while health.code == 200 {
+            health = get(addr, "/health").await;
+        }
+        let mut key = 0;
+        let refused = loop {
+            // Work that comes before the first refusal is taken and ended.
+            let body = json!({"team": "desk", "idempotent": true, "deadline_ms": 20,
+                "task": {"kind": "quote", "input": key}});
+            let answer = post(addr, "/v1/requests", body.to_string()).await;
+            if answer.reason() == "stopping" {
+                break answer;
+            }
+            key += 1;
+        };
+        assert_eq!((refused.code, refused.close), (503, true));
+        assert!(!stop.is_finished());
+        world.sidecar.release();
+        assert_eq!(running.await.unwrap().short(), "200 completed");
+        assert_eq!(stop.await.unwrap(), 0);
+    });
+}
+
+/// Runs one job of as many tasks as there are faults; a retried attempt meets no fault.
+fn job_under(faults: Vec<Fault>) -> (Answer, Rc<Sidecar>) {
+    fake::run(async {
+        let world = World::new().await;
+        let tasks = faults.len();
+        world.sidecar.plan(move |task| match task.attempt.number {
+            0 => faults[usize::from(task.attempt.task)],
+            _ => Fault::None,
+        });
+        (submit(world.addr, "k", tasks).await, world.sidecar)
+    })
+}
+
+/// Guards against partial answers, false refusals and second starts under any mix of faults.
+#[test]
+fn no_job_is_answered_in_part() {
+    const FAULTS: [Fault; 11] = [
+        Fault::None,
+        Fault::None,
+        Fault::None,
+        Fault::Late(5),
+        Fault::Refuse(NotStarted::Full),
+        Fault::Refuse(NotStarted::Draining),
+        Fault::Fail,
+        Fault::Crossed,
+        Fault::BadCrc,
+        Fault::CutBefore,
+        Fault::CutAfter,
+    ];
+    fn holds(choices: Vec<u8>) -> bool {
+        let pick = |c: &u8| FAULTS[usize::from(*c) % FAULTS.len()];
+        let mut faults: Vec<Fault> = choices.iter().take(6).map(pick).collect();
+        faults.push(Fault::None);
+        let tasks = faults.len();
+        let (answer, sidecar) = job_under(faults);
+        let whole = json!((0..tasks).collect::<Vec<_>>());
+        !sidecar.has_repeats()
+            && match answer.status() {
+                "completed" => answer.body["answers"] == whole && sidecar.starts() == tasks,
+                "failed" => answer.body.get("answers").is_none(),
+                "not_run" => sidecar.starts() == 0,
+                _ => false,
+            }
+    }
+    quickcheck::QuickCheck::new().tests(40).quickcheck(holds as fn(Vec<u8>) -> bool);
+}
--- a/tests/fake/control.rs
+++ b/tests/fake/control.rs
@@ -16,7 +16,7 @@
             control::{
                 Accepted, Admission, Admit, Change, Changed, EntrySync, EntryView, Finish,
                 Finished, Hello, Member, Members, Refusal, Revision, Rules, Service, Session,
-                SidecarSync, SidecarView, Status, VoterChange,
+                Share, SidecarSync, SidecarView, Status, VoterChange,
             },
         },
     },
@@ -58,13 +58,16 @@
     pub age_ms: Cell<u64>,
     /// Another instance that leads.
     pub leader: Cell<Option<SocketAddr>>,
+    pub lease_ms: Cell<u64>,
+    /// Quota of every entry for team `desk`, in starts per second.
+    pub share: Cell<Option<f64>>,
     /// Keys created before this are expired.
     pub oldest_ms: Cell<u64>,
 }
 
 impl Control {
     pub async fn start() -> Rc<Control> {
-        let control = Rc::new(Control::default());
+        let control = Rc::new(Control { lease_ms: Cell::new(3_000), ..Control::default() });
         let server = rpc::serve(super::any(), Shim(control.clone()).serve()).await.unwrap();
         control.server.replace(Some(server));
         control
@@ -95,6 +98,19 @@
         }
     }
 
+    pub fn outcome(&self, key: &str) -> Option<Outcome> {
+        self.jobs.borrow().get(key)?.outcome.clone()
+    }
+
+    pub fn mute(&self, call: Call, on: bool) {
+        let mut mute = self.mute.borrow_mut();
+        if on {
+            mute.insert(call)
+        } else {
+            mute.remove(&call)
+        };
+    }
+
     pub fn counted(&self, call: Call) -> usize {
         self.calls.borrow().get(&call).copied().unwrap_or(0)
     }
@@ -113,8 +129,9 @@
 
     fn live(&self, epoch: id::Epoch) -> Result<(), Refusal> {
         self.led()?;
-        let fenced = self.fenced.borrow().contains(&epoch);
-        if fenced { Err(Refusal::Fenced) } else { Ok(()) }
+        let known = self.sessions.borrow().contains_key(&epoch);
+        let live = known && !self.fenced.borrow().contains(&epoch);
+        if live { Ok(()) } else { Err(Refusal::Fenced) }
     }
 
     /// Counts a call; does not return if it is to stay unanswered.
@@ -173,7 +190,7 @@
         self.0.led()?;
         let epoch = id::Epoch(self.0.next());
         self.0.sessions.borrow_mut().insert(epoch, hello.addr);
-        Ok(Session { epoch, lease_ms: 3_000 })
+        Ok(Session { epoch, lease_ms: self.0.lease_ms.get() })
     }
 
     async fn sync_entry(self, _: Context, sync: EntrySync) -> Result<EntryView, Refusal> {
@@ -187,7 +204,9 @@
             removed: Vec::new(),
         };
         let rules = (sync.rules_version == 0).then(|| Rules { version: 1, text: String::new() });
-        Ok(EntryView { confirmed_age_ms: self.0.age_ms.get(), rules, members, shares: Vec::new() })
+        let share = |starts_per_s| Share { team: id::Team("desk".into()), starts_per_s };
+        let shares = self.0.share.get().map(share).into_iter().collect();
+        Ok(EntryView { confirmed_age_ms: self.0.age_ms.get(), rules, members, shares })
     }
 
     async fn admit(self, _: Context, admit: Admit) -> Result<Admission, Refusal> {
--- a/tests/fake/relay.rs
+++ b/tests/fake/relay.rs
@@ -64,3 +64,8 @@
         }
     }
 }
+
+/// An address at which nothing listens.
+pub async fn closed() -> SocketAddr {
+    TcpListener::bind(super::any()).await.unwrap().local_addr().unwrap()
+}
