--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Pure decision code: time and randomness are arguments, messages go in, decisions come out.
 
+pub mod consensus;
 pub mod dispatch;
 pub mod health;
 pub mod lease;
@@ -7,7 +8,9 @@
 pub mod member;
 pub mod naive;
 pub mod queue;
+pub mod quota;
 pub mod retry;
 pub mod route;
+pub mod session;
 pub mod slot;
 pub mod speed;
