--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -26,6 +26,9 @@
 /// A run may overtake others of its team that arrived up to this many times the difference of
 /// their ideal times earlier. Larger values serve short runs better and long ones worse.
 const OVERTAKE: f64 = 4.0;
+/// Time to a hedge in units of the 95th percentile. At 1, one in twenty is hedged although nothing
+/// is wrong with its server.
+const HEDGE_AFTER: f64 = 1.5;
 /// Hedged starts per start.
 const HEDGE_PART: f64 = 0.03;
 /// Speed, relative to the mean, below which a server gets a run's shortest tasks.
@@ -444,7 +447,7 @@
         let settings = &self.teams[run.team.0 as usize].settings;
         let hedged = settings.hedge && settings.preference == Preference::Response;
         if run.restartable && hedged && self.book.is_known(state.class) {
-            let due = now + (p95 / speed + rtt) as Micros;
+            let due = now + (HEDGE_AFTER * p95 / speed + rtt) as Micros;
             self.hedges.push(Reverse((due, attempt)));
         }
         let at = self.flights.insert(flight);
--- a/src/coordination/dispatch/reply.rs
+++ b/src/coordination/dispatch/reply.rs
@@ -11,6 +11,9 @@
     },
 };
 
+/// Part of the expected run time below which a failure counts as quick.
+const QUICK_PART: f64 = 0.2;
+const QUICK_WEIGHT: f64 = 1.5;
 /// Refusals for size after which a task counts as one that never fits.
 const TOO_LARGE_MAX: u8 = 3;
 
@@ -49,6 +52,7 @@
                 self.router.heard(now, key, load);
                 self.router.answered(key);
                 let server = &mut self.router.servers[key.0];
+                server.ran(now);
                 let waited = (now - flight.sent).saturating_sub(ran_us) as f64;
                 self.book.done(flight.class, &mut server.speed, ran_us);
                 let work = ran_us as f64 * server.speed.factor();
@@ -62,9 +66,12 @@
                 let lane = &mut self.lanes[flight.lane];
                 lane.queue.charge(flight.team, work - flight.mean_us, overall);
             }
-            Ended::Failed { .. } => {
+            // A cancelled attempt ends as failed, which says nothing of the server.
+            Ended::Failed { .. } if flight.run.is_none() => self.router.heard(now, key, load),
+            Ended::Failed { ran_us } => {
                 self.router.heard(now, key, load);
-                let weight = self.failure_weight(flight);
+                self.router.servers[key.0].ran(now);
+                let weight = self.failure_weight(flight, ran_us);
                 self.book.failed(flight.class);
                 if self.router.servers[key.0].health.failed(now, weight) {
                     self.router.eject(now, key);
@@ -97,9 +104,11 @@
     }
 
     /// A failure says less of the server if tasks of the kind fail elsewhere too, and nothing if
-    /// they fail everywhere.
-    fn failure_weight(&self, flight: &Flight) -> f64 {
-        (1.0 - self.book.failure_rate(flight.class)).max(0.0)
+    /// they fail everywhere. It says more if it came far earlier than an answer would have.
+    fn failure_weight(&self, flight: &Flight, ran_us: u64) -> f64 {
+        let quick = (ran_us as f64) < QUICK_PART * flight.mean_us;
+        let weight = if quick { QUICK_WEIGHT } else { 1.0 };
+        weight * (1.0 - self.book.failure_rate(flight.class))
     }
 
     fn conclude(&mut self, now: Micros, key: usize, attempt: id::Attempt, ended: Ended) -> Next {
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -7,6 +7,9 @@
 /// Tokens that come back each second without any start.
 const FLOOR_PER_S: f64 = 2.0;
 
+/// Shortest time after which asking again makes sense.
+const WAIT_MIN_US: Micros = 1_000;
+
 /// Extra attempts that are allowed per start.
 #[derive(Debug, Clone, Copy)]
 pub struct Budget {
@@ -48,6 +51,7 @@
             return Ok(());
         }
         let rate = self.per_s.max(0.1);
-        Err(now + ((1.0 - self.tokens) / rate * 1e6) as Micros)
+        // Rounding could otherwise name the present, and the caller would ask for ever.
+        Err(now + WAIT_MIN_US + ((1.0 - self.tokens) / rate * 1e6) as Micros)
     }
 }
--- a/src/coordination/route/server.rs
+++ b/src/coordination/route/server.rs
@@ -152,8 +152,6 @@
     /// Takes over the load that a reply carried, which does not count the replied attempt. To be
     /// called after `ended`.
     pub fn heard(&mut self, now: Micros, load: Option<sidecar::Load>) {
-        self.silence = 0.0;
-        self.silence_at = now;
         self.unconfirmed = 0;
         if let Some(load) = load {
             let total = f64::from(load.busy) + f64::from(load.queued);
@@ -166,6 +164,13 @@
         }
     }
 
+    /// An attempt ran to its end. Refusals do not count: a sidecar refuses while its backend server
+    /// is frozen.
+    pub fn ran(&mut self, now: Micros) {
+        self.silence = 0.0;
+        self.silence_at = now;
+    }
+
     /// Replies that were to be expected since the last one.
     pub fn silence(&mut self, now: Micros) -> f64 {
         self.pass(now);
--- a/src/coordination/speed.rs
+++ b/src/coordination/speed.rs
@@ -17,7 +17,7 @@
 /// Smallest weight of a new observation of a class.
 const CLASS_GAIN: f64 = 0.02;
 /// Smallest weight of a new observation of a backend server.
-const SERVER_GAIN: f64 = 0.1;
+const SERVER_GAIN: f64 = 0.02;
 /// Step of the p95 estimate, in units of ln.
 const QUANTILE_STEP: f64 = 0.5;
 /// Weight of a new observation in the failure rate of a kind.
