Let entries with few attempts use a server's queue; spare suspects

Cause: an entry that refills each slot kept the others out, whose estimate stayed at no room; trials and suspect servers cost jobs that cannot be repeated. Change: up to two attempts beyond the window while the entry has less than 3/8 of the slots. A server that failed a task gets only tasks that may be repeated for 0.5 s, and trials prefer those for 5 s (20 s for jobs).

--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -33,6 +33,9 @@
 const HEDGE_PART: f64 = 0.03;
 /// Speed, relative to the mean, below which a server gets a run's shortest tasks.
 const SLOW: f64 = 0.7;
+/// How long a due trial of a backend server waits for a task that may be repeated before a single
+/// task is used; those of larger jobs, whose failure costs more, are used after four times this.
+const TRIAL_PATIENCE_US: Micros = 5_000_000;
 /// Demands after which the table is emptied when nothing refers to it.
 const DEMANDS_MAX: usize = 50_000;
 
@@ -390,9 +393,12 @@
         let part = &mut run.parts[usize::from(item.part)];
         let longest = *part.tasks.back()?;
         let mean_us = run.tasks[usize::from(longest)].mean_us;
-        let wanted = route::Task { mean_us, queued: *tasks, except: None };
-        let cheap = run.restartable || run.tasks.len() == 1;
-        let server = match self.router.trial(now, groups, cheap) {
+        let wanted =
+            route::Task { mean_us, queued: *tasks, except: None, restartable: run.restartable };
+        let cheap = run.tasks.len() == 1;
+        let patience = if cheap { TRIAL_PATIENCE_US } else { 4 * TRIAL_PATIENCE_US };
+        let patience = if run.restartable { 0 } else { patience };
+        let server = match self.router.trial(now, groups, patience) {
             Some(server) => server,
             None => match self.router.choose(now, groups, &wanted, random) {
                 route::Choice::Start(server) => server,
@@ -469,7 +475,12 @@
                 continue;
             }
             let except = Some(flight.server);
-            let wanted = route::Task { mean_us: task.mean_us, queued: usize::MAX, except };
+            let wanted = route::Task {
+                mean_us: task.mean_us,
+                queued: usize::MAX,
+                except,
+                restartable: true,
+            };
             let groups = &self.lanes[lane].groups;
             let route::Choice::Start(server) = self.router.choose(now, groups, &wanted, random)
             else {
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -10,6 +10,10 @@
 /// Replies that peers would have given during the silence at which a server is ejected: e^-5 is
 /// the chance of such a silence with exponential run times.
 const SILENCE_MAX: f64 = 5.0;
+/// Weighted failures from which on a server gets one attempt at a time.
+const SUSPECT_MIN: f64 = 0.9;
+/// How long it gets only tasks that may be repeated, if there are others for the rest.
+const SUSPECT_US: Micros = 500_000;
 /// First time to readmission.
 const EJECTED_MIN_US: Micros = 1_000_000;
 const EJECTED_MAX_US: Micros = 60_000_000;
@@ -39,6 +43,7 @@
     pause: Micros,
     paused_until: Micros,
     trial: bool,
+    suspect_until: Micros,
 }
 
 impl Health {
@@ -54,13 +59,18 @@
         } else if self.ejected {
             // Attempts that are still out are as good as a trial.
             if now >= self.until && in_flight == 0 { Access::Trial } else { Access::Closed }
-        } else if self.failures >= 0.9 || self.pause > 0 {
+        } else if self.failures >= SUSPECT_MIN || self.pause > 0 {
             Access::Single
         } else {
             Access::Open
         }
     }
 
+    /// Whether only tasks that may be repeated should go there: it failed one lately.
+    pub fn is_suspect(&self, now: Micros) -> bool {
+        self.failures >= SUSPECT_MIN && now < self.suspect_until
+    }
+
     /// When `access` changes by itself.
     pub fn changes_at(&self) -> Micros {
         if self.ejected { self.until.max(self.paused_until) } else { self.paused_until }
@@ -93,6 +103,7 @@
             return false;
         }
         self.failures += weight;
+        self.suspect_until = now + SUSPECT_US;
         self.failures >= FAILURES_MAX
     }
 
--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -32,8 +32,6 @@
 const OTHERS_GAIN: f64 = 0.02;
 /// A task waits for a faster server only if that is expected to save this much.
 const HOLD_GAIN: f64 = 1.05;
-/// How long a due trial waits for a task whose failure costs little, in µs.
-const TRIAL_PATIENCE_US: Micros = 5_000_000;
 /// Smallest part of the capacity that an entry counts on.
 const CAPACITY_PART_MIN: f64 = 0.1;
 
@@ -99,6 +97,7 @@
     pub queued: usize,
     /// A server it must not go to: the one that has its first attempt.
     pub except: Option<Key>,
+    pub restartable: bool,
 }
 
 /// All known backend servers.
@@ -362,6 +361,9 @@
             if Some(key) == task.except || !server.has_room(now, self.others) {
                 return;
             }
+            if !task.restartable && server.health.is_suspect(now) {
+                return;
+            }
             let run = server.completion_us(now, self.others, task.mean_us, self.overall_us);
             let cost = run + self.dcs[self.groups[server.group as usize].dc].rtt_us;
             if best.is_none_or(|(least, _)| cost < least) {
@@ -385,12 +387,11 @@
         }
     }
 
-    /// A server that is due for a trial. `any` is false for tasks whose failure costs more; they
-    /// are used only if no others came for a while.
-    pub fn trial(&mut self, now: Micros, groups: &[u32], any: bool) -> Option<Key> {
+    /// A server that has been due for a trial for at least `patience`.
+    pub fn trial(&mut self, now: Micros, groups: &[u32], patience: Micros) -> Option<Key> {
         let at = self.trials.iter().take(DRAWS).position(|key| {
             let Some(server) = self.servers.get(key.0) else { return true };
-            let due = any || now > server.health.changes_at() + TRIAL_PATIENCE_US;
+            let due = now >= server.health.changes_at() + patience;
             !server.wants_trial(now) || (due && groups.contains(&server.group))
         })?;
         let key = self.trials.swap_remove(at);
--- a/src/coordination/route/server.rs
+++ b/src/coordination/route/server.rs
@@ -16,6 +16,11 @@
 /// Attempts sent without any reply, as a part of the slots: what other entries have sent meanwhile
 /// is not known, and a sidecar's queue is short.
 const UNCONFIRMED_PART: f64 = 0.75;
+/// An entry with less than this part of the slots may use the server's queue, else another entry
+/// that refills each slot as it falls free would keep it out.
+const FAIR_PART: f64 = 0.375;
+/// Most attempts it may have queued there.
+const QUEUED_MAX: f64 = 2.0;
 /// Part of a slot that the estimate of other entries' attempts may be off without closing it.
 const SLACK: f64 = 0.5;
 
@@ -102,9 +107,11 @@
             Access::Single => self.mine == 0,
             Access::Open => {
                 let unconfirmed_max = (f64::from(self.slots) * UNCONFIRMED_PART).ceil();
+                let mine = f64::from(self.mine);
+                let fair = f64::from(self.slots) * FAIR_PART;
+                let extra = QUEUED_MAX * (1.0 - mine / fair).max(0.0);
                 f64::from(self.unconfirmed) < unconfirmed_max
-                    && f64::from(self.mine) + 1.0 + self.others(now, others)
-                        <= self.window.limit() + SLACK
+                    && mine + 1.0 + self.others(now, others) <= self.window.limit() + SLACK + extra
             }
         }
     }
