The health check of an entry waits for session and rules

Cause: briargauge local submitted before the entry had registered and was refused with control_unavailable.

--- a/src/cmd/local.rs
+++ b/src/cmd/local.rs
@@ -19,7 +19,6 @@
     entry::Entry,
     error::Result,
     load::scrape,
-    protocol::job,
     sidecar::Sidecar,
 };
 
@@ -171,13 +170,12 @@
     }
 }
 
-/// Waits until the entry has registered and confirmed the rules.
+/// Waits until the entry has a session and knows rules and backend servers.
 async fn wait_for_entry(http: SocketAddr) {
     let end = Instant::now() + READY_LIMIT;
-    let path = "/v1/jobs?team=none&key=none";
     while Instant::now() < end {
-        let known = util::call_entry(http, actix_http::Method::GET, path, None).await;
-        if matches!(known, Ok(job::Response::Unknown { .. })) {
+        let health = awc::Client::default().get(format!("http://{http}/health")).send().await;
+        if health.is_ok_and(|response| response.status().is_success()) {
             return;
         }
         time::sleep(READY_POLL).await;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -65,6 +65,8 @@
 /// Sends log lines to stderr; `RUST_LOG` goes before `level`.
 pub fn init_log(level: &str) {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level))
+        // tarpc logs each call at the level of events.
+        .filter_module("tarpc", log::LevelFilter::Warn)
         .format(log_line)
         .init();
 }
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -94,7 +94,7 @@
     if core.unhealthy.get() {
         return http::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n");
     }
-    if core.session.epoch().is_none() {
+    if core.session.epoch().is_none() || core.session.confirmed_age().is_none() {
         return http::text(StatusCode::SERVICE_UNAVAILABLE, "no session at control\n");
     }
     http::text(StatusCode::OK, "ok\n")
