--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,75 @@
+//! The whole path through separate processes, and planned stops.
+
+mod workdir;
+
+use std::{thread, time::Duration};
+
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use workdir::system::{self, System};
+
+/// Answers without what differs from run to run: which backend server ran a task.
+fn answers(response: &briargauge::protocol::job::Response) -> String {
+    let mut value: Value = serde_json::from_str(&system::text(response)).unwrap();
+    if let Some(answers) = value.get_mut("answers").and_then(Value::as_array_mut) {
+        for answer in answers {
+            answer.as_object_mut().unwrap().remove("backend");
+        }
+    }
+    serde_json::to_string_pretty(&value).unwrap()
+}
+
+/// Guards against a path that works in one process only, and against partial or mixed answers.
+#[test]
+fn job_and_requests_come_back_whole() {
+    let system = System::new(3, 2, 3);
+    let job = system.post(0, "/v1/jobs", system::job("whole", 7, 20)).unwrap();
+    insta::assert_snapshot!("job", answers(&job));
+    let keyed = json!({
+        "team": "tariff", "idempotent": false, "key": "ticket 1",
+        "created_at_ms": briargauge::util::unix_ms(),
+        "task": {"kind": "confirm", "input": {"work_ms": 5, "household": "Łomianki/7"}},
+    });
+    let first = system.post(0, "/v1/requests", keyed.clone()).unwrap();
+    insta::assert_snapshot!("keyed", answers(&first));
+    let again = system.post(1, "/v1/requests", keyed).unwrap();
+    assert_eq!(system::text(&first), system::text(&again));
+    assert_eq!(system.started(), 8, "a resubmission must not start anything");
+}
+
+/// Guards against a planned stop of any process that cuts off a request, and against exit codes
+/// that do not say so.
+#[test]
+fn planned_stops_cut_off_nothing() {
+    let mut system = System::new(3, 2, 3);
+    let jobs: Vec<_> = (0..6)
+        .map(|n| system.post_later(n % 2, "/v1/jobs", system::job(&format!("j{n}"), 10, 300)))
+        .collect();
+    thread::sleep(Duration::from_millis(400));
+    let leader = system.leader();
+    assert!(system.controls[leader].take().unwrap().stop().success());
+    assert!(system.backends[0].take().unwrap().stop().success());
+    assert!(system.sidecars[1].take().unwrap().stop().success());
+    assert!(system.entries.remove(1).stop().success());
+    for job in jobs {
+        let response = job.join().unwrap().expect("a connection was cut");
+        assert!(system::text(&response).contains("completed"), "{}", system::text(&response));
+    }
+    let after = system.post(0, "/v1/jobs", system::job("after", 10, 20)).unwrap();
+    assert!(system::text(&after).contains("completed"), "{}", system::text(&after));
+}
+
+/// Guards against a second signal that does not stop a process whose work does not end.
+#[test]
+fn second_signal_stops_at_once() {
+    let mut system = System::new(1, 1, 1);
+    let job = system.post_later(0, "/v1/jobs", system::job("long", 1, 15_000));
+    workdir::wait_for("the start", || (system.started() > 0).then_some(()));
+    let mut entry = system.entries.remove(0);
+    entry.signal(Signal::SIGTERM);
+    workdir::wait_for("the stop", || entry.log().contains("event=stopping").then_some(()));
+    entry.signal(Signal::SIGTERM);
+    assert_eq!(entry.wait().code(), Some(1));
+    assert!(entry.log().contains("reason=second_signal"));
+    assert!(job.join().unwrap().is_none());
+}
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod system;
+
 use std::{
     fs::{self, File},
     io::{BufRead, BufReader},
--- /dev/null
+++ b/tests/workdir/system.rs
@@ -0,0 +1,260 @@
+//! A whole system of separate processes.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::SocketAddr,
+    process::Output,
+    thread::{self, JoinHandle},
+};
+
+use actix_http::Method;
+use briargauge::{
+    cmd::util,
+    protocol::{job, wire::control},
+};
+use serde_json::{Value, json};
+
+use super::{Daemon, Program, Workdir, wait_for};
+
+/// Control instances, entries, and sidecars with their backend servers.
+pub struct System {
+    pub dir: Workdir,
+    pub controls: Vec<Option<Daemon>>,
+    pub entries: Vec<Daemon>,
+    pub sidecars: Vec<Option<Daemon>>,
+    pub backends: Vec<Option<Daemon>>,
+    /// Loopback address of its own, so that no other connection takes a port between a kill and
+    /// the restart at the same address.
+    host: String,
+    addrs: Vec<Addrs>,
+}
+
+/// Addresses of a control instance.
+#[derive(Debug, Clone, Copy)]
+struct Addrs {
+    http: SocketAddr,
+    rpc: SocketAddr,
+    peer: SocketAddr,
+}
+
+impl System {
+    /// Starts everything and waits until jobs can run.
+    pub fn new(controls: usize, entries: usize, servers: usize) -> System {
+        let draw = rand::random::<[u8; 3]>();
+        let host = format!("127.{}.{}.{}", draw[0], draw[1], draw[2].clamp(2, 250));
+        let mut system = System {
+            dir: Workdir::new(),
+            controls: Vec::new(),
+            entries: Vec::new(),
+            sidecars: Vec::new(),
+            backends: Vec::new(),
+            host,
+            addrs: Vec::new(),
+        };
+        for n in 0..controls {
+            system.add_control(n);
+        }
+        system.wait_for_voters(controls);
+        for n in 0..servers {
+            let sidecar = system.start_sidecar(n);
+            system.sidecars.push(Some(sidecar));
+            let backend = system.start_backend(n);
+            system.backends.push(Some(backend));
+        }
+        wait_for("the backend servers", || (system.servers() == servers).then_some(()));
+        for n in 0..entries {
+            let entry = system.start_entry(n);
+            system.entries.push(entry);
+        }
+        system
+    }
+
+    fn any(&self) -> String {
+        format!("{}:0", self.host)
+    }
+
+    fn add_control(&mut self, n: usize) {
+        let any: SocketAddr = self.any().parse().unwrap();
+        let control = self.start_control(n, Addrs { http: any, rpc: any, peer: any });
+        self.addrs.push(Addrs {
+            http: control.http(),
+            rpc: control.rpc(),
+            peer: control.peer.unwrap(),
+        });
+        let rpc = control.rpc().to_string();
+        self.controls.push(Some(control));
+        if n == 0 {
+            self.cli_ok(&["init", "--control", &rpc]);
+        } else {
+            self.cli_ok(&["members", "add", &rpc]);
+        }
+    }
+
+    fn start_control(&self, n: usize, addrs: Addrs) -> Daemon {
+        let peers: Vec<SocketAddr> = self.addrs.iter().map(|a| a.peer).collect();
+        let settings = json!({
+            "node": n + 1, "data_folder": self.data(n), "http": addrs.http, "rpc": addrs.rpc,
+            "peer": addrs.peer, "peers": peers,
+        });
+        self.dir.start(Program::Control, &format!("control-{n}"), &settings.to_string())
+    }
+
+    /// Data folder of a control instance.
+    pub fn data(&self, n: usize) -> std::path::PathBuf {
+        self.dir.path(&format!("data-{n}"))
+    }
+
+    /// Kills a control instance at once.
+    pub fn kill_control(&mut self, n: usize) {
+        self.controls[n].take().unwrap().kill();
+    }
+
+    /// Starts a killed control instance at its old addresses.
+    pub fn restart_control(&mut self, n: usize) {
+        self.controls[n] = Some(self.start_control(n, self.addrs[n]));
+    }
+
+    pub fn start_sidecar(&self, n: usize) -> Daemon {
+        let settings = json!({
+            "http": self.any(), "rpc": self.any(), "data_centre": "dc", "rack": format!("r{n}"),
+            "control": self.control_addrs(),
+        });
+        self.dir.start(Program::Sidecar, &format!("sidecar-{n}"), &settings.to_string())
+    }
+
+    pub fn start_backend(&self, n: usize) -> Daemon {
+        let settings = json!({
+            "http": self.any(), "sidecar": self.sidecars[n].as_ref().unwrap().http(),
+            "name": format!("server-{n}"), "starts_file": self.dir.path(&format!("starts-{n}")),
+        });
+        self.dir.start(Program::Backend, &format!("backend-{n}"), &settings.to_string())
+    }
+
+    /// Starts an entry and waits until it takes work.
+    pub fn start_entry(&self, n: usize) -> Daemon {
+        let settings = json!({
+            "http": self.any(), "rpc": self.any(), "data_centre": "dc",
+            "control": self.control_addrs(), "limits": {"drain_notice_ms": 200},
+        });
+        let entry = self.dir.start(Program::Entry, &format!("entry-{n}"), &settings.to_string());
+        wait_for("the entry", || {
+            let job = json!({"team": "probe", "idempotent": true,
+                "task": {"kind": "probe", "input": {"work_ms": 0}}});
+            matches!(post(entry.http(), "/v1/requests", job), Some(job::Response::Completed { .. }))
+                .then_some(())
+        });
+        entry
+    }
+
+    pub fn control_addrs(&self) -> Vec<SocketAddr> {
+        self.addrs.iter().map(|a| a.rpc).collect()
+    }
+
+    fn control_list(&self) -> String {
+        self.control_addrs().iter().map(|a| a.to_string()).collect::<Vec<_>>().join(",")
+    }
+
+    /// Runs the command line with the control instances' addresses.
+    pub fn cli(&self, args: &[&str]) -> Output {
+        let list = self.control_list();
+        let mut all = args.to_vec();
+        if !args.contains(&"--control") {
+            all.extend(["--control", &list]);
+        }
+        self.dir.run(Program::Main, &all)
+    }
+
+    /// As `cli`, for commands that must succeed; returns stdout.
+    pub fn cli_ok(&self, args: &[&str]) -> String {
+        let output = self.cli(args);
+        let stderr = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{args:?}: {stderr}");
+        String::from_utf8(output.stdout).unwrap()
+    }
+
+    /// State of each control instance that answers.
+    pub fn statuses(&self) -> Vec<control::Status> {
+        let text = self.cli_ok(&["members", "--json"]);
+        let all: Vec<(SocketAddr, Option<control::Status>)> = serde_json::from_str(&text).unwrap();
+        all.into_iter().filter_map(|(_, status)| status).collect()
+    }
+
+    /// Index of the leading control instance.
+    pub fn leader(&self) -> usize {
+        wait_for("a leader", || {
+            let leads = |s: &&control::Status| s.role == control::Role::Leader;
+            let statuses = self.statuses();
+            let leader = statuses.iter().filter(leads).max_by_key(|s| s.term)?;
+            Some(leader.node.0 as usize - 1)
+        })
+    }
+
+    /// Waits until `count` instances vote and none is only learning.
+    pub fn wait_for_voters(&self, count: usize) {
+        wait_for("voters", || {
+            let statuses = self.statuses();
+            let leader = statuses.iter().find(|s| s.role == control::Role::Leader)?;
+            let votes = leader.voters.iter().filter(|v| v.votes).count();
+            (votes == count && leader.voters.len() == count).then_some(())
+        });
+    }
+
+    /// Backend servers that are announced.
+    pub fn servers(&self) -> usize {
+        self.cli_ok(&["servers"]).lines().count()
+    }
+
+    /// Starts counted by the backend servers, by attempt.
+    pub fn starts(&self) -> BTreeMap<String, usize> {
+        let mut starts = BTreeMap::new();
+        for n in 0..self.backends.len() {
+            let text = fs::read_to_string(self.dir.path(&format!("starts-{n}")));
+            for line in text.unwrap_or_default().lines() {
+                *starts.entry(line.to_owned()).or_default() += 1;
+            }
+        }
+        starts
+    }
+
+    /// Starts of all attempts together, without those that `start_entry` made.
+    pub fn started(&self) -> usize {
+        self.starts().values().sum::<usize>() - self.entries.len()
+    }
+
+    /// Submits to an entry; `None` if the connection broke.
+    pub fn post(&self, entry: usize, path: &str, body: Value) -> Option<job::Response> {
+        post(self.entries[entry].http(), path, body)
+    }
+
+    /// As `post`, in a thread of its own.
+    pub fn post_later(
+        &self,
+        entry: usize,
+        path: &'static str,
+        body: Value,
+    ) -> JoinHandle<Option<job::Response>> {
+        let addr = self.entries[entry].http();
+        thread::spawn(move || post(addr, path, body))
+    }
+}
+
+fn post(entry: SocketAddr, path: &str, body: Value) -> Option<job::Response> {
+    let body = body.to_string().into_bytes();
+    util::block_on(util::call_entry(entry, Method::POST, path, Some(body))).ok()
+}
+
+/// A job of tasks that each take `work_ms`.
+pub fn job(key: &str, tasks: usize, work_ms: u64) -> Value {
+    let tasks: Vec<Value> = (0..tasks)
+        .map(|n| json!({"kind": "quote", "input": {"work_ms": work_ms, "task": n}}))
+        .collect();
+    let created_at_ms = briargauge::util::unix_ms();
+    json!({"team": "desk", "key": key, "created_at_ms": created_at_ms, "deadline_ms": 20_000,
+        "tasks": tasks})
+}
+
+/// The response as JSON.
+pub fn text(response: &job::Response) -> String {
+    serde_json::to_string(response).unwrap()
+}
