--- a/src/control/replica/drive.rs
+++ b/src/control/replica/drive.rs
@@ -167,11 +167,11 @@
 struct Server(Weak<Inner>);
 
 impl peer::Service for Server {
-    async fn step(self, _: tarpc::context::Context, message: Message) {
+    async fn step(self, _: tarpc::context::Context, sender: SocketAddr, message: Message) {
         if let Some(inner) = self.0.upgrade()
             && let Some(drive) = &inner.drive
         {
-            drive.step(message);
+            drive.step(sender, message);
         }
     }
 
@@ -188,11 +188,11 @@
     async fn chunk(self, _: tarpc::context::Context, chunk: Chunk) -> bool {
         let Some(inner) = self.0.upgrade() else { return false };
         let Some(drive) = &inner.drive else { return false };
-        let from = chunk.head.from;
+        let (from, sender) = (chunk.head.from, chunk.sender);
         let added = drive.core.borrow_mut().incoming.entry(from).or_default().add(chunk);
         match added {
             Ok(message) => {
-                message.into_iter().for_each(|message| drive.step(message));
+                message.into_iter().for_each(|message| drive.step(sender, message));
                 true
             }
             Err(()) => false,
@@ -229,8 +229,9 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    fn step(&self, message: Message) {
+    fn step(&self, sender: SocketAddr, message: Message) {
         let mut core = self.core.borrow_mut();
+        core.routes.insert(message.from, sender);
         // An instance that cannot store must not take part.
         if core.fault.is_none() && !core.renewing && !self.stopping.get() {
             core.instance.step(self.now(), message);
@@ -389,7 +390,7 @@
 
     fn send(&self, core: &Core, message: Message) {
         if let Some(addr) = core.route(message.to) {
-            self.peers.send(addr, message);
+            self.peers.send(addr, self.peer_addr.get(), message);
         }
     }
 
@@ -404,7 +405,7 @@
         let inner = inner.clone();
         actix_rt::spawn(async move {
             let drive = inner.drive.as_ref().expect("only replicas with a disk send");
-            if !drive.peers.snapshot(addr, head, snapshot.data).await {
+            if !drive.peers.snapshot(addr, drive.peer_addr.get(), head, snapshot.data).await {
                 drive.core.borrow_mut().instance.snapshot_failed(to);
             }
         });
--- a/src/control/replica/peers.rs
+++ b/src/control/replica/peers.rs
@@ -63,9 +63,9 @@
     }
 
     /// Sends a message; it may be lost.
-    pub fn send(&self, addr: SocketAddr, message: Message) {
-        self.spawn(addr, "peer_step", async |client: ServiceClient| {
-            client.step(rpc::context(CALL_LIMIT), message).await
+    pub fn send(&self, addr: SocketAddr, sender: SocketAddr, message: Message) {
+        self.spawn(addr, "peer_step", async move |client: ServiceClient| {
+            client.step(rpc::context(CALL_LIMIT), sender, message).await
         });
     }
 
@@ -97,12 +97,19 @@
     }
 
     /// Sends a snapshot in parts. `head` is its message without data.
-    pub async fn snapshot(&self, addr: SocketAddr, head: Message, data: Bytes) -> bool {
+    pub async fn snapshot(
+        &self,
+        addr: SocketAddr,
+        sender: SocketAddr,
+        head: Message,
+        data: Bytes,
+    ) -> bool {
         let peer = self.peer(addr);
         let mut offset = 0;
         loop {
             let part = data.slice(offset..data.len().min(offset + CHUNK_BYTES));
             let chunk = Chunk {
+                sender,
                 head: head.clone(),
                 offset: offset as u64,
                 total: data.len() as u64,
--- a/src/protocol/wire/peer.rs
+++ b/src/protocol/wire/peer.rs
@@ -10,8 +10,8 @@
 /// Calls of other control instances. Lost calls are repeated by the protocol itself.
 #[tarpc::service]
 pub trait Service {
-    /// Takes a message of the agreement protocol.
-    async fn step(message: Message);
+    /// Takes a message of the agreement protocol; answers go to `sender`.
+    async fn step(sender: SocketAddr, message: Message);
     /// Learns of an instance that knows no leader.
     async fn hello(hello: Hello);
     /// Takes a part of a snapshot; answers whether to go on.
@@ -178,6 +178,8 @@
 /// Part of a `Body::Snapshot`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chunk {
+    /// Where answers go.
+    pub sender: SocketAddr,
     /// The snapshot's message with empty data.
     pub head: Message,
     pub offset: u64,
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -415,7 +415,24 @@
     assert_ne!(open(&other).unwrap().1.id.disk, renewed.disk);
 }
 
-/// Guards against a log that keeps every segment.
+/// Guards against entries that a snapshot of other content overtook, if the crash comes between
+/// the two writes of an installation.
+#[test]
+fn a_crash_while_a_snapshot_is_installed_leaves_no_old_tail() {
+    let memory = Memory::default();
+    let (mut log, _) = memory.open().unwrap();
+    let mut model = Model::default();
+    log.append(&model.append(9, 0)).unwrap();
+    drop(log);
+    snapshot(5, 2).store(&memory).unwrap();
+    let (mut log, saved) = memory.open().unwrap();
+    assert_eq!((saved.entries, saved.hard), (Vec::new(), model.hard));
+    let next = Record::Entry(entry(6, 3));
+    log.install(&snapshot(5, 2), std::slice::from_ref(&next)).unwrap();
+    assert_eq!(memory.open().unwrap().1.entries, [entry(6, 3)]);
+}
+
+/// Guards against a log that keeps every segment, or forgets its vote with the first one.
 #[test]
 fn compaction_removes_segments() {
     let memory = Memory::default();
@@ -424,6 +441,8 @@
         payload: Payload::Command(Bytes::from(vec![1; 1 << 20])),
         ..entry(index, 1)
     };
+    let hard = Hard { cluster: Some(1), term: 7, vote: None };
+    log.append(&[Record::Hard(hard)]).unwrap();
     for index in 1..=40 {
         log.append(&[Record::Entry(payload(index))]).unwrap();
     }
@@ -431,5 +450,6 @@
     log.compact(&snapshot(40, 1)).unwrap();
     assert!(log.bytes() <= 17 << 20, "{} bytes are left", log.bytes());
     drop(log);
-    assert_eq!(memory.open().unwrap().1.entries, []);
+    let saved = memory.open().unwrap().1;
+    assert_eq!((saved.entries, saved.hard), (Vec::new(), hard));
 }
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -1,15 +1,28 @@
 //! Replicas over loopback with real folders.
 
-use std::{net::SocketAddr, path::Path, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use briargauge::{
     control::replica::{Replica, Settings},
     protocol::{
         id,
-        wire::control::{self, Refusal},
+        wire::control::{self, Refusal, VoterChange},
+    },
+    state::{
+        log::files::{Files, Folder, Handle},
+        machine::{Command, Op, Reply},
     },
-    state::machine::{Command, Op, Reply},
 };
+use futures::future;
 use tempfile::TempDir;
 use tokio::time;
 
@@ -71,3 +84,254 @@
     assert!(replica.init().await.is_err(), "a second init would forget the first cluster");
     replica.stop().await;
 }
+
+/// Three voters in one process.
+struct Group {
+    folders: Vec<TempDir>,
+    replicas: Vec<Replica>,
+    epoch: id::Epoch,
+}
+
+impl Group {
+    async fn form() -> Group {
+        let folders: Vec<TempDir> = (0..3).map(|_| TempDir::new().unwrap()).collect();
+        let first = Replica::start(settings(0, folders[0].path(), &[])).await.unwrap();
+        first.init().await.unwrap();
+        let peers = [first.peer_addr().unwrap()];
+        let mut replicas = vec![first];
+        for (node, folder) in folders.iter().enumerate().skip(1) {
+            let settings = settings(node as u64, folder.path(), &peers);
+            let addr = settings.client_addr;
+            replicas.push(Replica::start(settings).await.unwrap());
+            replicas[0].change_voters(VoterChange::Add { addr }).await.unwrap();
+        }
+        let mut group = Group { folders, replicas, epoch: id::Epoch(0) };
+        group.settle().await;
+        let registered = group.replicas[0].propose(register(1)).await;
+        let Ok(Reply::Registered(epoch)) = registered else { panic!("{registered:?}") };
+        group.epoch = epoch;
+        group
+    }
+
+    /// Waits until all three vote, each with its present folder.
+    async fn settle(&self) {
+        let settled = || {
+            let disks: Vec<id::Disk> = self.replicas.iter().map(|r| r.status().disk).collect();
+            self.replicas.iter().all(|replica| {
+                let status = replica.status();
+                status.voters.len() == 3
+                    && status.voters.iter().all(|v| v.votes && disks.contains(&v.disk))
+            })
+        };
+        until("three voters", settled).await;
+    }
+
+    /// The replica that leads, and which it is.
+    async fn leader(&self, among: &[usize]) -> (usize, &Replica) {
+        let leads = || among.iter().copied().find(|at| self.replicas[*at].leading().is_some());
+        until("a leader", || leads().is_some()).await;
+        let at = leads().unwrap();
+        (at, &self.replicas[at])
+    }
+
+    /// Proposes at whoever leads among some replicas until it is committed.
+    async fn commit(&self, command: Command, among: &[usize]) -> Reply {
+        loop {
+            let (_, leader) = self.leader(among).await;
+            if let Ok(reply) = leader.propose(command.clone()).await {
+                return reply;
+            }
+        }
+    }
+
+    async fn restart(&mut self, at: usize) {
+        let others = (0..3).filter(|other| *other != at);
+        let peers: Vec<SocketAddr> =
+            others.map(|other| self.replicas[other].peer_addr().unwrap()).collect();
+        let settings = settings(at as u64, self.folders[at].path(), &peers);
+        self.replicas[at] = Replica::start(settings).await.unwrap();
+    }
+
+    async fn lose_folder(&mut self, at: usize) {
+        self.replicas[at].stop().await;
+        self.folders[at] = TempDir::new().unwrap();
+        self.restart(at).await;
+    }
+
+    async fn caught_up(&self) {
+        let level = |replica: &Replica| replica.status().applied;
+        let all = || {
+            let last = self.replicas.iter().map(level).max();
+            self.replicas.iter().all(|replica| Some(level(replica)) == last)
+        };
+        until("all have applied the same", all).await;
+    }
+
+    async fn stop(&self) {
+        for replica in &self.replicas {
+            replica.stop().await;
+        }
+    }
+}
+
+/// Guards against acknowledged records that are lost with the leader, a group that stays without
+/// one, and a former leader that does not find back.
+#[actix_rt::test]
+async fn another_leads_when_the_leader_stops() {
+    let mut group = Group::form().await;
+    let first = group.commit(admit(group.epoch, 1), &[0, 1, 2]).await;
+    let (old, leader) = group.leader(&[0, 1, 2]).await;
+    leader.stop().await;
+    assert_eq!(leader.propose(admit(group.epoch, 2)).await, Err(Refusal::Stopping));
+    let rest = [(old + 1) % 3, (old + 2) % 3];
+    let (_, leader) = group.leader(&rest).await;
+    leader.barrier().await.unwrap();
+    assert_eq!(group.commit(admit(group.epoch, 1), &rest).await, first);
+    group.restart(old).await;
+    group.settle().await;
+    group.caught_up().await;
+    group.stop().await;
+}
+
+/// Guards against a follower that answers from stale state or leaves its caller without the
+/// leader's address.
+#[actix_rt::test]
+async fn followers_name_the_leader() {
+    let group = Group::form().await;
+    let (at, _) = group.leader(&[0, 1, 2]).await;
+    let follower = &group.replicas[(at + 1) % 3];
+    until("the leader is known", || follower.leader().is_some()).await;
+    let leader = Some(SocketAddr::from(([127, 0, 0, 1], 9_000 + at as u16)));
+    let refused = Err(Refusal::NotLeader { leader });
+    assert_eq!(follower.propose(admit(group.epoch, 1)).await, refused);
+    assert_eq!(follower.barrier().await, Err(Refusal::NotLeader { leader }));
+    group.stop().await;
+}
+
+/// Guards against a planned stop that leaves the group without a leader until a timeout.
+#[actix_rt::test]
+async fn a_leader_hands_over_before_it_stops() {
+    let group = Group::form().await;
+    let (old, leader) = group.leader(&[0, 1, 2]).await;
+    let term = leader.leading().unwrap();
+    leader.hand_over().await;
+    assert_eq!(leader.leading(), None);
+    let (new, leader) = group.leader(&[(old + 1) % 3, (old + 2) % 3]).await;
+    assert_ne!(new, old);
+    assert_eq!(leader.leading(), Some(term + 1), "one election, asked for by the old leader");
+    group.stop().await;
+}
+
+/// Guards against a lost folder that is not repaired, or a repair after which a second loss takes
+/// acknowledged records. There are enough records that the new folders need a snapshot.
+#[actix_rt::test]
+async fn lost_folders_are_replaced_one_after_the_other() {
+    const RECORDS: u64 = 1_500;
+    let mut group = Group::form().await;
+    let (_, leader) = group.leader(&[0, 1, 2]).await;
+    let all = (0..RECORDS).map(|number| leader.propose(admit(group.epoch, number)));
+    let replies: Vec<_> = future::join_all(all).await;
+    for lost in 0..3 {
+        group.lose_folder(lost).await;
+        group.settle().await;
+    }
+    group.caught_up().await;
+    for (number, reply) in replies.iter().enumerate().step_by(100) {
+        let again = group.commit(admit(group.epoch, number as u64), &[0, 1, 2]).await;
+        assert_eq!(Ok(&again), reply.as_ref());
+    }
+    group.stop().await;
+}
+
+/// A folder whose disk can be made full.
+struct Full {
+    folder: Folder,
+    full: Arc<AtomicBool>,
+}
+
+struct FullHandle {
+    handle: Box<dyn Handle>,
+    full: Arc<AtomicBool>,
+}
+
+impl Full {
+    fn handle(&self, handle: Box<dyn Handle>) -> Box<dyn Handle> {
+        Box::new(FullHandle { handle, full: self.full.clone() })
+    }
+}
+
+impl Handle for FullHandle {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        if self.full.load(Ordering::Relaxed) {
+            self.handle.write(&bytes[..bytes.len() / 2])?;
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.handle.write(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.handle.sync()
+    }
+}
+
+impl Files for Full {
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.folder.list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.folder.read(name)
+    }
+
+    fn create(&self, name: &str) -> io::Result<Box<dyn Handle>> {
+        Ok(self.handle(self.folder.create(name)?))
+    }
+
+    fn open(&self, name: &str, len: u64) -> io::Result<Box<dyn Handle>> {
+        Ok(self.handle(self.folder.open(name, len)?))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.folder.rename(from, to)
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.folder.remove(name)
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.folder.sync()
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.path(name)
+    }
+}
+
+/// Guards against acknowledgements that a full disk does not hold, and against an instance that
+/// does not work again once there is space.
+#[actix_rt::test]
+async fn a_full_disk_acknowledges_nothing_and_recovers() {
+    let folder = TempDir::new().unwrap();
+    let full = Arc::new(AtomicBool::new(false));
+    let files = Full { folder: Folder::open(folder.path()).unwrap(), full: full.clone() };
+    let settings = settings(1, folder.path(), &[]);
+    let replica = Replica::start_on(Box::new(files), settings.clone()).await.unwrap();
+    replica.init().await.unwrap();
+    let Ok(Reply::Registered(epoch)) = replica.propose(register(1)).await else { panic!() };
+    full.store(true, Ordering::Relaxed);
+    for number in 0..3 {
+        let refused = replica.propose(admit(epoch, number)).await;
+        assert!(matches!(refused, Err(Refusal::Storage { .. })), "{refused:?}");
+    }
+    assert!(replica.barrier().await.is_err());
+    full.store(false, Ordering::Relaxed);
+    until("leads again", || replica.leading().is_some()).await;
+    let kept = replica.propose(admit(epoch, 9)).await.unwrap();
+    replica.stop().await;
+
+    let replica = Replica::start(settings).await.unwrap();
+    until("leads again", || replica.leading().is_some()).await;
+    assert_eq!(replica.propose(admit(epoch, 9)).await.unwrap(), kept);
+    replica.stop().await;
+}
