--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,3 +2,15 @@
 
 pub mod consensus;
 pub mod dispatch;
+pub mod health;
+pub mod lease;
+pub mod limit;
+pub mod member;
+pub mod naive;
+pub mod queue;
+pub mod quota;
+pub mod retry;
+pub mod route;
+pub mod session;
+pub mod slot;
+pub mod speed;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,13 +4,19 @@
 //! [`state`] is what survives a restart, and [`coordination`] is pure decision code.
 //! The process modules wire these together.
 
+pub mod backend;
+pub mod client;
+pub mod cmd;
 pub mod config;
 pub mod control;
 pub mod coordination;
 pub mod daemon;
+pub mod entry;
 pub mod error;
+pub mod load;
 pub mod metric;
 pub mod protocol;
+pub mod sidecar;
 pub mod state;
 pub mod transport;
 pub mod util;
