--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -63,17 +63,23 @@
 
     async fn stop(self) -> usize {
         self.core.announce_stop();
-        self.core.close();
         let limit = Duration::from_millis(self.core.settings.drain_limit_ms);
         let answered = async {
+            // Calls are served until another instance leads, and then sent on to it.
+            self.core.replica.hand_over().await;
+            self.core.close();
             while self.core.meter.proposals() > 0 {
                 time::sleep(DRAIN_POLL).await;
             }
         };
-        let _ = time::timeout(limit, answered).await;
-        self.http.stop();
+        if time::timeout(limit, answered).await.is_err() {
+            log::warn!("event=drain_limit proposals={}", self.core.meter.proposals());
+        }
+        self.core.close();
+        let cut = self.core.meter.proposals();
         self.core.replica.stop().await;
-        self.core.meter.proposals()
+        self.http.stop();
+        cut
     }
 }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -1,95 +1,33 @@
 //! The control process through its calls, and the decisions its leader takes.
 
+#[path = "control/calls.rs"]
+mod calls;
 #[path = "control/member.rs"]
 mod member;
 #[path = "control/quota.rs"]
 mod quota;
 
-use std::{path::Path, rc::Rc, time::Duration};
+use std::time::Duration;
 
+use actix_http::StatusCode;
 use briargauge::{
-    config,
-    control::{Control, settings::Settings},
     daemon::Process,
     protocol::{
         id, job,
         wire::{
             self,
-            control::{self, Admission, Finished, Refusal, ServiceClient},
+            control::{self, Admission, Changed, Finished, MemberState, Refusal},
         },
     },
-    transport::rpc,
 };
-
-fn settings(folder: &Path) -> Settings {
-    let text = r#"{"node": 1, "data_folder": "", "http": "127.0.0.1:0", "rpc": "127.0.0.1:0"}"#;
-    let settings = config::parse("test".as_ref(), text).expect("settings are valid");
-    Settings { data_folder: folder.to_owned(), ..settings }
-}
-
-struct Client(Rc<rpc::Link<ServiceClient>>);
-
-macro_rules! calls {
-    ($($name:ident($($arg:ident: $ty:ty)?) -> $answer:ty;)*) => {
-        impl Client {
-            $(async fn $name(&self, $($arg: $ty)?) -> Result<$answer, Refusal> {
-                let context = rpc::context(Duration::from_secs(20));
-                self.0
-                    .call(stringify!($name), |c| async move { c.$name(context, $($arg)?).await })
-                    .await
-                    .expect("the call is answered")
-            })*
-        }
-    };
-}
-
-calls! {
-    init() -> ();
-    register(hello: control::Hello) -> control::Session;
-    sync_entry(sync: control::EntrySync) -> control::EntryView;
-    sync_sidecar(sync: control::SidecarSync) -> control::SidecarView;
-    admit(admit: control::Admit) -> Admission;
-    finish(finish: control::Finish) -> Finished;
-    lookup(key: id::Key) -> Admission;
-}
-
-async fn start() -> (Running, Client) {
-    let folder = tempfile::tempdir().expect("a folder");
-    let control = Control::start(settings(folder.path())).await.expect("control starts");
-    let addr = control.listening().rpc.expect("control serves calls");
-    let client = Client(rpc::Link::new(addr));
-    client.init().await.expect("a cluster is formed");
-    (Running { control, _folder: folder }, client)
-}
-
-struct Running {
-    control: Control,
-    _folder: tempfile::TempDir,
-}
-
-fn hello(start: u64) -> control::Hello {
-    let addr = "127.0.0.1:9".parse().expect("a valid address");
-    control::Hello { addr, data_centre: "Kurume".into(), start }
-}
-
-fn key(key: &str) -> id::Key {
-    id::Key { team: id::Team("repair".into()), key: key.into() }
-}
-
-fn admit(epoch: id::Epoch, seq: u64, name: &str) -> control::Admit {
-    control::Admit {
-        run: id::Run { epoch, seq },
-        key: key(name),
-        digest: [1; 32],
-        created_at_ms: briargauge::util::unix_ms(),
-        tasks: 1,
-    }
-}
+use calls::{Client, Instance, admit, change, entry_sync, hello, key, until};
+use futures::future;
+use tokio::time::Instant;
 
 /// Guards against a control process whose calls do not reach the replicated state.
 #[actix_rt::test]
 async fn admissions_through_calls() {
-    let (control, client) = start().await;
+    let Instance { control, client, .. } = Instance::alone().await;
     let session = client.register(hello(1)).await.expect("registered");
     assert_eq!(client.register(hello(1)).await, Ok(session));
     let first = client.admit(admit(session.epoch, 1, "a")).await.expect("admitted");
@@ -103,44 +41,171 @@
     let known = client.lookup(key("a")).await;
     assert!(matches!(known, Ok(Admission::Finished { outcome: o, .. }) if o == outcome));
     assert_eq!(client.lookup(key("b")).await, Ok(Admission::Unknown));
-    assert_eq!(control.control.stop().await, 0);
+    assert_eq!(control.stop().await, 0);
+}
+
+fn sidecar_sync(member: &control::Member, sessions: Option<u64>) -> control::SidecarSync {
+    control::SidecarSync { member: Some(member.clone()), rules_version: 0, sessions }
+}
+
+/// Guards against an instance that answers for a cluster to which it does not belong.
+#[actix_rt::test]
+async fn a_blank_instance_takes_no_calls() {
+    let Instance { control, client, .. } = Instance::blank(1, &[]).await;
+    assert_eq!(client.status().await.role, control::Role::Blank);
+    assert_eq!(client.register(hello(1)).await, Err(Refusal::NotInitialised));
+    assert_eq!(client.lookup(key("a")).await, Err(Refusal::NotInitialised));
+    control.stop().await;
 }
 
-/// Guards against syncs that refuse live sessions, accept unknown ones or resend known lists.
+/// Guards against syncs that refuse live sessions, accept unknown or superseded ones, or resend
+/// known lists.
 #[actix_rt::test]
 async fn syncs_bring_up_to_date() {
-    let (control, client) = start().await;
+    let Instance { control, client, .. } = Instance::alone().await;
     let session = client.register(hello(1)).await.expect("registered");
-    let member = control::Member {
-        incarnation: id::Incarnation(7),
-        addr: "127.0.0.1:10".parse().expect("a valid address"),
-        data_centre: "Kurume".into(),
-        rack: "r1".into(),
-        slots: 8,
-        connections: 64,
-        kinds: Vec::new(),
-        size: job::Needs::default(),
-        state: control::MemberState::Serving,
-    };
-    let sync = |sessions| control::SidecarSync {
-        member: Some(member.clone()),
-        rules_version: 0,
-        sessions,
-    };
-    let view = client.sync_sidecar(sync(None)).await.expect("answered");
+    let member = member::member(7, 1);
+    let view = client.sync_sidecar(sidecar_sync(&member, None)).await.expect("answered");
     let sessions = view.sessions.expect("the first list is sent");
     assert_eq!(sessions.live, [session.epoch]);
-    let view = client.sync_sidecar(sync(Some(sessions.as_of))).await.expect("answered");
+    let known = Some(sessions.as_of);
+    let view = client.sync_sidecar(sidecar_sync(&member, known)).await.expect("answered");
     assert_eq!(view.sessions, None);
-    let sync = |epoch, number| control::EntrySync {
-        epoch,
-        number,
-        rules_version: 0,
-        members: None,
-        demands: Vec::new(),
-    };
-    let view = client.sync_entry(sync(session.epoch, 1)).await.expect("answered");
+    let many = (0..50).map(|_| client.sync_sidecar(sidecar_sync(&member, known)));
+    assert!(future::join_all(many).await.iter().all(Result::is_ok));
+    let view = client.sync_entry(entry_sync(session.epoch, 2)).await.expect("answered");
     assert_eq!(view.members.changed, std::slice::from_ref(&member));
-    assert_eq!(client.sync_entry(sync(id::Epoch(99), 1)).await, Err(Refusal::Fenced));
-    control.control.stop().await;
+    let superseded = client.sync_entry(entry_sync(session.epoch, 1)).await;
+    assert!(matches!(superseded, Err(Refusal::Invalid { .. })), "{superseded:?}");
+    assert_eq!(client.sync_entry(entry_sync(id::Epoch(99), 1)).await, Err(Refusal::Fenced));
+    control.stop().await;
+}
+
+/// Guards against two operators who both change the same version through different connections,
+/// and against a resend that gets another answer.
+#[actix_rt::test]
+async fn racing_operators_through_calls() {
+    let Instance { control, client, .. } = Instance::alone().await;
+    let clients: Vec<Client> = (0..5).map(|_| Client::new(client.addr())).collect();
+    let texts: Vec<String> =
+        (0..5).map(|n| format!("team a share {} # operator-{n}: more\n", n + 1)).collect();
+    let send = |n: usize| {
+        let operator = format!("operator-{n}");
+        clients[n].change_rules(change(&format!("c-{n}"), &operator, 0, &texts[n]))
+    };
+    let answers = future::join_all((0..5).map(send)).await;
+    let accepted = |a: &Result<Changed, Refusal>| matches!(a, Ok(Changed::Accepted { .. }));
+    let winner = answers.iter().position(accepted).expect("one is accepted");
+    assert_eq!(answers.iter().filter(|a| accepted(a)).count(), 1);
+    let conflict = Changed::Conflict { version: 1, winner: format!("operator-{winner}") };
+    for (n, answer) in answers.iter().enumerate().filter(|(n, _)| *n != winner) {
+        assert_eq!(answer, &Ok(conflict.clone()), "{n}");
+    }
+    assert_eq!(client.rules().await.map(|r| (r.version, r.text)), Ok((1, texts[winner].clone())));
+    let next = client.change_rules(change("next", "ito", 1, "")).await;
+    assert_eq!(next, Ok(Changed::Accepted { version: 2 }));
+    assert_eq!(future::join_all((0..5).map(send)).await, answers);
+    let history = client.history(10).await.expect("answered");
+    let names: Vec<&str> = history.iter().map(|a| a.operator.as_str()).collect();
+    assert_eq!(names, ["ito", &format!("operator-{winner}")]);
+    let bad = client.change_rules(change("bad", "ito", 2, "team a shaer 1")).await;
+    let detail = "line 1: unknown word `shaer`, the nearest known word is `share`".to_owned();
+    assert_eq!(bad, Ok(Changed::Invalid { detail }));
+    control.stop().await;
+}
+
+/// Guards against a drain in the rules that reaches neither entries nor sidecars.
+#[actix_rt::test]
+async fn drains_through_rules() {
+    let Instance { control, client, .. } = Instance::alone().await;
+    let (first, second) = (member::member(1, 1), member::member(2, 2));
+    for member in [&first, &second] {
+        client.sync_sidecar(sidecar_sync(member, None)).await.expect("answered");
+    }
+    let text = "drain rack Kurume/r1 # ito: switch\n";
+    let changed = client.change_rules(change("c", "ito", 0, text)).await;
+    assert_eq!(changed, Ok(Changed::Accepted { version: 1 }));
+    let view = client.sync_sidecar(sidecar_sync(&second, None)).await.expect("answered");
+    assert_eq!(view.rules.map(|r| r.text), Some(text.into()));
+    let mut members = client.members().await.expect("answered");
+    members.sort_by_key(|m| m.incarnation);
+    let states: Vec<MemberState> = members.iter().map(|m| m.state).collect();
+    assert_eq!(states, [MemberState::Draining, MemberState::Serving]);
+    control.stop().await;
+}
+
+/// Guards against an entry that stops reporting and keeps its session, and against jobs that are
+/// settled before sidecars have lost every lease from before the fence.
+#[actix_rt::test]
+async fn a_silent_entry_is_fenced_and_its_jobs_are_settled() {
+    let Instance { control, client, .. } = Instance::alone().await;
+    let silent = client.register(hello(1)).await.expect("registered").epoch;
+    let living = client.register(hello(2)).await.expect("registered").epoch;
+    client.admit(admit(silent, 1, "a")).await.expect("admitted");
+    client.admit(admit(living, 1, "b")).await.expect("admitted");
+    let silent_since = Instant::now();
+    client.sync_entry(entry_sync(silent, 1)).await.expect("answered");
+    let mut number = 0;
+    let mut last_live = silent_since;
+    let fenced_by = until(async || {
+        number += 1;
+        client.sync_entry(entry_sync(living, number)).await.expect("the living one stays");
+        let asked = Instant::now();
+        let view = client.sync_sidecar(sidecar_sync(&member::member(1, 1), None)).await;
+        let live = view.expect("answered").sessions.expect("sent").live;
+        if live.contains(&silent) {
+            last_live = asked;
+            return None;
+        }
+        Some(Instant::now())
+    })
+    .await;
+    assert!(fenced_by - silent_since >= Duration::from_millis(3_000));
+    let refused = client.admit(admit(silent, 2, "c")).await;
+    assert_eq!(refused, Err(Refusal::Fenced));
+    let settled = until(async || {
+        number += 1;
+        client.sync_entry(entry_sync(living, number)).await.expect("the living one stays");
+        match client.lookup(key("a")).await {
+            Ok(Admission::Running { .. }) => None,
+            other => Some(other),
+        }
+    })
+    .await;
+    let lost = |o: &wire::Outcome| {
+        matches!(o, wire::Outcome::Failed { reason: job::Failure::EntryLost, .. })
+    };
+    assert!(
+        matches!(&settled, Ok(Admission::Finished { outcome, .. }) if lost(outcome)),
+        "{settled:?}"
+    );
+    // The fence was committed after `last_live`.
+    assert!(last_live.elapsed() >= Duration::from_millis(4_000), "{:?}", last_live.elapsed());
+    assert!(matches!(client.lookup(key("b")).await, Ok(Admission::Running { .. })));
+    control.stop().await;
+}
+
+/// Guards against metrics that are renamed or lost unnoticed.
+#[actix_rt::test]
+async fn metrics() {
+    let Instance { control, client, .. } = Instance::alone().await;
+    let session = client.register(hello(1)).await.expect("registered");
+    client.admit(admit(session.epoch, 1, "a")).await.expect("admitted");
+    client.sync_sidecar(sidecar_sync(&member::member(1, 1), None)).await.expect("answered");
+    assert_eq!(client.sync_entry(entry_sync(id::Epoch(0), 1)).await, Err(Refusal::Fenced));
+    let addr = control.listening().http.expect("control serves HTTP");
+    let get = async |path: &str| {
+        let mut response = awc::Client::default()
+            .get(format!("http://{addr}{path}"))
+            .send()
+            .await
+            .expect("an answer");
+        let body = response.body().await.expect("a body");
+        (response.status(), String::from_utf8(body.to_vec()).expect("text"))
+    };
+    assert_eq!(get("/health").await, (StatusCode::OK, "ok\n".into()));
+    let (_, text) = get("/metrics").await;
+    let lines = text.lines().filter(|l| !l.starts_with("# HELP"));
+    insta::assert_snapshot!("metrics", lines.collect::<Vec<_>>().join("\n"));
+    control.stop().await;
 }
