--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -26,10 +26,16 @@
 /// A run may overtake others of its team that arrived up to this many times the difference of
 /// their ideal times earlier. Larger values serve short runs better and long ones worse.
 const OVERTAKE: f64 = 4.0;
+/// Time to a hedge in units of the 95th percentile. At 1, one in twenty is hedged although nothing
+/// is wrong with its server.
+const HEDGE_AFTER: f64 = 1.5;
 /// Hedged starts per start.
 const HEDGE_PART: f64 = 0.03;
 /// Speed, relative to the mean, below which a server gets a run's shortest tasks.
 const SLOW: f64 = 0.7;
+/// How long a due trial of a backend server waits for a task that may be repeated before a single
+/// task is used; those of larger jobs, whose failure costs more, are used after four times this.
+const TRIAL_PATIENCE_US: Micros = 5_000_000;
 /// Demands after which the table is emptied when nothing refers to it.
 const DEMANDS_MAX: usize = 50_000;
 
@@ -387,9 +393,12 @@
         let part = &mut run.parts[usize::from(item.part)];
         let longest = *part.tasks.back()?;
         let mean_us = run.tasks[usize::from(longest)].mean_us;
-        let wanted = route::Task { mean_us, queued: *tasks, except: None };
-        let cheap = run.restartable || run.tasks.len() == 1;
-        let server = match self.router.trial(now, groups, cheap) {
+        let wanted =
+            route::Task { mean_us, queued: *tasks, except: None, restartable: run.restartable };
+        let cheap = run.tasks.len() == 1;
+        let patience = if cheap { TRIAL_PATIENCE_US } else { 4 * TRIAL_PATIENCE_US };
+        let patience = if run.restartable { 0 } else { patience };
+        let server = match self.router.trial(now, groups, patience) {
             Some(server) => server,
             None => match self.router.choose(now, groups, &wanted, random) {
                 route::Choice::Start(server) => server,
@@ -444,7 +453,7 @@
         let settings = &self.teams[run.team.0 as usize].settings;
         let hedged = settings.hedge && settings.preference == Preference::Response;
         if run.restartable && hedged && self.book.is_known(state.class) {
-            let due = now + (p95 / speed + rtt) as Micros;
+            let due = now + (HEDGE_AFTER * p95 / speed + rtt) as Micros;
             self.hedges.push(Reverse((due, attempt)));
         }
         let at = self.flights.insert(flight);
@@ -466,7 +475,12 @@
                 continue;
             }
             let except = Some(flight.server);
-            let wanted = route::Task { mean_us: task.mean_us, queued: usize::MAX, except };
+            let wanted = route::Task {
+                mean_us: task.mean_us,
+                queued: usize::MAX,
+                except,
+                restartable: true,
+            };
             let groups = &self.lanes[lane].groups;
             let route::Choice::Start(server) = self.router.choose(now, groups, &wanted, random)
             else {
