Test of three control instances with a planned stop of the leader

Cause: a planned stop must not lose sessions, admissions or answers. Change: tests/control/cluster.rs forms a group of three, stops the leader and repeats every call at its successor.

--- a/tests/control.rs
+++ b/tests/control.rs
@@ -2,6 +2,8 @@
 
 #[path = "control/calls.rs"]
 mod calls;
+#[path = "control/cluster.rs"]
+mod cluster;
 #[path = "control/member.rs"]
 mod member;
 #[path = "control/quota.rs"]
