Entry: benchmark of task starts per core

Change: benches/entry.rs runs an entry against stand-ins on other threads and measures the processor time of the entry's thread.

--- /dev/null
+++ b/benches/entry.rs
@@ -0,0 +1,110 @@
+//! Task starts of one entry thread in jobs of 100, against stand-ins that do no work.
+//!
+//! Control, sidecars and callers run on threads of their own. The figure that does not depend on
+//! the rest of the machine is the processor time of the entry's thread per task.
+
+#[path = "../tests/fake/mod.rs"]
+mod fake;
+
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering::Relaxed},
+        mpsc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use briargauge::protocol::wire::control::Member;
+
+const TASKS: usize = 100;
+/// Jobs that callers keep in flight.
+const JOBS: usize = 64;
+const SIDECARS: usize = 8;
+const WARM_UP: Duration = Duration::from_secs(1);
+const MEASURED: Duration = Duration::from_secs(4);
+
+fn main() {
+    let members: Vec<Member> = (0..SIDECARS / 2).flat_map(|_| sidecars()).collect();
+    let control = control(members);
+    let done = Arc::new(AtomicUsize::new(0));
+    let counted = done.clone();
+    fake::run(async move {
+        let (_entry, addr) = fake::entry(&[control], fake::limits()).await;
+        while fake::get(addr, "/health").await.code != 200 {}
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        callers(addr, counted);
+        actix_rt::time::sleep(WARM_UP).await;
+        let (start, jobs, cpu) = (Instant::now(), done.load(Relaxed), thread_time());
+        actix_rt::time::sleep(MEASURED).await;
+        let tasks = ((done.load(Relaxed) - jobs) * TASKS) as f64;
+        let (wall, cpu) = (start.elapsed().as_secs_f64(), (thread_time() - cpu).as_secs_f64());
+        println!(
+            "starts_per_s={:.0} starts_per_cpu_s={:.0} us_per_task={:.1} busy={:.2}",
+            tasks / wall,
+            tasks / cpu,
+            cpu * 1e6 / tasks,
+            cpu / wall,
+        );
+        std::process::exit(0);
+    });
+}
+
+/// Processor time of this thread.
+fn thread_time() -> Duration {
+    let stat = fs::read_to_string("/proc/thread-self/schedstat").unwrap();
+    Duration::from_nanos(stat.split(' ').next().unwrap().parse().unwrap())
+}
+
+/// Two sidecars on a thread.
+fn sidecars() -> Vec<Member> {
+    let (send, members) = mpsc::channel();
+    thread::spawn(move || {
+        actix_rt::System::new().block_on(async {
+            let (one, two) =
+                (fake::sidecar::Sidecar::start().await, fake::sidecar::Sidecar::start().await);
+            send.send(vec![one.member_at(one.addr()), two.member_at(two.addr())]).unwrap();
+            std::future::pending::<()>().await;
+        });
+    });
+    members.recv().unwrap()
+}
+
+fn control(members: Vec<Member>) -> SocketAddr {
+    let (send, addr) = mpsc::channel();
+    thread::spawn(move || {
+        actix_rt::System::new().block_on(async {
+            let control = fake::control::Control::start().await;
+            members.into_iter().for_each(|member| control.add(member));
+            send.send(control.addr()).unwrap();
+            std::future::pending::<()>().await;
+        });
+    });
+    addr.recv().unwrap()
+}
+
+/// Callers on a thread, each with one job in flight.
+fn callers(addr: SocketAddr, done: Arc<AtomicUsize>) {
+    thread::spawn(move || {
+        actix_rt::System::new().block_on(async {
+            let client = fake::client();
+            let callers = (0..JOBS).map(|caller| {
+                let (client, done) = (client.clone(), done.clone());
+                async move {
+                    for number in 0.. {
+                        let body = fake::numbered(&format!("{caller}-{number}"), TASKS);
+                        let call = client.post(format!("http://{addr}/v1/jobs"));
+                        let mut response = call.send_body(body.to_string()).await.unwrap();
+                        assert_eq!(response.status(), 200, "{:?}", response.body().await);
+                        response.body().await.unwrap();
+                        done.fetch_add(1, Relaxed);
+                    }
+                }
+            });
+            futures::future::join_all(callers).await;
+        });
+    });
+}
--- a/tests/fake/sidecar.rs
+++ b/tests/fake/sidecar.rs
@@ -84,6 +84,11 @@
         self.member_at(self.relay.addr)
     }
 
+    /// Its own address, without the relay.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.borrow().as_ref().unwrap().addr()
+    }
+
     pub fn member_at(&self, addr: SocketAddr) -> Member {
         Member {
             incarnation: self.incarnation,
