Entry: bounds on memory, refusals true of the key, sessions replaced in place

Cause: request bodies, inputs and submissions whose callers had hung up were not bounded; a job that met the end of a session was refused; an entry that could take no new work said not_run for keys that had run; the lease was not checked again after connecting to a sidecar; nothing bounded the time for a body to arrive. Change: bodies are reserved in the memory budget before they are read; submissions in progress are bounded; a submission waits for the next session while control answers; refused submissions look up their key first and say so if they cannot; lease and time left are read after connecting.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -2,9 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_http::{Method, Request, Response, StatusCode, header};
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode, header};
 use bytes::Bytes;
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 use crate::{
     entry::{
@@ -12,7 +12,7 @@
         engine::Work,
         keyed::{self, Done, Known},
         meter::Class,
-        submission::{self, Submission},
+        submission::{self, Body, Submission},
     },
     metric,
     protocol::{id, job, wire::entry::Waited},
@@ -50,14 +50,10 @@
             let Some(_counted) = Counted::new(&core) else {
                 return refuse(&core, job::Refusal::Overloaded, "too many requests at once");
             };
-            let body =
-                match http::body(&mut request.take_payload(), core.limits.body_max_bytes).await {
-                    Ok(body) => body,
-                    Err(BodyError::TooLarge(max)) => return too_large(&core, max),
-                    Err(BodyError::Broken(e)) => {
-                        return refuse(&core, job::Refusal::BadRequest, &e);
-                    }
-                };
+            let body = match body(&core, &mut request).await {
+                Ok(body) => body,
+                Err(response) => return response,
+            };
             match path.as_str() {
                 "/v1/jobs" => jobs(&core, body, arrived).await,
                 "/v1/requests" => requests(&core, body, arrived).await,
@@ -71,6 +67,28 @@
     }
 }
 
+/// Reads a body; its memory is reserved before it arrives.
+async fn body(core: &Core, request: &mut Request) -> Result<Body, Response<Bytes>> {
+    let max = core.limits.body_max_bytes;
+    let length = request.headers().get(header::CONTENT_LENGTH);
+    let length = length.and_then(|l| l.to_str().ok()?.parse().ok()).unwrap_or(max);
+    if length > max {
+        return Err(too_large(core, max));
+    }
+    let mut hold = core.budget.hold();
+    if !core.budget.has_room() || !hold.grow(length) {
+        return Err(refuse(core, job::Refusal::Overloaded, "the entry's memory is used up"));
+    }
+    let mut payload = request.take_payload();
+    let limit = Duration::from_millis(core.limits.body_limit_ms);
+    match time::timeout(limit, http::body(&mut payload, max)).await {
+        Ok(Ok(bytes)) => Ok(Body { bytes, hold }),
+        Ok(Err(BodyError::TooLarge(max))) => Err(too_large(core, max)),
+        Ok(Err(BodyError::Broken(e))) => Err(refuse(core, job::Refusal::BadRequest, &e)),
+        Err(_) => Err(refuse(core, job::Refusal::BadRequest, "the body did not arrive in time")),
+    }
+}
+
 /// Counts a request for as long as it is being answered.
 struct Counted<'a>(&'a Core);
 
@@ -100,18 +118,15 @@
     http::text(StatusCode::OK, "ok\n")
 }
 
-async fn jobs(core: &Rc<Core>, body: Bytes, arrived: Instant) -> Response<Bytes> {
-    match submission::job(&body, arrived, &core.limits) {
-        Ok(keyed) => {
-            drop(body);
-            submit(core, keyed, Class::Job, arrived).await
-        }
+async fn jobs(core: &Rc<Core>, body: Body, arrived: Instant) -> Response<Bytes> {
+    match submission::job(body, arrived, &core.limits) {
+        Ok(keyed) => submit(core, keyed, Class::Job, arrived).await,
         Err(wrong) => refuse(core, job::Refusal::BadRequest, &wrong),
     }
 }
 
-async fn requests(core: &Rc<Core>, body: Bytes, arrived: Instant) -> Response<Bytes> {
-    match submission::request(&body, arrived, &core.limits) {
+async fn requests(core: &Rc<Core>, body: Body, arrived: Instant) -> Response<Bytes> {
+    match submission::request(body, arrived, &core.limits) {
         Ok(Submission::Keyed(keyed)) => submit(core, keyed, Class::Keyed, arrived).await,
         Ok(Submission::Unkeyed(work)) => {
             let team = work.spec.team.clone();
@@ -187,7 +202,7 @@
 /// Time for a status query at the owner of a job. A wait ends 200 ms earlier.
 const ASK_LIMIT: Duration = Duration::from_millis(400);
 
-async fn cancel(core: &Rc<Core>, body: Bytes) -> Response<Bytes> {
+async fn cancel(core: &Rc<Core>, body: Body) -> Response<Bytes> {
     let key = match submission::cancel(&body) {
         Ok(key) => key,
         Err(wrong) => return refuse(core, job::Refusal::BadRequest, &wrong),
@@ -196,7 +211,7 @@
     let mut run = core.session.run();
     let done = match keyed::find(core, &key, until).await {
         Known::Here(active) => {
-            run = active.run;
+            run = active.run();
             core.engine.cancel(run);
             keyed::join(&active, until).await
         }
@@ -261,13 +276,15 @@
             let mut hold = core.budget.hold();
             let body = completed(&answers.texts);
             hold.grow(body.len());
-            let body = Bytes::from_owner(Body { body, _hold: hold });
+            let body = Bytes::from_owner(Sent { body, _hold: hold });
             with_run(run, http::json(StatusCode::OK, body))
         }
         Done::Failed { reason, detail } => {
             let label = reason.label();
             log::info!("event=failed run={run} team={:?} reason={label} {detail}", team.0);
-            core.meter.failed(*reason);
+            if timed.is_some() {
+                core.meter.failed(*reason);
+            }
             let body = job::Response::Failed { reason: *reason, detail: detail.clone() };
             render(run, StatusCode::BAD_GATEWAY, &body)
         }
@@ -292,12 +309,12 @@
 }
 
 /// A body that counts as held until it has been sent.
-struct Body {
+struct Sent {
     body: Vec<u8>,
     _hold: crate::entry::budget::Hold,
 }
 
-impl AsRef<[u8]> for Body {
+impl AsRef<[u8]> for Sent {
     fn as_ref(&self) -> &[u8] {
         &self.body
     }
--- a/src/entry/backend.rs
+++ b/src/entry/backend.rs
@@ -8,12 +8,16 @@
 
 use rand::Rng;
 use serde::de::IgnoredAny;
-use tokio::{sync::oneshot, time};
+use tokio::{
+    sync::oneshot,
+    time::{self, Instant},
+};
 
 use crate::{
     entry::{
         control,
         meter::{Meter, Waste},
+        session::Session,
     },
     error::Error,
     protocol::{
@@ -21,6 +25,7 @@
         wire::{control::Member, sidecar},
     },
     transport::rpc,
+    util,
 };
 
 /// Time after the deadline for which a reply is awaited, as it tells the state of the server.
@@ -85,10 +90,26 @@
     }
 
     /// Sends an attempt and waits for its end.
-    pub async fn run(self: &Rc<Self>, task: sidecar::Task) -> Report {
+    pub async fn run(
+        self: &Rc<Self>,
+        mut task: sidecar::Task,
+        deadline: Instant,
+        session: &Session,
+    ) -> Report {
         let attempt = task.attempt;
-        let limit = Duration::from_millis(task.left_ms.into()) + REPLY_GRACE;
-        let context = rpc::context(limit);
+        if self.link.client().await.is_err() {
+            return Report::without_load(End::NotStarted(sidecar::NotStarted::Unreachable));
+        }
+        // Connecting took time, and the process may have been frozen.
+        let left = deadline.saturating_duration_since(Instant::now());
+        if !session.may_start(attempt.run.epoch) {
+            return Report::without_load(End::NotStarted(sidecar::NotStarted::Fenced));
+        }
+        if left.is_zero() {
+            return Report::without_load(End::NotStarted(sidecar::NotStarted::Expired));
+        }
+        task.left_ms = util::millis(left).try_into().unwrap_or(u32::MAX);
+        let context = rpc::context(left + REPLY_GRACE);
         let reply =
             self.link.call("run", |client| async move { client.run(context, task).await }).await;
         match reply {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -43,8 +43,8 @@
     Fenced,
     /// Control cannot carry the call out.
     Invalid { detail: String },
-    /// No answer in time. The call may have been carried out, or may be later.
-    Unanswered { detail: String },
+    /// No answer in time. If it was sent, it may have been carried out, or may be later.
+    Unanswered { sent: bool, detail: String },
 }
 
 impl Client {
@@ -67,11 +67,12 @@
     {
         let mut pause = PAUSE;
         let mut hops = 0;
+        let mut sent = false;
         let mut last = String::from("no time was left to ask");
         loop {
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Err(Rejected::Unanswered { detail: last });
+                return Err(Rejected::Unanswered { sent, detail: last });
             }
             let link = self.link();
             let context = rpc::context(left.min(TRY_LIMIT));
@@ -91,10 +92,17 @@
                     continue;
                 }
                 Ok(Ok(Err(refusal))) => {
+                    sent |= matches!(refusal, Refusal::Storage { .. });
                     last = format!("step={step} peer={}: {refusal:?}", link.addr());
                 }
-                Ok(Err(e)) => last = e.to_string(),
-                Err(_) => last = format!("step={step} peer={}: no answer", link.addr()),
+                Ok(Err(e)) => {
+                    sent |= !never_sent(&e);
+                    last = e.to_string();
+                }
+                Err(_) => {
+                    sent = true;
+                    last = format!("step={step} peer={}: no answer", link.addr());
+                }
             }
             hops = 0;
             self.skip(&link);
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -21,6 +21,7 @@
         session::Session,
         settings::{Limits, Settings},
     },
+    metric,
     protocol::{
         id, job,
         rule::Rules,
@@ -57,6 +58,8 @@
     /// JSON texts in the order of the tasks.
     pub inputs: Vec<String>,
     pub deadline: Instant,
+    /// Memory that the inputs take.
+    pub hold: Hold,
 }
 
 /// How a run ended, with the memory that its answers take.
@@ -115,8 +118,11 @@
     pub fn check(&self, work: &mut Work) -> Result<(), Done> {
         let (team, tasks) = (&work.spec.team, work.spec.tasks.len());
         let mut demand = self.demand.borrow_mut();
+        let full = demand.len() >= metric::TEAMS_MAX;
         match demand.get_mut(team) {
             Some(starts) => *starts += tasks as u64,
+            // Invented names must not fill memory and reports.
+            None if full => {}
             None => {
                 demand.insert(team.clone(), tasks as u64);
             }
@@ -277,9 +283,13 @@
             self.changed.notified().await;
             loop {
                 self.pump();
+                // Without a lease nothing starts before the next report is answered.
+                if !self.session.is_leased() {
+                    break;
+                }
                 let Some(wake) = self.dispatcher.borrow().wake() else { break };
                 let at = self.start + Duration::from_micros(wake);
-                // A wake-up in the past would spin while the lease is out.
+                // Bounds the cost of a wake-up that lies in the past.
                 let at = at.max(Instant::now() + WAKE_MIN);
                 tokio::select! {
                     () = time::sleep_until(at) => {}
@@ -322,13 +332,13 @@
             return self.ended(attempt, unstarted(sidecar::NotStarted::Fenced));
         }
         let message = running.message(attempt, incarnation);
-        let time = running.time.clone();
+        let (time, deadline) = (running.time.clone(), running.work.deadline);
         drop(runs);
         self.meter.starts.inc();
         let engine = self.clone();
         actix_rt::spawn(async move {
             let start = Instant::now();
-            let report = backend.run(message).await;
+            let report = backend.run(message, deadline, &engine.session).await;
             time.observe(start.elapsed().as_secs_f64());
             engine.ended(attempt, report);
         });
@@ -411,7 +421,7 @@
 
 impl Running {
     fn message(&self, attempt: id::Attempt, incarnation: id::Incarnation) -> sidecar::Task {
-        let Work { spec, inputs, deadline } = &self.work;
+        let Work { spec, inputs, deadline, .. } = &self.work;
         let task = &spec.tasks[usize::from(attempt.task)];
         let left = deadline.saturating_duration_since(Instant::now());
         sidecar::Task {
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -1,6 +1,6 @@
 //! Life of a submission with a key: admission, run, record, and resubmissions of it.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use rand::Rng;
 use tokio::{
@@ -34,6 +34,10 @@
 /// Tries to fetch an answer from its owner.
 const FETCH_TRIES: u32 = 3;
 
+/// Ends the detail of a refusal that says nothing of earlier calls with the same key.
+const CALL_ONLY: &str = "; this call started nothing, but control could not be asked about earlier \
+                         calls with this key: keep the key when submitting again";
+
 /// A submission with a key.
 #[derive(Debug)]
 pub struct Keyed {
@@ -47,7 +51,7 @@
 /// A submission with a key that this entry is handling.
 #[derive(Debug)]
 pub struct Active {
-    pub run: id::Run,
+    run: Cell<id::Run>,
     digest: [u8; 32],
     tasks: usize,
     stage: watch::Sender<Stage>,
@@ -131,10 +135,17 @@
         if active.digest != keyed.digest {
             return (core.session.run(), Rc::new(Done::refused(job::Refusal::KeyConflict)));
         }
-        return (active.run, join(&active, deadline).await);
+        let done = join(&active, deadline).await;
+        return (active.run(), done);
+    }
+    if core.keys.borrow().len() >= core.limits.requests_max {
+        // Callers that hang up leave their submissions behind: these are bounded, too.
+        let detail = format!("the entry handles too many submissions{CALL_ONLY}");
+        let refused = Done::not_run(job::Refusal::Overloaded, detail);
+        return (core.session.run(), Rc::new(refused));
     }
     let active = Rc::new(Active {
-        run: core.session.run(),
+        run: Cell::new(core.session.run()),
         digest: keyed.digest,
         tasks: keyed.work.inputs.len(),
         stage: watch::Sender::new(Stage::Running),
@@ -148,7 +159,8 @@
         owned.stage.send_replace(Stage::Ended(done));
     });
     let grace = Duration::from_millis(core.limits.finish_grace_ms);
-    (active.run, wait(&active, deadline + grace).await)
+    let done = wait(&active, deadline + grace).await;
+    (active.run(), done)
 }
 
 /// Waits for the end of a submission on behalf of its first caller.
@@ -191,28 +203,34 @@
 async fn live(core: &Rc<Core>, active: &Active, keyed: Keyed) -> Done {
     let Keyed { key, created_at_ms, digest, mut work } = keyed;
     let until = work.deadline;
+    let limit = || until.min(Instant::now() + Duration::from_millis(core.limits.admit_limit_ms));
+    if core.is_confirmed() {
+        // Control answered a short time ago: a session that has just ended is replaced soon.
+        core.session.wait(limit()).await;
+    }
     let refused = core.check(&mut work).err();
     if let Some(refusal) = &refused
         && let Some(done) = refuse(core, &key, until, refusal).await
     {
         return done;
     }
-    if active.run.epoch == id::Epoch(0) {
-        return Done::refused(job::Refusal::ControlUnavailable);
-    }
-    let admit = control::Admit {
-        run: active.run,
-        key: key.clone(),
-        digest,
-        created_at_ms,
-        tasks: work.inputs.len() as u16,
-    };
     loop {
-        let limit = Instant::now() + Duration::from_millis(core.limits.admit_limit_ms);
-        match core.admit(&admit, until.min(limit)).await {
+        core.session.wait(limit()).await;
+        let Some(run_id) = active.renew(core) else {
+            let detail = format!("the entry has no session at control{CALL_ONLY}");
+            return Done::not_run(job::Refusal::ControlUnavailable, detail);
+        };
+        let admit = control::Admit {
+            run: run_id,
+            key: key.clone(),
+            digest,
+            created_at_ms,
+            tasks: work.inputs.len() as u16,
+        };
+        match core.admit(&admit, limit()).await {
             Ok(control::Admission::Admitted { job }) => {
                 return match refused {
-                    Some(refusal) => record(core, active.run, &key, job, &refusal).await,
+                    Some(refusal) => record(core, run_id, &key, job, &refusal).await,
                     None => run(core, active, &key, job, work).await,
                 };
             }
@@ -229,6 +247,9 @@
             Ok(control::Admission::Unknown) => {
                 return Done::refused(job::Refusal::ControlUnavailable);
             }
+            Err(Rejected::Fenced) if Instant::now() < until => {
+                core.end_session(run_id.epoch);
+            }
             Err(rejected) => return unadmitted(core, admit, rejected),
         }
     }
@@ -241,17 +262,16 @@
 /// "not run" is true even if the record is, or will be, in the log.
 fn unadmitted(core: &Rc<Core>, admit: control::Admit, rejected: Rejected) -> Done {
     let detail = match rejected {
-        Rejected::Fenced => {
-            core.session.hurry.notify_one();
-            "the entry's session has ended".to_owned()
-        }
+        Rejected::Fenced => "the entry's session has ended".to_owned(),
         Rejected::Invalid { detail } => detail,
-        Rejected::Unanswered { detail } => {
-            actix_rt::spawn(release(core.clone(), admit));
+        Rejected::Unanswered { sent, detail } => {
+            if sent {
+                actix_rt::spawn(release(core.clone(), admit));
+            }
             detail
         }
     };
-    Done::not_run(job::Refusal::ControlUnavailable, detail)
+    Done::not_run(job::Refusal::ControlUnavailable, detail + CALL_ONLY)
 }
 
 /// Frees the key of an admission that got no answer, so that a resubmission need not wait for the
@@ -280,11 +300,7 @@
         Ok(_) => None,
         Err(_) => {
             let Done::NotRun { reason, detail } = refusal else { return Some(refusal.clone()) };
-            let detail = format!(
-                "{detail}; this call started nothing, but control could not be asked about earlier \
-                 submissions with this key: keep the key when submitting again",
-            );
-            Some(Done::NotRun { reason: *reason, detail })
+            Some(Done::NotRun { reason: *reason, detail: format!("{detail}{CALL_ONLY}") })
         }
     }
 }
@@ -292,9 +308,9 @@
 /// Runs an admitted submission and records its end.
 async fn run(core: &Rc<Core>, active: &Active, key: &id::Key, job: id::Job, work: Work) -> Done {
     core.jobs.borrow_mut().insert(job, key.clone());
-    let done = Rc::new(core.execute(active.run, work).await);
+    let done = Rc::new(core.execute(active.run(), work).await);
     active.stage.send_replace(Stage::Recording(done.clone()));
-    let recorded = record(core, active.run, key, job, &done).await;
+    let recorded = record(core, active.run(), key, job, &done).await;
     core.jobs.borrow_mut().remove(&job);
     recorded
 }
@@ -318,7 +334,7 @@
         Ok(control::Finished::Already { outcome }) if outcome == finish.outcome => done.clone(),
         Ok(control::Finished::Already { outcome }) => settled(core, outcome),
         Err(Rejected::Fenced) => {
-            core.session.hurry.notify_one();
+            core.end_session(run.epoch);
             // An earlier try may have been recorded before the session ended.
             let until = Instant::now() + LOOKUP_LIMIT;
             match core.lookup(key, until).await {
@@ -468,8 +484,21 @@
 }
 
 impl Active {
+    pub fn run(&self) -> id::Run {
+        self.run.get()
+    }
+
+    /// Gives the submission a run of the current session, if there is one.
+    fn renew(&self, core: &Core) -> Option<id::Run> {
+        let epoch = core.session.epoch()?;
+        if self.run.get().epoch != epoch {
+            self.run.set(core.session.run());
+        }
+        Some(self.run.get())
+    }
+
     /// Answered and all tasks.
     pub fn progress(&self, core: &Core) -> (usize, usize) {
-        core.engine.progress(self.run).unwrap_or((0, self.tasks))
+        core.engine.progress(self.run.get()).unwrap_or((0, self.tasks))
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -112,6 +112,12 @@
         self.keys.borrow().get(key).cloned()
     }
 
+    /// Whether the rules held are known to have been in force a short time ago.
+    pub fn is_confirmed(&self) -> bool {
+        let age = self.session.confirmed_age();
+        age.is_some_and(|age| age <= self.limits.rules_confirm_limit())
+    }
+
     /// Whether new work can be taken now.
     pub fn check(&self, work: &mut Work) -> Result<(), Done> {
         if self.refusing.get() {
@@ -120,13 +126,23 @@
         if self.session.epoch().is_none() {
             return Err(Done::refused(job::Refusal::ControlUnavailable));
         }
-        let age = self.session.confirmed_age();
-        if age.is_none_or(|age| age > self.limits.rules_confirm_limit()) {
+        if !self.is_confirmed() {
             return Err(Done::refused(job::Refusal::RulesUnconfirmed));
         }
         self.engine.check(work)
     }
 
+    /// Ends a session that control has fenced.
+    pub fn end_session(&self, epoch: id::Epoch) {
+        if self.session.epoch() != Some(epoch) {
+            return;
+        }
+        log::warn!("event=fenced epoch={} runs={}", epoch.0, self.engine.running());
+        self.session.close();
+        self.engine.abandon();
+        self.session.hurry.notify_one();
+    }
+
     /// Runs work to its end, at the latest until its deadline.
     pub async fn execute(&self, run: id::Run, work: Work) -> Done {
         let deadline = work.deadline;
@@ -264,7 +280,7 @@
         self.http.stop();
         let cut = self.http.in_flight() + core.left();
         for (key, active) in core.keys.borrow().iter() {
-            let (run, team) = (active.run, &key.team);
+            let (run, team) = (active.run(), &key.team);
             log::warn!("event=cut_off run={run} team={team} key={:?}", key.key);
         }
         cut
--- a/src/entry/session.rs
+++ b/src/entry/session.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::Notify,
+    time::{self, Instant},
+};
 
 use crate::protocol::{id, wire::control};
 
@@ -23,6 +26,7 @@
     reports: Cell<u64>,
     /// Asks for a report to control at once.
     pub hurry: Notify,
+    opened: Notify,
 }
 
 impl Session {
@@ -36,6 +40,7 @@
             seq: Cell::new(0),
             reports: Cell::new(0),
             hurry: Notify::new(),
+            opened: Notify::new(),
         }
     }
 
@@ -85,6 +90,15 @@
         self.epoch.set(Some(session.epoch));
         self.lease.set(Duration::from_millis(session.lease_ms));
         self.leased_until.set(Some(sent + self.lease.get()));
+        self.opened.notify_waiters();
+    }
+
+    /// Returns once there is a session, at the latest at `until`.
+    pub async fn wait(&self, until: Instant) {
+        let opened = self.opened.notified();
+        if self.epoch.get().is_none() {
+            let _ = time::timeout_at(until, opened).await;
+        }
     }
 
     /// Takes over the answer to a report that was sent at `sent`. Returns whether the rules are new.
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -99,17 +99,19 @@
     pub tasks_max: usize,
     /// Longest request body.
     pub body_max_bytes: usize,
+    /// Time for a request body to arrive.
+    pub body_limit_ms: u64,
     /// Longest answer of one task.
     pub answer_max_bytes: usize,
     /// Longest answer of one submission.
     pub job_answer_max_bytes: usize,
-    /// Answers being gathered, held for resubmissions or waiting to be read by callers; above it
-    /// no new work is taken.
+    /// Inputs, and answers being gathered, held for resubmissions or waiting to be read by
+    /// callers. New work is only taken below a half of it.
     pub memory_max_bytes: usize,
     /// Answers too large for the log that are held for resubmissions.
     pub held_max_bytes: usize,
     pub held_max_ms: u64,
-    /// Requests being answered at once.
+    /// Requests being answered at once, and submissions being handled at once.
     pub requests_max: usize,
     /// Time between the health check turning bad and the first refusal.
     pub drain_notice_ms: u64,
@@ -128,6 +130,7 @@
             deadline_max_ms: 600_000,
             tasks_max: job::TASKS_MAX,
             body_max_bytes: 8 * 1024 * 1024,
+            body_limit_ms: 20_000,
             answer_max_bytes: 1024 * 1024,
             job_answer_max_bytes: 16 * 1024 * 1024,
             memory_max_bytes: 512 * 1024 * 1024,
--- a/src/entry/submission.rs
+++ b/src/entry/submission.rs
@@ -7,13 +7,20 @@
 
 use crate::{
     coordination::dispatch::{Spec, TaskSpec},
-    entry::{engine::Work, keyed::Keyed, settings::Limits},
+    entry::{budget::Hold, engine::Work, keyed::Keyed, settings::Limits},
     protocol::{id, job},
 };
 
 /// Longest name of a kind of task, in bytes.
 pub const KIND_MAX_BYTES: usize = 128;
 
+/// A request body with the memory that it takes.
+#[derive(Debug)]
+pub struct Body {
+    pub bytes: Bytes,
+    pub hold: Hold,
+}
+
 /// A valid submission.
 #[derive(Debug)]
 pub enum Submission {
@@ -26,8 +33,8 @@
 pub type Wrong = String;
 
 /// Reads the body of `POST /v1/jobs`.
-pub fn job(body: &Bytes, arrived: Instant, limits: &Limits) -> Result<Keyed, Wrong> {
-    let job::Submission { team, key, created_at_ms, deadline_ms, tasks } = parse(body)?;
+pub fn job(body: Body, arrived: Instant, limits: &Limits) -> Result<Keyed, Wrong> {
+    let job::Submission { team, key, created_at_ms, deadline_ms, tasks } = parse(&body.bytes)?;
     let key = check_key(team, key)?;
     if tasks.is_empty() {
         return Err("tasks: at least one is needed".into());
@@ -35,18 +42,20 @@
     if tasks.len() > limits.tasks_max {
         return Err(format!("tasks: {} are too many, at most {}", tasks.len(), limits.tasks_max));
     }
-    let work = work(key.team.clone(), tasks, arrived + limits.deadline(deadline_ms), false)?;
+    let deadline = arrived + limits.deadline(deadline_ms);
+    let work = work(key.team.clone(), tasks, deadline, body.hold)?;
     Ok(Keyed { digest: digest(&work), key, created_at_ms, work })
 }
 
 /// Reads the body of `POST /v1/requests`.
-pub fn request(body: &Bytes, arrived: Instant, limits: &Limits) -> Result<Submission, Wrong> {
-    let job::Request { team, idempotent, key, created_at_ms, deadline_ms, task } = parse(body)?;
+pub fn request(body: Body, arrived: Instant, limits: &Limits) -> Result<Submission, Wrong> {
+    let job::Request { team, idempotent, key, created_at_ms, deadline_ms, task } =
+        parse(&body.bytes)?;
     let deadline = arrived + limits.deadline(deadline_ms);
     match (key, created_at_ms) {
         (Some(key), Some(created_at_ms)) => {
             let key = check_key(team, key)?;
-            let work = work(key.team.clone(), vec![task], deadline, false)?;
+            let work = work(key.team.clone(), vec![task], deadline, body.hold)?;
             Ok(Submission::Keyed(Keyed { digest: digest(&work), key, created_at_ms, work }))
         }
         (Some(_), None) => Err("created_at_ms: needed with a key".into()),
@@ -54,14 +63,16 @@
         (None, None) if !idempotent => Err("key: needed, as the request is not idempotent".into()),
         (None, None) => {
             check_team(&team)?;
-            work(team, vec![task], deadline, true).map(Submission::Unkeyed)
+            let mut work = work(team, vec![task], deadline, body.hold)?;
+            work.spec.restartable = true;
+            Ok(Submission::Unkeyed(work))
         }
     }
 }
 
 /// Reads the body of `POST /v1/jobs/cancel`.
-pub fn cancel(body: &Bytes) -> Result<id::Key, Wrong> {
-    let job::Cancel { team, key } = parse(body)?;
+pub fn cancel(body: &Body) -> Result<id::Key, Wrong> {
+    let job::Cancel { team, key } = parse(&body.bytes)?;
     check_key(team, key)
 }
 
@@ -107,7 +118,7 @@
     team: id::Team,
     tasks: Vec<job::Task>,
     deadline: Instant,
-    restartable: bool,
+    hold: Hold,
 ) -> Result<Work, Wrong> {
     let mut inputs = Vec::with_capacity(tasks.len());
     let mut specs = Vec::with_capacity(tasks.len());
@@ -117,8 +128,8 @@
         specs.push(TaskSpec { kind, declared_ms, needs: needs.unwrap_or_default() });
         inputs.push(Box::<str>::from(input).into_string());
     }
-    let spec = Spec { team, tasks: specs, deadline: 0, restartable };
-    Ok(Work { spec, inputs, deadline })
+    let spec = Spec { team, tasks: specs, deadline: 0, restartable: false };
+    Ok(Work { spec, inputs, deadline, hold })
 }
 
 /// Digest of a submission's tasks: a resubmission must repeat them byte by byte.
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -94,11 +94,7 @@
             }
             core.engine.update(&view);
         }
-        Err(Rejected::Fenced) => {
-            log::warn!("event=fenced epoch={} runs={}", epoch.0, core.engine.running());
-            core.session.close();
-            core.engine.abandon();
-        }
+        Err(Rejected::Fenced) => core.end_session(epoch),
         Err(e) => log::warn!("event=sync_failed error={e:?}"),
     }
 }
--- a/tests/api.rs
+++ b/tests/api.rs
@@ -185,7 +185,7 @@
         insta::assert_snapshot!(seen);
         fake::until("one cancel", || world.sidecar.cancels.borrow().len() == 1).await;
         let metrics = get(addr, "/metrics").await.text;
-        assert!(metrics.contains("briargauge_entry_failed_total{reason=\"cancelled\"} 2"));
+        assert!(metrics.contains("briargauge_entry_failed_total{reason=\"cancelled\"} 1"));
     });
 }
 
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -181,6 +181,39 @@
     });
 }
 
+/// Guards against a refusal, or a wait to the deadline, for a job that arrives just when the
+/// entry's session ends.
+#[test]
+fn a_job_that_meets_the_end_of_a_session_gets_a_new_one() {
+    fake::run(async {
+        let slow = Limits { sync_interval_ms: 1_000, ..limits() };
+        let world = World::with_limits(slow).await;
+        world.control.fence(false);
+        assert_eq!(submit(world.addr, "k", 2).await.short(), "200 completed");
+        assert_eq!(world.sidecar.starts(), 2);
+    });
+}
+
+/// Guards against "not run" for a key that has run, when the entry can take no new work.
+#[test]
+fn a_refusal_is_true_of_earlier_calls_with_the_key() {
+    fake::run(async {
+        let world = World::new().await;
+        world.sidecar.plan(|task| if task.input == "1" { Fault::Fail } else { Fault::None });
+        let completed = submit(world.addr, "good", 1).await;
+        let failed = submit(world.addr, "bad", 2).await;
+        assert_eq!(failed.short(), "502 failed task_failed");
+        world.control.age_ms.set(60_000);
+        let (_second, other) = fake::entry(&[world.control.addr()], limits()).await;
+        world.control.synced(2).await;
+        assert_eq!(submit(other, "new", 1).await.short(), "503 not_run rules_unconfirmed");
+        assert_eq!(submit(other, "good", 1).await.text, completed.text);
+        assert_eq!(submit(other, "bad", 2).await.text, failed.text);
+        assert_eq!(submit(other, "good", 2).await.short(), "409 not_run key_conflict");
+        assert_eq!(world.sidecar.starts(), 3);
+    });
+}
+
 /// Guards against a start by an entry whose session may have ended without its knowledge.
 #[test]
 fn nothing_starts_without_a_lease() {
@@ -323,12 +356,14 @@
         while health.code == 200 {
             health = get(addr, "/health").await;
         }
+        // The requests share one connection, which the first refusal closes.
+        let client = fake::client();
         let mut key = 0;
         let refused = loop {
             // Work that comes before the first refusal is taken and ended.
             let body = json!({"team": "desk", "idempotent": true, "deadline_ms": 20,
                 "task": {"kind": "quote", "input": key}});
-            let answer = post(addr, "/v1/requests", body.to_string()).await;
+            let answer = fake::post_by(&client, addr, "/v1/requests", body.to_string()).await;
             if answer.reason() == "stopping" {
                 break answer;
             }
@@ -336,6 +371,8 @@
         };
         assert_eq!((refused.code, refused.close), (503, true));
         assert!(!stop.is_finished());
+        let again = fake::post_by(&client, addr, "/v1/jobs", numbered("new", 1).to_string()).await;
+        assert_eq!((again.reason(), again.close), ("stopping", true));
         world.sidecar.release();
         assert_eq!(running.await.unwrap().short(), "200 completed");
         assert_eq!(stop.await.unwrap(), 0);
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -116,7 +116,16 @@
 
 /// Posts a body.
 pub async fn post(addr: SocketAddr, path: &str, body: impl Into<String>) -> Answer {
-    let client = client();
+    post_by(&client(), addr, path, body).await
+}
+
+/// Posts a body by a client that keeps its connections.
+pub async fn post_by(
+    client: &awc::Client,
+    addr: SocketAddr,
+    path: &str,
+    body: impl Into<String>,
+) -> Answer {
     read(client.post(format!("http://{addr}{path}")).send_body(body.into()).await.unwrap()).await
 }
 
