--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -365,7 +365,7 @@
                 return;
             }
             let run = server.completion_us(now, self.others, task.mean_us, self.overall_us);
-            let cost = run + self.dcs[self.groups[server.group as usize].dc].rtt_us;
+            let cost = run + 4.0 * self.dcs[self.groups[server.group as usize].dc].rtt_us;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
             }
