--- a/src/coordination/route/server.rs
+++ b/src/coordination/route/server.rs
@@ -138,7 +138,7 @@
         };
         let factor = self.speed.factor();
         // The last term decides between idle servers of the same speed.
-        ahead / slots * overall_us / factor + mean_us / factor * (1.0 + 0.02 * (unknown - f64::from(self.mine)) / slots)
+        ahead / slots * overall_us / factor + mean_us / factor * (1.0 + 0.2 * occupied / slots)
     }
 
     /// Counts an attempt as sent; `rate` is 1/expected time.
