Teams save unused capacity up to 16 mean tasks

Cause: a team with a burst of tasks shared each round with a greedy team although it had used nothing before. Change: the deficit grows with the team's part of the capacity while it has nothing queued; a team with a positive deficit goes to the front of the ring.

--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -36,6 +36,8 @@
 /// How long a due trial of a backend server waits for a task that may be repeated before a single
 /// task is used; those of larger jobs, whose failure costs more, are used after four times this.
 const TRIAL_PATIENCE_US: Micros = 5_000_000;
+/// Most run time, in mean tasks, that a team saves while it has nothing queued.
+const SAVED_MAX: f64 = 16.0;
 /// Demands after which the table is emptied when nothing refers to it.
 const DEMANDS_MAX: usize = 50_000;
 
@@ -63,6 +65,8 @@
     pub(super) hedges: retry::Budget,
     pub(super) queued: usize,
     pub(super) queued_us: f64,
+    /// When it last stopped to have queued tasks.
+    idle_since: Micros,
 }
 
 type DemandId = (speed::Kind, (u16, u32, u16));
@@ -91,6 +95,10 @@
     ticked: Micros,
     pub(super) queued: usize,
     pub(super) queued_us: f64,
+    /// Time of the current input.
+    pub(super) now: Micros,
+    /// Sum of the weights of all teams.
+    weights: f64,
     /// Sum of the weights of teams that have queued tasks.
     pub(super) weight: f64,
 }
@@ -121,6 +129,8 @@
             queued: 0,
             queued_us: 0.0,
             weight: 0.0,
+            now: 0,
+            weights: 0.0,
         }
     }
 
@@ -140,6 +150,7 @@
         if state.queued > 0 {
             self.weight += settings.weight - state.settings.weight;
         }
+        self.weights += settings.weight - state.settings.weight;
         state.retries.set_part(f64::from(settings.retry_percent) / 100.0);
         state.settings = settings;
     }
@@ -246,6 +257,7 @@
             return Err(job::Refusal::KeyConflict);
         }
         self.check(now, spec)?;
+        self.now = now;
         let team = self.team(now, &spec.team);
         if let Some(bucket) = &mut self.teams[team.0 as usize].bucket {
             bucket.take(now, spec.tasks.len());
@@ -284,6 +296,7 @@
     }
 
     pub(super) fn poll(&mut self, now: Micros, random: &mut dyn RngCore) -> Option<Action> {
+        self.now = now;
         if let Some(expire) = self.expire(now) {
             return Some(expire);
         }
@@ -366,10 +379,23 @@
         run.parts[part].tasks.push_back(task);
         let item = queue::Item { score: run.score, run: key as u32, part: part as u16 };
         let team = run.team;
-        self.lanes[lane].queue.push(team, item);
+        let earned = self.earned(team);
+        self.lanes[lane].queue.push(team, item, earned);
         self.count(team, lane, 1, state.mean_us);
     }
 
+    /// Run time that a team's part of the capacity was worth since it last had queued tasks.
+    fn earned(&mut self, team: queue::Team) -> f64 {
+        let team = &mut self.teams[team.0 as usize];
+        let idle = self.now.saturating_sub(team.idle_since) as f64;
+        if team.queued > 0 || idle == 0.0 {
+            return 0.0;
+        }
+        team.idle_since = self.now;
+        let part = team.settings.weight / self.weights.max(1e-9);
+        (idle * self.router.capacity() * part).min(SAVED_MAX * self.router.overall_us)
+    }
+
     fn enqueue_all(&mut self, key: usize) {
         let run = &self.runs[key];
         let mut order: Vec<u16> = (0..run.tasks.len() as u16).collect();
@@ -544,6 +570,7 @@
         state.queued_us = if state.queued == 0 { 0.0 } else { (state.queued_us + us).max(0.0) };
         self.queued_us = if self.queued == 0 { 0.0 } else { (self.queued_us + us).max(0.0) };
         if idle != (state.queued == 0) {
+            state.idle_since = self.now;
             self.weight += if idle { state.settings.weight } else { -state.settings.weight };
         }
         if self.queued == 0 {
@@ -564,7 +591,9 @@
             hedges: retry::Budget::without_floor(now, HEDGE_PART),
             queued: 0,
             queued_us: 0.0,
+            idle_since: now,
         });
+        self.weights += settings.weight;
         self.team_index.insert(name.clone(), team);
         team
     }
--- a/src/coordination/dispatch/reply.rs
+++ b/src/coordination/dispatch/reply.rs
@@ -25,6 +25,7 @@
         load: Option<sidecar::Load>,
         ended: Ended,
     ) -> Next {
+        self.now = now;
         let Some(at) = self.flight_index.remove(&attempt) else { return Next::Unused };
         let flight = self.flights.remove(at);
         self.leave_run(&flight);
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -33,8 +33,9 @@
 }
 
 impl Fair {
-    /// Adds an item.
-    pub fn push(&mut self, team: Team, item: Item) {
+    /// Adds an item. `earned` is the run time that the team could have had since it last waited; a
+    /// team that used less than its part may catch up before others get their next turn.
+    pub fn push(&mut self, team: Team, item: Item, earned: f64) {
         if self.lines.len() <= team.0 as usize {
             self.lines.resize_with(team.0 as usize + 1, Line::default);
         }
@@ -42,8 +43,12 @@
         line.items.insert(item);
         if !line.waiting {
             line.waiting = true;
-            line.deficit = line.deficit.min(0.0);
-            self.ring.push_back(team);
+            line.deficit += earned;
+            if line.deficit > 0.0 {
+                self.ring.push_front(team);
+            } else {
+                self.ring.push_back(team);
+            }
         }
     }
 
