Bulk runs and backlogged teams leave some slots to others

Cause: a job of 490 tasks or a backlogged team fills every slot, and short runs of other teams and entries wait for the next one to fall free. Change: 8 of 11 servers keep one slot free of runs with more than 32 tasks and of teams with more than 32 tasks queued, as long as others start any.

--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -38,6 +38,10 @@
 const TRIAL_PATIENCE_US: Micros = 5_000_000;
 /// Most run time, in mean tasks, that a team saves while it has nothing queued.
 const SAVED_MAX: f64 = 16.0;
+/// Runs with more tasks, and teams that have more queued, are bulk: they leave some slots to
+/// others as long as there are others.
+const BULK_TASKS: usize = 32;
+const SMALL_US: Micros = 1_000_000;
 /// Demands after which the table is emptied when nothing refers to it.
 const DEMANDS_MAX: usize = 50_000;
 
@@ -97,6 +101,8 @@
     pub(super) queued_us: f64,
     /// Time of the current input.
     pub(super) now: Micros,
+    /// When a task that is not bulk last started.
+    small_at: Micros,
     /// Sum of the weights of all teams.
     weights: f64,
     /// Sum of the weights of teams that have queued tasks.
@@ -130,6 +136,7 @@
             queued_us: 0.0,
             weight: 0.0,
             now: 0,
+            small_at: 0,
             weights: 0.0,
         }
     }
@@ -419,8 +426,16 @@
         let part = &mut run.parts[usize::from(item.part)];
         let longest = *part.tasks.back()?;
         let mean_us = run.tasks[usize::from(longest)].mean_us;
-        let wanted =
-            route::Task { mean_us, queued: *tasks, except: None, restartable: run.restartable };
+        let backlog = teams[team.0 as usize].queued > BULK_TASKS;
+        let large = run.tasks.len() > BULK_TASKS;
+        let bulk = (large || backlog) && now < self.small_at + SMALL_US;
+        let wanted = route::Task {
+            mean_us,
+            queued: *tasks,
+            except: None,
+            restartable: run.restartable,
+            bulk,
+        };
         let cheap = run.tasks.len() == 1;
         let patience = if cheap { TRIAL_PATIENCE_US } else { 4 * TRIAL_PATIENCE_US };
         let patience = if run.restartable { 0 } else { patience };
@@ -438,6 +453,9 @@
             queue.remove(team, item);
         }
         queue.charge(team, mean_us, overall);
+        if !large && !backlog {
+            self.small_at = now;
+        }
         self.count(team, lane, -1, mean_us);
         self.teams[team.0 as usize].retries.started();
         self.teams[team.0 as usize].hedges.started();
@@ -506,6 +524,7 @@
                 queued: usize::MAX,
                 except,
                 restartable: true,
+                bulk: false,
             };
             let groups = &self.lanes[lane].groups;
             let route::Choice::Start(server) = self.router.choose(now, groups, &wanted, random)
--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -32,6 +32,9 @@
 const OTHERS_GAIN: f64 = 0.02;
 /// A task waits for a faster server only if that is expected to save this much.
 const HOLD_GAIN: f64 = 1.05;
+/// Of so many servers, so many keep one slot free of bulk tasks.
+const RESERVED_OF: usize = 11;
+const RESERVED: usize = 8;
 /// Smallest part of the capacity that an entry counts on.
 const CAPACITY_PART_MIN: f64 = 0.1;
 
@@ -98,6 +101,8 @@
     /// A server it must not go to: the one that has its first attempt.
     pub except: Option<Key>,
     pub restartable: bool,
+    /// Whether it leaves the reserved slots to others.
+    pub bulk: bool,
 }
 
 /// All known backend servers.
@@ -358,7 +363,8 @@
         let mut best: Option<(f64, Key)> = None;
         let mut look = |key: Key| {
             let server = &self.servers[key.0];
-            if Some(key) == task.except || !server.has_room(now, self.others) {
+            let reserve = if task.bulk && is_reserved(key) { 1.0 } else { 0.0 };
+            if Some(key) == task.except || !server.has_room(now, self.others, reserve) {
                 return;
             }
             if !task.restartable && server.health.is_suspect(now) {
@@ -507,7 +513,7 @@
         if server.gone {
             return;
         }
-        let room = server.has_room(now, self.others);
+        let room = server.has_room(now, self.others, 0.0);
         let tier = server::tier(server.speed.factor());
         if room == server.room_at.is_some() && tier == server.tier {
             return;
@@ -540,6 +546,11 @@
     }
 }
 
+/// Whether one slot of a server is kept from bulk tasks.
+fn is_reserved(key: Key) -> bool {
+    key.0 % RESERVED_OF < RESERVED
+}
+
 impl Default for Router {
     fn default() -> Self {
         Self::new("", &[])
