Bulk tasks stay out of servers' queues; windows end at the slots

Change: windows grow to the slots only; bulk tasks do not use a server's queue; 5 of 11 servers (was 8) keep a slot free of them; the order within a team counts a run's work against the capacity of all servers, not the entry's part; long runs are refused if 1.5 times their expected time misses the deadline.

--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -42,6 +42,8 @@
 /// others as long as there are others.
 const BULK_TASKS: usize = 32;
 const SMALL_US: Micros = 1_000_000;
+/// Shorter runs that arrive later overtake a long one, so its end is expected so much later.
+const LATE_FACTOR: f64 = 1.5;
 /// Demands after which the table is emptied when nothing refers to it.
 const DEMANDS_MAX: usize = 50_000;
 
@@ -247,7 +249,8 @@
         let wait = ahead / capacity;
         let left = (spec.deadline - now) as f64;
         if ahead > 0.0
-            && (wait > self.settings.wait_max_us as f64 || wait + work / capacity + longest > left)
+            && (wait > self.settings.wait_max_us as f64
+                || LATE_FACTOR * (wait + work / capacity) + longest > left)
         {
             return Err(job::Refusal::Overloaded);
         }
@@ -281,7 +284,7 @@
             let (number, flying, refused, answered) = (0, 0, 0, false);
             tasks.push(Task { demand, class, mean_us, number, flying, refused, answered });
         }
-        let ideal = longest + work / self.router.capacity().max(1.0);
+        let ideal = longest + work / self.router.capacity_all().max(1.0);
         let run = Run {
             id,
             team,
--- a/src/coordination/limit.rs
+++ b/src/coordination/limit.rs
@@ -5,7 +5,7 @@
 /// Seconds of a quota that may be used at once.
 const BURST_S: f64 = 1.0;
 /// Most attempts beyond its slots that are aimed at a backend server, at all entries together.
-const EXTRA_MAX: f64 = 1.0;
+const EXTRA_MAX: f64 = 0.0;
 /// Smallest part of the slots to which a window shrinks.
 const SHRINK_MAX: f64 = 0.5;
 const FULL_STEP: f64 = 0.5;
--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -34,7 +34,7 @@
 const HOLD_GAIN: f64 = 1.05;
 /// Of so many servers, so many keep one slot free of bulk tasks.
 const RESERVED_OF: usize = 11;
-const RESERVED: usize = 8;
+const RESERVED: usize = 5;
 /// Smallest part of the capacity that an entry counts on.
 const CAPACITY_PART_MIN: f64 = 0.1;
 
@@ -123,6 +123,8 @@
     trials: Vec<Key>,
     /// Completion rate of all servers together in units of speed 1, less the other entries' part.
     capacity: f64,
+    /// The same with the other entries' part.
+    capacity_all: f64,
 }
 
 impl Router {
@@ -140,6 +142,7 @@
             ejected: 0,
             trials: Vec::new(),
             capacity: 0.0,
+            capacity_all: 0.0,
         };
         for (name, rtt) in rtts {
             let dc = router.dc(name);
@@ -224,6 +227,11 @@
         self.dcs[self.groups[self.servers[key.0].group as usize].dc].rtt_us
     }
 
+    /// Run time, at speed 1, that all servers do per unit of time.
+    pub fn capacity_all(&self) -> f64 {
+        self.capacity_all
+    }
+
     /// Whether a server's speed is below this part of the mean.
     pub fn is_slow(&self, key: Key, part: f64) -> bool {
         self.servers[key.0].speed.log() < self.log_speed + part.ln()
@@ -342,6 +350,7 @@
             }
             self.refresh(now, key);
         }
+        self.capacity_all = self.capacity;
         self.capacity *= (1.0 - self.others.per_slot).max(CAPACITY_PART_MIN);
         for group in &mut self.groups {
             group.rates = [0.0; TIERS];
@@ -363,7 +372,7 @@
         let mut best: Option<(f64, Key)> = None;
         let mut look = |key: Key| {
             let server = &self.servers[key.0];
-            let reserve = if task.bulk && is_reserved(key) { 1.0 } else { 0.0 };
+            let reserve = task.bulk.then(|| if is_reserved(key) { 1.0 } else { 0.0 });
             if Some(key) == task.except || !server.has_room(now, self.others, reserve) {
                 return;
             }
@@ -513,7 +522,7 @@
         if server.gone {
             return;
         }
-        let room = server.has_room(now, self.others, 0.0);
+        let room = server.has_room(now, self.others, None);
         let tier = server::tier(server.speed.factor());
         if room == server.room_at.is_some() && tier == server.tier {
             return;
--- a/src/coordination/route/server.rs
+++ b/src/coordination/route/server.rs
@@ -97,8 +97,9 @@
         mean + (self.others - mean) / (1.0 + age + age * age / 2.0)
     }
 
-    /// Whether a further attempt may be sent that leaves `reserve` slots free.
-    pub fn has_room(&self, now: Micros, others: Others, reserve: f64) -> bool {
+    /// Whether a further attempt may be sent. With a `reserve` it leaves so many slots free, and
+    /// does not use the server's queue.
+    pub fn has_room(&self, now: Micros, others: Others, reserve: Option<f64>) -> bool {
         if !self.serving || self.gone {
             return false;
         }
@@ -109,10 +110,9 @@
                 let unconfirmed_max = (f64::from(self.slots) * UNCONFIRMED_PART).ceil();
                 let mine = f64::from(self.mine);
                 let fair = f64::from(self.slots) * FAIR_PART;
-                let extra = if reserve > 0.0 {
-                    -reserve
-                } else {
-                    QUEUED_MAX * (1.0 - mine / fair).max(0.0)
+                let extra = match reserve {
+                    Some(reserve) => -reserve,
+                    None => QUEUED_MAX * (1.0 - mine / fair).max(0.0),
                 };
                 f64::from(self.unconfirmed) < unconfirmed_max
                     && mine + 1.0 + self.others(now, others) <= self.window.limit() + SLACK + extra
