--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -36,6 +36,14 @@
 /// How long a due trial of a backend server waits for a task that may be repeated before a single
 /// task is used; those of larger jobs, whose failure costs more, are used after four times this.
 const TRIAL_PATIENCE_US: Micros = 5_000_000;
+/// Most run time, in mean tasks, that a team saves while it has nothing queued.
+const SAVED_MAX: f64 = 16.0;
+/// Runs with more tasks, and teams that have more queued, are bulk: they leave some slots to
+/// others as long as there are others.
+const BULK_TASKS: usize = 32;
+const SMALL_US: Micros = 1_000_000;
+/// Shorter runs that arrive later overtake a long one, so its end is expected so much later.
+const LATE_FACTOR: f64 = 1.5;
 /// Demands after which the table is emptied when nothing refers to it.
 const DEMANDS_MAX: usize = 50_000;
 
@@ -63,6 +71,8 @@
     pub(super) hedges: retry::Budget,
     pub(super) queued: usize,
     pub(super) queued_us: f64,
+    /// When it last stopped to have queued tasks.
+    idle_since: Micros,
 }
 
 type DemandId = (speed::Kind, (u16, u32, u16));
@@ -91,6 +101,12 @@
     ticked: Micros,
     pub(super) queued: usize,
     pub(super) queued_us: f64,
+    /// Time of the current input.
+    pub(super) now: Micros,
+    /// When a task that is not bulk last started.
+    small_at: Micros,
+    /// Sum of the weights of all teams.
+    weights: f64,
     /// Sum of the weights of teams that have queued tasks.
     pub(super) weight: f64,
 }
@@ -121,6 +137,9 @@
             queued: 0,
             queued_us: 0.0,
             weight: 0.0,
+            now: 0,
+            small_at: 0,
+            weights: 0.0,
         }
     }
 
@@ -140,6 +159,7 @@
         if state.queued > 0 {
             self.weight += settings.weight - state.settings.weight;
         }
+        self.weights += settings.weight - state.settings.weight;
         state.retries.set_part(f64::from(settings.retry_percent) / 100.0);
         state.settings = settings;
     }
@@ -229,7 +249,8 @@
         let wait = ahead / capacity;
         let left = (spec.deadline - now) as f64;
         if ahead > 0.0
-            && (wait > self.settings.wait_max_us as f64 || wait + work / capacity + longest > left)
+            && (wait > self.settings.wait_max_us as f64
+                || LATE_FACTOR * (wait + work / capacity) + longest > left)
         {
             return Err(job::Refusal::Overloaded);
         }
@@ -246,6 +267,7 @@
             return Err(job::Refusal::KeyConflict);
         }
         self.check(now, spec)?;
+        self.now = now;
         let team = self.team(now, &spec.team);
         if let Some(bucket) = &mut self.teams[team.0 as usize].bucket {
             bucket.take(now, spec.tasks.len());
@@ -262,7 +284,7 @@
             let (number, flying, refused, answered) = (0, 0, 0, false);
             tasks.push(Task { demand, class, mean_us, number, flying, refused, answered });
         }
-        let ideal = longest + work / self.router.capacity().max(1.0);
+        let ideal = longest + work / self.router.capacity_all().max(1.0);
         let run = Run {
             id,
             team,
@@ -284,6 +306,7 @@
     }
 
     pub(super) fn poll(&mut self, now: Micros, random: &mut dyn RngCore) -> Option<Action> {
+        self.now = now;
         if let Some(expire) = self.expire(now) {
             return Some(expire);
         }
@@ -366,10 +389,23 @@
         run.parts[part].tasks.push_back(task);
         let item = queue::Item { score: run.score, run: key as u32, part: part as u16 };
         let team = run.team;
-        self.lanes[lane].queue.push(team, item);
+        let earned = self.earned(team);
+        self.lanes[lane].queue.push(team, item, earned);
         self.count(team, lane, 1, state.mean_us);
     }
 
+    /// Run time that a team's part of the capacity was worth since it last had queued tasks.
+    fn earned(&mut self, team: queue::Team) -> f64 {
+        let team = &mut self.teams[team.0 as usize];
+        let idle = self.now.saturating_sub(team.idle_since) as f64;
+        if team.queued > 0 || idle == 0.0 {
+            return 0.0;
+        }
+        team.idle_since = self.now;
+        let part = team.settings.weight / self.weights.max(1e-9);
+        (idle * self.router.capacity() * part).min(SAVED_MAX * self.router.overall_us)
+    }
+
     fn enqueue_all(&mut self, key: usize) {
         let run = &self.runs[key];
         let mut order: Vec<u16> = (0..run.tasks.len() as u16).collect();
@@ -393,8 +429,16 @@
         let part = &mut run.parts[usize::from(item.part)];
         let longest = *part.tasks.back()?;
         let mean_us = run.tasks[usize::from(longest)].mean_us;
-        let wanted =
-            route::Task { mean_us, queued: *tasks, except: None, restartable: run.restartable };
+        let backlog = teams[team.0 as usize].queued > BULK_TASKS;
+        let large = run.tasks.len() > BULK_TASKS;
+        let bulk = (large || backlog) && now < self.small_at + SMALL_US;
+        let wanted = route::Task {
+            mean_us,
+            queued: *tasks,
+            except: None,
+            restartable: run.restartable,
+            bulk,
+        };
         let cheap = run.tasks.len() == 1;
         let patience = if cheap { TRIAL_PATIENCE_US } else { 4 * TRIAL_PATIENCE_US };
         let patience = if run.restartable { 0 } else { patience };
@@ -412,6 +456,9 @@
             queue.remove(team, item);
         }
         queue.charge(team, mean_us, overall);
+        if !large && !backlog {
+            self.small_at = now;
+        }
         self.count(team, lane, -1, mean_us);
         self.teams[team.0 as usize].retries.started();
         self.teams[team.0 as usize].hedges.started();
@@ -480,6 +527,7 @@
                 queued: usize::MAX,
                 except,
                 restartable: true,
+                bulk: false,
             };
             let groups = &self.lanes[lane].groups;
             let route::Choice::Start(server) = self.router.choose(now, groups, &wanted, random)
@@ -544,6 +592,7 @@
         state.queued_us = if state.queued == 0 { 0.0 } else { (state.queued_us + us).max(0.0) };
         self.queued_us = if self.queued == 0 { 0.0 } else { (self.queued_us + us).max(0.0) };
         if idle != (state.queued == 0) {
+            state.idle_since = self.now;
             self.weight += if idle { state.settings.weight } else { -state.settings.weight };
         }
         if self.queued == 0 {
@@ -564,7 +613,9 @@
             hedges: retry::Budget::without_floor(now, HEDGE_PART),
             queued: 0,
             queued_us: 0.0,
+            idle_since: now,
         });
+        self.weights += settings.weight;
         self.team_index.insert(name.clone(), team);
         team
     }
