A drain rule makes the sidecar refuse new work

Cause: a sidecar refused new work only on /leave and SIGTERM. A text that this version cannot read leaves the former state.

--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -16,7 +16,7 @@
 use crate::{
     coordination::{dispatch::Micros, lease, slot},
     protocol::{
-        announce, id, job,
+        announce, id, job, rule,
         wire::{
             control,
             sidecar::{Cancelled, Load, NotStarted, Reply, Revoked, RunResult, Task},
@@ -50,9 +50,17 @@
     lease: lease::Lease,
     backend: Option<Backend>,
     tasks: HashMap<id::Attempt, Held>,
+    /// Whether a rule drains this sidecar.
+    drained: bool,
     stopping: bool,
 }
 
+impl State {
+    fn draining(&self) -> bool {
+        self.stopping || self.drained || self.backend.as_ref().is_some_and(|b| b.left)
+    }
+}
+
 struct Backend {
     announce: announce::Announce,
     slots: slot::Slots,
@@ -75,6 +83,7 @@
             lease: lease::Lease::default(),
             backend: None,
             tasks: HashMap::new(),
+            drained: false,
             stopping: false,
         };
         Rc::new(Core {
@@ -260,10 +269,10 @@
     }
 
     fn close_if_due(&self, now: Micros, state: &mut State) {
-        let stopping = state.stopping;
+        let draining = state.draining();
         let Some(backend) = &mut state.backend else { return };
         let limit = self.settings.announce_lease_ms.as_micros() as Micros;
-        let reason = if stopping || backend.left {
+        let reason = if draining {
             Some(NotStarted::Draining)
         } else if backend.heard + limit <= now {
             Some(NotStarted::Unreachable)
@@ -455,13 +464,13 @@
             present && self.addr.get().is_some() && !((b.left || state.stopping) && idle)
         });
         control::SidecarSync {
-            member: member.map(|b| self.member(b, state.stopping)),
+            member: member.map(|b| self.member(b, state.draining())),
             rules_version: state.lease.rules_version(),
             sessions: state.lease.as_of(),
         }
     }
 
-    fn member(&self, backend: &Backend, stopping: bool) -> control::Member {
+    fn member(&self, backend: &Backend, draining: bool) -> control::Member {
         let announce = &backend.announce;
         control::Member {
             incarnation: backend.slots.incarnation(),
@@ -472,10 +481,9 @@
             connections: announce.connections,
             kinds: announce.kinds.clone(),
             size: announce.size,
-            state: if stopping || backend.left {
-                control::MemberState::Draining
-            } else {
-                control::MemberState::Serving
+            state: match draining {
+                true => control::MemberState::Draining,
+                false => control::MemberState::Serving,
             },
         }
     }
@@ -484,15 +492,36 @@
     pub fn confirm(self: &Rc<Self>, sent: Micros, view: control::SidecarView) {
         {
             let mut state = self.state.borrow_mut();
-            let State { lease, backend, .. } = &mut *state;
+            let State { lease, backend, drained, .. } = &mut *state;
+            let version = lease.rules_version();
             lease.confirm(sent, view);
             if let Some(backend) = backend {
                 backend.slots.forget_fenced(lease);
             }
+            if lease.rules_version() != version {
+                *drained = self.drained_by(lease).unwrap_or(*drained);
+                self.urgent.notify_one();
+            }
         }
         self.pump();
     }
 
+    /// Whether the rules held drain this sidecar, `None` if this version cannot read them. Then
+    /// what the last readable rules said stays: draining every sidecar that is older than the
+    /// rule language would stop all work, and control and entries drain on their own.
+    fn drained_by(&self, lease: &lease::Lease) -> Option<bool> {
+        let settings::Settings { data_centre, rack, rpc, .. } = &self.settings;
+        let addr = *self.addr.get().unwrap_or(rpc);
+        match rule::Rules::parse(lease.rules()) {
+            Ok(rules) => Some(rules.drains(data_centre, rack, addr)),
+            Err(faults) => {
+                let version = lease.rules_version();
+                log::error!("event=rules_unreadable version={version} faults={:?}", faults.0);
+                None
+            }
+        }
+    }
+
     pub fn lease(&self) -> Ref<'_, lease::Lease> {
         Ref::map(self.state.borrow(), |s| &s.lease)
     }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -10,7 +10,7 @@
     protocol::{
         id, job,
         wire::{
-            control::{MemberState, Refusal},
+            control::{MemberState, Refusal, Rules},
             sidecar::{self, NotStarted, Reply, Revoked, RunResult},
         },
     },
@@ -324,6 +324,27 @@
     assert!(stand.backend.wait().success());
 }
 
+/// Guards against a drained backend server that takes new work until control has dropped it, or
+/// that stays drained when the rule is gone.
+#[actix_rt::test]
+async fn drain_rule_refuses_new_work() {
+    let stand = Stand::new().await;
+    let rules = |version, text: &str| {
+        stand.control.set(|a| a.rules = Some(Rules { version, text: text.into() }));
+    };
+    rules(1, "drain rack saga/other # emi: not this one\n");
+    let calls = stand.control.get().calls;
+    until("some syncs", async || (stand.control.get().calls > calls + 2).then_some(())).await;
+    assert!(matches!(stand.run(1, json!({})).await.result, RunResult::Done { .. }));
+    rules(2, "drain rack saga/s1 # emi: switch is replaced\n");
+    let last = until_refused(&stand, 100, Some(NotStarted::Draining)).await;
+    let state = || stand.control.member().map(|m| m.state);
+    until("control to be told", async || (state()? == MemberState::Draining).then_some(())).await;
+    rules(3, "# emi: done\n");
+    until_refused(&stand, last + 1_000_000, None).await;
+    until("control to be told", async || (state()? == MemberState::Serving).then_some(())).await;
+}
+
 /// Guards against work meant for one life of a backend server reaching the next, and against
 /// calling a task unstarted that died with its backend server.
 #[actix_rt::test]
