--- a/src/sidecar/meter.rs
+++ b/src/sidecar/meter.rs
@@ -32,7 +32,7 @@
             .expect("metric names are valid");
         registry.register(Box::new(load.clone())).expect("each metric is registered once");
         Meter {
-            starts: counter("sidecar_starts_total", "Attempts started", &["team"]),
+            starts: counter("sidecar_starts_total", "Attempts given a slot", &["team"]),
             refusals: counter("sidecar_refusals_total", "Attempts not started", &["reason"]),
             ends: counter("sidecar_ends_total", "Started attempts ended", &["result"]),
             syncs: counter("sidecar_syncs_total", "Calls to control", &["result"]),
--- a/src/sidecar/web.rs
+++ b/src/sidecar/web.rs
@@ -39,6 +39,9 @@
 }
 
 fn announced(core: &Rc<Core<Worker>>, announce: Announce) -> Response<Bytes> {
+    if announce.slots == 0 || announce.connections == 0 {
+        return http::text(StatusCode::BAD_REQUEST, "slots and connections must be positive");
+    }
     core.platform.set_connections(announce.connections);
     match core.announced(announce) {
         Some(incarnation) => {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -20,6 +20,7 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 use stand::{Stand, attempt, control, failed, get, refused, send, until};
+use workdir::Program;
 
 /// Guards against a sidecar that does not get an attempt to its backend server and back.
 #[actix_rt::test]
@@ -305,6 +306,32 @@
     assert!(stand.control.member().is_none());
 }
 
+/// Guards against a stop that never ends, or that leaves callers without an answer, when a task
+/// outlasts the drain limit.
+#[actix_rt::test]
+async fn stop_cuts_off_after_the_limit() {
+    let mut stand = Stand::with(json!({"drain_limit_ms": 200}), json!({})).await;
+    let stop = async {
+        started(&stand, 1).await;
+        stand.sidecar.signal(Signal::SIGTERM);
+    };
+    let (reply, ()) = future::join(stand.run(1, json!({"work_ms": 25_000})), stop).await;
+    assert_eq!(failed(&reply), Some(job::Failure::OutcomeUnknown));
+    assert_eq!(stand.sidecar.wait().code(), Some(1));
+    assert!(stand.sidecar.log().contains("event=cut_off attempt=5-1-0-0"));
+}
+
+/// Guards against examples that the programs refuse.
+#[test]
+fn examples_are_valid() {
+    let dir = workdir::Workdir::new();
+    for (program, name) in [(Program::Sidecar, "sidecar"), (Program::Backend, "backend")] {
+        let path = format!("{}/examples/{name}.json", env!("CARGO_MANIFEST_DIR"));
+        let output = dir.run(program, &["--check", "--settings", &path]);
+        assert!(output.status.success(), "{output:?}");
+    }
+}
+
 /// Guards against control learning of a leaving backend server only after its last task.
 #[actix_rt::test]
 async fn control_learns_at_once_of_leaving() {
--- a/tests/slot.rs
+++ b/tests/slot.rs
@@ -181,39 +181,22 @@
     }
 
     fn obstacle(&self, now: u64, ask: &Ask) -> Option<NotStarted> {
-        let size = LIMITS.size;
         let run = ask.attempt.run;
-        if now >= self.lease_until {
-            return Some(NotStarted::NoLease);
-        }
-        if self.fenced.contains(&run.epoch.0) {
-            return Some(NotStarted::Fenced);
-        }
-        if self.closed.is_some() {
-            return self.closed;
-        }
-        if self.cancelled.contains(&run) {
-            return Some(NotStarted::Revoked);
-        }
-        if ask.deadline <= now {
-            return Some(NotStarted::Expired);
-        }
-        let needs = ask.needs;
-        if needs.cpus > size.cpus
-            || needs.memory_mb > size.memory_mb
-            || needs.accelerators > size.accelerators
-        {
-            return Some(NotStarted::TooLarge);
-        }
-        None
+        let checks = [
+            (now >= self.lease_until, NotStarted::NoLease),
+            (self.fenced.contains(&run.epoch.0), NotStarted::Fenced),
+            (self.closed.is_some(), self.closed.unwrap_or(NotStarted::Draining)),
+            (self.cancelled.contains(&run), NotStarted::Revoked),
+            (ask.deadline <= now, NotStarted::Expired),
+            (!fit(&[ask.needs]), NotStarted::TooLarge),
+        ];
+        checks.into_iter().find(|(fails, _)| *fails).map(|(_, reason)| reason)
     }
 
     fn room(&self, now: u64, ask: &Ask) -> bool {
         let mut beside: Vec<job::Needs> =
             self.with(Fate::Running).into_iter().map(|(a, _)| a.needs).collect();
-        if beside.len() == 3 {
-            return false;
-        }
+        let free = beside.len() < 3;
         if let Some((first, since)) = self.with(Fate::Queued).into_iter().min_by_key(|w| w.1)
             && first.attempt != ask.attempt
             && since + OVERTAKE_MAX_MS * 1_000 <= now
@@ -221,10 +204,7 @@
             beside.push(first.needs);
         }
         beside.push(ask.needs);
-        let cpus: u32 = beside.iter().map(|n| u32::from(n.cpus)).sum();
-        let memory: u32 = beside.iter().map(|n| n.memory_mb).sum();
-        let accelerators: u32 = beside.iter().map(|n| u32::from(n.accelerators)).sum();
-        cpus <= 10 && memory <= 100 && accelerators <= 1
+        free && fit(&beside)
     }
 
     fn start(&mut self, ask: &Ask) {
@@ -293,28 +273,28 @@
             all.filter(|a| a.run == run).collect()
         };
         let (queued, running) = (of(Fate::Queued), of(Fate::Running));
-        for attempt in &queued {
-            self.set(*attempt, Fate::Refused(NotStarted::Revoked));
-        }
+        queued.iter().for_each(|a| self.set(*a, Fate::Refused(NotStarted::Revoked)));
         (queued, running)
     }
 
     fn revoke(&mut self, attempt: id::Attempt) -> Revoked {
         match self.fate(attempt) {
-            Some(Fate::Running | Fate::Ended) => Revoked::Started,
-            Some(Fate::Queued) => {
-                self.set(attempt, Fate::Refused(NotStarted::Revoked));
-                Revoked::NotStarted
-            }
-            Some(Fate::Refused(_)) => Revoked::NotStarted,
-            None => {
-                self.revoked.push(attempt);
-                Revoked::NotStarted
-            }
+            Some(Fate::Running | Fate::Ended) => return Revoked::Started,
+            Some(Fate::Queued) => self.set(attempt, Fate::Refused(NotStarted::Revoked)),
+            Some(Fate::Refused(_)) => {}
+            None => self.revoked.push(attempt),
         }
+        Revoked::NotStarted
     }
 }
 
+/// Whether all fit the worker together.
+fn fit(all: &[job::Needs]) -> bool {
+    all.iter().map(|n| u32::from(n.cpus)).sum::<u32>() <= 10
+        && all.iter().map(|n| n.memory_mb).sum::<u32>() <= 100
+        && all.iter().map(|n| u32::from(n.accelerators)).sum::<u32>() <= 1
+}
+
 fn cost(ask: &Ask) -> u64 {
     u64::from(ask.declared_ms.unwrap_or(DECLARED_DEFAULT_MS))
 }
