--- a/src/coordination/route/server.rs
+++ b/src/coordination/route/server.rs
@@ -16,6 +16,11 @@
 /// Attempts sent without any reply, as a part of the slots: what other entries have sent meanwhile
 /// is not known, and a sidecar's queue is short.
 const UNCONFIRMED_PART: f64 = 0.75;
+/// An entry with less than this part of the slots may use the server's queue, else another entry
+/// that refills each slot as it falls free would keep it out.
+const FAIR_PART: f64 = 0.375;
+/// Most attempts it may have queued there.
+const QUEUED_MAX: f64 = 2.0;
 /// Part of a slot that the estimate of other entries' attempts may be off without closing it.
 const SLACK: f64 = 0.5;
 
@@ -92,8 +97,9 @@
         mean + (self.others - mean) / (1.0 + age + age * age / 2.0)
     }
 
-    /// Whether a further attempt may be sent.
-    pub fn has_room(&self, now: Micros, others: Others) -> bool {
+    /// Whether a further attempt may be sent. With a `reserve` it leaves so many slots free, and
+    /// does not use the server's queue.
+    pub fn has_room(&self, now: Micros, others: Others, reserve: Option<f64>) -> bool {
         if !self.serving || self.gone {
             return false;
         }
@@ -102,9 +108,14 @@
             Access::Single => self.mine == 0,
             Access::Open => {
                 let unconfirmed_max = (f64::from(self.slots) * UNCONFIRMED_PART).ceil();
+                let mine = f64::from(self.mine);
+                let fair = f64::from(self.slots) * FAIR_PART;
+                let extra = match reserve {
+                    Some(reserve) => -reserve,
+                    None => QUEUED_MAX * (1.0 - mine / fair).max(0.0),
+                };
                 f64::from(self.unconfirmed) < unconfirmed_max
-                    && f64::from(self.mine) + 1.0 + self.others(now, others)
-                        <= self.window.limit() + SLACK
+                    && mine + 1.0 + self.others(now, others) <= self.window.limit() + SLACK + extra
             }
         }
     }
@@ -131,7 +142,7 @@
         };
         let factor = self.speed.factor();
         // The last term decides between idle servers of the same speed.
-        ahead / slots * overall_us / factor + mean_us / factor * (1.0 + 0.02 * occupied / slots)
+        ahead / slots * overall_us / factor + mean_us / factor * (1.0 + 0.2 * occupied / slots)
     }
 
     /// Counts an attempt as sent; `rate` is 1/expected time.
@@ -152,8 +163,6 @@
     /// Takes over the load that a reply carried, which does not count the replied attempt. To be
     /// called after `ended`.
     pub fn heard(&mut self, now: Micros, load: Option<sidecar::Load>) {
-        self.silence = 0.0;
-        self.silence_at = now;
         self.unconfirmed = 0;
         if let Some(load) = load {
             let total = f64::from(load.busy) + f64::from(load.queued);
@@ -166,6 +175,13 @@
         }
     }
 
+    /// An attempt ran to its end. Refusals do not count: a sidecar refuses while its backend server
+    /// is frozen.
+    pub fn ran(&mut self, now: Micros) {
+        self.silence = 0.0;
+        self.silence_at = now;
+    }
+
     /// Replies that were to be expected since the last one.
     pub fn silence(&mut self, now: Micros) -> f64 {
         self.pass(now);
