--- /dev/null
+++ b/benches/slopes/measure.rs
@@ -0,0 +1,38 @@
+//! Measures time and memory and prints slopes.
+
+use std::{fs, hint, time::Instant};
+
+/// Size of a page of memory, in bytes.
+const PAGE_BYTES: u64 = 4096;
+
+/// One line of output.
+pub fn line(resource: &str, per: &str, value: f64, unit: &str) {
+    println!("role=control resource={resource} per={per} value={value:.3} unit={unit}");
+}
+
+/// Mean time of `work` in µs over `times` calls, after a tenth as many to warm up.
+pub fn cpu<T>(per: &str, times: usize, mut work: impl FnMut(usize) -> T) {
+    for n in 0..times / 10 {
+        hint::black_box(work(n));
+    }
+    let start = Instant::now();
+    for n in times / 10..times / 10 + times {
+        hint::black_box(work(n));
+    }
+    line("cpu", per, start.elapsed().as_secs_f64() * 1e6 / times as f64, "us");
+}
+
+/// Growth of memory by `make`, divided by `count`. Returns what was made.
+pub fn memory<T>(per: &str, count: usize, make: impl FnOnce() -> T) -> T {
+    let before = resident();
+    let made = hint::black_box(make());
+    let grown = resident().saturating_sub(before);
+    line("memory", per, grown as f64 / count as f64, "bytes");
+    made
+}
+
+fn resident() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").expect("the process has memory figures");
+    let pages = statm.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.expect("the second figure is the resident set") * PAGE_BYTES
+}
--- a/src/state/machine/admission.rs
+++ b/src/state/machine/admission.rs
@@ -55,11 +55,63 @@
     run: id::Run,
     digest: [u8; 32],
     created_at_ms: u64,
-    outcome: Option<wire::Outcome>,
+    end: End,
     /// Runs that had the key before and ended as `NotRun`; the newest of each open session.
     past: Vec<Past>,
 }
 
+/// How a submission ended, if it has.
+#[serde_with::serde_as]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+enum End {
+    Open,
+    NotRun {
+        reason: job::Refusal,
+        detail: String,
+    },
+    /// Anything else but inline answers.
+    Other(wire::Outcome),
+    /// Inline answers in the encoding of the log: a hundred short texts of their own take several
+    /// times the memory.
+    Answers(#[serde_as(as = "serde_with::Bytes")] Box<[u8]>),
+}
+
+impl End {
+    fn new(outcome: wire::Outcome) -> End {
+        match outcome {
+            wire::Outcome::Completed(wire::Answer::Inline(texts)) => {
+                let bytes = postcard::to_stdvec(&texts).expect("texts serialise");
+                End::Answers(bytes.into())
+            }
+            wire::Outcome::NotRun { reason, detail } => End::NotRun { reason, detail },
+            other => End::Other(other),
+        }
+    }
+
+    fn outcome(&self) -> Option<wire::Outcome> {
+        match self {
+            End::Open => None,
+            End::NotRun { reason, detail } => {
+                Some(wire::Outcome::NotRun { reason: *reason, detail: detail.clone() })
+            }
+            End::Other(outcome) => Some(outcome.clone()),
+            End::Answers(bytes) => {
+                let texts = postcard::from_bytes(bytes).expect("texts as written by `new`");
+                Some(wire::Outcome::Completed(wire::Answer::Inline(texts)))
+            }
+        }
+    }
+
+    fn is_open(&self) -> bool {
+        matches!(self, End::Open)
+    }
+
+    /// Bytes of inline answers.
+    fn answer_bytes(&self) -> u64 {
+        if let End::Answers(bytes) = self { bytes.len() as u64 } else { 0 }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 struct Past {
     run: id::Run,
@@ -77,15 +129,6 @@
     }
 }
 
-fn inline_bytes(outcome: &Option<wire::Outcome>) -> u64 {
-    match outcome {
-        Some(wire::Outcome::Completed(wire::Answer::Inline(texts))) => {
-            texts.iter().map(|t| t.len() as u64).sum()
-        }
-        _ => 0,
-    }
-}
-
 impl Admissions {
     pub fn keys(&self) -> usize {
         self.records.len()
@@ -111,15 +154,15 @@
     fn known(&self, job: id::Job, sessions: &Sessions) -> control::Admission {
         let record = &self.records[&job];
         let owner = sessions.addr(record.run.epoch);
-        match &record.outcome {
+        match record.end.outcome() {
             None => control::Admission::Running { job, owner },
-            Some(outcome) => control::Admission::Finished { job, owner, outcome: outcome.clone() },
+            Some(outcome) => control::Admission::Finished { job, owner, outcome },
         }
     }
 
     fn expired(&self, job: id::Job) -> bool {
         let record = &self.records[&job];
-        record.outcome.is_some() && record.created_at_ms < self.horizon_ms
+        !record.end.is_open() && record.created_at_ms < self.horizon_ms
     }
 }
 
@@ -154,7 +197,7 @@
         let all = &mut *self.admissions;
         while let Some(job) = all.answers.front() {
             let record = all.records.get_mut(job);
-            let bytes = record.as_ref().map_or(0, |r| inline_bytes(&r.outcome));
+            let bytes = record.as_ref().map_or(0, |r| r.end.answer_bytes());
             if bytes > 0 && all.answer_bytes <= self.limits.answers_max_bytes {
                 break;
             }
@@ -162,7 +205,7 @@
                 && let Some(record) = record
             {
                 let detail = "the answer was dropped to bound the memory of control";
-                record.outcome = Some(machine::failed(job::Failure::AnswerLost, detail));
+                record.end = End::new(machine::failed(job::Failure::AnswerLost, detail));
                 all.answer_bytes -= bytes;
             }
             all.answers.pop_front();
@@ -174,7 +217,7 @@
         let record = all.records.swap_remove(&job)?;
         all.keys.swap_remove(&record.name);
         all.closed.remove(&(record.created_at_ms, job));
-        all.answer_bytes -= inline_bytes(&record.outcome);
+        all.answer_bytes -= record.end.answer_bytes();
         for past in &record.past {
             all.freed.swap_remove(&past.job);
         }
@@ -214,9 +257,9 @@
         if record.digest != admit.digest {
             return control::Admission::Conflict;
         }
-        match &record.outcome {
-            None if record.run == admit.run => control::Admission::Admitted { job },
-            Some(wire::Outcome::NotRun { .. }) if !record.late(admit.run) => {
+        match &record.end {
+            End::Open if record.run == admit.run => control::Admission::Admitted { job },
+            End::NotRun { .. } if !record.late(admit.run) => {
                 if !self.in_range(admit.created_at_ms) {
                     return control::Admission::Expired;
                 }
@@ -236,7 +279,7 @@
         let Some(record) = self.remove(job) else { return control::Admission::Unknown };
         let mut past = record.past;
         past.retain(|p| p.run.epoch != record.run.epoch && self.sessions.live(p.run.epoch));
-        if let Some(wire::Outcome::NotRun { reason, .. }) = record.outcome
+        if let End::NotRun { reason, .. } = record.end
             && self.sessions.live(record.run.epoch)
         {
             past.push(Past { run: record.run, job, reason });
@@ -260,7 +303,7 @@
             run: admit.run,
             digest: admit.digest,
             created_at_ms: admit.created_at_ms,
-            outcome: None,
+            end: End::Open,
             past,
         };
         let all = &mut *self.admissions;
@@ -288,17 +331,15 @@
         }
         let live = self.sessions.live(finish.epoch);
         let record = self.admissions.records.get(&finish.job);
-        match record {
+        match record.map(|record| (record, record.end.outcome())) {
             // A repeated end is answered even when the session has ended meanwhile: the outcome
             // that stands is the truth about the job.
-            Some(Record { outcome: Some(outcome), .. }) if *outcome == finish.outcome => {
+            Some((_, Some(outcome))) if outcome == finish.outcome => {
                 Reply::Finished(control::Finished::Recorded)
             }
-            Some(Record { outcome: Some(outcome), .. }) => {
-                Reply::Finished(control::Finished::Already { outcome: outcome.clone() })
-            }
+            Some((_, Some(outcome))) => Reply::Finished(control::Finished::Already { outcome }),
             _ if !live => Reply::Fenced,
-            Some(record) if record.run.epoch != finish.epoch => {
+            Some((record, _)) if record.run.epoch != finish.epoch => {
                 Reply::Invalid("the job belongs to another session")
             }
             Some(_) => {
@@ -320,8 +361,8 @@
     fn close(&mut self, job: id::Job, outcome: wire::Outcome) {
         let all = &mut *self.admissions;
         let Some(record) = all.records.get_mut(&job) else { return };
-        record.outcome = Some(outcome);
-        let bytes = inline_bytes(&record.outcome);
+        record.end = End::new(outcome);
+        let bytes = record.end.answer_bytes();
         all.open.remove(&(record.run.epoch, job));
         all.closed.insert((record.created_at_ms, job));
         if bytes > 0 {
