--- a/benches/entry.rs
+++ b/benches/entry.rs
@@ -24,6 +24,8 @@
 /// Jobs that callers keep in flight.
 const JOBS: usize = 64;
 const SIDECARS: usize = 8;
+/// Single requests whose response time is measured.
+const REQUESTS: usize = 2_000;
 const WARM_UP: Duration = Duration::from_secs(1);
 const MEASURED: Duration = Duration::from_secs(4);
 
@@ -36,6 +38,7 @@
         let (_entry, addr) = fake::entry(&[control], fake::limits()).await;
         while fake::get(addr, "/health").await.code != 200 {}
         actix_rt::time::sleep(Duration::from_millis(100)).await;
+        latency(addr).await;
         callers(addr, counted);
         actix_rt::time::sleep(WARM_UP).await;
         let (start, jobs, cpu) = (Instant::now(), done.load(Relaxed), thread_time());
@@ -53,6 +56,28 @@
     });
 }
 
+/// Response time of single idempotent requests, one after the other, from a thread of their own.
+async fn latency(addr: SocketAddr) {
+    let (send, sorted) = tokio::sync::oneshot::channel();
+    thread::spawn(move || {
+        actix_rt::System::new().block_on(async {
+            let client = fake::client();
+            let body = r#"{"team":"desk","idempotent":true,"task":{"kind":"quote","input":1}}"#;
+            let mut micros = Vec::new();
+            for _ in 0..REQUESTS {
+                let start = Instant::now();
+                let answer = fake::post_by(&client, addr, "/v1/requests", body).await;
+                assert_eq!(answer.code, 200, "{}", answer.text);
+                micros.push(start.elapsed().as_micros());
+            }
+            micros.sort_unstable();
+            send.send(micros).unwrap();
+        });
+    });
+    let micros = sorted.await.unwrap();
+    println!("request_us p50={} p99={}", micros[REQUESTS / 2], micros[REQUESTS * 99 / 100]);
+}
+
 /// Processor time of this thread.
 fn thread_time() -> Duration {
     let stat = fs::read_to_string("/proc/thread-self/schedstat").unwrap();
