--- a/src/coordination/route/server.rs
+++ b/src/coordination/route/server.rs
@@ -97,8 +97,9 @@
         mean + (self.others - mean) / (1.0 + age + age * age / 2.0)
     }
 
-    /// Whether a further attempt may be sent.
-    pub fn has_room(&self, now: Micros, others: Others) -> bool {
+    /// Whether a further attempt may be sent. With a `reserve` it leaves so many slots free, and
+    /// does not use the server's queue.
+    pub fn has_room(&self, now: Micros, others: Others, reserve: Option<f64>) -> bool {
         if !self.serving || self.gone {
             return false;
         }
@@ -109,7 +110,10 @@
                 let unconfirmed_max = (f64::from(self.slots) * UNCONFIRMED_PART).ceil();
                 let mine = f64::from(self.mine);
                 let fair = f64::from(self.slots) * FAIR_PART;
-                let extra = QUEUED_MAX * (1.0 - mine / fair).max(0.0);
+                let extra = match reserve {
+                    Some(reserve) => -reserve,
+                    None => QUEUED_MAX * (1.0 - mine / fair).max(0.0),
+                };
                 f64::from(self.unconfirmed) < unconfirmed_max
                     && mine + 1.0 + self.others(now, others) <= self.window.limit() + SLACK + extra
             }
@@ -138,7 +142,7 @@
         };
         let factor = self.speed.factor();
         // The last term decides between idle servers of the same speed.
-        ahead / slots * overall_us / factor + mean_us / factor * (1.0 + 0.02 * occupied / slots)
+        ahead / slots * overall_us / factor + mean_us / factor * (1.0 + 0.2 * occupied / slots)
     }
 
     /// Counts an attempt as sent; `rate` is 1/expected time.
