Entry: tests of passed deadlines and unread answers; own body not counted twice

Cause: a submission's own body counted against the room for new work; neither deadlines after a start nor slow readers were tested. Change: Budget::has_room leaves out what the submission holds itself; tests for both. Conclusion: memory of slow readers stays within memory_max_bytes.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -76,7 +76,7 @@
         return Err(too_large(core, max));
     }
     let mut hold = core.budget.hold();
-    if !core.budget.has_room() || !hold.grow(length) {
+    if !core.budget.has_room(0) || !hold.grow(length) {
         return Err(refuse(core, job::Refusal::Overloaded, "the entry's memory is used up"));
     }
     let mut payload = request.take_payload();
--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -30,9 +30,10 @@
         self.used.load(Relaxed)
     }
 
-    /// Whether new work may be taken. The other half is left for the work in progress.
-    pub fn has_room(&self) -> bool {
-        self.used() < self.max / 2
+    /// Whether new work may be taken, of which `own` bytes are held already. The other half is
+    /// left for the work in progress.
+    pub fn has_room(&self, own: usize) -> bool {
+        self.used() - own < self.max / 2
     }
 
     pub fn hold(self: &Arc<Budget>) -> Hold {
@@ -41,6 +42,10 @@
 }
 
 impl Hold {
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Adds `bytes`; returns whether the budget still suffices.
     pub fn grow(&mut self, bytes: usize) -> bool {
         self.bytes += bytes;
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -128,7 +128,7 @@
             }
         }
         drop(demand);
-        if !self.budget.has_room() {
+        if !self.budget.has_room(work.hold.bytes()) {
             let detail = "the entry's memory for answers is used up";
             return Err(Done::not_run(job::Refusal::Overloaded, detail));
         }
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -17,6 +17,7 @@
 };
 use futures::future;
 use serde_json::json;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 async fn submit(addr: SocketAddr, key: &str, tasks: usize) -> Answer {
     post(addr, "/v1/jobs", numbered(key, tasks).to_string()).await
@@ -379,6 +380,69 @@
     });
 }
 
+/// Guards against a deadline that ends a job without a trace: what has started is cancelled, the
+/// late reply is dropped and the key is not run again.
+#[test]
+fn a_passed_deadline_fails_a_started_job() {
+    fake::run(async {
+        let world = World::new().await;
+        world.sidecar.plan(|_| Fault::Hold);
+        let mut body = numbered("k", 2);
+        body["deadline_ms"] = json!(200);
+        let answer = post(world.addr, "/v1/jobs", body.to_string()).await;
+        assert_eq!(answer.short(), "502 failed deadline_exceeded");
+        fake::until("cancelled", || world.sidecar.cancels.borrow().len() == 1).await;
+        world.sidecar.release();
+        let again = submit(world.addr, "k", 2).await;
+        assert_eq!(again.short(), "502 failed deadline_exceeded");
+        let late = "briargauge_entry_wasted_messages_total{cause=\"late\"} 4";
+        let mut metrics = get(world.addr, "/metrics").await.text;
+        while !metrics.contains(late) {
+            metrics = get(world.addr, "/metrics").await.text;
+        }
+        assert_eq!(world.sidecar.starts(), 2);
+    });
+}
+
+/// Guards against callers that fill the entry's memory by not reading their answers.
+#[test]
+fn unread_answers_are_bounded() {
+    const MIB: usize = 1024 * 1024;
+    fake::run(async {
+        let limits = Limits {
+            body_max_bytes: 16 * MIB,
+            answer_max_bytes: 2 * MIB,
+            // Room for new work below 20 MiB.
+            memory_max_bytes: 40 * MIB,
+            held_max_bytes: 0,
+            ..limits()
+        };
+        let world = World::with_limits(limits).await;
+        // More than the socket buffers of both sides take.
+        let inputs = vec![json!("x".repeat(MIB)); 12];
+        let mut callers = Vec::new();
+        for key in ["a", "b"] {
+            let body = job(key, &inputs).to_string();
+            let head = format!(
+                "POST /v1/jobs HTTP/1.1\r\nhost: entry\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            let mut caller = TcpStream::connect(world.addr).await.unwrap();
+            caller.write_all((head + &body).as_bytes()).await.unwrap();
+            let completed = || matches!(world.control.outcome(key), Some(Outcome::Completed(_)));
+            fake::until("completed", completed).await;
+            callers.push(caller);
+        }
+        let mut refused = submit(world.addr, "c", 1).await;
+        while refused.code == 200 {
+            refused = submit(world.addr, "c", 1).await;
+        }
+        assert_eq!(refused.short(), "503 not_run overloaded");
+        drop(callers);
+        while submit(world.addr, "d", 1).await.code != 200 {}
+    });
+}
+
 /// Runs one job of as many tasks as there are faults; a retried attempt meets no fault.
 fn job_under(faults: Vec<Fault>) -> (Answer, Rc<Sidecar>) {
     fake::run(async {
