--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -10,7 +10,7 @@
     protocol::{
         id, job,
         wire::{
-            control::{MemberState, Refusal},
+            control::{MemberState, Refusal, Rules},
             sidecar::{self, NotStarted, Reply, Revoked, RunResult},
         },
     },
@@ -20,6 +20,7 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 use stand::{Stand, attempt, control, failed, get, refused, send, until};
+use workdir::Program;
 
 /// Guards against a sidecar that does not get an attempt to its backend server and back.
 #[actix_rt::test]
@@ -305,6 +306,32 @@
     assert!(stand.control.member().is_none());
 }
 
+/// Guards against a stop that never ends, or that leaves callers without an answer, when a task
+/// outlasts the drain limit.
+#[actix_rt::test]
+async fn stop_cuts_off_after_the_limit() {
+    let mut stand = Stand::with(json!({"drain_limit_ms": 200}), json!({})).await;
+    let stop = async {
+        started(&stand, 1).await;
+        stand.sidecar.signal(Signal::SIGTERM);
+    };
+    let (reply, ()) = future::join(stand.run(1, json!({"work_ms": 25_000})), stop).await;
+    assert_eq!(failed(&reply), Some(job::Failure::OutcomeUnknown));
+    assert_eq!(stand.sidecar.wait().code(), Some(1));
+    assert!(stand.sidecar.log().contains("event=cut_off attempt=5-1-0-0"));
+}
+
+/// Guards against examples that the programs refuse.
+#[test]
+fn examples_are_valid() {
+    let dir = workdir::Workdir::new();
+    for (program, name) in [(Program::Sidecar, "sidecar"), (Program::Backend, "backend")] {
+        let path = format!("{}/examples/{name}.json", env!("CARGO_MANIFEST_DIR"));
+        let output = dir.run(program, &["--check", "--settings", &path]);
+        assert!(output.status.success(), "{output:?}");
+    }
+}
+
 /// Guards against control learning of a leaving backend server only after its last task.
 #[actix_rt::test]
 async fn control_learns_at_once_of_leaving() {
@@ -324,6 +351,27 @@
     assert!(stand.backend.wait().success());
 }
 
+/// Guards against a drained backend server that takes new work until control has dropped it, or
+/// that stays drained when the rule is gone.
+#[actix_rt::test]
+async fn drain_rule_refuses_new_work() {
+    let stand = Stand::new().await;
+    let rules = |version, text: &str| {
+        stand.control.set(|a| a.rules = Some(Rules { version, text: text.into() }));
+    };
+    rules(1, "drain rack saga/other # emi: not this one\n");
+    let calls = stand.control.get().calls;
+    until("some syncs", async || (stand.control.get().calls > calls + 2).then_some(())).await;
+    assert!(matches!(stand.run(1, json!({})).await.result, RunResult::Done { .. }));
+    rules(2, "drain rack saga/s1 # emi: switch is replaced\n");
+    let last = until_refused(&stand, 100, Some(NotStarted::Draining)).await;
+    let state = || stand.control.member().map(|m| m.state);
+    until("control to be told", async || (state()? == MemberState::Draining).then_some(())).await;
+    rules(3, "# emi: done\n");
+    until_refused(&stand, last + 1_000_000, None).await;
+    until("control to be told", async || (state()? == MemberState::Serving).then_some(())).await;
+}
+
 /// Guards against work meant for one life of a backend server reaching the next, and against
 /// calling a task unstarted that died with its backend server.
 #[actix_rt::test]
