One client of control for entry, sidecar and commands

Cause: entry::control and client::Control were two versions of the same loop; the entry needs to know whether a call may have been carried out. Change: client::Control tells it (Failure::was_sent), follows a named leader without a pause, backs off up to 300 ms and makes no call without time left; entry::control keeps only the entry's own calls.

--- a/src/client.rs
+++ b/src/client.rs
@@ -21,18 +21,33 @@
 /// Time one instance has to answer before the next one is asked: a frozen instance keeps its
 /// connections open.
 const TRY_LIMIT: Duration = Duration::from_millis(1_500);
-/// Pause between tries, in ms; drawn evenly, so that callers do not return in step.
-const PAUSE_MS: std::ops::Range<u64> = 20..80;
+/// Pause after the first failed try; doubled up to [`PAUSE_MAX`], with jitter of one half, so that
+/// callers do not return in step.
+const PAUSE: Duration = Duration::from_millis(40);
+const PAUSE_MAX: Duration = Duration::from_millis(300);
+/// Times that a named leader is followed without a pause.
+const HOPS_MAX: u32 = 3;
 
 /// Why a call to control has no result.
 #[derive(Debug)]
 pub enum Failure {
     /// Control answered that it does not carry the call out.
     Refused { peer: SocketAddr, refusal: control::Refusal },
-    /// No answer within the limit: the call may or may not have been carried out.
+    /// No answer within the limit. The call may have been carried out, or may be later, unless the
+    /// error is [`Error::Net`]: then it was never sent.
     NoAnswer(Error),
 }
 
+impl Failure {
+    /// Whether the call may have been carried out, or may be later.
+    pub fn was_sent(&self) -> bool {
+        match self {
+            Failure::Refused { refusal, .. } => matches!(refusal, control::Refusal::Storage { .. }),
+            Failure::NoAnswer(e) => !matches!(e, Error::Net { .. }),
+        }
+    }
+}
+
 impl From<Failure> for Error {
     fn from(failure: Failure) -> Error {
         match failure {
@@ -91,19 +106,33 @@
         F: Future<Output = Result<Result<T, control::Refusal>, RpcError>>,
     {
         let end = Instant::now() + limit;
+        let mut unanswered = None;
+        let mut pause = PAUSE;
+        let mut hops = 0;
         loop {
             let link = self.link();
             let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                let source = std::io::ErrorKind::TimedOut.into();
+                let late = Error::Net { step, peer: link.addr(), source };
+                return Err(unanswered.unwrap_or(Failure::NoAnswer(late)));
+            }
             let context = rpc::context(left.min(TRY_LIMIT));
             let failure = match link.call(step, |client| call(client, context)).await {
                 Ok(Ok(answer)) => return Ok(answer),
                 Ok(Err(refusal)) => {
                     let peer = link.addr();
                     match refusal {
-                        control::Refusal::NotLeader { leader: Some(leader) } => self.prefer(leader),
+                        control::Refusal::NotLeader { leader: Some(leader) } => {
+                            self.prefer(leader);
+                            hops += 1;
+                            if hops <= HOPS_MAX {
+                                continue;
+                            }
+                        }
                         control::Refusal::NotLeader { leader: None }
                         | control::Refusal::NotInitialised
-                        | control::Refusal::Stopping => self.next(),
+                        | control::Refusal::Stopping => self.next(&link),
                         control::Refusal::Storage { .. } => {}
                         control::Refusal::Fenced | control::Refusal::Invalid { .. } => {
                             return Err(Failure::Refused { peer, refusal });
@@ -112,15 +141,20 @@
                     Failure::Refused { peer, refusal }
                 }
                 Err(e) => {
-                    self.next();
+                    self.next(&link);
                     Failure::NoAnswer(e)
                 }
             };
-            let pause = Duration::from_millis(rand::rng().random_range(PAUSE_MS));
-            if Instant::now() + pause >= end {
-                return Err(failure);
+            hops = 0;
+            let jittered = pause.mul_f64(rand::rng().random_range(0.5..1.5));
+            if Instant::now() + jittered >= end {
+                return Err(unanswered.unwrap_or(failure));
             }
-            time::sleep(pause).await;
+            if failure.was_sent() {
+                unanswered = Some(failure);
+            }
+            time::sleep(jittered).await;
+            pause = (pause * 2).min(PAUSE_MAX);
         }
     }
 
@@ -129,8 +163,11 @@
         links[self.inner.current.get() % links.len()].clone()
     }
 
-    fn next(&self) {
-        self.inner.current.set(self.inner.current.get().wrapping_add(1));
+    /// Goes on to the next instance, unless another call has done so.
+    fn next(&self, tried: &Rc<rpc::Link<control::ServiceClient>>) {
+        if Rc::ptr_eq(&self.link(), tried) {
+            self.inner.current.set(self.inner.current.get().wrapping_add(1));
+        }
     }
 
     /// Asks the instance at `addr` next, also if it was not configured.
--- a/src/entry/backend.rs
+++ b/src/entry/backend.rs
@@ -15,7 +15,6 @@
 
 use crate::{
     entry::{
-        control,
         meter::{Meter, Waste},
         session::Session,
     },
@@ -114,7 +113,7 @@
             self.link.call("run", |client| async move { client.run(context, task).await }).await;
         match reply {
             Ok(reply) => check(attempt, reply),
-            Err(e) if control::never_sent(&e) => {
+            Err(Error::Net { .. }) => {
                 Report::without_load(End::NotStarted(sidecar::NotStarted::Unreachable))
             }
             Err(e) => {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -1,39 +1,20 @@
-//! Calls to control: finds the leader and repeats idempotent calls until a point in time.
+//! The calls that an entry makes for submissions.
 
-use std::{
-    cell::{Cell, RefCell},
-    future::Future,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::net::SocketAddr;
 
-use rand::Rng;
-use tarpc::{client::RpcError, context};
-use tokio::time::{self, Instant};
+use tokio::time::Instant;
 
 use crate::{
-    error::Error,
-    protocol::wire::control::{Refusal, ServiceClient},
-    transport::rpc,
+    client::{self, Failure},
+    protocol::{
+        id,
+        wire::control::{Admission, Admit, Finish, Finished, Refusal, ServiceClient},
+    },
 };
 
-/// Time for one try; a leader that does not answer within it may be frozen or cut off.
-const TRY_LIMIT: Duration = Duration::from_millis(1_000);
-/// Pause after the first failed try; doubled up to [`PAUSE_MAX`], with jitter of one half.
-const PAUSE: Duration = Duration::from_millis(20);
-const PAUSE_MAX: Duration = Duration::from_millis(300);
-/// Times that a named leader is followed without a pause.
-const HOPS_MAX: u32 = 3;
-/// Addresses kept; leaders that are named but not configured are added up to this number.
-const LINKS_MAX: usize = 16;
-
-type Link = Rc<rpc::Link<ServiceClient>>;
-
 /// Client of the control group.
 pub struct Client {
-    links: RefCell<Vec<Link>>,
-    current: Cell<usize>,
+    pub group: client::Control,
 }
 
 /// Why a call has no result.
@@ -47,97 +28,52 @@
     Unanswered { sent: bool, detail: String },
 }
 
-impl Client {
-    pub fn new(addrs: &[SocketAddr]) -> Client {
-        let links = addrs.iter().map(|addr| rpc::Link::new(*addr)).collect();
-        Client { links: RefCell::new(links), current: Cell::new(0) }
-    }
-
-    /// Calls the leader, again and again until it answers or `until` has passed.
-    ///
-    /// `call` must be idempotent: an unanswered try may have been carried out.
-    pub async fn call<T, F>(
-        &self,
-        step: &'static str,
-        until: Instant,
-        call: impl Fn(ServiceClient, context::Context) -> F,
-    ) -> Result<T, Rejected>
-    where
-        F: Future<Output = Result<Result<T, Refusal>, RpcError>>,
-    {
-        let mut pause = PAUSE;
-        let mut hops = 0;
-        let mut sent = false;
-        let mut last = String::from("no time was left to ask");
-        loop {
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return Err(Rejected::Unanswered { sent, detail: last });
+impl From<Failure> for Rejected {
+    fn from(failure: Failure) -> Rejected {
+        let sent = failure.was_sent();
+        match failure {
+            Failure::Refused { refusal: Refusal::Fenced, .. } => Rejected::Fenced,
+            Failure::Refused { refusal: Refusal::Invalid { detail }, .. } => {
+                Rejected::Invalid { detail }
             }
-            let link = self.link();
-            let context = rpc::context(left.min(TRY_LIMIT));
-            // The limit also covers the time to connect.
-            let result =
-                time::timeout(left.min(TRY_LIMIT), link.call(step, |client| call(client, context)));
-            match result.await {
-                Ok(Ok(Ok(value))) => return Ok(value),
-                Ok(Ok(Err(Refusal::Fenced))) => return Err(Rejected::Fenced),
-                Ok(Ok(Err(Refusal::Invalid { detail }))) => {
-                    return Err(Rejected::Invalid { detail });
-                }
-                Ok(Ok(Err(Refusal::NotLeader { leader: Some(leader) }))) if hops < HOPS_MAX => {
-                    hops += 1;
-                    last = format!("step={step} peer={}: not the leader", link.addr());
-                    self.follow(leader);
-                    continue;
-                }
-                Ok(Ok(Err(refusal))) => {
-                    sent |= matches!(refusal, Refusal::Storage { .. });
-                    last = format!("step={step} peer={}: {refusal:?}", link.addr());
-                }
-                Ok(Err(e)) => {
-                    sent |= !never_sent(&e);
-                    last = e.to_string();
-                }
-                Err(_) => {
-                    sent = true;
-                    last = format!("step={step} peer={}: no answer", link.addr());
-                }
-            }
-            hops = 0;
-            self.skip(&link);
-            let jittered = pause.mul_f64(rand::rng().random_range(0.5..1.5));
-            time::sleep(jittered.min(until.saturating_duration_since(Instant::now()))).await;
-            pause = (pause * 2).min(PAUSE_MAX);
+            Failure::Refused { peer, refusal } => Rejected::Unanswered {
+                sent,
+                detail: format!("peer={peer}: {}", client::describe(&refusal)),
+            },
+            Failure::NoAnswer(e) => Rejected::Unanswered { sent, detail: e.to_string() },
         }
     }
+}
 
-    fn link(&self) -> Link {
-        let links = self.links.borrow();
-        links[self.current.get() % links.len()].clone()
+impl Client {
+    pub fn new(addrs: &[SocketAddr]) -> Client {
+        Client { group: client::Control::new(addrs) }
     }
 
-    /// Makes the named leader the one to ask.
-    fn follow(&self, leader: SocketAddr) {
-        let mut links = self.links.borrow_mut();
-        let known = links.iter().position(|l| l.addr() == leader);
-        let index = known.unwrap_or_else(|| {
-            links.truncate(LINKS_MAX - 1);
-            links.push(rpc::Link::new(leader));
-            links.len() - 1
-        });
-        self.current.set(index);
+    pub async fn admit(&self, admit: &Admit, until: Instant) -> Result<Admission, Rejected> {
+        let call = |client: ServiceClient, context| {
+            let admit = admit.clone();
+            async move { client.admit(context, admit).await }
+        };
+        let limit = until.saturating_duration_since(Instant::now());
+        Ok(self.group.call("admit", limit, call).await?)
     }
 
-    /// Goes on to the next address, unless another call has done so.
-    fn skip(&self, tried: &Link) {
-        if Rc::ptr_eq(&self.link(), tried) {
-            self.current.set((self.current.get() + 1) % self.links.borrow().len());
-        }
+    pub async fn finish(&self, finish: &Finish, until: Instant) -> Result<Finished, Rejected> {
+        let call = |client: ServiceClient, context| {
+            let finish = finish.clone();
+            async move { client.finish(context, finish).await }
+        };
+        let limit = until.saturating_duration_since(Instant::now());
+        Ok(self.group.call("finish", limit, call).await?)
     }
-}
 
-/// Whether an error tells that the call never left this process.
-pub fn never_sent(error: &Error) -> bool {
-    matches!(error, Error::Net { .. })
+    pub async fn lookup(&self, key: &id::Key, until: Instant) -> Result<Admission, Rejected> {
+        let call = |client: ServiceClient, context| {
+            let key = key.clone();
+            async move { client.lookup(context, key).await }
+        };
+        let limit = until.saturating_duration_since(Instant::now());
+        Ok(self.group.call("lookup", limit, call).await?)
+    }
 }
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -227,7 +227,7 @@
             created_at_ms,
             tasks: work.inputs.len() as u16,
         };
-        match core.admit(&admit, limit()).await {
+        match core.control.admit(&admit, limit()).await {
             Ok(control::Admission::Admitted { job }) => {
                 return match refused {
                     Some(refusal) => record(core, run_id, &key, job, &refusal).await,
@@ -278,13 +278,13 @@
 /// end of this entry's session.
 async fn release(core: Rc<Core>, admit: control::Admit) {
     let until = Instant::now() + RELEASE_LIMIT;
-    if let Ok(control::Admission::Admitted { job }) = core.admit(&admit, until).await {
+    if let Ok(control::Admission::Admitted { job }) = core.control.admit(&admit, until).await {
         let outcome = Outcome::NotRun {
             reason: job::Refusal::ControlUnavailable,
             detail: "the admission was not answered in time".into(),
         };
         let finish = control::Finish { job, epoch: admit.run.epoch, outcome };
-        let _ = core.finish(&finish, until).await;
+        let _ = core.control.finish(&finish, until).await;
     }
 }
 
@@ -292,7 +292,7 @@
 /// also be true of that one.
 async fn refuse(core: &Rc<Core>, key: &id::Key, until: Instant, refusal: &Done) -> Option<Done> {
     let limit = Instant::now() + LOOKUP_LIMIT;
-    match core.lookup(key, until.min(limit)).await {
+    match core.control.lookup(key, until.min(limit)).await {
         Ok(control::Admission::Unknown) => Some(refusal.clone()),
         Ok(control::Admission::Finished { outcome: Outcome::NotRun { .. }, .. }) => {
             Some(refusal.clone())
@@ -329,7 +329,7 @@
     };
     let finish = control::Finish { job, epoch: run.epoch, outcome };
     let until = Instant::now() + FINISH_LIMIT;
-    match core.finish(&finish, until).await {
+    match core.control.finish(&finish, until).await {
         Ok(control::Finished::Recorded) => done.clone(),
         Ok(control::Finished::Already { outcome }) if outcome == finish.outcome => done.clone(),
         Ok(control::Finished::Already { outcome }) => settled(core, outcome),
@@ -337,7 +337,7 @@
             core.end_session(run.epoch);
             // An earlier try may have been recorded before the session ended.
             let until = Instant::now() + LOOKUP_LIMIT;
-            match core.lookup(key, until).await {
+            match core.control.lookup(key, until).await {
                 Ok(control::Admission::Finished { job: recorded, outcome, .. })
                     if recorded == job =>
                 {
@@ -441,7 +441,7 @@
         }
         // The owner may have died: its jobs are recorded as failed once nothing of it can start.
         pause(until).await;
-        match core.lookup(key, until).await {
+        match core.control.lookup(key, until).await {
             Ok(control::Admission::Running { job: now, .. }) if now == job => {}
             Ok(control::Admission::Finished { job: now, owner, outcome }) if now == job => {
                 return Some(fetch(core, job, owner, outcome, until).await);
@@ -473,7 +473,7 @@
     if let Some(active) = core.active(key) {
         return Known::Here(active);
     }
-    match core.lookup(key, until).await {
+    match core.control.lookup(key, until).await {
         Ok(control::Admission::Running { job, owner }) => Known::Running { job, owner },
         Ok(control::Admission::Finished { job, owner, outcome }) => {
             Known::Ended(fetch(core, job, owner, outcome, until).await)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -38,10 +38,7 @@
         settings::{Limits, Settings},
     },
     error::Result,
-    protocol::{
-        id, job,
-        wire::{control as wire_control, entry as wire_entry},
-    },
+    protocol::{id, job, wire::entry as wire_entry},
     transport::{http, rpc},
 };
 
@@ -167,42 +164,6 @@
         }
     }
 
-    pub async fn admit(
-        &self,
-        admit: &wire_control::Admit,
-        until: Instant,
-    ) -> Result<wire_control::Admission, control::Rejected> {
-        let call = |client: wire_control::ServiceClient, context| {
-            let admit = admit.clone();
-            async move { client.admit(context, admit).await }
-        };
-        self.control.call("admit", until, call).await
-    }
-
-    pub async fn finish(
-        &self,
-        finish: &wire_control::Finish,
-        until: Instant,
-    ) -> Result<wire_control::Finished, control::Rejected> {
-        let call = |client: wire_control::ServiceClient, context| {
-            let finish = finish.clone();
-            async move { client.finish(context, finish).await }
-        };
-        self.control.call("finish", until, call).await
-    }
-
-    pub async fn lookup(
-        &self,
-        key: &id::Key,
-        until: Instant,
-    ) -> Result<wire_control::Admission, control::Rejected> {
-        let call = |client: wire_control::ServiceClient, context| {
-            let key = key.clone();
-            async move { client.lookup(context, key).await }
-        };
-        self.control.call("lookup", until, call).await
-    }
-
     /// Waits at another entry for the end of one of its jobs.
     pub async fn ask(
         &self,
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -55,7 +55,7 @@
             control::Hello { addr: core.addr.get(), data_centre: core.data_centre.clone(), start };
         async move { client.register(context, hello).await }
     };
-    match core.control.call("register", Instant::now() + SYNC_LIMIT, call).await {
+    match core.control.group.call("register", SYNC_LIMIT, call).await {
         Ok(session) => {
             log::info!("event=registered epoch={} lease_ms={}", session.epoch.0, session.lease_ms);
             core.session.open(sent.get(), session);
@@ -86,7 +86,7 @@
         };
         async move { client.sync_entry(context, sync).await }
     };
-    match core.control.call("sync", Instant::now() + SYNC_LIMIT, call).await {
+    match core.control.group.call("sync", SYNC_LIMIT, call).await.map_err(Rejected::from) {
         Ok(view) => {
             *revision = Some(view.members.revision);
             if core.session.renew(sent.get(), &view) {
