Entry: cancels reach jobs in admission and jobs of other entries

Cause: a cancel that arrived while a job was being admitted was dropped, and one at an entry that only waits for a job stayed there; a wait that ended early was repeated without a pause. Change: a cancelled submission is not started once admitted; cancels and status queries go to the owner; pause between waits; log lines quote details.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -24,8 +24,6 @@
 
 /// Time for a status query.
 const QUERY_LIMIT: Duration = Duration::from_secs(2);
-/// Time for a cancel to end the submission.
-const CANCEL_LIMIT: Duration = Duration::from_secs(5);
 /// What callers are told to wait before submitting again, in seconds.
 const RETRY_AFTER_S: &str = "1";
 
@@ -207,12 +205,12 @@
         Ok(key) => key,
         Err(wrong) => return refuse(core, job::Refusal::BadRequest, &wrong),
     };
-    let until = Instant::now() + CANCEL_LIMIT;
+    let until = Instant::now() + Duration::from_millis(core.limits.cancel_limit_ms);
     let mut run = core.session.run();
     let done = match keyed::find(core, &key, until).await {
         Known::Here(active) => {
             run = active.run();
-            core.engine.cancel(run);
+            active.cancel(core);
             keyed::join(&active, until).await
         }
         Known::Running { job, owner } => match core.cancel_at(owner, job, until).await {
@@ -281,7 +279,7 @@
         }
         Done::Failed { reason, detail } => {
             let label = reason.label();
-            log::info!("event=failed run={run} team={:?} reason={label} {detail}", team.0);
+            log::info!("event=failed run={run} team={:?} reason={label} detail={detail:?}", team.0);
             if timed.is_some() {
                 core.meter.failed(*reason);
             }
@@ -290,7 +288,10 @@
         }
         Done::NotRun { reason, detail } => {
             let label = reason.label();
-            log::info!("event=not_run run={run} team={:?} reason={label} {detail}", team.0);
+            log::info!(
+                "event=not_run run={run} team={:?} reason={label} detail={detail:?}",
+                team.0
+            );
             core.meter.not_run(*reason);
             let body = job::Response::NotRun { reason: *reason, detail: detail.clone() };
             let status = code(*reason);
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -52,6 +52,10 @@
 #[derive(Debug)]
 pub struct Active {
     run: Cell<id::Run>,
+    /// Job and owner, if another entry runs it.
+    elsewhere: Cell<Option<(id::Job, SocketAddr)>>,
+    /// Whether it must not be started any more.
+    cancelled: Cell<bool>,
     digest: [u8; 32],
     tasks: usize,
     stage: watch::Sender<Stage>,
@@ -146,6 +150,8 @@
     }
     let active = Rc::new(Active {
         run: Cell::new(core.session.run()),
+        elsewhere: Cell::new(None),
+        cancelled: Cell::new(false),
         digest: keyed.digest,
         tasks: keyed.work.inputs.len(),
         stage: watch::Sender::new(Stage::Running),
@@ -235,9 +241,15 @@
                 };
             }
             Ok(control::Admission::Running { job, owner }) => {
+                active.elsewhere.set(Some((job, owner)));
+                if active.cancelled.get() {
+                    // The cancel arrived before the owner was known.
+                    let _ = core.cancel_at(owner, job, until).await;
+                }
                 if let Some(done) = follow(core, &key, job, owner, until).await {
                     return done;
                 }
+                active.elsewhere.set(None);
             }
             Ok(control::Admission::Finished { job, owner, outcome }) => {
                 return fetch(core, job, owner, outcome, until).await;
@@ -308,7 +320,11 @@
 /// Runs an admitted submission and records its end.
 async fn run(core: &Rc<Core>, active: &Active, key: &id::Key, job: id::Job, work: Work) -> Done {
     core.jobs.borrow_mut().insert(job, key.clone());
-    let done = Rc::new(core.execute(active.run(), work).await);
+    let done = if active.cancelled.get() {
+        Rc::new(Done::refused(job::Refusal::Cancelled))
+    } else {
+        Rc::new(core.execute(active.run(), work).await)
+    };
     active.stage.send_replace(Stage::Recording(done.clone()));
     let recorded = record(core, active.run(), key, job, &done).await;
     core.jobs.borrow_mut().remove(&job);
@@ -434,7 +450,10 @@
             let limit = until.min(Instant::now() + WAIT_LIMIT);
             match core.ask(owner, job, limit).await {
                 Ok(entry::Waited::Ended(outcome)) => return Some(settled(core, outcome)),
-                Ok(entry::Waited::Running { .. }) => continue,
+                Ok(entry::Waited::Running { .. }) => {
+                    pause(until).await;
+                    continue;
+                }
                 Ok(entry::Waited::Unknown) => {}
                 Err(e) => log::info!("event=owner_unreachable job={job} {e}"),
             }
@@ -471,7 +490,10 @@
 /// Finds a submission, here or at control.
 pub async fn find(core: &Rc<Core>, key: &id::Key, until: Instant) -> Known {
     if let Some(active) = core.active(key) {
-        return Known::Here(active);
+        return match active.elsewhere.get() {
+            Some((job, owner)) => Known::Running { job, owner },
+            None => Known::Here(active),
+        };
     }
     match core.control.lookup(key, until).await {
         Ok(control::Admission::Running { job, owner }) => Known::Running { job, owner },
@@ -499,6 +521,19 @@
 
     /// Answered and all tasks.
     pub fn progress(&self, core: &Core) -> (usize, usize) {
-        core.engine.progress(self.run.get()).unwrap_or((0, self.tasks))
+        let answered = match &*self.stage.borrow() {
+            Stage::Running => return core.engine.progress(self.run()).unwrap_or((0, self.tasks)),
+            Stage::Recording(done) | Stage::Ended(done) => match **done {
+                Done::Completed(_) => self.tasks,
+                _ => 0,
+            },
+        };
+        (answered, self.tasks)
+    }
+
+    /// Ends the submission, now or, if it is still being admitted, instead of its start.
+    pub fn cancel(&self, core: &Core) {
+        self.cancelled.set(true);
+        core.engine.cancel(self.run());
     }
 }
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -42,7 +42,7 @@
     async fn cancel(self, context: Context, job: id::Job) -> Waited {
         let key = self.core.jobs.borrow().get(&job).cloned();
         if let Some(active) = key.and_then(|key| self.core.active(&key)) {
-            self.core.engine.cancel(active.run());
+            active.cancel(&self.core);
         }
         self.waited(context, job).await
     }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -91,6 +91,8 @@
     pub sync_interval_ms: u64,
     /// Longest wait for control to admit a submission.
     pub admit_limit_ms: u64,
+    /// Time for a cancel to end the submission; after it the answer is `running`.
+    pub cancel_limit_ms: u64,
     /// Time after the deadline for recording how a submission ended.
     pub finish_grace_ms: u64,
     /// Deadline of submissions that name none.
@@ -125,6 +127,7 @@
             rules_confirm_limit_ms: 6_000,
             sync_interval_ms: 1_000,
             admit_limit_ms: 5_000,
+            cancel_limit_ms: 5_000,
             finish_grace_ms: 1_000,
             deadline_default_ms: 60_000,
             deadline_max_ms: 600_000,
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -335,14 +335,36 @@
         world.sidecar.plan(|_| Fault::Hold);
         let running = submitted(world.addr, "k", 5);
         fake::until("started", || world.sidecar.starts() == 5).await;
+        let joined = submitted(other, "k", 5);
+        fake::until("joined", || world.control.counted(Call::Admit) == 2).await;
         let body = json!({"team": "desk", "key": "k"}).to_string();
         let cancelled = post(other, "/v1/jobs/cancel", body).await;
         assert_eq!(cancelled.short(), "502 failed cancelled");
+        assert_eq!(joined.await.unwrap().short(), "502 failed cancelled");
         assert_eq!(running.await.unwrap().short(), "502 failed cancelled");
         fake::until("cancelled", || world.sidecar.cancels.borrow().len() == 1).await;
     });
 }
 
+/// Guards against a cancel that is forgotten when it arrives before the job is admitted.
+#[test]
+fn a_cancel_during_admission_keeps_the_job_from_starting() {
+    fake::run(async {
+        let limits = Limits { admit_limit_ms: 20_000, cancel_limit_ms: 50, ..limits() };
+        let world = World::with_limits(limits).await;
+        world.control.mute(Call::Admit, true);
+        let running = submitted(world.addr, "k", 2);
+        fake::until("asked", || world.control.counted(Call::Admit) == 1).await;
+        let body = json!({"team": "desk", "key": "k"}).to_string();
+        let cancel = post(world.addr, "/v1/jobs/cancel", body).await;
+        assert_eq!(cancel.short(), "202 running");
+        world.control.mute(Call::Admit, false);
+        assert_eq!(running.await.unwrap().short(), "503 not_run cancelled");
+        assert!(matches!(world.control.outcome("k"), Some(Outcome::NotRun { .. })));
+        assert_eq!(world.sidecar.runs.get(), 0);
+    });
+}
+
 /// Guards against a planned stop that cuts a job off, or takes new work to the end.
 #[test]
 fn a_stop_finishes_what_is_in_flight() {
