A backend server that refuses a connection counts as gone at once

Change: an unreachable backend server is closed until its next announcement; control is told at once whenever admission opens or closes. Tests reserve their closed ports with a bound socket.

--- a/src/coordination/slot.rs
+++ b/src/coordination/slot.rs
@@ -159,9 +159,10 @@
         self.running.keys().copied()
     }
 
-    /// Refuses new and queued attempts with `reason`, or takes attempts again.
-    pub fn set_closed(&mut self, reason: Option<NotStarted>) {
-        self.closed = reason;
+    /// Refuses new and queued attempts with `reason`, or takes attempts again. Returns whether
+    /// that is a change.
+    pub fn set_closed(&mut self, reason: Option<NotStarted>) -> bool {
+        std::mem::replace(&mut self.closed, reason) != reason
     }
 
     /// Takes an attempt in.
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -64,10 +64,18 @@
 struct Backend {
     announce: announce::Announce,
     slots: slot::Slots,
-    heard: Micros,
+    /// Time of the last announcement; `None` after the backend server could not be reached.
+    heard: Option<Micros>,
     left: bool,
 }
 
+impl Backend {
+    /// Whether it counts as running when announcements hold for `lease`.
+    fn present(&self, now: Micros, lease: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + lease.as_micros() as Micros)
+    }
+}
+
 /// An attempt that waits or runs.
 struct Held {
     incarnation: id::Incarnation,
@@ -201,7 +209,11 @@
             }
             if let Some(backend) = backend {
                 match &result {
-                    RunResult::NotStarted { reason } => backend.slots.not_started(attempt, *reason),
+                    RunResult::NotStarted { reason } => {
+                        backend.slots.not_started(attempt, *reason);
+                        // Until the next announcement others would only fail in the same way.
+                        backend.heard = None;
+                    }
                     _ => {
                         backend.slots.ended(attempt);
                     }
@@ -271,15 +283,16 @@
     fn close_if_due(&self, now: Micros, state: &mut State) {
         let draining = state.draining();
         let Some(backend) = &mut state.backend else { return };
-        let limit = self.settings.announce_lease_ms.as_micros() as Micros;
         let reason = if draining {
             Some(NotStarted::Draining)
-        } else if backend.heard + limit <= now {
+        } else if !backend.present(now, self.settings.announce_lease_ms) {
             Some(NotStarted::Unreachable)
         } else {
             None
         };
-        backend.slots.set_closed(reason);
+        if backend.slots.set_closed(reason) {
+            self.urgent.notify_one();
+        }
     }
 
     /// Does what is due and returns when to look again.
@@ -354,7 +367,7 @@
                 && backend.announce.start == announce.start
                 && backend.announce.addr == announce.addr
             {
-                backend.heard = now;
+                backend.heard = Some(now);
                 if backend.announce != announce {
                     backend.slots.set_limits(limits(&self.settings, &announce));
                     backend.announce = announce;
@@ -373,7 +386,7 @@
         let slots = slot::Slots::new(incarnation, limits(&self.settings, &announce));
         let tasks = {
             let mut state = self.state.borrow_mut();
-            state.backend = Some(Backend { announce, slots, heard: now, left: false });
+            state.backend = Some(Backend { announce, slots, heard: Some(now), left: false });
             std::mem::take(&mut state.tasks)
         };
         self.abandon(tasks, "backend server restarted");
@@ -407,14 +420,12 @@
         }
         log::info!("event=backend_leaving start={start}");
         self.pump();
-        self.urgent.notify_one();
     }
 
     /// The sidecar stops: refuses everything that has not started.
     pub fn stop(self: &Rc<Self>) {
         self.state.borrow_mut().stopping = true;
         self.pump();
-        self.urgent.notify_one();
     }
 
     pub fn stopping(&self) -> bool {
@@ -450,9 +461,8 @@
 
     /// Whether the backend server has announced itself lately.
     pub fn present(&self) -> bool {
-        let limit = self.settings.announce_lease_ms.as_micros() as Micros;
-        let now = self.now();
-        self.state.borrow().backend.as_ref().is_some_and(|b| now < b.heard + limit)
+        let (now, lease) = (self.now(), self.settings.announce_lease_ms);
+        self.state.borrow().backend.as_ref().is_some_and(|b| b.present(now, lease))
     }
 
     /// What to report to control.
@@ -500,7 +510,6 @@
             }
             if lease.rules_version() != version {
                 *drained = self.drained_by(lease).unwrap_or(*drained);
-                self.urgent.notify_one();
             }
         }
         self.pump();
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -119,8 +119,9 @@
     assert!(is_done(&stand.run(3, json!({})).await));
 }
 
-/// Guards against calling a task unstarted whose backend server died under it, and against
-/// calling one started that found the port closed.
+/// Guards against calling a task unstarted whose backend server died under it, against calling
+/// one started that found the port closed, and against control counting on that backend server
+/// until its announcement is old.
 #[actix_rt::test]
 async fn dead_backend_is_unknown_then_unreachable() {
     let mut stand = Stand::with(json!({"announce_lease_ms": 60_000}), json!({})).await;
@@ -131,6 +132,7 @@
     assert_eq!(refused(&reply), Some(NotStarted::Unreachable));
     assert_eq!(reply.load.busy, 0);
     assert_eq!(stand.starts_in_file(), json!({}));
+    until("control to be told", async || stand.control.member().is_none().then_some(())).await;
 }
 
 /// Guards against a stand-in that hides a second start behind its own restart.
@@ -210,6 +212,6 @@
     let moved = b"HTTP/1.1 307 Moved\r\nlocation: /run\r\ncontent-length: 0\r\n\r\n";
     let moved = serve_bytes(moved).await;
     assert_eq!(call(moved).await.unwrap().status.as_u16(), 307);
-    let port = std::net::TcpListener::bind(stand::HOST).unwrap().local_addr().unwrap();
-    assert!(matches!(call(port).await, Err(CallError::NotSent(_))));
+    let (_socket, closed) = stand::closed_port();
+    assert!(matches!(call(closed).await, Err(CallError::NotSent(_))));
 }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -117,7 +117,7 @@
     let leader = control::Control::start(&[stand::EPOCH]);
     let follower = control::Control::start(&[]);
     follower.set(|a| a.refusal = Some(Refusal::NotLeader { leader: Some(leader.addr) }));
-    let closed = std::net::TcpListener::bind(stand::HOST).unwrap().local_addr().unwrap();
+    let (_socket, closed) = stand::closed_port();
     let settings = json!({ "control": [closed, follower.addr] });
     let sidecar = stand::start_sidecar(&dir, &leader, stand::HOST, settings);
     let _backend = stand::start_backend(&dir, sidecar.http(), stand::HOST, json!({}));
@@ -378,12 +378,11 @@
 async fn restarted_backend_is_a_new_incarnation() {
     let Stand { dir, control, sidecar, backend, link, incarnation } = Stand::new().await;
     let task = stand::task(incarnation, 1, json!({"work_ms": 25_000}));
-    let addr = backend.http().to_string();
     let restart = async {
         until("a start", async || get(backend.http(), "/starts").await.get("5-1-0-0").map(|_| ()))
             .await;
         backend.kill();
-        stand::start_backend(&dir, sidecar.http(), &addr, json!({}))
+        stand::start_backend(&dir, sidecar.http(), stand::HOST, json!({}))
     };
     let (reply, backend) = future::join(send(&link, task.clone()), restart).await;
     assert_eq!(failed(&reply), Some(job::Failure::OutcomeUnknown));
@@ -398,13 +397,14 @@
 /// Guards against a restarted sidecar, which remembers nothing, starting what it started before.
 #[actix_rt::test]
 async fn restarted_sidecar_is_a_new_incarnation() {
-    let Stand { dir, control, sidecar, backend, link, incarnation } = Stand::new().await;
+    let (_socket, http) = stand::closed_port();
+    let Stand { dir, control, sidecar, backend, link, incarnation } =
+        Stand::with(json!({"http": http}), json!({})).await;
     let task = stand::task(incarnation, 1, json!({}));
     let first = send(&link, task.clone()).await;
     assert!(matches!(first.result, RunResult::Done { .. }), "{first:?}");
-    let http = sidecar.http().to_string();
     sidecar.kill();
-    let sidecar = stand::start_sidecar(&dir, &control, &http, json!({}));
+    let sidecar = stand::start_sidecar(&dir, &control, &http.to_string(), json!({}));
     let new = stand::serving(&control, Some(incarnation)).await;
     let link = Link::new(sidecar.rpc());
     assert_eq!(refused(&send(&link, task).await), Some(NotStarted::WrongIncarnation));
--- a/tests/slot.rs
+++ b/tests/slot.rs
@@ -379,7 +379,8 @@
                 self.naive.fenced.push(*epoch);
             }
             Step::Close { reason } => {
-                self.slots.set_closed(*reason);
+                let changes = self.naive.closed != *reason;
+                assert_eq!(self.slots.set_closed(*reason), changes);
                 self.naive.closed = *reason;
             }
         }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -190,3 +190,13 @@
         _ => None,
     }
 }
+
+/// A port that refuses connections until a program is told to listen there. Nobody else gets it
+/// while the socket is kept, also between two runs of that program.
+pub fn closed_port() -> (tokio::net::TcpSocket, SocketAddr) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind(HOST.parse().unwrap()).unwrap();
+    let addr = socket.local_addr().unwrap();
+    (socket, addr)
+}
