Setting for the idle time of connections; contract of backend servers described

Cause: a backend server that closes idle connections early can make a request fail with unknown outcome, and nothing told its author what the sidecar expects. Change: keep_alive_ms (default 3,000) for connections to the backend server; module documentation of protocol::announce.

--- a/src/protocol/announce.rs
+++ b/src/protocol/announce.rs
@@ -1,4 +1,15 @@
-//! What a backend server tells its sidecar by HTTP.
+//! HTTP between a backend server and its sidecar.
+//!
+//! A backend server sends `POST /announce` to its sidecar at start and then every
+//! [`ANNOUNCE_INTERVAL_MS`]. When it is to stop it stops announcing, sends `POST /leave`, and ends
+//! once that is answered, because by then no attempt is in flight.
+//!
+//! The sidecar sends each attempt once, as `POST /run` with the header [`ATTEMPT_HEADER`]. The
+//! answer repeats that header. With a 2xx status its body is the task's answer, a JSON text; any
+//! other status means that the task failed. It should state its length: without, only an object,
+//! array or string is accepted, since the end of other texts could be missing unnoticed. If the
+//! sidecar closes the connection, the task is to be stopped. An attempt id that is seen twice must
+//! never be run again; the sidecar never sends one twice.
 
 use std::net::SocketAddr;
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -40,8 +40,7 @@
     const NAME: &'static str = "briargauge-sidecar";
 
     async fn start(settings: settings::Settings) -> Result<Sidecar> {
-        let platform =
-            worker::Worker::new(settings.answer_max_bytes, settings.task.usage_interval_ms);
+        let platform = worker::Worker::new(&settings);
         let core = core::Core::new(platform, settings);
         let handler = service::Handler { core: core.clone() };
         let rpc = rpc::serve(core.settings.rpc, handler.serve()).await?;
--- a/src/sidecar/settings.rs
+++ b/src/sidecar/settings.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, serde_as};
 
-use crate::{config, protocol::announce};
+use crate::{config, protocol::announce, transport::http};
 
 /// Settings of the sidecar.
 #[serde_as]
@@ -29,6 +29,12 @@
     /// Longest answer of a task.
     #[serde(default = "defaults::answer_max_bytes")]
     pub answer_max_bytes: usize,
+    /// Idle time after which a connection to the backend server is closed. Must be below the idle
+    /// time after which the backend server closes it: a request that crosses with that has an
+    /// unknown outcome.
+    #[serde(default = "defaults::keep_alive_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub keep_alive_ms: Duration,
     #[serde(default = "defaults::sync_interval_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub sync_interval_ms: Duration,
@@ -86,7 +92,7 @@
 }
 
 mod defaults {
-    use super::{Duration, announce};
+    use super::{Duration, announce, http};
 
     pub fn queue() -> u16 {
         8
@@ -96,6 +102,10 @@
         1024 * 1024
     }
 
+    pub fn keep_alive_ms() -> Duration {
+        http::CLIENT_KEEP_ALIVE
+    }
+
     pub fn sync_interval_ms() -> Duration {
         Duration::from_secs(1)
     }
--- a/src/sidecar/worker.rs
+++ b/src/sidecar/worker.rs
@@ -19,7 +19,10 @@
 
 use crate::{
     protocol::{announce, id, job},
-    sidecar::platform::{End, Order, Platform, Usage},
+    sidecar::{
+        platform::{End, Order, Platform, Usage},
+        settings,
+    },
     transport::http::{self, CallError},
 };
 
@@ -36,6 +39,7 @@
 struct Shared {
     client: RefCell<Option<(u16, http::Client)>>,
     answer_max_bytes: usize,
+    keep_alive: Duration,
     usage_interval: Duration,
     usage: RefCell<HashMap<String, job::Needs>>,
     /// Tasks with a declared size, per backend server address.
@@ -72,11 +76,12 @@
 }
 
 impl Worker {
-    pub fn new(answer_max_bytes: usize, usage_interval: Duration) -> Worker {
+    pub fn new(settings: &settings::Settings) -> Worker {
         let shared = Shared {
             client: RefCell::new(None),
-            answer_max_bytes,
-            usage_interval,
+            answer_max_bytes: settings.answer_max_bytes,
+            keep_alive: settings.keep_alive_ms,
+            usage_interval: settings.task.usage_interval_ms,
             usage: RefCell::default(),
             watched: RefCell::default(),
             polling: Cell::new(false),
@@ -89,7 +94,9 @@
     pub fn set_connections(&self, connections: u16) {
         let mut client = self.shared.client.borrow_mut();
         if client.as_ref().is_none_or(|(held, _)| *held != connections) {
-            *client = Some((connections, http::Client::new(connections.into())));
+            let keep_alive = self.shared.keep_alive;
+            let new = http::Client::with_keep_alive(connections.into(), keep_alive);
+            *client = Some((connections, new));
         }
     }
 
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -270,7 +270,7 @@
 
 /// Idle time after which a client closes a connection. Below [`KEEP_ALIVE`], so that no request
 /// is written to a connection that the server is about to close.
-const CLIENT_KEEP_ALIVE: Duration = Duration::from_secs(3);
+pub const CLIENT_KEEP_ALIVE: Duration = Duration::from_secs(3);
 /// Age at which a client replaces a connection.
 const CLIENT_LIFETIME: Duration = Duration::from_secs(600);
 /// Time a client has to open a connection.
@@ -341,9 +341,14 @@
 impl Client {
     /// A client with at most `connections` connections in all; requests wait for a free one.
     pub fn new(connections: usize) -> Client {
+        Client::with_keep_alive(connections, CLIENT_KEEP_ALIVE)
+    }
+
+    /// A client that closes connections which have been idle for `keep_alive`.
+    pub fn with_keep_alive(connections: usize, keep_alive: Duration) -> Client {
         let connector = awc::Connector::new()
             .limit(connections.max(1))
-            .conn_keep_alive(CLIENT_KEEP_ALIVE)
+            .conn_keep_alive(keep_alive)
             .conn_lifetime(CLIENT_LIFETIME)
             .timeout(CLIENT_CONNECT_LIMIT);
         let client = awc::Client::builder()
