Refuse runs above 1 s of expected wait

Cause: at 120% load every admitted run waits as long as the bound allows. Change: wait_max_us defaults to 1 s (was 2 s); it stays a setting.

--- a/src/coordination/dispatch/settings.rs
+++ b/src/coordination/dispatch/settings.rs
@@ -34,7 +34,7 @@
             data_centre: String::new(),
             round_trips: Vec::new(),
             waiting_max: 200_000,
-            wait_max_us: 2_000_000,
+            wait_max_us: 1_000_000,
             team: TeamSettings::default(),
         }
     }
