Fair queue: a team's turn ends when its quantum is used; tests

Cause: a new quickcheck test showed that a team whose quantum exceeded its tasks was given the next one at once and kept the front: others got nothing. Change: the quantum is added and the team goes to the back.

--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -7,9 +7,9 @@
 /// What an answer takes off the failures. With 0.25, a server that fails more than a fifth of its
 /// tasks ends up ejected.
 const ANSWER_WORTH: f64 = 0.25;
-/// Replies that peers would have given during the silence at which a server is ejected: e^-5 is
+/// Replies that peers would have given during the silence at which a server is ejected: e^-3 is
 /// the chance of such a silence with exponential run times.
-const SILENCE_MAX: f64 = 5.0;
+const SILENCE_MAX: f64 = 3.0;
 /// Weighted failures from which on a server gets one attempt at a time.
 const SUSPECT_MIN: f64 = 0.9;
 /// How long it gets only tasks that may be repeated, if there are others for the rest.
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -71,16 +71,14 @@
                 self.ring.pop_front();
                 continue;
             };
-            if line.deficit <= 0.0 {
-                line.deficit += quantum(team).max(1.0);
-                if alone {
-                    // There is nobody to owe anything to.
-                    line.deficit = line.deficit.max(1.0);
-                }
-            }
             if line.deficit > 0.0 {
                 return Some((team, *item));
             }
+            line.deficit += quantum(team).max(1.0);
+            if alone {
+                // There is nobody to owe anything to.
+                line.deficit = line.deficit.max(1.0);
+            }
             self.ring.rotate_left(1);
         }
     }
--- /dev/null
+++ b/tests/health.rs
@@ -0,0 +1,174 @@
+//! Health of backend servers: failures, silence, readmission, and the bound on ejections.
+
+use briargauge::{
+    coordination::{
+        dispatch::{Action, Dispatcher, Ended, Spec, TaskSpec},
+        health::{Access, Health},
+    },
+    protocol::{
+        id, job,
+        wire::{control, sidecar::Load},
+    },
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+const SERVERS: u64 = 9;
+
+/// Guards against a server that fails everything quickly and so attracts work.
+#[test]
+fn failing_server_is_ejected_within_two_tasks() {
+    let mut health = Health::default();
+    assert!(!health.failed(1, 1.5));
+    assert_eq!(health.access(1, 1), Access::Single);
+    assert!(health.is_suspect(1));
+    assert!(health.failed(2, 1.5));
+}
+
+/// Guards against ejecting for the odd failure: one task in ten fails.
+#[test]
+fn odd_failures_do_not_eject() {
+    let mut health = Health::default();
+    for _ in 0..1_000 {
+        (0..9).for_each(|_| assert!(!health.answered()));
+        assert!(!health.failed(1, 1.0));
+    }
+}
+
+/// Guards against a server that fails half of its tasks staying in use.
+#[test]
+fn frequent_failures_eject() {
+    let mut health = Health::default();
+    let ejected = (0..10).any(|_| {
+        health.answered();
+        health.failed(1, 1.0)
+    });
+    assert!(ejected);
+}
+
+/// Guards against trials in quick succession, each of which costs a task, and against a server that
+/// recovered but stays out.
+#[test]
+fn trials_come_at_growing_intervals() {
+    let mut health = Health::default();
+    health.eject(0);
+    let mut now = 0;
+    let mut intervals = Vec::new();
+    for _ in 0..8 {
+        let last = now;
+        now = health.changes_at();
+        intervals.push((now - last) / 1_000_000);
+        assert_eq!(health.access(now - 1, 0), Access::Closed);
+        assert_eq!(health.access(now, 1), Access::Closed, "an attempt is still out");
+        assert_eq!(health.access(now, 0), Access::Trial);
+        health.tried();
+        health.failed(now, 1.0);
+    }
+    insta::assert_snapshot!(format!("{intervals:?} s"), @"[1, 2, 4, 8, 16, 32, 60, 60] s");
+    assert!(health.answered());
+    assert_ne!(health.access(now, 0), Access::Closed);
+}
+
+/// Guards against ejecting servers for a wrong expectation of run times, when all are silent.
+#[test]
+fn silence_is_judged_against_peers() {
+    let health = Health::default();
+    assert!(health.is_silent(10.0, 1.0));
+    assert!(!health.is_silent(10.0, 9.0));
+}
+
+/// Plays `rounds` of 20 ms in which single tasks arrive and end as `end` says for their server.
+fn play(rounds: u64, end: impl Fn(u64, u64) -> Option<Ended>) -> (Dispatcher, Vec<usize>, usize) {
+    let mut dispatcher = Dispatcher::default();
+    let mut random = Pcg64::seed_from_u64(5);
+    dispatcher.set_members(1, &members());
+    let mut flying: Vec<(id::Attempt, u64, u64)> = Vec::new();
+    let mut sent = vec![0; SERVERS as usize];
+    let mut most = 0;
+    for round in 0..rounds {
+        let now = 1 + round * 20_000;
+        for (attempt, at, since) in std::mem::take(&mut flying) {
+            match end(at, now - since) {
+                Some(ended) => {
+                    let load = Load { slots: 8, busy: 0, queued: 0 };
+                    dispatcher.ended(now, attempt, Some(load), ended);
+                    dispatcher.remove(now, attempt.run);
+                }
+                None => flying.push((attempt, at, since)),
+            }
+        }
+        for i in 0..4 {
+            let run = id::Run { epoch: id::Epoch(1), seq: round * 4 + i };
+            let task = TaskSpec {
+                kind: format!("kind{i}"),
+                declared_ms: None,
+                needs: job::Needs::default(),
+            };
+            let (team, tasks) = (id::Team("team".to_owned()), vec![task]);
+            let spec = Spec { team, tasks, deadline: now + 60_000_000, restartable: false };
+            let _ = dispatcher.submit(now, run, spec);
+        }
+        while let Some(action) = dispatcher.poll(now, &mut random) {
+            if let Action::Start { attempt, incarnation } = action {
+                sent[incarnation.0 as usize] += 1;
+                flying.push((attempt, incarnation.0, now));
+            }
+        }
+        most = most.max(dispatcher.ejected());
+    }
+    (dispatcher, sent, most)
+}
+
+fn members() -> control::Members {
+    let member = |i| control::Member {
+        incarnation: id::Incarnation(i),
+        addr: ([127, 0, 0, 1], 1).into(),
+        data_centre: "dc".to_owned(),
+        rack: "rack".to_owned(),
+        slots: 8,
+        connections: 64,
+        kinds: Vec::new(),
+        size: job::Needs::default(),
+        state: control::MemberState::Serving,
+    };
+    let revision = control::Revision { term: 1, number: 1 };
+    let changed = (0..SERVERS).map(member).collect();
+    control::Members { revision, full: true, changed, removed: Vec::new() }
+}
+
+fn done(after: u64) -> Option<Ended> {
+    (after >= 100_000).then_some(Ended::Done { ran_us: 100_000 })
+}
+
+/// Guards against a failing server that keeps getting tasks: 5 s of tasks, of which it may get a
+/// few at first and some trials.
+#[test]
+fn failing_server_gets_few_tasks() {
+    let failed = Some(Ended::Failed { ran_us: 2_000 });
+    let (dispatcher, sent, _) = play(250, |at, after| if at == 3 { failed } else { done(after) });
+    assert_eq!(dispatcher.ejected(), 1);
+    assert!(sent[3] <= 6, "{sent:?}");
+}
+
+/// Guards against a frozen server that fills its window again and again, without any fixed timeout:
+/// its peers answer within 0.1 s, so it gets a few tasks only.
+#[test]
+fn frozen_server_gets_few_tasks() {
+    let (dispatcher, sent, _) = play(250, |at, after| if at == 3 { None } else { done(after) });
+    assert_eq!(dispatcher.ejected(), 1);
+    assert!(sent[3] <= 6, "{sent:?}");
+}
+
+/// Guards against ejecting more than a third of the servers when everything fails or nothing
+/// answers, which would leave all load to the rest.
+#[test]
+fn at_most_a_third_is_ejected() {
+    let failed = Some(Ended::Failed { ran_us: 2_000 });
+    let (_, sent, most) = play(250, |at, after| if at < 6 { failed } else { done(after) });
+    assert!(most <= 3, "{most} ejected");
+    assert!(sent[6..].iter().all(|s| *s > 0));
+    let (_, _, most) = play(250, |_, _| failed);
+    assert!(most <= 3, "{most} ejected");
+    let (_, _, most) = play(250, |at, after| if at < 6 { None } else { done(after) });
+    assert!(most <= 3, "{most} ejected");
+}
--- /dev/null
+++ b/tests/queue.rs
@@ -0,0 +1,92 @@
+//! Fair queue across teams.
+
+use briargauge::coordination::queue::{Fair, Item, Team};
+use quickcheck::{Gen, QuickCheck};
+
+const QUANTUM: f64 = 100.0;
+
+fn item(run: u32) -> Item {
+    Item { score: u64::from(run), run, part: 0 }
+}
+
+/// Guards against a team that gets more than its weight while others wait, whatever its tasks cost.
+#[test]
+fn backlogged_teams_get_run_time_by_weight() {
+    fn holds(costs: Vec<u8>) -> Result<(), String> {
+        if costs.is_empty() {
+            return Ok(());
+        }
+        let weights = [1.0, 2.0, 4.0];
+        let mut queue = Fair::default();
+        (0..3).for_each(|team| queue.push(Team(team), item(team), 0.0));
+        let mut served = [0.0; 3];
+        for round in 0..3_000 {
+            let (team, _) = queue
+                .front(|t| weights[t.0 as usize] * QUANTUM)
+                .ok_or("nothing served though teams wait")?;
+            // Team 0 has the most expensive tasks.
+            let base = 1.0 + f64::from(costs[round % costs.len()]);
+            let cost = if team.0 == 0 { base * 3.0 } else { base };
+            queue.charge(team, cost, QUANTUM);
+            served[team.0 as usize] += cost / weights[team.0 as usize];
+        }
+        // One round of each team and the most expensive task.
+        let bound = QUANTUM + 3.0 * 256.0;
+        let (least, most) = (served.iter().copied().fold(f64::MAX, f64::min), served);
+        match most.iter().find(|s| **s > least + 2.0 * bound) {
+            Some(most) => Err(format!("one got {most} by weight, another {least}")),
+            None => Ok(()),
+        }
+    }
+    checker().quickcheck(holds as fn(Vec<u8>) -> Result<(), String>);
+}
+
+/// Guards against idle capacity: whoever waits is served when nobody else waits, also in debt, and
+/// every item comes out exactly once.
+#[test]
+fn nothing_is_left_or_served_twice() {
+    fn holds(pushes: Vec<(u8, u16)>) -> Result<(), String> {
+        let mut queue = Fair::default();
+        for (run, (team, _)) in pushes.iter().enumerate() {
+            queue.push(Team(u32::from(team % 5)), item(run as u32), 0.0);
+        }
+        let mut seen = vec![false; pushes.len()];
+        for _ in 0..pushes.len() {
+            let (team, next) = queue.front(|_| QUANTUM).ok_or("an item was left")?;
+            if std::mem::replace(&mut seen[next.run as usize], true) {
+                return Err(format!("{next:?} served twice"));
+            }
+            queue.remove(team, next);
+            queue.charge(team, f64::from(pushes[next.run as usize].1), QUANTUM);
+        }
+        match queue.front(|_| QUANTUM) {
+            Some(more) => Err(format!("{more:?} after the end")),
+            None => Ok(()),
+        }
+    }
+    checker().quickcheck(holds as fn(Vec<(u8, u16)>) -> Result<(), String>);
+}
+
+/// Guards against a team that used little being kept waiting by one that always has tasks queued.
+#[test]
+fn saved_capacity_goes_first() {
+    let mut queue = Fair::default();
+    queue.push(Team(0), item(0), 0.0);
+    for _ in 0..10 {
+        let (team, _) = queue.front(|_| QUANTUM).unwrap();
+        queue.charge(team, QUANTUM, QUANTUM);
+    }
+    queue.push(Team(1), item(1), 3.0 * QUANTUM);
+    let order: Vec<u32> = (0..6)
+        .map(|_| {
+            let (team, _) = queue.front(|_| QUANTUM).unwrap();
+            queue.charge(team, QUANTUM, QUANTUM);
+            team.0
+        })
+        .collect();
+    insta::assert_snapshot!(format!("{order:?}"), @"[1, 1, 1, 1, 0, 1]");
+}
+
+fn checker() -> QuickCheck {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 2)).tests(200)
+}
