Long runs end at their team's part; cheaper decisions; tests of routing

Change: the expected end counts the team's queue against its part among the teams that wait; dispatch/admit.rs and lane.rs; foldhash for the tables of runs and attempts (ids of our own); groups without faster servers are skipped; lanes are found by the kind's name; tests/route.rs.

--- a/benches/policy/cost.rs
+++ b/benches/policy/cost.rs
@@ -16,6 +16,7 @@
 
 const TEAMS: usize = 760;
 const ROUNDS: usize = 200_000;
+const PER_MS: usize = 25;
 const SHAPES: [usize; 3] = [11, 360, 3_600];
 
 /// Prints the mean time of a decision, which is one `poll` that starts an attempt and one `ended`,
@@ -75,10 +76,10 @@
             submitted += submit(&mut dispatcher, now).as_nanos();
             continue;
         }
-        // One task in a burst of 64 ends per step of time, so that ticks are rare.
+        // As many per ms as one core is to start: 25,000 a second.
         let start = Instant::now();
         let mut count = 0;
-        while flying.len() < wanted && count < 64 {
+        while flying.len() < wanted && count < PER_MS {
             let Some(Action::Start { attempt, .. }) = dispatcher.poll(now, &mut random) else {
                 break;
             };
@@ -86,7 +87,7 @@
             count += 1;
         }
         rounds += count;
-        for _ in 0..count.max(1) {
+        for _ in 0..PER_MS.min(flying.len()) {
             let attempt = flying.swap_remove(random.random_range(0..flying.len()));
             let load = Load { slots: SLOTS, busy: SLOTS / 2, queued: 0 };
             let ended = Ended::Done { ran_us: 100_000 };
--- a/src/coordination/dispatch.rs
+++ b/src/coordination/dispatch.rs
@@ -1,6 +1,8 @@
 //! Decides which attempt starts where and when, for one entry.
 
+mod admit;
 mod core;
+mod lane;
 mod reply;
 mod run;
 mod settings;
--- /dev/null
+++ b/src/coordination/dispatch/admit.rs
@@ -0,0 +1,115 @@
+//! Which runs are taken, and how they are queued.
+
+use crate::{
+    coordination::dispatch::{
+        Micros, Spec,
+        core::Core,
+        run::{Run, Task},
+    },
+    protocol::{id, job},
+};
+
+/// A run may overtake others of its team that arrived up to this many times the difference of
+/// their ideal times earlier. Larger values serve short runs better and long ones worse.
+const OVERTAKE: f64 = 4.0;
+
+impl Core {
+    pub(super) fn check(&mut self, now: Micros, spec: &Spec) -> Result<(), job::Refusal> {
+        if spec.tasks.is_empty() || spec.tasks.len() > usize::from(u16::MAX) {
+            return Err(job::Refusal::BadRequest);
+        }
+        if self.router.is_empty() {
+            return Err(job::Refusal::NoBackend);
+        }
+        if spec.deadline <= now {
+            return Err(job::Refusal::DeadlineExceeded);
+        }
+        let (mut work, mut longest) = (0.0, 0.0);
+        for task in &spec.tasks {
+            let demand = self.demand(&task.kind, &task.needs);
+            let lane = &self.lanes[self.demands[demand].lane];
+            if lane.groups.is_empty() {
+                return Err(job::Refusal::NeverFits);
+            }
+            if lane.groups.iter().all(|g| self.router.groups[*g as usize].is_empty()) {
+                return Err(job::Refusal::NoBackend);
+            }
+            let kind = self.book.kind(&task.kind);
+            let class = self.book.class(kind, task.declared_ms);
+            let mean = self.book.mean_us(class);
+            work += mean;
+            longest = f64::max(longest, mean);
+        }
+        let team = self.team(now, &spec.team);
+        let team = &mut self.teams[team.0 as usize];
+        if team.bucket.as_mut().is_some_and(|b| !b.is_open(now)) {
+            return Err(job::Refusal::OverQuota);
+        }
+        if (team.queued > 0 && team.queued + spec.tasks.len() > team.settings.waiting_max)
+            || (self.queued > 0 && self.queued + spec.tasks.len() > self.settings.waiting_max)
+        {
+            return Err(job::Refusal::Overloaded);
+        }
+        // The queue conserves work, so both are upper bounds of the wait.
+        let weight = team.settings.weight;
+        let others = if team.queued > 0 { self.weight } else { self.weight + weight };
+        let ahead = self.queued_us.min(team.queued_us * others / weight.max(1e-9));
+        let capacity = self.router.capacity().max(1.0);
+        let wait = ahead / capacity;
+        // What arrives later from other teams shares the capacity with a long run.
+        let end = (team.queued_us + work) * others / weight.max(1e-9) / capacity;
+        let left = (spec.deadline - now) as f64;
+        if ahead > 0.0 && (wait > self.settings.wait_max_us as f64 || end + longest > left) {
+            return Err(job::Refusal::Overloaded);
+        }
+        Ok(())
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        now: Micros,
+        id: id::Run,
+        spec: &Spec,
+    ) -> Result<(), job::Refusal> {
+        if self.run_index.contains_key(&id) {
+            return Err(job::Refusal::KeyConflict);
+        }
+        self.check(now, spec)?;
+        self.now = now;
+        let team = self.team(now, &spec.team);
+        if let Some(bucket) = &mut self.teams[team.0 as usize].bucket {
+            bucket.take(now, spec.tasks.len());
+        }
+        let mut tasks = Vec::with_capacity(spec.tasks.len());
+        let (mut work, mut longest) = (0.0, 0.0);
+        for task in &spec.tasks {
+            let demand = self.demand(&task.kind, &task.needs);
+            let kind = self.book.kind(&task.kind);
+            let class = self.book.class(kind, task.declared_ms);
+            let mean_us = self.book.mean_us(class);
+            work += mean_us;
+            longest = f64::max(longest, mean_us);
+            let (number, flying, refused, answered) = (0, 0, 0, false);
+            tasks.push(Task { demand, class, mean_us, number, flying, refused, answered });
+        }
+        let ideal = longest + work / self.router.capacity_all().max(1.0);
+        let run = Run {
+            id,
+            team,
+            restartable: spec.restartable,
+            deadline: spec.deadline,
+            score: now + (OVERTAKE * ideal) as u64,
+            tasks,
+            parts: Vec::new(),
+            flights: Vec::new(),
+            started: false,
+            over: false,
+            answered: 0,
+        };
+        let key = self.runs.insert(run);
+        self.run_index.insert(id, key);
+        self.deadlines.insert((spec.deadline, key));
+        self.enqueue_all(key);
+        Ok(())
+    }
+}
--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -11,21 +11,19 @@
 use crate::{
     coordination::{
         dispatch::{
-            Action, Micros, Preference, Removed, Settings, Spec, TeamSettings,
-            run::{Flight, Part, Run, Task},
+            Action, Micros, Preference, Removed, Settings, TeamSettings,
+            lane::{Demand, Lane, Needs},
+            run::{Flight, Part, Run},
         },
         limit, queue, retry, route, speed,
     },
-    protocol::{id, job, wire::control},
+    protocol::{id, wire::control},
 };
 
 /// Interval of the checks that look at all servers.
 const TICK_US: Micros = 20_000;
 /// Time after which an attempt of a removed run no longer counts as in flight.
 const ORPHAN_US: Micros = 10_000_000;
-/// A run may overtake others of its team that arrived up to this many times the difference of
-/// their ideal times earlier. Larger values serve short runs better and long ones worse.
-const OVERTAKE: f64 = 4.0;
 /// Time to a hedge in units of the 95th percentile. At 1, one in twenty is hedged although nothing
 /// is wrong with its server.
 const HEDGE_AFTER: f64 = 1.5;
@@ -41,28 +39,10 @@
 /// Runs with more tasks, and teams that have more queued, are bulk: they leave some slots to
 /// others as long as there are others.
 const BULK_TASKS: usize = 32;
+/// How long after the last start of another task bulk ones still leave slots.
 const SMALL_US: Micros = 1_000_000;
-/// Shorter runs that arrive later overtake a long one, so its end is expected so much later.
-const LATE_FACTOR: f64 = 1.5;
-/// Demands after which the table is emptied when nothing refers to it.
-const DEMANDS_MAX: usize = 50_000;
-
-/// A kind with needs: what decides which servers fit.
-#[derive(Debug)]
-pub(super) struct Demand {
-    kind: String,
-    needs: job::Needs,
-    pub(super) lane: usize,
-}
-
-/// Tasks that fit the same groups of servers.
-#[derive(Debug, Default)]
-pub(super) struct Lane {
-    pub(super) groups: Vec<u32>,
-    pub(super) queue: queue::Fair,
-    pub(super) tasks: usize,
-}
 
+/// A team's settings and budgets.
 #[derive(Debug)]
 pub(super) struct Team {
     pub(super) settings: TeamSettings,
@@ -75,8 +55,6 @@
     idle_since: Micros,
 }
 
-type DemandId = (speed::Kind, (u16, u32, u16));
-
 /// State of the policy.
 #[derive(Debug)]
 pub struct Core {
@@ -85,16 +63,16 @@
     pub(super) book: speed::Book,
     pub(super) teams: Vec<Team>,
     team_index: HashMap<id::Team, queue::Team>,
-    demands: Vec<Demand>,
-    demand_index: HashMap<DemandId, usize>,
+    pub(super) demands: Vec<Demand>,
+    pub(super) demand_index: HashMap<Needs, HashMap<String, usize>>,
     pub(super) lanes: Vec<Lane>,
-    lane_index: HashMap<Vec<u32>, usize>,
+    pub(super) lane_index: HashMap<Vec<u32>, usize>,
     next_lane: usize,
     pub(super) runs: Slab<Run>,
-    pub(super) run_index: HashMap<id::Run, usize>,
+    pub(super) run_index: foldhash::HashMap<id::Run, usize>,
     pub(super) flights: Slab<Flight>,
-    pub(super) flight_index: HashMap<id::Attempt, usize>,
-    deadlines: BTreeSet<(Micros, usize)>,
+    pub(super) flight_index: foldhash::HashMap<id::Attempt, usize>,
+    pub(super) deadlines: BTreeSet<(Micros, usize)>,
     pub(super) hedges: BinaryHeap<Reverse<(Micros, id::Attempt)>>,
     pub(super) parked: BinaryHeap<Reverse<(Micros, id::Run, u16)>>,
     pub(super) orphans: VecDeque<(Micros, id::Attempt)>,
@@ -126,9 +104,9 @@
             lane_index: HashMap::new(),
             next_lane: 0,
             runs: Slab::new(),
-            run_index: HashMap::new(),
+            run_index: foldhash::HashMap::default(),
             flights: Slab::new(),
-            flight_index: HashMap::new(),
+            flight_index: foldhash::HashMap::default(),
             deadlines: BTreeSet::new(),
             hedges: BinaryHeap::new(),
             parked: BinaryHeap::new(),
@@ -205,106 +183,6 @@
         }
     }
 
-    pub(super) fn check(&mut self, now: Micros, spec: &Spec) -> Result<(), job::Refusal> {
-        if spec.tasks.is_empty() || spec.tasks.len() > usize::from(u16::MAX) {
-            return Err(job::Refusal::BadRequest);
-        }
-        if self.router.is_empty() {
-            return Err(job::Refusal::NoBackend);
-        }
-        if spec.deadline <= now {
-            return Err(job::Refusal::DeadlineExceeded);
-        }
-        let (mut work, mut longest) = (0.0, 0.0);
-        for task in &spec.tasks {
-            let demand = self.demand(&task.kind, &task.needs);
-            let lane = &self.lanes[self.demands[demand].lane];
-            if lane.groups.is_empty() {
-                return Err(job::Refusal::NeverFits);
-            }
-            if lane.groups.iter().all(|g| self.router.groups[*g as usize].is_empty()) {
-                return Err(job::Refusal::NoBackend);
-            }
-            let kind = self.book.kind(&task.kind);
-            let class = self.book.class(kind, task.declared_ms);
-            let mean = self.book.mean_us(class);
-            work += mean;
-            longest = f64::max(longest, mean);
-        }
-        let team = self.team(now, &spec.team);
-        let team = &mut self.teams[team.0 as usize];
-        if team.bucket.as_mut().is_some_and(|b| !b.is_open(now)) {
-            return Err(job::Refusal::OverQuota);
-        }
-        if (team.queued > 0 && team.queued + spec.tasks.len() > team.settings.waiting_max)
-            || (self.queued > 0 && self.queued + spec.tasks.len() > self.settings.waiting_max)
-        {
-            return Err(job::Refusal::Overloaded);
-        }
-        // The queue conserves work, so both are upper bounds of the wait.
-        let weight = team.settings.weight;
-        let others = if team.queued > 0 { self.weight } else { self.weight + weight };
-        let ahead = self.queued_us.min(team.queued_us * others / weight.max(1e-9));
-        let capacity = self.router.capacity().max(1.0);
-        let wait = ahead / capacity;
-        let left = (spec.deadline - now) as f64;
-        if ahead > 0.0
-            && (wait > self.settings.wait_max_us as f64
-                || LATE_FACTOR * (wait + work / capacity) + longest > left)
-        {
-            return Err(job::Refusal::Overloaded);
-        }
-        Ok(())
-    }
-
-    pub(super) fn submit(
-        &mut self,
-        now: Micros,
-        id: id::Run,
-        spec: &Spec,
-    ) -> Result<(), job::Refusal> {
-        if self.run_index.contains_key(&id) {
-            return Err(job::Refusal::KeyConflict);
-        }
-        self.check(now, spec)?;
-        self.now = now;
-        let team = self.team(now, &spec.team);
-        if let Some(bucket) = &mut self.teams[team.0 as usize].bucket {
-            bucket.take(now, spec.tasks.len());
-        }
-        let mut tasks = Vec::with_capacity(spec.tasks.len());
-        let (mut work, mut longest) = (0.0, 0.0);
-        for task in &spec.tasks {
-            let demand = self.demand(&task.kind, &task.needs);
-            let kind = self.book.kind(&task.kind);
-            let class = self.book.class(kind, task.declared_ms);
-            let mean_us = self.book.mean_us(class);
-            work += mean_us;
-            longest = f64::max(longest, mean_us);
-            let (number, flying, refused, answered) = (0, 0, 0, false);
-            tasks.push(Task { demand, class, mean_us, number, flying, refused, answered });
-        }
-        let ideal = longest + work / self.router.capacity_all().max(1.0);
-        let run = Run {
-            id,
-            team,
-            restartable: spec.restartable,
-            deadline: spec.deadline,
-            score: now + (OVERTAKE * ideal) as u64,
-            tasks,
-            parts: Vec::new(),
-            flights: Vec::new(),
-            started: false,
-            over: false,
-            answered: 0,
-        };
-        let key = self.runs.insert(run);
-        self.run_index.insert(id, key);
-        self.deadlines.insert((spec.deadline, key));
-        self.enqueue_all(key);
-        Ok(())
-    }
-
     pub(super) fn poll(&mut self, now: Micros, random: &mut dyn RngCore) -> Option<Action> {
         self.now = now;
         if let Some(expire) = self.expire(now) {
@@ -406,7 +284,7 @@
         (idle * self.router.capacity() * part).min(SAVED_MAX * self.router.overall_us)
     }
 
-    fn enqueue_all(&mut self, key: usize) {
+    pub(super) fn enqueue_all(&mut self, key: usize) {
         let run = &self.runs[key];
         let mut order: Vec<u16> = (0..run.tasks.len() as u16).collect();
         let mean = |t: &u16| run.tasks[usize::from(*t)].mean_us;
@@ -600,7 +478,7 @@
         }
     }
 
-    fn team(&mut self, now: Micros, name: &id::Team) -> queue::Team {
+    pub(super) fn team(&mut self, now: Micros, name: &id::Team) -> queue::Team {
         if let Some(team) = self.team_index.get(name) {
             return *team;
         }
@@ -619,61 +497,4 @@
         self.team_index.insert(name.clone(), team);
         team
     }
-
-    fn demand(&mut self, kind: &str, needs: &job::Needs) -> usize {
-        if self.demands.len() > DEMANDS_MAX && self.runs.is_empty() {
-            self.demands.clear();
-            self.demand_index.clear();
-        }
-        let id = (self.book.kind(kind), (needs.cpus, needs.memory_mb, needs.accelerators));
-        if let Some(demand) = self.demand_index.get(&id) {
-            return *demand;
-        }
-        let lane = self.lane(kind, needs);
-        self.demands.push(Demand { kind: kind.to_owned(), needs: *needs, lane });
-        self.demand_index.insert(id, self.demands.len() - 1);
-        self.demands.len() - 1
-    }
-
-    fn lane(&mut self, kind: &str, needs: &job::Needs) -> usize {
-        let groups = &self.router.groups;
-        let fits = |g: &u32| groups[*g as usize].fits(kind, needs);
-        let groups: Vec<u32> = (0..groups.len() as u32).filter(fits).collect();
-        if let Some(lane) = self.lane_index.get(&groups) {
-            return *lane;
-        }
-        self.lanes.push(Lane { groups: groups.clone(), ..Lane::default() });
-        self.lane_index.insert(groups, self.lanes.len() - 1);
-        self.lanes.len() - 1
-    }
-
-    /// Sorts everything into lanes again after a new group of servers has appeared.
-    fn rebuild_lanes(&mut self) {
-        self.lanes.clear();
-        self.lane_index.clear();
-        for demand in 0..self.demands.len() {
-            let (kind, needs) =
-                (std::mem::take(&mut self.demands[demand].kind), self.demands[demand].needs);
-            self.demands[demand].lane = self.lane(&kind, &needs);
-            self.demands[demand].kind = kind;
-        }
-        for team in &mut self.teams {
-            (team.queued, team.queued_us) = (0, 0.0);
-        }
-        (self.queued, self.queued_us, self.weight) = (0, 0.0, 0.0);
-        let keys: Vec<usize> = self.runs.iter().map(|(key, _)| key).collect();
-        for key in keys {
-            for part in std::mem::take(&mut self.runs[key].parts) {
-                for task in part.tasks {
-                    self.enqueue(key, task);
-                }
-            }
-        }
-        for (_, flight) in &mut self.flights {
-            if let Some(run) = flight.run {
-                let demand = self.runs[run].tasks[usize::from(flight.attempt.task)].demand;
-                flight.lane = self.demands[demand].lane;
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/coordination/dispatch/lane.rs
@@ -0,0 +1,88 @@
+//! Lanes: tasks that fit the same groups of servers wait together.
+
+use crate::{
+    coordination::{dispatch::core::Core, queue},
+    protocol::job,
+};
+
+/// Demands after which the table is emptied when nothing refers to it.
+const DEMANDS_MAX: usize = 50_000;
+
+/// A kind with needs: what decides which servers fit.
+#[derive(Debug)]
+pub(super) struct Demand {
+    kind: String,
+    needs: job::Needs,
+    pub(super) lane: usize,
+}
+
+/// Tasks that fit the same groups of servers.
+#[derive(Debug, Default)]
+pub(super) struct Lane {
+    pub(super) groups: Vec<u32>,
+    pub(super) queue: queue::Fair,
+    pub(super) tasks: usize,
+}
+
+/// Needs as a key.
+pub(super) type Needs = (u16, u32, u16);
+
+impl Core {
+    pub(super) fn demand(&mut self, kind: &str, needs: &job::Needs) -> usize {
+        if self.demands.len() > DEMANDS_MAX && self.runs.is_empty() {
+            self.demands.clear();
+            self.demand_index.clear();
+        }
+        let id = (needs.cpus, needs.memory_mb, needs.accelerators);
+        if let Some(demand) = self.demand_index.get(&id).and_then(|kinds| kinds.get(kind)) {
+            return *demand;
+        }
+        let lane = self.lane(kind, needs);
+        let kinds = self.demand_index.entry(id).or_default();
+        kinds.insert(kind.to_owned(), self.demands.len());
+        self.demands.push(Demand { kind: kind.to_owned(), needs: *needs, lane });
+        self.demands.len() - 1
+    }
+
+    fn lane(&mut self, kind: &str, needs: &job::Needs) -> usize {
+        let groups = &self.router.groups;
+        let fits = |g: &u32| groups[*g as usize].fits(kind, needs);
+        let groups: Vec<u32> = (0..groups.len() as u32).filter(fits).collect();
+        if let Some(lane) = self.lane_index.get(&groups) {
+            return *lane;
+        }
+        self.lanes.push(Lane { groups: groups.clone(), ..Lane::default() });
+        self.lane_index.insert(groups, self.lanes.len() - 1);
+        self.lanes.len() - 1
+    }
+
+    /// Sorts everything into lanes again after a new group of servers has appeared.
+    pub(super) fn rebuild_lanes(&mut self) {
+        self.lanes.clear();
+        self.lane_index.clear();
+        for demand in 0..self.demands.len() {
+            let (kind, needs) =
+                (std::mem::take(&mut self.demands[demand].kind), self.demands[demand].needs);
+            self.demands[demand].lane = self.lane(&kind, &needs);
+            self.demands[demand].kind = kind;
+        }
+        for team in &mut self.teams {
+            (team.queued, team.queued_us) = (0, 0.0);
+        }
+        (self.queued, self.queued_us, self.weight) = (0, 0.0, 0.0);
+        let keys: Vec<usize> = self.runs.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            for part in std::mem::take(&mut self.runs[key].parts) {
+                for task in part.tasks {
+                    self.enqueue(key, task);
+                }
+            }
+        }
+        for (_, flight) in &mut self.flights {
+            if let Some(run) = flight.run {
+                let demand = self.runs[run].tasks[usize::from(flight.attempt.task)].demand;
+                flight.lane = self.demands[demand].lane;
+            }
+        }
+    }
+}
--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -63,6 +63,8 @@
     room_mask: u32,
     /// Sum of the servers' completion rates by tier, per µs.
     rates: [f64; TIERS],
+    /// No server of a higher tier has attempts in flight.
+    top_tier: usize,
 }
 
 impl Group {
@@ -197,6 +199,7 @@
         server.member_at = group.members.len() as u32;
         group.members.push(key);
         group.rates[server.tier] += server.rate;
+        group.top_tier = group.top_tier.max(server.tier);
         self.refresh(now, key);
         self.groups.len() > groups
     }
@@ -245,7 +248,9 @@
         }
         server.sent(now, rate);
         if !server.gone {
-            self.groups[server.group as usize].rates[server.tier] += rate;
+            let group = &mut self.groups[server.group as usize];
+            group.rates[server.tier] += rate;
+            group.top_tier = group.top_tier.max(server.tier);
         }
         self.refresh(now, key);
     }
@@ -354,9 +359,13 @@
         self.capacity *= (1.0 - self.others.per_slot).max(CAPACITY_PART_MIN);
         for group in &mut self.groups {
             group.rates = [0.0; TIERS];
+            group.top_tier = 0;
             for key in &group.members {
                 let server = &self.servers[key.0];
                 group.rates[server.tier] += server.rate;
+                if server.rate > 0.0 {
+                    group.top_tier = group.top_tier.max(server.tier);
+                }
             }
         }
     }
@@ -453,7 +462,10 @@
     fn is_worth_waiting(&self, groups: &[u32], cost: f64, tier: usize, task: &Task) -> bool {
         let (mut rate, mut work) = (0.0, 0.0);
         for group in groups {
-            let rates = &self.groups[*group as usize].rates;
+            let Group { rates, top_tier, .. } = &self.groups[*group as usize];
+            if *top_tier < tier + 2 {
+                continue;
+            }
             for (faster, r) in rates.iter().enumerate().skip(tier + 2) {
                 rate += r;
                 work += r * server::tier_speed(faster);
@@ -493,6 +505,7 @@
             room: Default::default(),
             room_mask: 0,
             rates: [0.0; TIERS],
+            top_tier: 0,
         });
         self.groups.len() - 1
     }
@@ -532,6 +545,7 @@
         let group = &mut self.groups[server.group as usize];
         group.rates[server.tier] = (group.rates[server.tier] - server.rate).max(0.0);
         group.rates[tier] += server.rate;
+        group.top_tier = group.top_tier.max(tier);
         server.tier = tier;
         if room {
             server.room_at = Some(group.room[tier].len() as u32);
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,228 @@
+//! Choice of a backend server.
+
+use briargauge::{
+    coordination::{
+        dispatch::{Dispatcher, Ended, Policy, Settings, Spec, TaskSpec},
+        route::{Choice, Router, Task},
+    },
+    protocol::{
+        id, job,
+        wire::{
+            control,
+            sidecar::{Load, NotStarted},
+        },
+    },
+};
+use quickcheck::{Gen, QuickCheck};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+const SLOTS: u16 = 4;
+
+fn member(server: u64, dc: &str) -> control::Member {
+    control::Member {
+        incarnation: id::Incarnation(server),
+        addr: ([127, 0, 0, 1], 1).into(),
+        data_centre: dc.to_owned(),
+        rack: "rack".to_owned(),
+        slots: SLOTS,
+        connections: 64,
+        kinds: Vec::new(),
+        size: job::Needs::default(),
+        state: control::MemberState::Serving,
+    }
+}
+
+fn task(mean_us: f64, queued: usize) -> Task {
+    Task { mean_us, queued, except: None, restartable: false, bulk: false }
+}
+
+fn router(servers: &[(u64, &str)]) -> Router {
+    let mut router = Router::new("own", &[("far".to_owned(), 3_000)]);
+    for (server, dc) in servers {
+        router.put(1, &member(*server, dc));
+    }
+    router.tick(1);
+    router
+}
+
+/// Sends tasks until there is no room; gives the servers in order.
+fn fill(router: &mut Router, mean_us: f64) -> Vec<u64> {
+    let groups: Vec<u32> = (0..router.groups.len() as u32).collect();
+    let mut random = Pcg64::seed_from_u64(1);
+    let mut order = Vec::new();
+    while let Choice::Start(key) =
+        router.choose(1, &groups, &task(mean_us, usize::MAX), &mut random)
+    {
+        order.push(router.servers[key.0].incarnation.0);
+        router.sent(1, key, 1.0 / mean_us);
+        router.heard(1, key, None);
+    }
+    order
+}
+
+/// Guards against tasks that cross data centres while the own one has room, and against tasks that
+/// wait there although another data centre has room.
+#[test]
+fn own_data_centre_first_then_others() {
+    let mut router = router(&[(1, "far"), (2, "own"), (3, "far")]);
+    let order = fill(&mut router, 10_000.0);
+    assert!(order[..SLOTS as usize - 1].iter().all(|s| *s == 2), "{order:?}");
+    assert_eq!(order.len(), 3 * usize::from(SLOTS));
+}
+
+/// Guards against more attempts in flight than there are slots, and against load that gathers at
+/// one of several equal servers.
+#[test]
+fn equal_servers_fill_evenly_up_to_their_slots() {
+    let mut router = router(&[(0, "own"), (1, "own"), (2, "own")]);
+    let order = fill(&mut router, 100_000.0);
+    assert_eq!(order.len(), 3 * usize::from(SLOTS));
+    for round in order.chunks(3) {
+        let mut round = round.to_vec();
+        round.sort_unstable();
+        assert_eq!(round, [0, 1, 2]);
+    }
+}
+
+/// Guards against sending to a server that other entries fill: the load on a reply must count.
+#[test]
+fn load_of_other_entries_closes_the_window() {
+    let mut router = router(&[(0, "own"), (1, "own")]);
+    let key = router.key(id::Incarnation(0)).unwrap();
+    router.heard(1, key, Some(Load { slots: SLOTS, busy: SLOTS, queued: 2 }));
+    router.settle(1, key);
+    assert!(fill(&mut router, 100_000.0).iter().all(|server| *server == 1));
+}
+
+/// A dispatcher that has learned that servers 0 and 1 are eight times as fast as 2 and 3.
+fn learned(policy: Policy) -> (Dispatcher, Pcg64, u64, u64) {
+    let settings = Settings { policy, data_centre: "own".to_owned(), ..Settings::default() };
+    let mut dispatcher = Dispatcher::new(settings);
+    let mut random = Pcg64::seed_from_u64(1);
+    let changed = (0..4).map(|i| member(i, "own")).collect();
+    let revision = control::Revision { term: 1, number: 1 };
+    let members = control::Members { revision, full: true, changed, removed: Vec::new() };
+    dispatcher.set_members(1, &members);
+    let (mut now, mut seq) = (1, 0);
+    for _ in 0..60 {
+        seq += 1;
+        submit(&mut dispatcher, now, seq, 16);
+        let starts = starts(&mut dispatcher, now, &mut random);
+        now += 1_000_000;
+        for (attempt, server) in starts {
+            let ran_us = if server < 2 { 100_000 } else { 800_000 };
+            let load = Load { slots: SLOTS, busy: 0, queued: 0 };
+            dispatcher.ended(now, attempt, Some(load), Ended::Done { ran_us });
+        }
+        dispatcher.remove(now, id::Run { epoch: id::Epoch(1), seq });
+    }
+    (dispatcher, random, now, seq)
+}
+
+fn submit(dispatcher: &mut Dispatcher, now: u64, seq: u64, tasks: usize) {
+    let task =
+        TaskSpec { kind: "kind".to_owned(), declared_ms: None, needs: job::Needs::default() };
+    let tasks = vec![task; tasks];
+    let team = id::Team("team".to_owned());
+    let spec = Spec { team, tasks, deadline: now + 60_000_000, restartable: false };
+    dispatcher.submit(now, id::Run { epoch: id::Epoch(1), seq }, spec).unwrap();
+}
+
+fn starts(dispatcher: &mut Dispatcher, now: u64, random: &mut Pcg64) -> Vec<(id::Attempt, u64)> {
+    use briargauge::coordination::dispatch::Action;
+    let mut starts = Vec::new();
+    while let Some(action) = dispatcher.poll(now, random) {
+        if let Action::Start { attempt, incarnation } = action {
+            starts.push((attempt, incarnation.0));
+        }
+    }
+    starts
+}
+
+/// Guards against the tail of a job on a slow server while waiting for a fast one ends earlier, and
+/// against idle slow servers while the queue is long. Round robin, the baseline, fails the first.
+#[test]
+fn slow_servers_get_tasks_only_if_waiting_takes_longer() {
+    let (mut dispatcher, mut random, now, seq) = learned(Policy::Briargauge);
+    submit(&mut dispatcher, now, seq + 1, 9);
+    let few = starts(&mut dispatcher, now, &mut random);
+    assert!(few.iter().all(|start| start.1 < 2), "{few:?}");
+    submit(&mut dispatcher, now, seq + 2, 100);
+    let many = starts(&mut dispatcher, now, &mut random);
+    assert!(many.iter().any(|start| start.1 >= 2), "{many:?}");
+    let (mut naive, mut random, now, seq) = learned(Policy::Naive);
+    submit(&mut naive, now, seq + 1, 9);
+    assert!(starts(&mut naive, now, &mut random).iter().any(|start| start.1 >= 2));
+}
+
+/// Guards against hammering a server that cannot start anything: each refusal is two messages.
+#[test]
+fn refusing_servers_are_left_alone() {
+    for reason in [
+        NotStarted::WrongIncarnation,
+        NotStarted::NoLease,
+        NotStarted::Unreachable,
+        NotStarted::Draining,
+    ] {
+        let (mut dispatcher, mut random, now, seq) = learned(Policy::Briargauge);
+        submit(&mut dispatcher, now, seq + 1, 8);
+        let first = starts(&mut dispatcher, now, &mut random);
+        let (attempt, refusing) = first[0];
+        let load = Load { slots: SLOTS, busy: 0, queued: 0 };
+        dispatcher.ended(now, attempt, Some(load), Ended::NotStarted(reason));
+        submit(&mut dispatcher, now, seq + 2, 100);
+        let more = starts(&mut dispatcher, now, &mut random);
+        assert!(!more.is_empty());
+        assert!(more.iter().all(|start| start.1 != refusing), "{reason:?}: {more:?}");
+    }
+}
+
+/// Guards against a choice that depends on stale lists: whatever happens, a chosen server is
+/// serving, fits and has room, also when only a sample of many is looked at.
+#[test]
+fn chosen_servers_have_room() {
+    fn holds(steps: Vec<(u8, u8)>) -> Result<(), String> {
+        let mut random = Pcg64::seed_from_u64(1);
+        let mut router = Router::new("own", &[]);
+        let mut mine = [0_u32; 40];
+        let mut now = 1;
+        for (server, step) in steps {
+            let server = u64::from(server % 40);
+            let dc = ["own", "far", "other"][server as usize % 3];
+            now += 1_000;
+            let key = router.key(id::Incarnation(server));
+            match (step % 8, key) {
+                (0..=1, _) => {
+                    router.put(now, &member(server, dc));
+                }
+                (2, _) if mine[server as usize] == 0 => router.remove(id::Incarnation(server)),
+                (3, Some(key)) if mine[server as usize] > 0 => {
+                    mine[server as usize] -= 1;
+                    router.ended(now, key, 1e-5);
+                    let busy = u16::from(step) % (SLOTS + 1);
+                    router.heard(now, key, Some(Load { slots: SLOTS, busy, queued: 0 }));
+                    router.settle(now, key);
+                }
+                (4, _) => router.tick(now),
+                _ => {}
+            }
+            let groups: Vec<u32> = (0..router.groups.len() as u32).collect();
+            let task = task(100_000.0, usize::MAX);
+            if let Choice::Start(key) = router.choose(now, &groups, &task, &mut random) {
+                let chosen = &router.servers[key.0];
+                let at = chosen.incarnation.0 as usize;
+                if chosen.gone || mine[at] >= u32::from(SLOTS) {
+                    return Err(format!("{chosen:?} was chosen"));
+                }
+                mine[at] += 1;
+                router.sent(now, key, 1e-5);
+            }
+        }
+        Ok(())
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 4))
+        .tests(200)
+        .quickcheck(holds as fn(Vec<(u8, u8)>) -> Result<(), String>);
+}
