--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -37,13 +37,13 @@
 pub struct Listening {
     pub http: Option<SocketAddr>,
     pub rpc: Option<SocketAddr>,
+    /// Where other control instances connect.
+    pub peer: Option<SocketAddr>,
 }
 
 /// Runs a daemon until a signal stops it.
 pub fn main<P: Process>() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format(log_line)
-        .init();
+    init_log("info");
     let settings = match settings::<P>() {
         Ok(Some(settings)) => settings,
         Ok(None) => return ExitCode::SUCCESS,
@@ -62,6 +62,15 @@
     }
 }
 
+/// Sends log lines to stderr; `RUST_LOG` goes before `level`.
+pub fn init_log(level: &str) {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level))
+        // tarpc logs each call at the level of events.
+        .filter_module("tarpc", log::LevelFilter::Warn)
+        .format(log_line)
+        .init();
+}
+
 /// Writes one `key=value` line: time, level, then the event's own pairs.
 fn log_line(out: &mut env_logger::fmt::Formatter, record: &log::Record<'_>) -> std::io::Result<()> {
     use std::io::Write;
@@ -95,9 +104,9 @@
         source,
     })?;
     let process = P::start(settings).await?;
-    let Listening { http, rpc } = process.listening();
+    let Listening { http, rpc, peer } = process.listening();
     let mut line = String::from("listening");
-    for (name, addr) in [("http", http), ("rpc", rpc)] {
+    for (name, addr) in [("http", http), ("rpc", rpc), ("peer", peer)] {
         if let Some(addr) = addr {
             line += &format!(" {name}={addr}");
         }
