--- a/src/control/meter.rs
+++ b/src/control/meter.rs
@@ -34,17 +34,31 @@
             gauge
         };
         Meter {
-            calls: counter("control_calls_total", "Calls taken.", "call"),
-            admissions: counter("control_admissions_total", "Admissions by result.", "result"),
-            refusals: counter("control_refusals_total", "Refused calls by reason.", "reason"),
-            members: gauge("control_members", "Backend servers that hold a lease."),
-            sessions: gauge("control_sessions", "Open entry sessions."),
-            rules_version: gauge("control_rules_version", "Version of the rules applied here."),
-            keys: gauge("control_keys", "Keys kept."),
-            open_jobs: gauge("control_open_jobs", "Jobs without an outcome."),
-            answer_bytes: gauge("control_answer_bytes", "Bytes of the answers kept."),
-            in_flight: gauge("control_proposals_in_flight", "Proposals not yet applied."),
-            leader: gauge("control_leader", "1 if this instance leads."),
+            calls: counter("briargauge_control_calls_total", "Calls taken.", "call"),
+            admissions: counter(
+                "briargauge_control_admissions_total",
+                "Admissions by result.",
+                "result",
+            ),
+            refusals: counter(
+                "briargauge_control_refusals_total",
+                "Refused calls by reason.",
+                "reason",
+            ),
+            members: gauge("briargauge_control_members", "Backend servers that hold a lease."),
+            sessions: gauge("briargauge_control_sessions", "Open entry sessions."),
+            rules_version: gauge(
+                "briargauge_control_rules_version",
+                "Version of the rules applied here.",
+            ),
+            keys: gauge("briargauge_control_keys", "Keys kept."),
+            open_jobs: gauge("briargauge_control_open_jobs", "Jobs without an outcome."),
+            answer_bytes: gauge("briargauge_control_answer_bytes", "Bytes of the answers kept."),
+            in_flight: gauge(
+                "briargauge_control_proposals_in_flight",
+                "Proposals not yet applied.",
+            ),
+            leader: gauge("briargauge_control_leader", "1 if this instance leads."),
             registry,
         }
     }
--- a/src/sidecar/meter.rs
+++ b/src/sidecar/meter.rs
@@ -28,23 +28,28 @@
     pub fn new() -> Meter {
         let registry = Registry::new();
         let counter = |name, help, labels: &[&str]| metric::counter(&registry, name, help, labels);
-        let load = IntGaugeVec::new(Opts::new("sidecar_load", "Slots and queue"), &["of"])
-            .expect("metric names are valid");
+        let load =
+            IntGaugeVec::new(Opts::new("briargauge_sidecar_load", "Slots and queue"), &["of"])
+                .expect("metric names are valid");
         registry.register(Box::new(load.clone())).expect("each metric is registered once");
         Meter {
-            starts: counter("sidecar_starts_total", "Attempts given a slot", &["team"]),
-            refusals: counter("sidecar_refusals_total", "Attempts not started", &["reason"]),
-            ends: counter("sidecar_ends_total", "Started attempts ended", &["result"]),
-            syncs: counter("sidecar_syncs_total", "Calls to control", &["result"]),
+            starts: counter("briargauge_sidecar_starts_total", "Attempts given a slot", &["team"]),
+            refusals: counter(
+                "briargauge_sidecar_refusals_total",
+                "Attempts not started",
+                &["reason"],
+            ),
+            ends: counter("briargauge_sidecar_ends_total", "Started attempts ended", &["result"]),
+            syncs: counter("briargauge_sidecar_syncs_total", "Calls to control", &["result"]),
             run_by_team: metric::seconds(
                 &registry,
-                "sidecar_run_seconds",
+                "briargauge_sidecar_run_seconds",
                 "Run time by team",
                 &["team"],
             ),
             run_by_kind: metric::seconds(
                 &registry,
-                "sidecar_kind_run_seconds",
+                "briargauge_sidecar_kind_run_seconds",
                 "Run time by kind of task",
                 &["kind"],
             ),
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -156,7 +156,7 @@
         started(&stand, 1).await;
         until("a queued attempt", async || {
             let metrics = stand.metrics().await;
-            metrics.contains("sidecar_load{of=\"queued\"} 1").then_some(())
+            metrics.contains("briargauge_sidecar_load{of=\"queued\"} 1").then_some(())
         })
         .await;
         assert_eq!(cancel(&stand, 2).await, sidecar::Cancelled { queued: 1, running: 0 });
@@ -506,12 +506,12 @@
     stand.send(sidecar::Task { incarnation: stale, ..task }).await;
     let metrics = stand.metrics().await;
     for line in [
-        "sidecar_starts_total{team=\"repair\"} 1",
-        "sidecar_refusals_total{reason=\"wrong_incarnation\"} 1",
-        "sidecar_ends_total{result=\"done\"} 1",
-        "sidecar_run_seconds_count{team=\"repair\"} 1",
-        "sidecar_kind_run_seconds_count{kind=\"quote\"} 1",
-        "sidecar_load{of=\"busy\"} 0",
+        "briargauge_sidecar_starts_total{team=\"repair\"} 1",
+        "briargauge_sidecar_refusals_total{reason=\"wrong_incarnation\"} 1",
+        "briargauge_sidecar_ends_total{result=\"done\"} 1",
+        "briargauge_sidecar_run_seconds_count{team=\"repair\"} 1",
+        "briargauge_sidecar_kind_run_seconds_count{kind=\"quote\"} 1",
+        "briargauge_sidecar_load{of=\"busy\"} 0",
     ] {
         assert!(metrics.lines().any(|l| l == line), "{line} is not in {metrics}");
     }
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -70,7 +70,13 @@
 
     /// Runs a program to its end.
     pub fn run(&self, program: Program, args: &[&str]) -> Output {
-        Command::new(program.path()).args(args).current_dir(self.dir.path()).output().unwrap()
+        Command::new(program.path())
+            .args(args)
+            .current_dir(self.dir.path())
+            .env_remove("BRIARGAUGE_CONTROL")
+            .env_remove("BRIARGAUGE_ENTRY")
+            .output()
+            .unwrap()
     }
 
     /// Starts a daemon with settings and waits until it serves.
