Rules parse without needless copies; bounded answers about the history

Cause: parsing built the texts of errors that did not occur and copied every rule for the check of contradictions; 100 history entries with long texts would not fit into one message. Change: texts of errors are made when there is one, earlier rules are looked up by line; an answer about the history ends at 16 MiB of text.

--- a/src/protocol/rule/parse.rs
+++ b/src/protocol/rule/parse.rs
@@ -17,13 +17,17 @@
         let number = at + 1;
         let parsed = line(number, text).and_then(|line| {
             if let Line::Rule(entry) = &line {
-                check(&mut subjects, entry)?;
+                check(&mut subjects, &rules, entry)?;
             }
             Ok(line)
         });
         match parsed {
             Ok(line) => rules.push(line),
-            Err(reason) => faults.push(Fault { line: number, reason }),
+            Err(reason) => {
+                faults.push(Fault { line: number, reason });
+                // Keeps positions and line numbers in step for the checks of later lines.
+                rules.push(Line::Blank);
+            }
         }
         if faults.len() >= FAULTS_MAX {
             break;
@@ -105,9 +109,18 @@
     }
 }
 
-fn check(subjects: &mut HashMap<Subject, (usize, Rule)>, entry: &Entry) -> Result<(), String> {
+/// Checks a rule against those before it and notes its subject.
+fn check(
+    subjects: &mut HashMap<Subject, usize>,
+    before: &Rules,
+    entry: &Entry,
+) -> Result<(), String> {
+    let earlier = |line: &usize| match &before.lines[line - 1] {
+        Line::Rule(entry) => Some((*line, &entry.rule)),
+        Line::Blank | Line::Note(_) => None,
+    };
     let subject = subject(&entry.rule);
-    match subjects.get(&subject) {
+    match subjects.get(&subject).and_then(earlier) {
         Some((line, rule)) if *rule == entry.rule => {
             return Err(format!("`{rule}` repeats line {line}"));
         }
@@ -117,12 +130,12 @@
         None => {}
     }
     if let Some((other, value)) = opposite(&entry.rule)
-        && let Some((line, rule)) = subjects.get(&other)
+        && let Some((line, rule)) = subjects.get(&other).and_then(earlier)
         && matches!(rule, Rule::Team { setting, .. } if *setting == value)
     {
         return Err(format!("`{}` contradicts line {line}: `{rule}`", entry.rule));
     }
-    subjects.insert(subject, (entry.line, entry.rule.clone()));
+    subjects.insert(subject, entry.line);
     Ok(())
 }
 
@@ -192,7 +205,7 @@
                 Target::Rack { data_centre, rack }
             }
             _ => {
-                let word = self.word("an address IP:PORT")?;
+                let word = self.word("an address", "IP:PORT")?;
                 let addr: SocketAddr =
                     word.parse().map_err(|_| format!("{word:?} is not an address IP:PORT"))?;
                 Target::Server(addr)
@@ -200,8 +213,8 @@
         })
     }
 
-    fn word(&mut self, expected: &str) -> Result<&'a str, String> {
-        self.words.next().ok_or_else(|| format!("expected {expected} at the end"))
+    fn word(&mut self, expected: &str, what: &str) -> Result<&'a str, String> {
+        self.words.next().ok_or_else(|| format!("expected {expected} {what} at the end"))
     }
 
     fn one_of(&mut self, known: &[&'static str]) -> Result<&'static str, String> {
@@ -219,7 +232,7 @@
     }
 
     fn name(&mut self, what: &str) -> Result<String, String> {
-        let word = self.word(&format!("the name of a {what}"))?;
+        let word = self.word("the name of a", what)?;
         if word.len() > NAME_MAX_BYTES {
             return Err(format!("name of a {what} has more than {NAME_MAX_BYTES} bytes"));
         }
@@ -237,12 +250,12 @@
     }
 
     fn number(&mut self, what: &str, range: RangeInclusive<u32>) -> Result<u32, String> {
-        let word = self.word(&format!("a number ({what})"))?;
+        let word = self.word("a number of", what)?;
         number(word, what, range)
     }
 
     fn percent(&mut self) -> Result<u8, String> {
-        let word = self.word("a percentage")?;
+        let word = self.word("a number of", "percent")?;
         let digits = word.strip_suffix('%').ok_or_else(|| format!("`{word}` must end with `%`"))?;
         let percent = number(digits, "percent", 0..=100)?;
         Ok(u8::try_from(percent).unwrap_or(u8::MAX))
--- a/src/state/machine/history.rs
+++ b/src/state/machine/history.rs
@@ -21,6 +21,8 @@
 pub const RULES_MAX_BYTES: usize = 1024 * 1024;
 /// Longest change id and operator name, in bytes.
 pub const NAME_MAX_BYTES: usize = 128;
+/// Most text in one answer about the history, in bytes; a message has at most twice as many.
+const NEWEST_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Longest explanation kept with an answer, in bytes.
 const DETAIL_MAX_BYTES: usize = 2_048;
 
@@ -155,21 +157,23 @@
         }
     }
 
-    /// The newest `limit` accepted changes, newest first.
+    /// The newest accepted changes, newest first: `limit`, or as many as have up to
+    /// [`NEWEST_MAX_BYTES`] of text.
     pub fn newest(&self, limit: usize) -> Vec<control::Accepted> {
         let mut text = self.rules.text.clone();
-        let newest = self.accepted.iter().rev().take(limit);
-        let with_text = newest.map(|a| {
+        let mut bytes = 0;
+        let newest = self.accepted.iter().rev().take(limit).map_while(|a| {
+            bytes += text.len();
             let before = a.undo.apply(&text);
-            control::Accepted {
+            (bytes <= NEWEST_MAX_BYTES).then(|| control::Accepted {
                 version: a.version,
                 id: a.id.clone(),
                 operator: a.operator.clone(),
                 at_ms: a.at_ms,
                 text: std::mem::replace(&mut text, before),
-            }
+            })
         });
-        with_text.collect()
+        newest.collect()
     }
 }
 
--- a/tests/machine.rs
+++ b/tests/machine.rs
@@ -303,6 +303,20 @@
     assert!(matches!(apply(&mut state, &reused), control::Changed::Invalid { .. }));
 }
 
+/// Guards against an answer about the history that is too long for a message.
+#[test]
+fn history_answers_are_bounded() {
+    let mut state = State::default();
+    let long = |n: u64| format!("# {n:02} {}\n", "x".repeat(machine::RULES_MAX_BYTES - 6));
+    for n in 0..20 {
+        let next = change(&format!("c-{n}"), "kana", n, &long(n));
+        state.apply(n + 1, command(START_MS, Op::Change(next)));
+    }
+    let newest = state.history(100);
+    assert_eq!(newest.len(), 16);
+    assert!(newest.iter().zip((0..20).rev()).all(|(a, n)| a.text == long(n)));
+}
+
 /// Guards against memory that grows with the number of operators' attempts.
 #[test]
 fn decisions_are_bounded() {
