--- a/src/coordination/dispatch/reply.rs
+++ b/src/coordination/dispatch/reply.rs
@@ -54,7 +54,7 @@
                 self.router.answered(key);
                 let server = &mut self.router.servers[key.0];
                 server.ran(now);
-                let waited = (now - flight.sent).saturating_sub(ran_us) as f64;
+                let waited = now.saturating_sub(flight.sent).saturating_sub(ran_us) as f64;
                 self.book.done(flight.class, &mut server.speed, ran_us);
                 let work = ran_us as f64 * server.speed.factor();
                 if load.is_some_and(|l| l.queued == 0 && l.busy < l.slots) {
