Entry: unread requests are refused without a statement about their key

Cause: a request refused before it was read said not_run although an earlier one with its key may have run. Change: its detail says that it holds for this call only; the test of a whole job also asserts that no message counts as wasted.

--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -46,7 +46,7 @@
         (Method::POST, "/v1/jobs" | "/v1/requests" | "/v1/jobs/cancel") => {
             let arrived = Instant::now();
             let Some(_counted) = Counted::new(&core) else {
-                return refuse(&core, job::Refusal::Overloaded, "too many requests at once");
+                return overloaded(&core, "too many requests at once");
             };
             let body = match body(&core, &mut request).await {
                 Ok(body) => body,
@@ -75,7 +75,7 @@
     }
     let mut hold = core.budget.hold();
     if !core.budget.has_room(0) || !hold.grow(length) {
-        return Err(refuse(core, job::Refusal::Overloaded, "the entry's memory is used up"));
+        return Err(overloaded(core, "the entry's memory is used up"));
     }
     let mut payload = request.take_payload();
     let limit = Duration::from_millis(core.limits.body_limit_ms);
@@ -231,6 +231,11 @@
     answer(core, &id::Team(String::new()), None, Reply { run, done, progress: (0, 0) })
 }
 
+/// Refuses a request that has not been read, so that its key is not known.
+fn overloaded(core: &Core, detail: &str) -> Response<Bytes> {
+    refuse(core, job::Refusal::Overloaded, &format!("{detail}{}", keyed::CALL_ONLY))
+}
+
 fn too_large(core: &Core, max: usize) -> Response<Bytes> {
     let detail = format!("the body has more than {max} bytes");
     let mut response = refuse(core, job::Refusal::BadRequest, &detail);
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -35,7 +35,7 @@
 const FETCH_TRIES: u32 = 3;
 
 /// Ends the detail of a refusal that says nothing of earlier calls with the same key.
-const CALL_ONLY: &str = "; this call started nothing, but control could not be asked about earlier \
+pub const CALL_ONLY: &str = "; this call started nothing, but control could not be asked about earlier \
                          calls with this key: keep the key when submitting again";
 
 /// A submission with a key.
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -31,7 +31,8 @@
     actix_rt::spawn(submit(addr, key, tasks))
 }
 
-/// Guards against a job whose answers are out of order, missing or wrapped wrongly.
+/// Guards against a job whose answers are out of order, missing or wrapped wrongly, and against
+/// messages counted as wasted that were not.
 #[test]
 fn a_job_is_answered_whole_and_in_order() {
     fake::run(async {
@@ -41,6 +42,11 @@
         insta::assert_snapshot!(answer.text, @r#"{"status":"completed","answers":[0,1,2,3]}"#);
         assert_eq!(answer.code, 200);
         assert_eq!(world.sidecar.starts(), 4);
+        let metrics = get(world.addr, "/metrics").await.text;
+        for cause in ["refused", "lost", "late", "unused"] {
+            let none = format!("briargauge_entry_wasted_messages_total{{cause=\"{cause}\"}} 0");
+            assert!(metrics.contains(&none), "{metrics}");
+        }
     });
 }
 
