Only first starts earn retries; tests of the dispatcher's rules

Cause: repeated attempts earned budget for further ones, so that 255 attempts were made for 200 tasks where 250 are allowed; the new brown-out test showed it. Change: retries and hedges are earned by the first attempt of a task. Tests: brown-out, hedging, short runs behind long jobs, quota against overload. Seen failing without the mechanism: brown-out and budget without the budget, at most one start with restarts for all runs, frozen server without the silence rule, a third ejected without the bound, slow servers without waiting. Figures: 255 -> at most 250 attempts for 200 tasks. Conclusion: the brown-out test first passed without any budget, as the load on refusals closed the windows; it now leaves the load out.

--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -13,7 +13,7 @@
         dispatch::{
             Action, Micros, Preference, Removed, Settings, TeamSettings,
             lane::{Demand, Lane, Needs},
-            run::{Flight, Part, Run},
+            run::{Flight, Part, Run, Task},
         },
         limit, queue, retry, route, speed,
     },
@@ -329,7 +329,8 @@
         };
         let slow = self.router.is_slow(server, SLOW);
         let task = if slow { part.tasks.pop_front()? } else { part.tasks.pop_back()? };
-        let mean_us = run.tasks[usize::from(task)].mean_us;
+        let Task { mean_us, number, .. } = run.tasks[usize::from(task)];
+        let first = number == 0;
         if part.tasks.is_empty() {
             queue.remove(team, item);
         }
@@ -338,8 +339,10 @@
             self.small_at = now;
         }
         self.count(team, lane, -1, mean_us);
-        self.teams[team.0 as usize].retries.started();
-        self.teams[team.0 as usize].hedges.started();
+        if first {
+            self.teams[team.0 as usize].retries.started();
+            self.teams[team.0 as usize].hedges.started();
+        }
         Some(self.start(now, item.run as usize, task, server))
     }
 
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -4,7 +4,7 @@
 
 use briargauge::{
     coordination::dispatch::{
-        Action, Dispatcher, Ended, Next, Policy, Settings, Spec, TaskSpec, TeamSettings,
+        Action, Dispatcher, Ended, Next, Policy, Preference, Settings, Spec, TaskSpec, TeamSettings,
     },
     protocol::{
         id, job,
@@ -390,3 +390,113 @@
 fn checker() -> QuickCheck {
     QuickCheck::new().rng(Gen::from_size_and_seed(200, 1)).tests(400)
 }
+
+/// Plays single tasks that the servers all refuse as full for 10 s; gives the refused attempts.
+fn refused_in_brown_out(policy: Policy) -> (usize, usize) {
+    let mut world = World::new(policy);
+    let (mut starts, mut attempts) = (0, 0);
+    for _ in 0..200 {
+        world.now += 50_000;
+        world.submit(0, 1, false);
+        starts += 1;
+        world.poll().unwrap();
+        // What is started while the others are answered is answered at the next step.
+        for (attempt, _) in std::mem::take(&mut world.flying) {
+            attempts += 1;
+            // Without the load, which would close the windows, only the budget is left.
+            let full = Ended::NotStarted(sidecar::NotStarted::Full);
+            let next = world.dispatcher.ended(world.now, attempt, None, full);
+            world.note(attempt, full, next).unwrap();
+        }
+    }
+    (starts, attempts)
+}
+
+/// Guards against a brown-out that retries make worse: 10% of the starts, a floor of 10 and 2 a
+/// second are allowed beyond the first attempts. The baseline repeats every task three times.
+#[test]
+fn brown_out_is_not_amplified() {
+    let (starts, attempts) = refused_in_brown_out(Policy::Briargauge);
+    assert!(attempts <= starts + starts / 10 + 10 + 20, "{attempts} attempts of {starts}");
+    let (starts, attempts) = refused_in_brown_out(Policy::Naive);
+    assert!(attempts > 3 * starts, "{attempts} attempts of {starts}");
+}
+
+/// Answers everything that flies until `runs` more are known; each run is one restartable task.
+fn learn(world: &mut World, runs: usize) {
+    for _ in 0..runs {
+        world.submit(0, 1, true);
+        world.poll().unwrap();
+        world.now += 100_000;
+        for (attempt, _) in std::mem::take(&mut world.flying) {
+            let load = sidecar::Load { slots: SLOTS, busy: 0, queued: 0 };
+            let done = Ended::Done { ran_us: 100_000 };
+            let next = world.dispatcher.ended(world.now, attempt, Some(load), done);
+            world.note(attempt, done, next).unwrap();
+        }
+    }
+}
+
+/// Starts one task whose server stays silent; gives the number of attempts after a second.
+fn attempts_of_silent(restartable: bool, settings: TeamSettings) -> usize {
+    let mut world = World::new(Policy::Briargauge);
+    world.dispatcher.set_teams(1, &[(id::Team("team0".to_owned()), settings)]);
+    learn(&mut world, 200);
+    world.submit(0, 1, restartable);
+    for _ in 0..100 {
+        world.poll().unwrap();
+        world.now += 10_000;
+    }
+    let mut servers: Vec<u64> = world.flying.iter().map(|f| f.1).collect();
+    servers.sort_unstable();
+    servers.dedup();
+    assert_eq!(servers.len(), world.flying.len(), "hedged at the same server");
+    world.flying.len()
+}
+
+/// Guards against a response-minded team's task that waits for a silent server, and against second
+/// attempts where they could run a task twice or where the team prefers few messages.
+#[test]
+fn only_repeatable_tasks_of_response_teams_are_hedged() {
+    let settings = TeamSettings::default();
+    assert_eq!(attempts_of_silent(true, settings), 2);
+    assert_eq!(attempts_of_silent(false, settings), 1);
+    let messages = TeamSettings { preference: Preference::Messages, ..settings };
+    assert_eq!(attempts_of_silent(true, messages), 1);
+    assert_eq!(attempts_of_silent(true, TeamSettings { hedge: false, ..settings }), 1);
+}
+
+/// Guards against short runs that wait behind a long job of their own team.
+#[test]
+fn short_runs_overtake_long_jobs() {
+    let mut world = World::new(Policy::Briargauge);
+    (0..3).for_each(|_| world.submit(0, 30, false));
+    world.poll().unwrap();
+    world.submit(0, 1, false);
+    let short = id::Run { epoch: id::Epoch(1), seq: world.seq };
+    // One attempt ends and frees one slot.
+    world.end(0, 0).unwrap();
+    world.poll().unwrap();
+    assert!(world.flying.iter().any(|f| f.0.run == short));
+}
+
+/// Guards against a refusal that names the wrong reason: quota and overload are told apart, and a
+/// team without a quota is not limited.
+#[test]
+fn refusals_tell_quota_from_overload() {
+    let mut world = World::new(Policy::Briargauge);
+    let share = control::Share { team: id::Team("team0".to_owned()), starts_per_s: 10.0 };
+    world.dispatcher.set_shares(world.now, &[share]);
+    let deadline = world.now + DEADLINE_US;
+    world.submit(0, 30, false);
+    let check = |world: &mut World, team| {
+        world.dispatcher.check(world.now, &spec(team, 1, deadline, false))
+    };
+    assert_eq!(check(&mut world, "team0"), Err(job::Refusal::OverQuota));
+    assert_eq!(check(&mut world, "team1"), Ok(()));
+    // 12 slots; far more than a second of work queues up for the other team.
+    (0..300).for_each(|_| world.submit(1, 30, false));
+    assert_eq!(check(&mut world, "team1"), Err(job::Refusal::Overloaded));
+    world.dispatcher.set_shares(world.now, &[]);
+    assert_ne!(check(&mut world, "team0"), Err(job::Refusal::OverQuota));
+}
