--- a/benches/slopes/control.rs
+++ b/benches/slopes/control.rs
@@ -39,7 +39,7 @@
     rule_changes();
 }
 
-fn member(n: u64) -> control::Member {
+pub fn member(n: u64) -> control::Member {
     control::Member {
         incarnation: id::Incarnation(n.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
         addr: ([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 7_400).into(),
@@ -53,7 +53,7 @@
     }
 }
 
-fn bytes<T: serde::Serialize + Unpin>(item: &T) -> Vec<u8> {
+pub fn bytes<T: serde::Serialize + Unpin>(item: &T) -> Vec<u8> {
     let mut format = Bincode::<(), T>::default();
     Pin::new(&mut format).serialize(item).expect("messages serialise").to_vec()
 }
--- /dev/null
+++ b/benches/slopes/entry.rs
@@ -0,0 +1,137 @@
+//! Slopes of the entry: what it holds for each backend server, team and task, and the bytes of a
+//! task start.
+
+use briargauge::{
+    coordination::dispatch::{Action, Dispatcher, Ended, Settings, Spec, TaskSpec, TeamSettings},
+    metric,
+    protocol::{
+        id, job,
+        wire::{control, sidecar},
+    },
+};
+use prometheus::Registry;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use crate::{
+    control::{bytes, member},
+    measure::{cpu, line, memory},
+};
+
+/// Backend servers at target size.
+const SERVERS: u64 = 3_600;
+/// Teams at target size.
+const TEAMS: usize = 760;
+/// Tasks of a job.
+const TASKS: usize = 100;
+/// Jobs queued to measure memory.
+const JOBS: u64 = 2_000;
+/// Length of a task's input and answer, in bytes.
+const JSON_BYTES: usize = 100;
+
+pub fn print() {
+    let mut dispatcher = memories();
+    starts(&mut dispatcher);
+    messages();
+}
+
+fn team(n: usize) -> id::Team {
+    id::Team(format!("team-{:03}", n % TEAMS))
+}
+
+fn memories() -> Dispatcher {
+    let changed: Vec<control::Member> = (0..SERVERS).map(member).collect();
+    let revision = control::Revision { term: 1, number: 1 };
+    let members = control::Members { revision, full: true, changed, removed: Vec::new() };
+    let mut dispatcher = memory("backend_server", SERVERS as usize, || {
+        let mut dispatcher = Dispatcher::new(Settings::default());
+        dispatcher.set_members(1, &members);
+        dispatcher
+    });
+    let teams: Vec<_> = (0..TEAMS).map(|n| (team(n), TeamSettings::default())).collect();
+    let shares: Vec<_> =
+        (0..TEAMS).map(|n| control::Share { team: team(n), starts_per_s: 1e6 }).collect();
+    memory("team_with_quota", TEAMS, || {
+        dispatcher.set_teams(1, &teams);
+        dispatcher.set_shares(1, &shares);
+    });
+    memory("team_in_metrics", TEAMS, || {
+        let registry = Registry::new();
+        let response = metric::seconds(&registry, "response", "-", &["team", "class"]);
+        let task = metric::seconds(&registry, "task", "-", &["team"]);
+        for n in 0..TEAMS {
+            let team = team(n).0;
+            response.with_label_values(&[team.as_str(), "job"]).observe(0.1);
+            task.with_label_values(&[team.as_str()]).observe(0.1);
+        }
+        registry
+    });
+    memory("queued_task", JOBS as usize * TASKS, || {
+        for seq in 0..JOBS {
+            submit(&mut dispatcher, seq);
+        }
+    });
+    dispatcher
+}
+
+fn submit(dispatcher: &mut Dispatcher, seq: u64) {
+    let task = TaskSpec {
+        kind: format!("kind-{}", seq % 20),
+        declared_ms: Some(100),
+        needs: job::Needs::default(),
+    };
+    let spec = Spec {
+        team: team(seq as usize),
+        tasks: vec![task; TASKS],
+        deadline: 600_000_000,
+        restartable: false,
+    };
+    let run = id::Run { epoch: id::Epoch(1), seq };
+    // A refusal only means that enough is queued.
+    let _ = dispatcher.submit(1, run, spec);
+}
+
+/// One decision and one end of an attempt.
+fn starts(dispatcher: &mut Dispatcher) {
+    let mut random = Pcg64::seed_from_u64(1);
+    let mut seq = JOBS;
+    cpu("task_start", 100_000, |n| {
+        let now = n as u64 * 40;
+        if dispatcher.queued() < TASKS {
+            submit(dispatcher, seq);
+            seq += 1;
+        }
+        if let Some(Action::Start { attempt, .. }) = dispatcher.poll(now, &mut random) {
+            let load = sidecar::Load { slots: 8, busy: 4, queued: 0 };
+            dispatcher.ended(now, attempt, Some(load), Ended::Done { ran_us: 100_000 });
+        }
+    });
+}
+
+fn messages() {
+    let attempt =
+        id::Attempt { run: id::Run { epoch: id::Epoch(9_000), seq: 1 << 30 }, task: 7, number: 0 };
+    let call = sidecar::Task {
+        attempt,
+        incarnation: id::Incarnation(u64::MAX),
+        team: team(1),
+        kind: "quote".into(),
+        input: "x".repeat(JSON_BYTES),
+        declared_ms: Some(100),
+        needs: job::Needs::default(),
+        left_ms: 20_000,
+    };
+    line("bytes", "run_call", bytes(&call).len() as f64, "bytes");
+    let reply = sidecar::Reply {
+        attempt,
+        load: sidecar::Load::default(),
+        result: sidecar::RunResult::Done {
+            answer: "x".repeat(JSON_BYTES),
+            crc: 1,
+            ran_us: 100_000,
+        },
+    };
+    line("bytes", "run_reply", bytes(&reply).len() as f64, "bytes");
+    let changed: Vec<control::Member> = (0..SERVERS).map(member).collect();
+    line("bytes", "full_member_list", bytes(&changed).len() as f64, "bytes");
+}
--- a/benches/slopes/measure.rs
+++ b/benches/slopes/measure.rs
@@ -1,13 +1,23 @@
 //! Measures time and memory and prints slopes.
 
-use std::{fs, hint, time::Instant};
+use std::{cell::Cell, fs, hint, time::Instant};
 
 /// Size of a page of memory, in bytes.
 const PAGE_BYTES: u64 = 4096;
 
+thread_local! {
+    static ROLE: Cell<&'static str> = const { Cell::new("") };
+}
+
+/// Sets the role that the following lines are about.
+pub fn set_role(role: &'static str) {
+    ROLE.set(role);
+}
+
 /// One line of output.
 pub fn line(resource: &str, per: &str, value: f64, unit: &str) {
-    println!("role=control resource={resource} per={per} value={value:.3} unit={unit}");
+    let role = ROLE.get();
+    println!("role={role} resource={resource} per={per} value={value:.3} unit={unit}");
 }
 
 /// Mean time of `work` in µs over `times` calls, after a tenth as many to warm up.
