Replica: bench of admissions, failover and restart

Cause: the log and the agreement had no figures, and a stopped leader still said that it led. Change: benches/control.rs; Replica::leading is None once stopped; a failed replacement of a file leaves no temporary file behind.

--- /dev/null
+++ b/benches/control.rs
@@ -0,0 +1,195 @@
+//! Measures the replicated log: prints one `key=value` line each. Takes no arguments.
+//!
+//! The figures depend on how long the disk under the temporary folder takes to sync; `sync_us`
+//! gives that for comparison.
+
+use std::{
+    fs,
+    io::Write,
+    net::SocketAddr,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use briargauge::{
+    control::replica::{Replica, Settings},
+    protocol::{
+        id,
+        wire::control::{self, VoterChange},
+    },
+    state::machine::{Command, Op, Reply},
+};
+use futures::stream::{self, StreamExt};
+use hdrhistogram::Histogram;
+use tempfile::TempDir;
+use tokio::time;
+
+/// Admissions for throughput, and how many wait at a time.
+const ADMISSIONS: u64 = 50_000;
+const CONCURRENT: usize = 1_000;
+/// Admissions one after the other.
+const SINGLE: u64 = 500;
+const FAILOVERS: usize = 10;
+const POLL: Duration = Duration::from_millis(1);
+
+#[actix_rt::main]
+async fn main() {
+    // `cargo test` runs benches as well; there is nothing to check here.
+    if std::env::args().all(|arg| arg != "--bench") {
+        return;
+    }
+    println!("sync_us={}", sync_us());
+    group().await;
+    for changes in [1_000, 100_000] {
+        restart(changes).await;
+    }
+}
+
+/// Median time of a small synced write.
+fn sync_us() -> u128 {
+    let folder = TempDir::new().expect("temporary folder");
+    let mut file = fs::File::create(folder.path().join("probe")).expect("probe file");
+    let mut times: Vec<u128> = (0..200)
+        .map(|_| {
+            let start = Instant::now();
+            file.write_all(&[0; 256]).and_then(|()| file.sync_data()).expect("probe write");
+            start.elapsed().as_micros()
+        })
+        .collect();
+    times.sort_unstable();
+    times[times.len() / 2]
+}
+
+/// Three replicas on loopback.
+async fn group() {
+    let mut folders: Vec<TempDir> = (0..3).map(|_| TempDir::new().expect("folder")).collect();
+    let mut replicas = vec![start(0, folders[0].path(), &[]).await];
+    replicas[0].init().await.expect("init");
+    let peers = [replicas[0].peer_addr().expect("listens")];
+    for (node, folder) in folders.iter().enumerate().skip(1) {
+        replicas.push(start(node as u64, folder.path(), &peers).await);
+        let addr = client_addr(node as u64);
+        replicas[0].change_voters(VoterChange::Add { addr }).await.expect("add");
+    }
+    while replicas[0].status().voters.iter().filter(|v| v.votes).count() < 3 {
+        time::sleep(POLL).await;
+    }
+    let epoch = register(&replicas[0]).await;
+    let mut latency = Histogram::<u64>::new(3).expect("valid precision");
+    for number in 0..SINGLE {
+        let sent = Instant::now();
+        replicas[0].propose(admit(epoch, number)).await.expect("admitted");
+        latency.saturating_record(sent.elapsed().as_micros() as u64);
+    }
+    println!("admission_p50_us={}", latency.value_at_quantile(0.5));
+    println!("admission_p99_us={}", latency.value_at_quantile(0.99));
+    let bytes = log_bytes(folders[0].path());
+    let start_at = Instant::now();
+    admit_all(&replicas[0], epoch, SINGLE..SINGLE + ADMISSIONS).await;
+    let elapsed = start_at.elapsed().as_secs_f64();
+    println!("admissions_per_s={:.0}", ADMISSIONS as f64 / elapsed);
+    let grown = log_bytes(folders[0].path()).saturating_sub(bytes);
+    println!("log_bytes_per_admission={:.0}", grown as f64 / ADMISSIONS as f64);
+    failovers(&mut replicas, &mut folders).await;
+    for replica in &replicas {
+        replica.stop().await;
+    }
+}
+
+/// Time from the end of a leader to the first barrier that another passes.
+async fn failovers(replicas: &mut [Replica], folders: &mut [TempDir]) {
+    let mut gaps = Vec::new();
+    for _ in 0..FAILOVERS {
+        let old = loop {
+            match replicas.iter().position(|r| r.leading().is_some()) {
+                Some(at) => break at,
+                None => time::sleep(POLL).await,
+            }
+        };
+        replicas[old].stop().await;
+        let stopped = Instant::now();
+        loop {
+            let next = replicas.iter().find(|r| r.leading().is_some());
+            if let Some(next) = next
+                && next.barrier().await.is_ok()
+            {
+                break;
+            }
+            time::sleep(POLL).await;
+        }
+        gaps.push(stopped.elapsed().as_millis());
+        let others = (0..3).filter(|other| *other != old);
+        let peers: Vec<SocketAddr> =
+            others.map(|other| replicas[other].peer_addr().expect("listens")).collect();
+        replicas[old] = start(old as u64, folders[old].path(), &peers).await;
+        time::sleep(Duration::from_secs(1)).await;
+    }
+    gaps.sort_unstable();
+    println!("failover_ms_median={}", gaps[gaps.len() / 2]);
+    println!("failover_ms_max={}", gaps[gaps.len() - 1]);
+}
+
+/// Time from the start of a voter to its first barrier after a number of changes.
+async fn restart(changes: u64) {
+    let folder = TempDir::new().expect("folder");
+    let replica = start(0, folder.path(), &[]).await;
+    replica.init().await.expect("init");
+    let epoch = register(&replica).await;
+    admit_all(&replica, epoch, 0..changes).await;
+    replica.stop().await;
+    let started = Instant::now();
+    let replica = start(0, folder.path(), &[]).await;
+    while replica.barrier().await.is_err() {
+        time::sleep(POLL).await;
+    }
+    println!("restart_after_{changes}_ms={}", started.elapsed().as_millis());
+    replica.stop().await;
+}
+
+async fn start(node: u64, folder: &Path, peers: &[SocketAddr]) -> Replica {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut settings = Settings::new(id::Node(node), any_port, folder.to_path_buf());
+    settings.peers = peers.to_vec();
+    settings.client_addr = client_addr(node);
+    Replica::start(settings).await.expect("replica starts")
+}
+
+fn client_addr(node: u64) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9_000 + node as u16))
+}
+
+async fn register(replica: &Replica) -> id::Epoch {
+    let addr = client_addr(99);
+    let hello = control::Hello { addr, data_centre: "saga".to_owned(), start: 1 };
+    match replica.propose(Command { now_ms: 1, op: Op::Register(hello) }).await {
+        Ok(Reply::Registered(epoch)) => epoch,
+        other => panic!("{other:?}"),
+    }
+}
+
+async fn admit_all(replica: &Replica, epoch: id::Epoch, numbers: std::ops::Range<u64>) {
+    stream::iter(numbers)
+        .map(|number| replica.propose(admit(epoch, number)))
+        .buffer_unordered(CONCURRENT)
+        .for_each(async |reply| drop(reply.expect("admitted")))
+        .await;
+}
+
+fn admit(epoch: id::Epoch, number: u64) -> Command {
+    let key =
+        id::Key { team: id::Team("repair-desk".to_owned()), key: format!("order-{number:08}") };
+    let admit = control::Admit {
+        run: id::Run { epoch, seq: number },
+        key,
+        digest: [7; 32],
+        created_at_ms: 1,
+        tasks: 100,
+    };
+    Command { now_ms: 1, op: Op::Admit(admit) }
+}
+
+fn log_bytes(folder: &Path) -> u64 {
+    let files = fs::read_dir(folder).expect("folder").map(|entry| entry.expect("entry"));
+    let logs = files.filter(|entry| entry.path().extension().is_some_and(|e| e == "log"));
+    logs.map(|entry| entry.metadata().expect("metadata").len()).sum()
+}
--- a/src/control/replica/drive.rs
+++ b/src/control/replica/drive.rs
@@ -517,7 +517,8 @@
 
     pub fn leading(&self) -> Option<u64> {
         let core = self.core.borrow();
-        (core.instance.role() == Role::Leader).then(|| core.instance.term())
+        let leads = core.instance.role() == Role::Leader && !self.stopping.get();
+        leads.then(|| core.instance.term())
     }
 
     pub fn leader(&self) -> Option<SocketAddr> {
--- a/src/state/log/files.rs
+++ b/src/state/log/files.rs
@@ -134,7 +134,12 @@
         files.rename(&temporary, name)?;
         files.sync()
     };
-    write().context(error::FileSnafu { step: "replace", path: files.path(name) })
+    let written = write();
+    if written.is_err() {
+        // On a full disk the remains would take the space that the log needs.
+        let _ = files.remove(&temporary);
+    }
+    written.context(error::FileSnafu { step: "replace", path: files.path(name) })
 }
 
 /// Ends the names of files that are still being written.
