--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -38,10 +38,7 @@
         settings::{Limits, Settings},
     },
     error::Result,
-    protocol::{
-        id, job,
-        wire::{control as wire_control, entry as wire_entry},
-    },
+    protocol::{id, job, wire::entry as wire_entry},
     transport::{http, rpc},
 };
 
@@ -112,6 +109,12 @@
         self.keys.borrow().get(key).cloned()
     }
 
+    /// Whether the rules held are known to have been in force a short time ago.
+    pub fn is_confirmed(&self) -> bool {
+        let age = self.session.confirmed_age();
+        age.is_some_and(|age| age <= self.limits.rules_confirm_limit())
+    }
+
     /// Whether new work can be taken now.
     pub fn check(&self, work: &mut Work) -> Result<(), Done> {
         if self.refusing.get() {
@@ -120,13 +123,23 @@
         if self.session.epoch().is_none() {
             return Err(Done::refused(job::Refusal::ControlUnavailable));
         }
-        let age = self.session.confirmed_age();
-        if age.is_none_or(|age| age > self.limits.rules_confirm_limit()) {
+        if !self.is_confirmed() {
             return Err(Done::refused(job::Refusal::RulesUnconfirmed));
         }
         self.engine.check(work)
     }
 
+    /// Ends a session that control has fenced.
+    pub fn end_session(&self, epoch: id::Epoch) {
+        if self.session.epoch() != Some(epoch) {
+            return;
+        }
+        log::warn!("event=fenced epoch={} runs={}", epoch.0, self.engine.running());
+        self.session.close();
+        self.engine.abandon();
+        self.session.hurry.notify_one();
+    }
+
     /// Runs work to its end, at the latest until its deadline.
     pub async fn execute(&self, run: id::Run, work: Work) -> Done {
         let deadline = work.deadline;
@@ -151,42 +164,6 @@
         }
     }
 
-    pub async fn admit(
-        &self,
-        admit: &wire_control::Admit,
-        until: Instant,
-    ) -> Result<wire_control::Admission, control::Rejected> {
-        let call = |client: wire_control::ServiceClient, context| {
-            let admit = admit.clone();
-            async move { client.admit(context, admit).await }
-        };
-        self.control.call("admit", until, call).await
-    }
-
-    pub async fn finish(
-        &self,
-        finish: &wire_control::Finish,
-        until: Instant,
-    ) -> Result<wire_control::Finished, control::Rejected> {
-        let call = |client: wire_control::ServiceClient, context| {
-            let finish = finish.clone();
-            async move { client.finish(context, finish).await }
-        };
-        self.control.call("finish", until, call).await
-    }
-
-    pub async fn lookup(
-        &self,
-        key: &id::Key,
-        until: Instant,
-    ) -> Result<wire_control::Admission, control::Rejected> {
-        let call = |client: wire_control::ServiceClient, context| {
-            let key = key.clone();
-            async move { client.lookup(context, key).await }
-        };
-        self.control.call("lookup", until, call).await
-    }
-
     /// Waits at another entry for the end of one of its jobs.
     pub async fn ask(
         &self,
@@ -264,7 +241,7 @@
         self.http.stop();
         let cut = self.http.in_flight() + core.left();
         for (key, active) in core.keys.borrow().iter() {
-            let (run, team) = (active.run, &key.team);
+            let (run, team) = (active.run(), &key.team);
             log::warn!("event=cut_off run={run} team={team} key={:?}", key.key);
         }
         cut
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -91,6 +91,8 @@
     pub sync_interval_ms: u64,
     /// Longest wait for control to admit a submission.
     pub admit_limit_ms: u64,
+    /// Time for a cancel to end the submission; after it the answer is `running`.
+    pub cancel_limit_ms: u64,
     /// Time after the deadline for recording how a submission ended.
     pub finish_grace_ms: u64,
     /// Deadline of submissions that name none.
@@ -99,17 +101,19 @@
     pub tasks_max: usize,
     /// Longest request body.
     pub body_max_bytes: usize,
+    /// Time for a request body to arrive.
+    pub body_limit_ms: u64,
     /// Longest answer of one task.
     pub answer_max_bytes: usize,
     /// Longest answer of one submission.
     pub job_answer_max_bytes: usize,
-    /// Answers being gathered, held for resubmissions or waiting to be read by callers; above it
-    /// no new work is taken.
+    /// Inputs, and answers being gathered, held for resubmissions or waiting to be read by
+    /// callers. New work is only taken below a half of it.
     pub memory_max_bytes: usize,
     /// Answers too large for the log that are held for resubmissions.
     pub held_max_bytes: usize,
     pub held_max_ms: u64,
-    /// Requests being answered at once.
+    /// Requests being answered at once, and submissions being handled at once.
     pub requests_max: usize,
     /// Time between the health check turning bad and the first refusal.
     pub drain_notice_ms: u64,
@@ -123,11 +127,13 @@
             rules_confirm_limit_ms: 6_000,
             sync_interval_ms: 1_000,
             admit_limit_ms: 5_000,
+            cancel_limit_ms: 5_000,
             finish_grace_ms: 1_000,
             deadline_default_ms: 60_000,
             deadline_max_ms: 600_000,
             tasks_max: job::TASKS_MAX,
             body_max_bytes: 8 * 1024 * 1024,
+            body_limit_ms: 20_000,
             answer_max_bytes: 1024 * 1024,
             job_answer_max_bytes: 16 * 1024 * 1024,
             memory_max_bytes: 512 * 1024 * 1024,
--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -16,7 +16,7 @@
 use crate::{
     coordination::{dispatch::Micros, lease, slot},
     protocol::{
-        announce, id, job,
+        announce, id, job, rule,
         wire::{
             control,
             sidecar::{Cancelled, Load, NotStarted, Reply, Revoked, RunResult, Task},
@@ -50,16 +50,32 @@
     lease: lease::Lease,
     backend: Option<Backend>,
     tasks: HashMap<id::Attempt, Held>,
+    /// Whether a rule drains this sidecar.
+    drained: bool,
     stopping: bool,
 }
 
+impl State {
+    fn draining(&self) -> bool {
+        self.stopping || self.drained || self.backend.as_ref().is_some_and(|b| b.left)
+    }
+}
+
 struct Backend {
     announce: announce::Announce,
     slots: slot::Slots,
-    heard: Micros,
+    /// Time of the last announcement; `None` after the backend server could not be reached.
+    heard: Option<Micros>,
     left: bool,
 }
 
+impl Backend {
+    /// Whether it counts as running when announcements hold for `lease`.
+    fn present(&self, now: Micros, lease: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + lease.as_micros() as Micros)
+    }
+}
+
 /// An attempt that waits or runs.
 struct Held {
     incarnation: id::Incarnation,
@@ -75,6 +91,7 @@
             lease: lease::Lease::default(),
             backend: None,
             tasks: HashMap::new(),
+            drained: false,
             stopping: false,
         };
         Rc::new(Core {
@@ -192,7 +209,11 @@
             }
             if let Some(backend) = backend {
                 match &result {
-                    RunResult::NotStarted { reason } => backend.slots.not_started(attempt, *reason),
+                    RunResult::NotStarted { reason } => {
+                        backend.slots.not_started(attempt, *reason);
+                        // Until the next announcement others would only fail in the same way.
+                        backend.heard = None;
+                    }
                     _ => {
                         backend.slots.ended(attempt);
                     }
@@ -260,17 +281,18 @@
     }
 
     fn close_if_due(&self, now: Micros, state: &mut State) {
-        let stopping = state.stopping;
+        let draining = state.draining();
         let Some(backend) = &mut state.backend else { return };
-        let limit = self.settings.announce_lease_ms.as_micros() as Micros;
-        let reason = if stopping || backend.left {
+        let reason = if draining {
             Some(NotStarted::Draining)
-        } else if backend.heard + limit <= now {
+        } else if !backend.present(now, self.settings.announce_lease_ms) {
             Some(NotStarted::Unreachable)
         } else {
             None
         };
-        backend.slots.set_closed(reason);
+        if backend.slots.set_closed(reason) {
+            self.urgent.notify_one();
+        }
     }
 
     /// Does what is due and returns when to look again.
@@ -345,7 +367,7 @@
                 && backend.announce.start == announce.start
                 && backend.announce.addr == announce.addr
             {
-                backend.heard = now;
+                backend.heard = Some(now);
                 if backend.announce != announce {
                     backend.slots.set_limits(limits(&self.settings, &announce));
                     backend.announce = announce;
@@ -364,7 +386,7 @@
         let slots = slot::Slots::new(incarnation, limits(&self.settings, &announce));
         let tasks = {
             let mut state = self.state.borrow_mut();
-            state.backend = Some(Backend { announce, slots, heard: now, left: false });
+            state.backend = Some(Backend { announce, slots, heard: Some(now), left: false });
             std::mem::take(&mut state.tasks)
         };
         self.abandon(tasks, "backend server restarted");
@@ -398,14 +420,12 @@
         }
         log::info!("event=backend_leaving start={start}");
         self.pump();
-        self.urgent.notify_one();
     }
 
     /// The sidecar stops: refuses everything that has not started.
     pub fn stop(self: &Rc<Self>) {
         self.state.borrow_mut().stopping = true;
         self.pump();
-        self.urgent.notify_one();
     }
 
     pub fn stopping(&self) -> bool {
@@ -441,9 +461,8 @@
 
     /// Whether the backend server has announced itself lately.
     pub fn present(&self) -> bool {
-        let limit = self.settings.announce_lease_ms.as_micros() as Micros;
-        let now = self.now();
-        self.state.borrow().backend.as_ref().is_some_and(|b| now < b.heard + limit)
+        let (now, lease) = (self.now(), self.settings.announce_lease_ms);
+        self.state.borrow().backend.as_ref().is_some_and(|b| b.present(now, lease))
     }
 
     /// What to report to control.
@@ -455,13 +474,13 @@
             present && self.addr.get().is_some() && !((b.left || state.stopping) && idle)
         });
         control::SidecarSync {
-            member: member.map(|b| self.member(b, state.stopping)),
+            member: member.map(|b| self.member(b, state.draining())),
             rules_version: state.lease.rules_version(),
             sessions: state.lease.as_of(),
         }
     }
 
-    fn member(&self, backend: &Backend, stopping: bool) -> control::Member {
+    fn member(&self, backend: &Backend, draining: bool) -> control::Member {
         let announce = &backend.announce;
         control::Member {
             incarnation: backend.slots.incarnation(),
@@ -472,10 +491,9 @@
             connections: announce.connections,
             kinds: announce.kinds.clone(),
             size: announce.size,
-            state: if stopping || backend.left {
-                control::MemberState::Draining
-            } else {
-                control::MemberState::Serving
+            state: match draining {
+                true => control::MemberState::Draining,
+                false => control::MemberState::Serving,
             },
         }
     }
@@ -484,15 +502,35 @@
     pub fn confirm(self: &Rc<Self>, sent: Micros, view: control::SidecarView) {
         {
             let mut state = self.state.borrow_mut();
-            let State { lease, backend, .. } = &mut *state;
+            let State { lease, backend, drained, .. } = &mut *state;
+            let version = lease.rules_version();
             lease.confirm(sent, view);
             if let Some(backend) = backend {
                 backend.slots.forget_fenced(lease);
             }
+            if lease.rules_version() != version {
+                *drained = self.drained_by(lease).unwrap_or(*drained);
+            }
         }
         self.pump();
     }
 
+    /// Whether the rules held drain this sidecar, `None` if this version cannot read them. Then
+    /// what the last readable rules said stays: draining every sidecar that is older than the
+    /// rule language would stop all work, and control and entries drain on their own.
+    fn drained_by(&self, lease: &lease::Lease) -> Option<bool> {
+        let settings::Settings { data_centre, rack, rpc, .. } = &self.settings;
+        let addr = *self.addr.get().unwrap_or(rpc);
+        match rule::Rules::parse(lease.rules()) {
+            Ok(rules) => Some(rules.drains(data_centre, rack, addr)),
+            Err(faults) => {
+                let version = lease.rules_version();
+                log::error!("event=rules_unreadable version={version} faults={:?}", faults.0);
+                None
+            }
+        }
+    }
+
     pub fn lease(&self) -> Ref<'_, lease::Lease> {
         Ref::map(self.state.borrow(), |s| &s.lease)
     }
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -17,6 +17,7 @@
 };
 use futures::future;
 use serde_json::json;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 async fn submit(addr: SocketAddr, key: &str, tasks: usize) -> Answer {
     post(addr, "/v1/jobs", numbered(key, tasks).to_string()).await
@@ -30,7 +31,8 @@
     actix_rt::spawn(submit(addr, key, tasks))
 }
 
-/// Guards against a job whose answers are out of order, missing or wrapped wrongly.
+/// Guards against a job whose answers are out of order, missing or wrapped wrongly, and against
+/// messages counted as wasted that were not.
 #[test]
 fn a_job_is_answered_whole_and_in_order() {
     fake::run(async {
@@ -40,6 +42,11 @@
         insta::assert_snapshot!(answer.text, @r#"{"status":"completed","answers":[0,1,2,3]}"#);
         assert_eq!(answer.code, 200);
         assert_eq!(world.sidecar.starts(), 4);
+        let metrics = get(world.addr, "/metrics").await.text;
+        for cause in ["refused", "lost", "late", "unused"] {
+            let none = format!("briargauge_entry_wasted_messages_total{{cause=\"{cause}\"}} 0");
+            assert!(metrics.contains(&none), "{metrics}");
+        }
     });
 }
 
@@ -181,6 +188,39 @@
     });
 }
 
+/// Guards against a refusal, or a wait to the deadline, for a job that arrives just when the
+/// entry's session ends.
+#[test]
+fn a_job_that_meets_the_end_of_a_session_gets_a_new_one() {
+    fake::run(async {
+        let slow = Limits { sync_interval_ms: 1_000, ..limits() };
+        let world = World::with_limits(slow).await;
+        world.control.fence(false);
+        assert_eq!(submit(world.addr, "k", 2).await.short(), "200 completed");
+        assert_eq!(world.sidecar.starts(), 2);
+    });
+}
+
+/// Guards against "not run" for a key that has run, when the entry can take no new work.
+#[test]
+fn a_refusal_is_true_of_earlier_calls_with_the_key() {
+    fake::run(async {
+        let world = World::new().await;
+        world.sidecar.plan(|task| if task.input == "1" { Fault::Fail } else { Fault::None });
+        let completed = submit(world.addr, "good", 1).await;
+        let failed = submit(world.addr, "bad", 2).await;
+        assert_eq!(failed.short(), "502 failed task_failed");
+        world.control.age_ms.set(60_000);
+        let (_second, other) = fake::entry(&[world.control.addr()], limits()).await;
+        world.control.synced(2).await;
+        assert_eq!(submit(other, "new", 1).await.short(), "503 not_run rules_unconfirmed");
+        assert_eq!(submit(other, "good", 1).await.text, completed.text);
+        assert_eq!(submit(other, "bad", 2).await.text, failed.text);
+        assert_eq!(submit(other, "good", 2).await.short(), "409 not_run key_conflict");
+        assert_eq!(world.sidecar.starts(), 3);
+    });
+}
+
 /// Guards against a start by an entry whose session may have ended without its knowledge.
 #[test]
 fn nothing_starts_without_a_lease() {
@@ -301,14 +341,36 @@
         world.sidecar.plan(|_| Fault::Hold);
         let running = submitted(world.addr, "k", 5);
         fake::until("started", || world.sidecar.starts() == 5).await;
+        let joined = submitted(other, "k", 5);
+        fake::until("joined", || world.control.counted(Call::Admit) == 2).await;
         let body = json!({"team": "desk", "key": "k"}).to_string();
         let cancelled = post(other, "/v1/jobs/cancel", body).await;
         assert_eq!(cancelled.short(), "502 failed cancelled");
+        assert_eq!(joined.await.unwrap().short(), "502 failed cancelled");
         assert_eq!(running.await.unwrap().short(), "502 failed cancelled");
         fake::until("cancelled", || world.sidecar.cancels.borrow().len() == 1).await;
     });
 }
 
+/// Guards against a cancel that is forgotten when it arrives before the job is admitted.
+#[test]
+fn a_cancel_during_admission_keeps_the_job_from_starting() {
+    fake::run(async {
+        let limits = Limits { admit_limit_ms: 20_000, cancel_limit_ms: 50, ..limits() };
+        let world = World::with_limits(limits).await;
+        world.control.mute(Call::Admit, true);
+        let running = submitted(world.addr, "k", 2);
+        fake::until("asked", || world.control.counted(Call::Admit) == 1).await;
+        let body = json!({"team": "desk", "key": "k"}).to_string();
+        let cancel = post(world.addr, "/v1/jobs/cancel", body).await;
+        assert_eq!(cancel.short(), "202 running");
+        world.control.mute(Call::Admit, false);
+        assert_eq!(running.await.unwrap().short(), "503 not_run cancelled");
+        assert!(matches!(world.control.outcome("k"), Some(Outcome::NotRun { .. })));
+        assert_eq!(world.sidecar.runs.get(), 0);
+    });
+}
+
 /// Guards against a planned stop that cuts a job off, or takes new work to the end.
 #[test]
 fn a_stop_finishes_what_is_in_flight() {
@@ -323,12 +385,14 @@
         while health.code == 200 {
             health = get(addr, "/health").await;
         }
+        // The requests share one connection, which the first refusal closes.
+        let client = fake::client();
         let mut key = 0;
         let refused = loop {
             // Work that comes before the first refusal is taken and ended.
             let body = json!({"team": "desk", "idempotent": true, "deadline_ms": 20,
                 "task": {"kind": "quote", "input": key}});
-            let answer = post(addr, "/v1/requests", body.to_string()).await;
+            let answer = fake::post_by(&client, addr, "/v1/requests", body.to_string()).await;
             if answer.reason() == "stopping" {
                 break answer;
             }
@@ -336,12 +400,77 @@
         };
         assert_eq!((refused.code, refused.close), (503, true));
         assert!(!stop.is_finished());
+        let again = fake::post_by(&client, addr, "/v1/jobs", numbered("new", 1).to_string()).await;
+        assert_eq!((again.reason(), again.close), ("stopping", true));
         world.sidecar.release();
         assert_eq!(running.await.unwrap().short(), "200 completed");
         assert_eq!(stop.await.unwrap(), 0);
     });
 }
 
+/// Guards against a deadline that ends a job without a trace: what has started is cancelled, the
+/// late reply is dropped and the key is not run again.
+#[test]
+fn a_passed_deadline_fails_a_started_job() {
+    fake::run(async {
+        let world = World::new().await;
+        world.sidecar.plan(|_| Fault::Hold);
+        let mut body = numbered("k", 2);
+        body["deadline_ms"] = json!(200);
+        let answer = post(world.addr, "/v1/jobs", body.to_string()).await;
+        assert_eq!(answer.short(), "502 failed deadline_exceeded");
+        fake::until("cancelled", || world.sidecar.cancels.borrow().len() == 1).await;
+        world.sidecar.release();
+        let again = submit(world.addr, "k", 2).await;
+        assert_eq!(again.short(), "502 failed deadline_exceeded");
+        let late = "briargauge_entry_wasted_messages_total{cause=\"late\"} 4";
+        let mut metrics = get(world.addr, "/metrics").await.text;
+        while !metrics.contains(late) {
+            metrics = get(world.addr, "/metrics").await.text;
+        }
+        assert_eq!(world.sidecar.starts(), 2);
+    });
+}
+
+/// Guards against callers that fill the entry's memory by not reading their answers.
+#[test]
+fn unread_answers_are_bounded() {
+    const MIB: usize = 1024 * 1024;
+    fake::run(async {
+        let limits = Limits {
+            body_max_bytes: 16 * MIB,
+            answer_max_bytes: 2 * MIB,
+            // Room for new work below 20 MiB.
+            memory_max_bytes: 40 * MIB,
+            held_max_bytes: 0,
+            ..limits()
+        };
+        let world = World::with_limits(limits).await;
+        // More than the socket buffers of both sides take.
+        let inputs = vec![json!("x".repeat(MIB)); 12];
+        let mut callers = Vec::new();
+        for key in ["a", "b"] {
+            let body = job(key, &inputs).to_string();
+            let head = format!(
+                "POST /v1/jobs HTTP/1.1\r\nhost: entry\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            let mut caller = TcpStream::connect(world.addr).await.unwrap();
+            caller.write_all((head + &body).as_bytes()).await.unwrap();
+            let completed = || matches!(world.control.outcome(key), Some(Outcome::Completed(_)));
+            fake::until("completed", completed).await;
+            callers.push(caller);
+        }
+        let mut refused = submit(world.addr, "c", 1).await;
+        while refused.code == 200 {
+            refused = submit(world.addr, "c", 1).await;
+        }
+        assert_eq!(refused.short(), "503 not_run overloaded");
+        drop(callers);
+        while submit(world.addr, "d", 1).await.code != 200 {}
+    });
+}
+
 /// Runs one job of as many tasks as there are faults; a retried attempt meets no fault.
 fn job_under(faults: Vec<Fault>) -> (Answer, Rc<Sidecar>) {
     fake::run(async {
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -10,7 +10,7 @@
     protocol::{
         id, job,
         wire::{
-            control::{MemberState, Refusal},
+            control::{MemberState, Refusal, Rules},
             sidecar::{self, NotStarted, Reply, Revoked, RunResult},
         },
     },
@@ -20,6 +20,7 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 use stand::{Stand, attempt, control, failed, get, refused, send, until};
+use workdir::Program;
 
 /// Guards against a sidecar that does not get an attempt to its backend server and back.
 #[actix_rt::test]
@@ -116,7 +117,7 @@
     let leader = control::Control::start(&[stand::EPOCH]);
     let follower = control::Control::start(&[]);
     follower.set(|a| a.refusal = Some(Refusal::NotLeader { leader: Some(leader.addr) }));
-    let closed = std::net::TcpListener::bind(stand::HOST).unwrap().local_addr().unwrap();
+    let (_socket, closed) = stand::closed_port();
     let settings = json!({ "control": [closed, follower.addr] });
     let sidecar = stand::start_sidecar(&dir, &leader, stand::HOST, settings);
     let _backend = stand::start_backend(&dir, sidecar.http(), stand::HOST, json!({}));
@@ -155,7 +156,7 @@
         started(&stand, 1).await;
         until("a queued attempt", async || {
             let metrics = stand.metrics().await;
-            metrics.contains("sidecar_load{of=\"queued\"} 1").then_some(())
+            metrics.contains("briargauge_sidecar_load{of=\"queued\"} 1").then_some(())
         })
         .await;
         assert_eq!(cancel(&stand, 2).await, sidecar::Cancelled { queued: 1, running: 0 });
@@ -305,6 +306,32 @@
     assert!(stand.control.member().is_none());
 }
 
+/// Guards against a stop that never ends, or that leaves callers without an answer, when a task
+/// outlasts the drain limit.
+#[actix_rt::test]
+async fn stop_cuts_off_after_the_limit() {
+    let mut stand = Stand::with(json!({"drain_limit_ms": 200}), json!({})).await;
+    let stop = async {
+        started(&stand, 1).await;
+        stand.sidecar.signal(Signal::SIGTERM);
+    };
+    let (reply, ()) = future::join(stand.run(1, json!({"work_ms": 25_000})), stop).await;
+    assert_eq!(failed(&reply), Some(job::Failure::OutcomeUnknown));
+    assert_eq!(stand.sidecar.wait().code(), Some(1));
+    assert!(stand.sidecar.log().contains("event=cut_off attempt=5-1-0-0"));
+}
+
+/// Guards against examples that the programs refuse.
+#[test]
+fn examples_are_valid() {
+    let dir = workdir::Workdir::new();
+    for (program, name) in [(Program::Sidecar, "sidecar"), (Program::Backend, "backend")] {
+        let path = format!("{}/examples/{name}.json", env!("CARGO_MANIFEST_DIR"));
+        let output = dir.run(program, &["--check", "--settings", &path]);
+        assert!(output.status.success(), "{output:?}");
+    }
+}
+
 /// Guards against control learning of a leaving backend server only after its last task.
 #[actix_rt::test]
 async fn control_learns_at_once_of_leaving() {
@@ -324,18 +351,38 @@
     assert!(stand.backend.wait().success());
 }
 
+/// Guards against a drained backend server that takes new work until control has dropped it, or
+/// that stays drained when the rule is gone.
+#[actix_rt::test]
+async fn drain_rule_refuses_new_work() {
+    let stand = Stand::new().await;
+    let rules = |version, text: &str| {
+        stand.control.set(|a| a.rules = Some(Rules { version, text: text.into() }));
+    };
+    rules(1, "drain rack saga/other # emi: not this one\n");
+    let calls = stand.control.get().calls;
+    until("some syncs", async || (stand.control.get().calls > calls + 2).then_some(())).await;
+    assert!(matches!(stand.run(1, json!({})).await.result, RunResult::Done { .. }));
+    rules(2, "drain rack saga/s1 # emi: switch is replaced\n");
+    let last = until_refused(&stand, 100, Some(NotStarted::Draining)).await;
+    let state = || stand.control.member().map(|m| m.state);
+    until("control to be told", async || (state()? == MemberState::Draining).then_some(())).await;
+    rules(3, "# emi: done\n");
+    until_refused(&stand, last + 1_000_000, None).await;
+    until("control to be told", async || (state()? == MemberState::Serving).then_some(())).await;
+}
+
 /// Guards against work meant for one life of a backend server reaching the next, and against
 /// calling a task unstarted that died with its backend server.
 #[actix_rt::test]
 async fn restarted_backend_is_a_new_incarnation() {
     let Stand { dir, control, sidecar, backend, link, incarnation } = Stand::new().await;
     let task = stand::task(incarnation, 1, json!({"work_ms": 25_000}));
-    let addr = backend.http().to_string();
     let restart = async {
         until("a start", async || get(backend.http(), "/starts").await.get("5-1-0-0").map(|_| ()))
             .await;
         backend.kill();
-        stand::start_backend(&dir, sidecar.http(), &addr, json!({}))
+        stand::start_backend(&dir, sidecar.http(), stand::HOST, json!({}))
     };
     let (reply, backend) = future::join(send(&link, task.clone()), restart).await;
     assert_eq!(failed(&reply), Some(job::Failure::OutcomeUnknown));
@@ -350,13 +397,14 @@
 /// Guards against a restarted sidecar, which remembers nothing, starting what it started before.
 #[actix_rt::test]
 async fn restarted_sidecar_is_a_new_incarnation() {
-    let Stand { dir, control, sidecar, backend, link, incarnation } = Stand::new().await;
+    let (_socket, http) = stand::closed_port();
+    let Stand { dir, control, sidecar, backend, link, incarnation } =
+        Stand::with(json!({"http": http}), json!({})).await;
     let task = stand::task(incarnation, 1, json!({}));
     let first = send(&link, task.clone()).await;
     assert!(matches!(first.result, RunResult::Done { .. }), "{first:?}");
-    let http = sidecar.http().to_string();
     sidecar.kill();
-    let sidecar = stand::start_sidecar(&dir, &control, &http, json!({}));
+    let sidecar = stand::start_sidecar(&dir, &control, &http.to_string(), json!({}));
     let new = stand::serving(&control, Some(incarnation)).await;
     let link = Link::new(sidecar.rpc());
     assert_eq!(refused(&send(&link, task).await), Some(NotStarted::WrongIncarnation));
@@ -458,12 +506,12 @@
     stand.send(sidecar::Task { incarnation: stale, ..task }).await;
     let metrics = stand.metrics().await;
     for line in [
-        "sidecar_starts_total{team=\"repair\"} 1",
-        "sidecar_refusals_total{reason=\"wrong_incarnation\"} 1",
-        "sidecar_ends_total{result=\"done\"} 1",
-        "sidecar_run_seconds_count{team=\"repair\"} 1",
-        "sidecar_kind_run_seconds_count{kind=\"quote\"} 1",
-        "sidecar_load{of=\"busy\"} 0",
+        "briargauge_sidecar_starts_total{team=\"repair\"} 1",
+        "briargauge_sidecar_refusals_total{reason=\"wrong_incarnation\"} 1",
+        "briargauge_sidecar_ends_total{result=\"done\"} 1",
+        "briargauge_sidecar_run_seconds_count{team=\"repair\"} 1",
+        "briargauge_sidecar_kind_run_seconds_count{kind=\"quote\"} 1",
+        "briargauge_sidecar_load{of=\"busy\"} 0",
     ] {
         assert!(metrics.lines().any(|l| l == line), "{line} is not in {metrics}");
     }
