--- a/benches/control.rs
+++ b/benches/control.rs
@@ -143,6 +143,10 @@
         time::sleep(POLL).await;
     }
     println!("restart_after_{changes}_ms={}", started.elapsed().as_millis());
+    let started = Instant::now();
+    let bytes = postcard::to_stdvec(&*replica.state()).expect("states serialise").len();
+    println!("snapshot_after_{changes}_us={}", started.elapsed().as_micros());
+    println!("snapshot_after_{changes}_bytes={bytes}");
     replica.stop().await;
 }
 
--- a/src/control/replica/drive.rs
+++ b/src/control/replica/drive.rs
@@ -16,17 +16,18 @@
 
 use super::{
     Inner, POLL, Settings,
-    peers::{Incoming, Peers},
+    core::{Core, Reply, decode, size},
+    peers::Peers,
     role,
     storage::{self, Done, Job},
     voter,
 };
 use crate::{
-    coordination::consensus::{self, Change, Instance, Role, Save, Start},
+    coordination::consensus::{self, Change, Instance, Role, Start},
     error::Result,
     protocol::wire::{
         control::{self, Refusal},
-        peer::{self, Body, Chunk, Entry, Hello, Id, Member, Message, Meta, Payload},
+        peer::{self, Body, Chunk, Hello, Member, Message, Meta},
     },
     state::{
         log::{Log, files::Files},
@@ -43,9 +44,6 @@
 /// Heartbeat intervals between two introductions.
 const HELLO_HEARTBEATS: u64 = 4;
 
-type Waiter<T> = oneshot::Sender<Result<T, Refusal>>;
-type Reply<T> = oneshot::Receiver<Result<T, Refusal>>;
-
 /// What became of an asked-for change of the members.
 pub(super) enum Taken {
     Unchanged,
@@ -68,32 +66,6 @@
     closed: Cell<bool>,
 }
 
-struct Core {
-    instance: Instance,
-    storage: Option<storage::Storage>,
-    /// A save is being stored.
-    saving: bool,
-    /// The folder is getting a new disk id.
-    renewing: bool,
-    compacting: bool,
-    /// Why storing fails at present.
-    fault: Option<String>,
-    /// Calls that wait for the entry at an index of a term.
-    proposals: BTreeMap<u64, (u64, Waiter<machine::Reply>)>,
-    barriers: BTreeMap<u64, Waiter<()>>,
-    /// Confirmed barriers that wait for an index to be applied.
-    confirmed: Vec<(u64, Waiter<()>)>,
-    next_barrier: u64,
-    snapshot: Option<Snapshot>,
-    /// Log bytes since the last snapshot.
-    log_bytes: u64,
-    /// Peer addresses that instances told themselves.
-    routes: BTreeMap<Id, SocketAddr>,
-    incoming: BTreeMap<Id, Incoming>,
-    hello_at: u64,
-    role: Role,
-}
-
 pub(super) async fn start(files: Box<dyn Files>, settings: Settings) -> Result<Rc<Inner>> {
     let (log, saved) = Log::open(files, settings.node)?;
     let mut state = machine::State::default();
@@ -211,7 +183,10 @@
             _ = ticks.tick() => drive.tick(),
             done = results.recv() => match done {
                 Some(done) => drive.done(&inner, done),
-                None => break,
+                None => {
+                    log::error!("event=replica_failed reason=\"storage thread ended\"");
+                    break;
+                }
             },
         }
         if let Err(reason) = drive.pump(&inner) {
@@ -580,80 +555,3 @@
         core.storage = None;
     }
 }
-
-impl Core {
-    fn submit(&self, job: Job) {
-        if let Some(storage) = &self.storage {
-            storage.submit(job);
-        }
-    }
-
-    fn apply(&mut self, inner: &Inner, entry: Entry) -> Result<(), String> {
-        let reply = match &entry.payload {
-            Payload::Command(bytes) => {
-                let command = postcard::from_bytes(bytes)
-                    .map_err(|e| format!("command {} does not decode: {e}", entry.index))?;
-                inner.state.borrow_mut().apply(entry.index, command)
-            }
-            Payload::Empty | Payload::Members(_) => machine::Reply::Done,
-        };
-        inner.applied.set(entry.index);
-        if let Some((term, waiter)) = self.proposals.remove(&entry.index) {
-            let result = if term == entry.term { Ok(reply) } else { Err(lost()) };
-            let _ = waiter.send(result);
-        }
-        Ok(())
-    }
-
-    fn answer_barriers(&mut self, applied: u64) {
-        for (index, waiter) in std::mem::take(&mut self.confirmed) {
-            if index <= applied {
-                let _ = waiter.send(Ok(()));
-            } else {
-                self.confirmed.push((index, waiter));
-            }
-        }
-    }
-
-    /// Ends waiting calls when leadership has ended, and logs the new role.
-    fn role_changed(&mut self) {
-        let role = self.instance.role();
-        if role != Role::Leader {
-            for (_, (_, waiter)) in std::mem::take(&mut self.proposals) {
-                let _ = waiter.send(Err(lost()));
-            }
-        }
-        if role != self.role {
-            log::info!("event=role role={role:?} term={}", self.instance.term());
-            self.role = role;
-        }
-    }
-
-    fn route(&self, to: Id) -> Option<SocketAddr> {
-        let member = || self.instance.members().iter().find(|m| m.id == to).map(|m| m.peer);
-        self.routes.get(&to).copied().or_else(member)
-    }
-
-    fn leader(&self) -> Option<SocketAddr> {
-        let leader = self.instance.leader()?;
-        Some(self.instance.members().iter().find(|m| m.id == leader)?.client)
-    }
-}
-
-fn lost() -> Refusal {
-    Refusal::Storage { detail: "leadership ended before the record was committed".to_owned() }
-}
-
-fn decode(snapshot: &Snapshot) -> Result<machine::State, String> {
-    postcard::from_bytes(&snapshot.data).map_err(|e| e.to_string())
-}
-
-/// Log bytes of a save, roughly.
-fn size(save: &Save) -> u64 {
-    const RECORD_BYTES: usize = 16;
-    let entry = |entry: &Entry| match &entry.payload {
-        Payload::Command(bytes) => bytes.len() + RECORD_BYTES,
-        Payload::Empty | Payload::Members(_) => RECORD_BYTES,
-    };
-    save.entries.iter().map(entry).sum::<usize>() as u64
-}
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -1,5 +1,6 @@
 //! The replicated state machine as the control service sees it: log and agreement behind one type.
 
+mod core;
 mod drive;
 mod peers;
 mod storage;
