State what revision 0 of the member list means

Cause: the page of messages did not say that the first lease of a term sends incomplete lists. Change: doc comment only. Conclusion: no behaviour changes.

--- a/src/protocol/wire/control.rs
+++ b/src/protocol/wire/control.rs
@@ -111,7 +111,8 @@
     pub shares: Vec<Share>,
 }
 
-/// Revision of the member list: only comparable within one leader's term.
+/// Revision of the member list: only comparable within one leader's term. Number 0 stands for the
+/// incomplete list of the first lease of a term, which adds to what an entry holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Revision {
     pub term: u64,
