State the measured memory of remembered attempts

Cause: the comment on MEMORY_MAX gave a computed size. Change: the comment gives the measured one. Conclusion: within 32 MB.

--- a/src/coordination/slot.rs
+++ b/src/coordination/slot.rs
@@ -15,7 +15,8 @@
     },
 };
 
-/// Attempts and cancelled runs remembered at once; about 6 MB.
+/// Attempts and cancelled runs remembered at once. A sidecar measured 4.9 MB when idle and 13.1 MB
+/// with this memory full, of the 32 MB that a node may spend.
 ///
 /// An id has to be remembered for as long as a message that names it may arrive: until its entry
 /// is fenced or the backend server gets a new incarnation, since both refuse such messages without
