An announcement after an absence opens admission at once

Cause: worker_lease_ends_tasks_of_a_frozen_backend failed once in some 60 runs: the state of admission was only renewed by the tick, so for up to 100 ms after the announcement that ended an absence the sidecar still refused attempts as unreachable, while control already listed it as serving. Change: each offer renews it. Test announcement_opens_admission_at_once.

--- a/src/sidecar/core.rs
+++ b/src/sidecar/core.rs
@@ -135,6 +135,7 @@
         let attempt = task.attempt;
         let verdict = {
             let mut state = self.state.borrow_mut();
+            self.close_if_due(now, &mut state);
             let State { backend, lease, .. } = &mut *state;
             match backend {
                 None => slot::Verdict::Refused(NotStarted::WrongIncarnation),
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -473,6 +473,38 @@
     assert!(matches!(reply.result, RunResult::Done { .. }), "{reply:?}");
 }
 
+/// Guards against refusing work after the announcement that ends an absence, which control and
+/// entries may already know of.
+#[actix_rt::test]
+async fn announcement_opens_admission_at_once() {
+    let dir = workdir::Workdir::new();
+    let control = control::Control::start(&[stand::EPOCH]);
+    let settings = json!({"announce_lease_ms": 1_500});
+    let sidecar = stand::start_sidecar(&dir, &control, stand::HOST, settings);
+    let (_socket, nowhere) = stand::closed_port();
+    let backend = stand::start_backend(&dir, nowhere, stand::HOST, json!({}));
+    let body = json!({
+        "addr": backend.http(), "start": 1, "slots": 8, "connections": 64, "size": {}
+    });
+    let answer = stand::post(sidecar.http(), "/announce", body.clone()).await;
+    let answer: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+    let incarnation = id::Incarnation(answer["incarnation"].as_u64().unwrap());
+    let link = Link::new(sidecar.rpc());
+    let mut seq = 0;
+    for _ in 0..3 {
+        until("the announcement to be old", async || {
+            seq += 1;
+            let reply = send(&link, stand::task(incarnation, seq, json!({}))).await;
+            (refused(&reply) == Some(NotStarted::Unreachable)).then_some(())
+        })
+        .await;
+        stand::post(sidecar.http(), "/announce", body.clone()).await;
+        seq += 1;
+        let reply = send(&link, stand::task(incarnation, seq, json!({}))).await;
+        assert!(matches!(reply.result, RunResult::Done { .. }), "{reply:?}");
+    }
+}
+
 /// Guards against a task that takes far more of the worker than it declared.
 #[actix_rt::test]
 async fn oversized_task_is_throttled_then_stopped() {
