Entry: smaller futures per attempt

Change: the remote call and the connect path are boxed, and the link is only checked, not cloned, before an attempt; the future has 752 bytes.

--- a/src/entry/backend.rs
+++ b/src/entry/backend.rs
@@ -96,7 +96,7 @@
         session: &Session,
     ) -> Report {
         let attempt = task.attempt;
-        if self.link.client().await.is_err() {
+        if self.link.ready().await.is_err() {
             return Report::without_load(End::NotStarted(sidecar::NotStarted::Unreachable));
         }
         // Connecting took time, and the process may have been frozen.
@@ -109,16 +109,16 @@
         }
         task.left_ms = util::millis(left).try_into().unwrap_or(u32::MAX);
         let context = rpc::context(left + REPLY_GRACE);
-        let reply =
-            self.link.call("run", |client| async move { client.run(context, task).await }).await;
-        match reply {
+        let call = self.link.call("run", |client| async move { client.run(context, task).await });
+        // Boxed: it is moved several times on its way to the runtime, at 2 KiB and more a time.
+        match Box::pin(call).await {
             Ok(reply) => check(attempt, reply),
             Err(Error::Net { .. }) => {
                 Report::without_load(End::NotStarted(sidecar::NotStarted::Unreachable))
             }
             Err(e) => {
                 self.meter.wasted(Waste::Lost, 1);
-                Report::without_load(self.settle(attempt, e).await)
+                Report::without_load(Box::pin(self.settle(attempt, e)).await)
             }
         }
     }
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -116,10 +116,23 @@
         Ok(self.numbered().await?.1)
     }
 
+    /// Opens a connection unless one is open.
+    pub async fn ready(&self) -> Result<()> {
+        if self.client.borrow().is_some() {
+            return Ok(());
+        }
+        Box::pin(self.connect()).await.map(|_| ())
+    }
+
     async fn numbered(&self) -> Result<(u64, C)> {
         if let Some(open) = self.open() {
             return Ok(open);
         }
+        // Boxed, so that the futures of calls, of which there are many, stay small.
+        Box::pin(self.connect()).await
+    }
+
+    async fn connect(&self) -> Result<(u64, C)> {
         let tried = self.tried.get();
         let _connecting = self.connecting.lock().await;
         if let Some(open) = self.open() {
