An entry that is alone may fill all slots at once; goodput of what was offered

Change: the bound depends on the other entries' mean attempts per slot; the benchmark divides by the work that was offered.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -53,8 +53,8 @@
 
 fn compare(scenario: Scenario, name: &str, load: u32) {
     let plan = Plan::new(scenario, f64::from(load) / 100.0, true);
-    let naive = measure(&plan, Policy::Naive, load);
-    let real = measure(&plan, Policy::Briargauge, load);
+    let naive = measure(&plan, Policy::Naive);
+    let real = measure(&plan, Policy::Briargauge);
     let line = |measure: &str, naive: f64, real: f64| {
         println!(
             "scenario={name} load={load} measure={measure} policy=both naive={naive:.4} \
@@ -69,20 +69,23 @@
     if scenario == Scenario::Greedy {
         // The other teams' p99 relative to their p99 without the greedy team.
         let alone = Plan::new(scenario, f64::from(load) / 100.0, false);
-        let naive = naive.p99 / measure(&alone, Policy::Naive, load).p99;
-        let real = real.p99 / measure(&alone, Policy::Briargauge, load).p99;
+        let naive = naive.p99 / measure(&alone, Policy::Naive).p99;
+        let real = real.p99 / measure(&alone, Policy::Briargauge).p99;
         line("p99_to_alone", naive, real);
     }
 }
 
-fn measure(plan: &Plan, policy: Policy, load: u32) -> Measures {
+fn measure(plan: &Plan, policy: Policy) -> Measures {
     let outcome = world::play(plan, policy);
     let greedy = plan.jobs.iter().map(|j| j.team).max().filter(|t| *t == 9);
     let mut ratios = Vec::new();
-    let (mut useful, mut tasks, mut done) = (0, 0, 0.0);
+    let (mut useful, mut tasks, mut done, mut offered) = (0, 0, 0.0, 0.0);
     for (job, end) in plan.jobs.iter().zip(&outcome.ends) {
         let end = end.expect("every job ends");
         tasks += job.tasks.len();
+        if end != End::Cancelled {
+            offered += load::work(&job.tasks);
+        }
         let took = match end {
             End::Completed(at) => {
                 useful += 2 * job.tasks.len() as u64;
@@ -100,7 +103,7 @@
     }
     ratios.sort_by(f64::total_cmp);
     let window = (SECONDS * 1_000_000 - FILL_US) as f64;
-    let possible = if greedy.is_some() { 1.0 } else { f64::from(load.min(100)) / 100.0 };
+    let possible = (offered / (SECONDS * 1_000_000) as f64 / plan.capacity()).min(1.0);
     Measures {
         response: ratios.iter().sum::<f64>() / ratios.len() as f64,
         p99: ratios[ratios.len() * 99 / 100],
--- a/src/coordination/route/server.rs
+++ b/src/coordination/route/server.rs
@@ -21,6 +21,9 @@
 const FAIR_PART: f64 = 0.375;
 /// Most attempts it may have queued there.
 const QUEUED_MAX: f64 = 2.0;
+/// Mean attempts of other entries per slot from which on that bound holds in full. An entry that is
+/// alone may fill all slots with long tasks at once.
+const SHARED_FROM: f64 = 0.1;
 /// Part of a slot that the estimate of other entries' attempts may be off without closing it.
 const SLACK: f64 = 0.5;
 
@@ -107,7 +110,9 @@
             Access::Closed | Access::Trial => false,
             Access::Single => self.mine == 0,
             Access::Open => {
-                let unconfirmed_max = (f64::from(self.slots) * UNCONFIRMED_PART).ceil();
+                let shared = (others.per_slot / SHARED_FROM).min(1.0);
+                let part = 1.0 - shared * (1.0 - UNCONFIRMED_PART);
+                let unconfirmed_max = (f64::from(self.slots) * part).ceil();
                 let mine = f64::from(self.mine);
                 let fair = f64::from(self.slots) * FAIR_PART;
                 let extra = match reserve {
