--- a/src/control/replica/core.rs
+++ b/src/control/replica/core.rs
@@ -1,6 +1,10 @@
 //! What a running replica knows: the agreement, the calls that wait for it, and routes to peers.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use tokio::sync::oneshot;
 
@@ -35,6 +39,8 @@
     /// Calls that wait for the entry at an index of a term.
     pub proposals: BTreeMap<u64, (u64, Waiter<machine::Reply>)>,
     pub barriers: BTreeMap<u64, Waiter<()>>,
+    /// Committed entries that are not applied yet.
+    pub deferred: VecDeque<Entry>,
     /// Confirmed barriers that wait for an index to be applied.
     pub confirmed: Vec<(u64, Waiter<()>)>,
     pub next_barrier: u64,
@@ -55,12 +61,27 @@
         }
     }
 
-    pub fn apply(&mut self, inner: &Inner, entry: Entry) -> Result<(), String> {
+    /// Applies committed entries, unless a thread makes a snapshot of the state.
+    pub fn apply(&mut self, inner: &Inner) -> Result<(), String> {
+        let mut state = inner.state.borrow_mut();
+        let Some(state) = Arc::get_mut(&mut state) else { return Ok(()) };
+        while let Some(entry) = self.deferred.pop_front() {
+            self.apply_entry(inner, state, entry)?;
+        }
+        Ok(())
+    }
+
+    fn apply_entry(
+        &mut self,
+        inner: &Inner,
+        state: &mut machine::State,
+        entry: Entry,
+    ) -> Result<(), String> {
         let reply = match &entry.payload {
             Payload::Command(bytes) => {
                 let command = postcard::from_bytes(bytes)
                     .map_err(|e| format!("command {} does not decode: {e}", entry.index))?;
-                inner.state.borrow_mut().apply(entry.index, command)
+                state.apply(entry.index, command)
             }
             Payload::Empty | Payload::Members(_) => machine::Reply::Done,
         };
--- a/src/control/replica/drive.rs
+++ b/src/control/replica/drive.rs
@@ -2,9 +2,10 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     rc::{Rc, Weak},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -98,6 +99,7 @@
         fault: None,
         proposals: BTreeMap::new(),
         barriers: BTreeMap::new(),
+        deferred: VecDeque::new(),
         confirmed: Vec::new(),
         next_barrier: 0,
         snapshot: saved.snapshot,
@@ -121,7 +123,7 @@
         closed: Cell::new(false),
     };
     let inner = Rc::new(Inner {
-        state: RefCell::new(state),
+        state: RefCell::new(Arc::new(state)),
         applied: Cell::new(applied),
         drive: Some(drive),
     });
@@ -284,8 +286,10 @@
                 self.recovered(&mut core);
                 core.instance.renamed(id);
             }
+            Done::Serialised | Done::Trimmed => {}
             Done::Compacted(snapshot) => {
                 core.compacting = false;
+                core.submit(Job::Trim(snapshot.meta.index));
                 core.instance.compact(snapshot.meta.index.saturating_sub(TAIL));
                 if core.snapshot.as_ref().is_none_or(|s| s.meta.index < snapshot.meta.index) {
                     core.snapshot = Some(snapshot);
@@ -314,7 +318,8 @@
     fn installed(&self, core: &mut Core, inner: &Inner, snapshot: Snapshot) {
         match decode(&snapshot) {
             Ok(state) => {
-                *inner.state.borrow_mut() = state;
+                *inner.state.borrow_mut() = Arc::new(state);
+                core.deferred.clear();
                 inner.applied.set(snapshot.meta.index);
                 core.log_bytes = 0;
                 core.snapshot = Some(snapshot);
@@ -333,9 +338,8 @@
         for message in output.send {
             self.send(&core, message);
         }
-        for entry in output.committed {
-            core.apply(inner, entry)?;
-        }
+        core.deferred.extend(output.committed);
+        core.apply(inner)?;
         for (token, confirmed) in output.barriers {
             let Some(waiter) = core.barriers.remove(&token) else { continue };
             match confirmed {
@@ -356,7 +360,7 @@
         {
             core.saving = true;
             core.log_bytes += size(&save);
-            core.submit(Job::Save(save));
+            core.submit(Job::Save(Box::new(save)));
         }
         self.compact(inner, &mut core);
         core.role_changed();
@@ -394,10 +398,11 @@
             return;
         }
         let Some(meta) = core.instance.meta(inner.applied.get()) else { return };
-        let data = postcard::to_stdvec(&*inner.state.borrow()).expect("states serialise");
         core.compacting = true;
         core.log_bytes = 0;
-        core.submit(Job::Compact(Snapshot { meta, data: Bytes::from(data) }));
+        if let Some(storage) = &core.storage {
+            storage.snapshot(meta, inner.state.borrow().clone());
+        }
     }
 
     /// Refuses calls while this instance can store nothing or stops.
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -10,6 +10,7 @@
     net::SocketAddr,
     path::PathBuf,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -76,7 +77,8 @@
 
 #[derive(Default)]
 struct Inner {
-    state: RefCell<machine::State>,
+    /// Shared with a thread while that makes a snapshot; meanwhile nothing is applied.
+    state: RefCell<Arc<machine::State>>,
     /// Last applied index.
     applied: Cell<u64>,
     /// `None` for a single instance without a disk.
@@ -108,7 +110,9 @@
         let Some(drive) = &self.inner.drive else {
             let index = self.inner.applied.get() + 1;
             self.inner.applied.set(index);
-            return Ok(self.inner.state.borrow_mut().apply(index, command));
+            let mut state = self.inner.state.borrow_mut();
+            let state = Arc::get_mut(&mut state).expect("shared only by replicas with a disk");
+            return Ok(state.apply(index, command));
         };
         let bytes = postcard::to_stdvec(&command).expect("commands serialise");
         let reply = drive.propose(Bytes::from(bytes))?;
@@ -126,7 +130,7 @@
 
     /// The state as applied so far.
     pub fn state(&self) -> Ref<'_, machine::State> {
-        self.inner.state.borrow()
+        Ref::map(self.inner.state.borrow(), |state| &**state)
     }
 
     /// The term, if this instance leads.
--- a/src/control/replica/storage.rs
+++ b/src/control/replica/storage.rs
@@ -10,14 +10,16 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use tokio::sync::mpsc as events;
 
 use crate::{
     coordination::consensus::Save,
     error::Result,
-    protocol::wire::peer::Id,
+    protocol::wire::peer::{Id, Meta},
     state::{
-        log::{Log, Record},
+        log::{Log, Record, files::Files},
+        machine,
         snapshot::Snapshot,
     },
 };
@@ -27,15 +29,19 @@
 
 /// Work for the thread, done in order.
 pub(super) enum Job {
-    Save(Save),
-    Compact(Snapshot),
+    Save(Box<Save>),
+    /// Removes the log up to an index that a stored snapshot covers.
+    Trim(u64),
     Renew,
 }
 
 /// What became of a job.
 pub(super) enum Done {
-    Saved(Save),
+    Saved(Box<Save>),
+    /// The state that a snapshot is made of is no longer in use.
+    Serialised,
     Compacted(Snapshot),
+    Trimmed,
     Renewed(Id),
     /// The job is tried again until it succeeds.
     Failed(String),
@@ -47,9 +53,31 @@
 pub(super) struct Storage {
     jobs: mpsc::Sender<Job>,
     ended: Arc<AtomicBool>,
+    files: Arc<dyn Files>,
+    done: events::WeakUnboundedSender<Done>,
 }
 
 impl Storage {
+    /// Serialises and stores a snapshot on a thread of its own: both take long for a large state,
+    /// and neither heartbeats nor the log may wait for them.
+    pub fn snapshot(&self, meta: Meta, state: Arc<machine::State>) {
+        let Some(done) = self.done.upgrade() else { return };
+        let files = self.files.clone();
+        thread::spawn(move || {
+            let data = Bytes::from(postcard::to_stdvec(&*state).expect("states serialise"));
+            drop(state);
+            let _ = done.send(Done::Serialised);
+            let snapshot = Snapshot { meta, data };
+            let stored = snapshot.store(&*files);
+            // The folder must be free once the channel is closed.
+            drop(files);
+            let _ = done.send(match stored {
+                Ok(()) => Done::Compacted(snapshot),
+                Err(e) => Done::NotCompacted(e.to_string()),
+            });
+        });
+    }
+
     pub fn submit(&self, job: Job) {
         // The thread ends before this only if the replica has gone.
         let _ = self.jobs.send(job);
@@ -67,9 +95,10 @@
     let (jobs, queue) = mpsc::channel();
     let (done, results) = events::unbounded_channel();
     let ended = Arc::new(AtomicBool::new(false));
+    let (files, weak) = (log.files(), done.downgrade());
     let writer = Writer { log, done, ended: ended.clone() };
     thread::spawn(move || writer.run(&queue));
-    (Storage { jobs, ended }, results)
+    (Storage { jobs, ended, files, done: weak }, results)
 }
 
 /// What the thread holds; the log is closed before the channel.
@@ -93,8 +122,8 @@
                     stored.map(|()| Done::Saved(save))
                 }
                 Job::Renew => self.persist(Log::renew).map(Done::Renewed),
-                Job::Compact(snapshot) => Some(match self.log.compact(&snapshot) {
-                    Ok(()) => Done::Compacted(snapshot),
+                Job::Trim(index) => Some(match self.log.trim(index) {
+                    Ok(()) => Done::Trimmed,
                     Err(e) => Done::NotCompacted(e.to_string()),
                 }),
             };
--- a/src/state/log/files.rs
+++ b/src/state/log/files.rs
@@ -14,7 +14,7 @@
 const LOCK: &str = "lock";
 
 /// The files of a data folder, by name.
-pub trait Files: Send {
+pub trait Files: Send + Sync {
     /// Names of the files in no particular order.
     fn list(&self) -> io::Result<Vec<String>>;
     /// Whole content of a file.
--- a/src/state/log/mod.rs
+++ b/src/state/log/mod.rs
@@ -8,6 +8,8 @@
 mod frame;
 mod recovery;
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
@@ -49,7 +51,7 @@
 
 /// The log, open for appending.
 pub struct Log {
-    files: Box<dyn Files>,
+    files: Arc<dyn Files>,
     id: Id,
     hard: Hard,
     /// Finished segments, oldest first, then the one in use.
@@ -73,7 +75,7 @@
     /// # Errors
     /// `Error::Corrupt` if something that was synced is damaged or missing.
     pub fn open(files: Box<dyn Files>, node: id::Node) -> Result<(Log, Saved)> {
-        recovery::recover(files, node)
+        recovery::recover(Arc::from(files), node)
     }
 
     /// Writes `records` and returns once they are durable. After an error none of them counts as
@@ -150,7 +152,12 @@
     /// Stores a snapshot and removes the segments that it makes superfluous.
     pub fn compact(&mut self, snapshot: &Snapshot) -> Result<()> {
         snapshot.store(&*self.files)?;
-        self.remove_before(snapshot)
+        self.trim(snapshot.meta.index)
+    }
+
+    /// The files, so that a snapshot can be stored while the log goes on.
+    pub fn files(&self) -> Arc<dyn Files> {
+        self.files.clone()
     }
 
     /// Puts a snapshot in the place of all entries, then appends `records`. Repeat after an error
@@ -159,11 +166,12 @@
         snapshot.store(&*self.files)?;
         let reset = [Record::Reset(snapshot.meta.index)];
         self.append(&[&reset, records].concat())?;
-        self.remove_before(snapshot)
+        self.trim(snapshot.meta.index)
     }
 
-    fn remove_before(&mut self, snapshot: &Snapshot) -> Result<()> {
-        while self.segments.len() > 1 && self.segments[0].last <= snapshot.meta.index {
+    /// Removes segments that hold nothing after `index`, which a durable snapshot covers.
+    pub fn trim(&mut self, index: u64) -> Result<()> {
+        while self.segments.len() > 1 && self.segments[0].last <= index {
             let name = name(self.segments[0].number);
             let path = self.files.path(&name);
             self.files.remove(&name).context(error::FileSnafu { step: "remove", path })?;
--- a/src/state/log/recovery.rs
+++ b/src/state/log/recovery.rs
@@ -1,6 +1,6 @@
 //! Reads a data folder at start.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, sync::Arc};
 
 use snafu::ResultExt;
 
@@ -19,7 +19,7 @@
     state::snapshot::Snapshot,
 };
 
-pub(super) fn recover(files: Box<dyn Files>, node: id::Node) -> Result<(Log, Saved)> {
+pub(super) fn recover(files: Arc<dyn Files>, node: id::Node) -> Result<(Log, Saved)> {
     let names = files.list().context(error::FileSnafu { step: "list", path: files.path("") })?;
     for name in names.iter().filter(|n| n.ends_with(files::TEMPORARY)) {
         let path = files.path(name);
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -36,6 +36,7 @@
 fn settings(node: u64, folder: &Path, peers: &[SocketAddr]) -> Settings {
     let mut settings = Settings::new(id::Node(node), any_port(), folder.to_path_buf());
     settings.peers = peers.to_vec();
+    settings.snapshot_bytes = 20_000;
     settings.client_addr = SocketAddr::from(([127, 0, 0, 1], 9_000 + node as u16));
     settings
 }
@@ -253,13 +254,18 @@
 /// acknowledged records. There are enough records that the new folders need a snapshot.
 #[actix_rt::test]
 async fn lost_folders_are_replaced_one_after_the_other() {
-    const RECORDS: u64 = 1_500;
+    const RECORDS: u64 = 3_000;
     let mut group = Group::form().await;
     let all = (0..RECORDS).map(|number| group.commit(admit(group.epoch, number), &[0, 1, 2]));
     let replies = future::join_all(all).await;
     for lost in 0..3 {
         group.lose_folder(lost).await;
         group.settle().await;
+        let snapshot = |entry: std::io::Result<std::fs::DirEntry>| {
+            entry.unwrap().file_name().to_string_lossy().starts_with("snapshot-")
+        };
+        let made = || std::fs::read_dir(group.folders[lost].path()).unwrap().any(snapshot);
+        until("a snapshot in the new folder", made).await;
     }
     group.caught_up().await;
     for (number, reply) in replies.iter().enumerate().step_by(100) {
