Large runs are refused if they would miss their deadline

Cause: at 120% load jobs of 490 tasks were taken and expired half done: a team without queued tasks skipped the check of the expected end. Change: the check applies while anything is queued; runs of more than 32 tasks together are expected to get a third of the capacity, as others overtake them.

--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -3,7 +3,7 @@
 use crate::{
     coordination::dispatch::{
         Micros, Spec,
-        core::Core,
+        core::{BULK_TASKS, Core},
         run::{Run, Task},
     },
     protocol::{id, job},
@@ -12,6 +12,8 @@
 /// A run may overtake others of its team that arrived up to this many times the difference of
 /// their ideal times earlier. Larger values serve short runs better and long ones worse.
 const OVERTAKE: f64 = 4.0;
+/// Part of the capacity that large runs get while others are queued: those overtake them.
+const BULK_PART: f64 = 0.33;
 
 impl Core {
     pub(super) fn check(&mut self, now: Micros, spec: &Spec) -> Result<(), job::Refusal> {
@@ -58,8 +60,14 @@
         let wait = ahead / capacity;
         // What arrives later from other teams shares the capacity with a long run.
         let end = (team.queued_us + work) * others / weight.max(1e-9) / capacity;
+        let end = if spec.tasks.len() > BULK_TASKS {
+            end.max((self.bulk_us + work) / capacity / BULK_PART)
+        } else {
+            end
+        };
         let left = (spec.deadline - now) as f64;
-        if ahead > 0.0 && (wait > self.settings.wait_max_us as f64 || end + longest > left) {
+        let late = self.queued_us > 0.0 && end + longest > left;
+        if late || wait > self.settings.wait_max_us as f64 {
             return Err(job::Refusal::Overloaded);
         }
         Ok(())
--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -38,7 +38,7 @@
 const SAVED_MAX: f64 = 16.0;
 /// Runs with more tasks, and teams that have more queued, are bulk: they leave some slots to
 /// others as long as there are others.
-const BULK_TASKS: usize = 32;
+pub(super) const BULK_TASKS: usize = 32;
 /// How long after the last start of another task bulk ones still leave slots.
 const SMALL_US: Micros = 1_000_000;
 
@@ -79,6 +79,8 @@
     ticked: Micros,
     pub(super) queued: usize,
     pub(super) queued_us: f64,
+    /// The part of it that belongs to runs of more than `BULK_TASKS` tasks.
+    pub(super) bulk_us: f64,
     /// Time of the current input.
     pub(super) now: Micros,
     /// When a task that is not bulk last started.
@@ -115,6 +117,7 @@
             queued: 0,
             queued_us: 0.0,
             weight: 0.0,
+            bulk_us: 0.0,
             now: 0,
             small_at: 0,
             weights: 0.0,
@@ -242,12 +245,13 @@
         run.over = true;
         let parts = std::mem::take(&mut run.parts);
         let (team, score) = (run.team, run.score);
+        let bulk = run.tasks.len() > BULK_TASKS;
         for (part, queued) in parts.iter().enumerate() {
             let item = queue::Item { score, run: key as u32, part: part as u16 };
             self.lanes[queued.lane].queue.remove(team, item);
             for task in &queued.tasks {
                 let mean = self.runs[key].tasks[usize::from(*task)].mean_us;
-                self.count(team, queued.lane, -1, mean);
+                self.count(team, queued.lane, -1, mean, bulk);
             }
         }
     }
@@ -267,9 +271,10 @@
         run.parts[part].tasks.push_back(task);
         let item = queue::Item { score: run.score, run: key as u32, part: part as u16 };
         let team = run.team;
+        let bulk = run.tasks.len() > BULK_TASKS;
         let earned = self.earned(team);
         self.lanes[lane].queue.push(team, item, earned);
-        self.count(team, lane, 1, state.mean_us);
+        self.count(team, lane, 1, state.mean_us, bulk);
     }
 
     /// Run time that a team's part of the capacity was worth since it last had queued tasks.
@@ -338,7 +343,7 @@
         if !large && !backlog {
             self.small_at = now;
         }
-        self.count(team, lane, -1, mean_us);
+        self.count(team, lane, -1, mean_us, large);
         if first {
             self.teams[team.0 as usize].retries.started();
             self.teams[team.0 as usize].hedges.started();
@@ -462,13 +467,16 @@
         }
     }
 
-    fn count(&mut self, team: queue::Team, lane: usize, by: isize, mean_us: f64) {
+    fn count(&mut self, team: queue::Team, lane: usize, by: isize, mean_us: f64, bulk: bool) {
         let state = &mut self.teams[team.0 as usize];
         let idle = state.queued == 0;
         state.queued = state.queued.saturating_add_signed(by);
         self.queued = self.queued.saturating_add_signed(by);
         self.lanes[lane].tasks = self.lanes[lane].tasks.saturating_add_signed(by);
         let us = by as f64 * mean_us;
+        if bulk {
+            self.bulk_us = (self.bulk_us + us).max(0.0);
+        }
         // Exact zeros, as sums of floats drift.
         state.queued_us = if state.queued == 0 { 0.0 } else { (state.queued_us + us).max(0.0) };
         self.queued_us = if self.queued == 0 { 0.0 } else { (self.queued_us + us).max(0.0) };
@@ -477,6 +485,7 @@
             self.weight += if idle { state.settings.weight } else { -state.settings.weight };
         }
         if self.queued == 0 {
+            self.bulk_us = 0.0;
             self.weight = 0.0;
         }
     }
--- a/src/coordination/dispatch/lane.rs
+++ b/src/coordination/dispatch/lane.rs
@@ -69,7 +69,7 @@
         for team in &mut self.teams {
             (team.queued, team.queued_us) = (0, 0.0);
         }
-        (self.queued, self.queued_us, self.weight) = (0, 0.0, 0.0);
+        (self.queued, self.queued_us, self.weight, self.bulk_us) = (0, 0.0, 0.0, 0.0);
         let keys: Vec<usize> = self.runs.iter().map(|(key, _)| key).collect();
         for key in keys {
             for part in std::mem::take(&mut self.runs[key].parts) {
