--- a/src/coordination/consensus/leader.rs
+++ b/src/coordination/consensus/leader.rs
@@ -25,6 +25,8 @@
     /// Rejections of messages with lower numbers have been dealt with.
     repair_seq: u64,
     /// It no longer holds what it acknowledged, so it counts for nothing.
+    /// Only the leader of the term in which it acknowledged can tell: an older copy of a folder
+    /// that is put back while nobody leads is not noticed.
     lost: bool,
 }
 
