A task that waits for the next slot is no backlog

Cause: any queued task made a large run with a short deadline look late. Change: the expected end counts from 0.1 s of queued work on.

--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -12,6 +12,9 @@
 /// A run may overtake others of its team that arrived up to this many times the difference of
 /// their ideal times earlier. Larger values serve short runs better and long ones worse.
 const OVERTAKE: f64 = 4.0;
+/// Wait of all queued tasks from which on others count in the expected end of a run, in µs. A task
+/// that waits for the next slot is no backlog.
+const BACKLOG_US: f64 = 100_000.0;
 /// Part of the capacity that large runs get while others are queued: those overtake them.
 const BULK_PART: f64 = 0.33;
 
@@ -66,7 +69,8 @@
             end
         };
         let left = (spec.deadline - now) as f64;
-        let late = self.queued_us > 0.0 && end + longest > left;
+        let backlog = self.queued_us > BACKLOG_US * capacity;
+        let late = backlog && end + longest > left;
         if late || wait > self.settings.wait_max_us as f64 {
             return Err(job::Refusal::Overloaded);
         }
