A resubmission learns of a frozen owner's end in time; sharper process tests

Cause: a resubmission at another entry waited up to 20 s at the owner of the job before it asked control, so a frozen owner held it until its deadline although the job had been recorded as failed after 7 s. The test of the frozen entry therefore passed also without the mechanisms it is meant for, and the test of planned stops passed without the entry's drain, because the jobs had ended before the entry was stopped.

Change: a single wait at an owner lasts 2 s; each stop has jobs of its own that run while it stops; the frozen entry gets a second to start what it must not.

--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -27,8 +27,9 @@
 const FINISH_LIMIT: Duration = Duration::from_secs(600);
 /// Time for which a key whose admission got no answer is freed in the background.
 const RELEASE_LIMIT: Duration = Duration::from_secs(60);
-/// Longest single wait at the owner of a job.
-const WAIT_LIMIT: Duration = Duration::from_secs(20);
+/// Longest single wait at the owner of a job. A frozen owner keeps its connection open, and control
+/// is only asked for the job's end after the wait.
+const WAIT_LIMIT: Duration = Duration::from_secs(2);
 /// Mean pause between two questions about a job whose owner does not answer.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(300);
 /// Tries to fetch an answer from its owner.
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -70,6 +70,8 @@
     system.entries[0].signal(Signal::SIGCONT);
     let late = first.join().unwrap().expect("the frozen entry answers when it wakes");
     assert!(matches!(late, Response::Failed { .. }), "{}", system::text(&late));
+    // A start that should not be takes a moment to reach the backend server.
+    thread::sleep(Duration::from_secs(1));
     assert_eq!(system.started(), started);
     let after = wait_for("the woken entry to register anew", || {
         let job = system::job("after", 3, 10);
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -2,14 +2,15 @@
 
 mod workdir;
 
-use std::{thread, time::Duration};
+use std::thread;
 
+use briargauge::protocol::job::Response;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use workdir::system::{self, System};
 
 /// Answers without what differs from run to run: which backend server ran a task.
-fn answers(response: &briargauge::protocol::job::Response) -> String {
+fn answers(response: &Response) -> String {
     let mut value: Value = serde_json::from_str(&system::text(response)).unwrap();
     if let Some(answers) = value.get_mut("answers").and_then(Value::as_array_mut) {
         for answer in answers {
@@ -37,24 +38,41 @@
     assert_eq!(system.started(), 8, "a resubmission must not start anything");
 }
 
+fn all_completed(jobs: Vec<thread::JoinHandle<Option<Response>>>) {
+    for job in jobs {
+        let response = job.join().unwrap().expect("a connection was cut");
+        assert!(matches!(response, Response::Completed { .. }), "{}", system::text(&response));
+    }
+}
+
 /// Guards against a planned stop of any process that cuts off a request, and against exit codes
 /// that do not say so.
 #[test]
 fn planned_stops_cut_off_nothing() {
     let mut system = System::new(3, 2, 3);
-    let jobs: Vec<_> = (0..6)
-        .map(|n| system.post_later(n % 2, "/v1/jobs", system::job(&format!("j{n}"), 10, 300)))
-        .collect();
-    thread::sleep(Duration::from_millis(400));
+    let busy = |system: &System, name: &str| -> Vec<_> {
+        let started = system.started();
+        let jobs = (0..4)
+            .map(|n| {
+                system.post_later(n % 2, "/v1/jobs", system::job(&format!("{name}-{n}"), 4, 300))
+            })
+            .collect();
+        workdir::wait_for("starts", || (system.started() > started).then_some(()));
+        jobs
+    };
+    let jobs = busy(&system, "control");
     let leader = system.leader();
     assert!(system.controls[leader].take().unwrap().stop().success());
+    all_completed(jobs);
+    let jobs = busy(&system, "backend");
     assert!(system.backends[0].take().unwrap().stop().success());
+    all_completed(jobs);
+    let jobs = busy(&system, "sidecar");
     assert!(system.sidecars[1].take().unwrap().stop().success());
+    all_completed(jobs);
+    let jobs = busy(&system, "entry");
     assert!(system.entries.remove(1).stop().success());
-    for job in jobs {
-        let response = job.join().unwrap().expect("a connection was cut");
-        assert!(system::text(&response).contains("completed"), "{}", system::text(&response));
-    }
+    all_completed(jobs);
     let after = system.post(0, "/v1/jobs", system::job("after", 10, 20)).unwrap();
     assert!(system::text(&after).contains("completed"), "{}", system::text(&after));
 }
