--- a/src/coordination/route.rs
+++ b/src/coordination/route.rs
@@ -1,5 +1,6 @@
 //! Chooses the backend server for a task: the best expected completion among a few candidates.
 
+pub mod group;
 pub mod server;
 
 use indexmap::IndexMap;
@@ -10,11 +11,14 @@
     coordination::{
         dispatch::{self, Micros},
         health,
-        route::server::{Others, Server, TIERS},
+        route::{
+            group::Group,
+            server::{Others, Server, TIERS},
+        },
         speed,
     },
     protocol::{
-        id, job,
+        id,
         wire::{control, sidecar},
     },
 };
@@ -51,45 +55,6 @@
     Full,
 }
 
-/// Servers of one data centre, size and set of kinds, with the same placements.
-#[derive(Debug)]
-pub struct Group {
-    dc: usize,
-    kinds: Vec<String>,
-    /// Kinds that placements keep away.
-    denied: Vec<String>,
-    size: job::Needs,
-    members: Vec<Key>,
-    /// Servers with room by tier, and which tiers have any.
-    room: [Vec<Key>; TIERS],
-    room_mask: u32,
-    /// Sum of the servers' completion rates by tier, per µs.
-    rates: [f64; TIERS],
-    /// No server of a higher tier has attempts in flight.
-    top_tier: usize,
-}
-
-impl Group {
-    /// Whether its servers can run such a task.
-    pub fn fits(&self, kind: &str, needs: &job::Needs) -> bool {
-        (self.kinds.is_empty() || self.kinds.iter().any(|k| k == kind))
-            && !self.denied.iter().any(|k| k == kind)
-            && needs.cpus <= self.size.cpus
-            && needs.memory_mb <= self.size.memory_mb
-            && needs.accelerators <= self.size.accelerators
-    }
-
-    /// Number of servers.
-    pub fn len(&self) -> usize {
-        self.members.len()
-    }
-
-    /// Whether it has no servers (any more).
-    pub fn is_empty(&self) -> bool {
-        self.members.is_empty()
-    }
-}
-
 #[derive(Debug)]
 struct Dc {
     name: String,
