One comparison of a task's needs with a worker's size

Cause: router, baseline policy and sidecar slots each compared cpus, memory and accelerators on their own; a further resource would have to be added in three places.

Change: job::Needs::fit is called by all three; behaviour is the same.

Conclusion: left as they are: cancel and status, which share four lines of option parsing; ask and cancel_at of the entry, which differ in the call.

--- a/src/coordination/naive.rs
+++ b/src/coordination/naive.rs
@@ -67,12 +67,9 @@
     }
 
     fn fits(&self, member: &control::Member, task: &TaskSpec) -> bool {
-        let (needs, size) = (&task.needs, &member.size);
         (member.kinds.is_empty() || member.kinds.contains(&task.kind))
             && self.placements.iter().all(|p| p.kind != task.kind || p.allows(member))
-            && needs.cpus <= size.cpus
-            && needs.memory_mb <= size.memory_mb
-            && needs.accelerators <= size.accelerators
+            && task.needs.fit(&member.size)
             && member.state == control::MemberState::Serving
     }
 
--- a/src/coordination/route/group.rs
+++ b/src/coordination/route/group.rs
@@ -28,9 +28,7 @@
     pub fn fits(&self, kind: &str, needs: &job::Needs) -> bool {
         (self.kinds.is_empty() || self.kinds.iter().any(|k| k == kind))
             && !self.denied.iter().any(|k| k == kind)
-            && needs.cpus <= self.size.cpus
-            && needs.memory_mb <= self.size.memory_mb
-            && needs.accelerators <= self.size.accelerators
+            && needs.fit(&self.size)
     }
 
     /// Number of servers.
--- a/src/coordination/slot.rs
+++ b/src/coordination/slot.rs
@@ -313,7 +313,7 @@
 
     fn could_run(&self, ask: &Ask) -> bool {
         let Limits { kinds, size, .. } = &self.limits;
-        (kinds.is_empty() || kinds.contains(&ask.kind)) && fits(ask.needs, *size)
+        (kinds.is_empty() || kinds.contains(&ask.kind)) && ask.needs.fit(size)
     }
 
     fn free(&self) -> usize {
@@ -331,7 +331,7 @@
         {
             used = sum(used, first.ask.needs);
         }
-        fits(sum(used, ask.needs), self.limits.size)
+        sum(used, ask.needs).fit(&self.limits.size)
     }
 
     fn start(&mut self, ask: &Ask) {
@@ -428,9 +428,3 @@
         accelerators: a.accelerators.saturating_add(b.accelerators),
     }
 }
-
-fn fits(needs: job::Needs, size: job::Needs) -> bool {
-    needs.cpus <= size.cpus
-        && needs.memory_mb <= size.memory_mb
-        && needs.accelerators <= size.accelerators
-}
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -61,6 +61,15 @@
     pub accelerators: u16,
 }
 
+impl Needs {
+    /// Whether a worker of this `size` is large enough.
+    pub fn fit(&self, size: &Needs) -> bool {
+        self.cpus <= size.cpus
+            && self.memory_mb <= size.memory_mb
+            && self.accelerators <= size.accelerators
+    }
+}
+
 /// Body of `POST /v1/jobs/cancel`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
