--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -112,7 +112,8 @@
     path: &str,
     body: &impl serde::Serialize,
 ) -> Result<http::Answer, CallError> {
-    let body = serde_json::to_vec(body).map_err(|e| CallError::NotSent(e.to_string()))?;
+    let body = serde_json::to_vec(body)
+        .map_err(|e| CallError::NotSent(http::Unsent::new(e.to_string())))?;
     let call = http::Call {
         method: Method::POST,
         addr,
--- /dev/null
+++ b/src/control/jobs/call.rs
@@ -0,0 +1,206 @@
+//! Calls about jobs and the configuration.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time;
+
+use super::Coordinator;
+use crate::{
+    protocol::{
+        queue::{Config, Id, Job, Phase},
+        wire::{
+            control,
+            queue::{Answer, Call, Refusal, View},
+        },
+    },
+    state::machine::queue::{Change, Reply, Submission},
+    util,
+};
+
+/// Longest time that an entry waits for changes.
+const WATCH_MAX: Duration = Duration::from_millis(1_000);
+/// Time in office after which a leader's list of sidecars is told, in ms.
+const LIST_AFTER_MS: u64 = 300;
+
+impl Coordinator {
+    /// Carries out a call, if this instance leads.
+    pub async fn call(&self, call: Call) -> Result<Answer, Refusal> {
+        let term = self.inner.lead.borrow().as_ref().map(|lead| lead.term);
+        let Some(term) = term else { return Err(self.not_leader()) };
+        if !self.inner.formed.get() {
+            return Err(Refusal::NotReady { detail: "the group is being formed".to_owned() });
+        }
+        match call {
+            Call::Submit { host, path, job } => self.submit(term, host, path, job).await,
+            Call::Query { host, path } => self.query(&host, &path).await,
+            Call::Cancel { host, path } => self.cancel(&host, &path).await,
+            Call::Configure(config) => self.configure(config).await,
+            Call::Watch { config, sidecars, wait_ms } => {
+                let wait = Duration::from_millis(wait_ms).min(WATCH_MAX);
+                let _ = time::timeout(wait, self.changed(config, sidecars)).await;
+                self.current().await?;
+                self.view(config, sidecars).map(Answer::View)
+            }
+            Call::ReadConfig => {
+                self.current().await?;
+                let state = self.inner.replica.state();
+                Ok(state.queues().config().cloned().map_or(Answer::NoConfig, Answer::Config))
+            }
+        }
+    }
+
+    /// Returns once there is something newer than an entry's view.
+    async fn changed(&self, config: u64, sidecars: u64) {
+        loop {
+            let changed = self.inner.changed.notified();
+            match self.view(config, sidecars) {
+                Ok(View { config: None, sidecars: None, .. }) => changed.await,
+                Ok(_) | Err(_) => return,
+            }
+        }
+    }
+
+    /// What is newer than an entry's view.
+    fn view(&self, config: u64, sidecars: u64) -> Result<View, Refusal> {
+        let lead = self.inner.lead.borrow();
+        let Some(lead) = lead.as_ref() else { return Err(self.not_leader()) };
+        let state = self.inner.replica.state();
+        let held = state.queues().config().filter(|held| held.version > config);
+        let version = lead.list_version();
+        // Sidecars need some time to find a new leader.
+        let settled = lead.since_ms + LIST_AFTER_MS <= util::boot_ms();
+        Ok(View {
+            config: held.cloned(),
+            sidecars: (settled && version != sidecars).then(|| (version, lead.list())),
+            members: self.members(),
+        })
+    }
+
+    /// Returns once what this instance holds is known to be current.
+    async fn current(&self) -> Result<(), Refusal> {
+        match self.inner.confirm.wait().await {
+            Ok(_) => Ok(()),
+            Err(control::Refusal::NotLeader { leader }) => Err(Refusal::NotLeader { leader }),
+            Err(refusal) => Err(Refusal::NotReady { detail: format!("{refusal:?}") }),
+        }
+    }
+
+    async fn propose(&self, change: Change) -> Result<Reply, Refusal> {
+        self.inner.batcher.propose(change).await.map_err(|refusal| match refusal {
+            control::Refusal::NotLeader { leader } => Refusal::NotLeader { leader },
+            refusal => Refusal::Unknown { detail: format!("{refusal:?}") },
+        })
+    }
+
+    /// The job that `path` names within its queue; `None` if it names the queue itself.
+    fn locate(&self, host: &str, path: &str) -> Result<Option<Id>, Answer> {
+        let state = self.inner.replica.state();
+        let Some(config) = state.queues().config() else { return Err(Answer::NoConfig) };
+        let Some((_, rest)) = config.route(host, path) else { return Err(Answer::NoQueue) };
+        match Id::parse(rest) {
+            Some(id) => Ok(Some(id)),
+            None if rest.is_empty() => Ok(None),
+            None => Err(Answer::NoJob),
+        }
+    }
+
+    async fn submit(
+        &self,
+        term: u64,
+        host: String,
+        path: String,
+        job: Job,
+    ) -> Result<Answer, Refusal> {
+        let id = match self.locate(&host, &path) {
+            Ok(Some(id)) => id,
+            Ok(None) => return Ok(Answer::NoJob),
+            Err(answer) => {
+                // Another instance may know a newer configuration.
+                self.current().await?;
+                match self.locate(&host, &path) {
+                    Ok(Some(id)) => id,
+                    _ => return Ok(answer),
+                }
+            }
+        };
+        let keep_ms = self.inner.settings.keep_ms;
+        let submission = Submission { id, host, path, job, term, keep_ms };
+        let reply = self.propose(Change::Submit(submission)).await?;
+        log::info!("event=submit job={id} outcome={reply:?} term={term}");
+        match reply {
+            Reply::Done => self.accepted(id),
+            Reply::Known => {}
+            Reply::NoQueue => return Ok(Answer::NoQueue),
+            Reply::NoConfig | Reply::Unknown => return Ok(Answer::NoConfig),
+        }
+        Ok(Answer::Accepted)
+    }
+
+    fn accepted(&self, id: Id) {
+        let now_ms = util::boot_ms();
+        {
+            let mut lead = self.inner.lead.borrow_mut();
+            let Some(lead) = lead.as_mut() else { return };
+            let state = self.inner.replica.state();
+            lead.scheduler.accept(now_ms, id, state.queues());
+        }
+        self.assign(now_ms);
+    }
+
+    async fn query(&self, host: &str, path: &str) -> Result<Answer, Refusal> {
+        self.current().await?;
+        let lead = self.inner.lead.borrow();
+        let Some(lead) = lead.as_ref() else { return Err(self.not_leader()) };
+        let id = match self.locate(host, path) {
+            Ok(id) => id,
+            Err(answer) => return Ok(answer),
+        };
+        let state = self.inner.replica.state();
+        let Some(id) = id else {
+            let waits = |(id, prefix, at): (Id, &str, &str)| {
+                path == prefix && host == at && !lead.scheduler.started(id)
+            };
+            let open = state.queues().open();
+            let count = open.filter(|(id, r)| waits((*id, &r.prefix, &r.host))).count();
+            return Ok(Answer::Pending(count as u64));
+        };
+        Ok(match state.queues().job(id) {
+            None => Answer::NoJob,
+            Some(record) if record.phase.closed() => Answer::State(record.phase),
+            Some(_) if lead.scheduler.started(id) => Answer::State(Phase::Running),
+            Some(_) => Answer::State(Phase::Queued),
+        })
+    }
+
+    async fn cancel(&self, host: &str, path: &str) -> Result<Answer, Refusal> {
+        self.current().await?;
+        let id = match self.locate(host, path) {
+            Ok(Some(id)) => id,
+            Ok(None) => return Ok(Answer::NoJob),
+            Err(answer) => return Ok(answer),
+        };
+        let reply = self.propose(Change::Cancel(id)).await?;
+        log::info!("event=cancel job={id} outcome={reply:?}");
+        if reply == Reply::Unknown {
+            return Ok(Answer::NoJob);
+        }
+        let now_ms = util::boot_ms();
+        {
+            let mut lead = self.inner.lead.borrow_mut();
+            let state = self.inner.replica.state();
+            if let (Some(lead), Some(record)) = (lead.as_mut(), state.queues().job(id)) {
+                lead.scheduler.close(id, record);
+            }
+        }
+        self.assign(now_ms);
+        Ok(Answer::Accepted)
+    }
+
+    async fn configure(&self, config: Arc<Config>) -> Result<Answer, Refusal> {
+        let (version, queues) = (config.version, config.queues.len());
+        let reply = self.propose(Change::Configure(config)).await?;
+        log::info!("event=configure version={version} queues={queues} outcome={reply:?}");
+        self.inner.changed.notify_waiters();
+        Ok(Answer::Accepted)
+    }
+}
--- /dev/null
+++ b/src/control/jobs/report.rs
@@ -0,0 +1,211 @@
+//! Reports of sidecars: what runs and has ended at their backend servers.
+
+use std::time::Duration;
+
+use tokio::time;
+
+use super::{CONFIRM_MAX_MS, Coordinator, GRANT_MS, Lead, Sidecar};
+use crate::{
+    coordination::schedule::Server,
+    protocol::wire::queue::{End, Orders, Refusal, Report},
+    state::machine::queue::{self, Change, Queues},
+    util,
+};
+
+/// Longest time that a report waits for orders.
+const WAIT_MAX: Duration = Duration::from_millis(1_000);
+
+impl Coordinator {
+    /// Takes a report and returns orders.
+    pub async fn report(&self, report: Report) -> Result<Orders, Refusal> {
+        let name = report.sidecar.clone();
+        let wait = Duration::from_millis(report.wait_ms).min(WAIT_MAX);
+        let link = report.link;
+        let ends = self.take_report(report)?;
+        if !ends.is_empty() {
+            actix_rt::spawn(self.clone().store_ends(name.clone(), ends));
+        }
+        self.assign(util::boot_ms());
+        self.wait_for_orders(&name, link, wait).await;
+        self.orders(&name)
+    }
+
+    /// Returns the ends that have to be stored.
+    fn take_report(&self, report: Report) -> Result<Vec<(u64, queue::End)>, Refusal> {
+        let now_ms = util::boot_ms();
+        let mut lead = self.inner.lead.borrow_mut();
+        let Some(lead) = lead.as_mut() else { return Err(self.not_leader()) };
+        let state = self.inner.replica.state();
+        let queues = state.queues();
+        self.meet(lead, &report, queues);
+        let Lead { scheduler, sidecars, lists, .. } = lead;
+        let Some(sidecar) = sidecars.get_mut(&report.sidecar) else { return Ok(Vec::new()) };
+        sidecar.reports.set(sidecar.reports.get() + 1);
+        sidecar.wake.notify_waiters();
+        let Some((_, key)) = sidecar.server.clone() else { return Ok(Vec::new()) };
+        if let Some(info) = report.server
+            && let Some(server) = scheduler.server_mut(key)
+            && server.info != info
+        {
+            server.describe(info);
+            *lists += 1;
+            self.inner.changed.notify_waiters();
+        }
+        if report.link != sidecar.link {
+            return Ok(Vec::new());
+        }
+        sidecar.taken(report.batch);
+        let mut to_store = Vec::new();
+        for End { number, run, how } in report.ends {
+            if !sidecar.take_end(number) {
+                continue;
+            }
+            let end = run.and_then(|run| scheduler.ended(now_ms, key, run, how));
+            match end {
+                Some(end) => to_store.push((number, end)),
+                None => sidecar.stored(number),
+            }
+        }
+        for not in &report.not_started {
+            log::info!(
+                "event=not_started run={} sidecar={} reason={:?}",
+                not.run,
+                report.sidecar,
+                not.reason
+            );
+            scheduler.not_started(now_ms, key, not, queues);
+        }
+        if let Some(running) = report.running.filter(|_| !sidecar.synced) {
+            log::info!("event=synced sidecar={} running={}", report.sidecar, running.len());
+            scheduler.sync(now_ms, key, &running, queues);
+            sidecar.synced = true;
+        }
+        Ok(to_store)
+    }
+
+    /// Opens a session for a sidecar or a backend server that is new to this leader.
+    fn meet(&self, lead: &mut Lead, report: &Report, queues: &Queues) {
+        if lead.sidecars.get(&report.sidecar).is_some_and(|sidecar| sidecar.knows(report)) {
+            return;
+        }
+        let link = lead.next_link();
+        let sidecar = lead
+            .sidecars
+            .entry(report.sidecar.clone())
+            .or_insert_with(|| Sidecar::new(report.session, report.addr, link));
+        sidecar.reset(report.session, link);
+        sidecar.addr = report.addr;
+        lead.lists += 1;
+        self.inner.changed.notify_waiters();
+        let known = sidecar.server.as_ref().map(|(id, _)| id);
+        if known == report.server.as_ref().map(|server| &server.id) {
+            if let Some((_, key)) = &sidecar.server
+                && let Some(server) = lead.scheduler.server_mut(*key)
+            {
+                server.shut();
+            }
+        } else if let Some((id, key)) = sidecar.server.take() {
+            log::warn!(
+                "event=server_lost sidecar={} server={} reason=replaced",
+                report.sidecar,
+                id.id
+            );
+            lead.scheduler.lose(key, queues);
+        }
+        if sidecar.server.is_none()
+            && let Some(server) = &report.server
+        {
+            sidecar.reset_ends();
+            let key = lead.scheduler.add_server(Server::new(server.clone()));
+            sidecar.server = Some((server.id.clone(), key));
+        }
+        log::info!(
+            "event=session sidecar={} session={} link={link} server={}",
+            report.sidecar,
+            report.session,
+            report.server.as_ref().map_or("none", |server| &server.id.id)
+        );
+    }
+
+    /// Stores ends and lets what waited for them go on.
+    async fn store_ends(self, name: String, ends: Vec<(u64, queue::End)>) {
+        let changes: Vec<queue::End> = ends.iter().map(|(_, end)| *end).collect();
+        let term = self.inner.replica.leading();
+        let stored = self.inner.batcher.propose(Change::End(changes)).await;
+        {
+            let mut lead = self.inner.lead.borrow_mut();
+            let Some(lead) = lead.as_mut().filter(|lead| Some(lead.term) == term) else { return };
+            if let Err(refusal) = stored {
+                // The next leader learns of the ends from the sidecar.
+                log::warn!("event=ends_not_stored sidecar={name} refusal={refusal:?}");
+                return;
+            }
+            let state = self.inner.replica.state();
+            for (number, end) in &ends {
+                log::info!("event=end run={} how={:?} sidecar={name}", end.run, end.how);
+                lead.scheduler.settle(end, state.queues());
+                if let Some(sidecar) = lead.sidecars.get_mut(&name) {
+                    sidecar.stored(*number);
+                }
+            }
+            if let Some(sidecar) = lead.sidecars.get(&name) {
+                sidecar.wake.notify_waiters();
+            }
+        }
+        self.assign(util::boot_ms());
+    }
+
+    /// Returns when there are orders, a newer report has come, or `wait` is over.
+    async fn wait_for_orders(&self, name: &str, link: u64, wait: Duration) {
+        let (wake, reports, stored) = {
+            let lead = self.inner.lead.borrow();
+            let Some(sidecar) = lead.as_ref().and_then(|lead| lead.sidecars.get(name)) else {
+                return;
+            };
+            if sidecar.link != link || sidecar.has_due(util::boot_ms()) {
+                return;
+            }
+            (sidecar.wake.clone(), sidecar.reports.clone(), sidecar.ends_stored())
+        };
+        let number = reports.get();
+        let wanted = async {
+            loop {
+                wake.notified().await;
+                let lead = self.inner.lead.borrow();
+                let Some(sidecar) = lead.as_ref().and_then(|lead| lead.sidecars.get(name)) else {
+                    return;
+                };
+                let now_ms = util::boot_ms();
+                let news = sidecar.has_due(now_ms)
+                    || sidecar.link != link
+                    || sidecar.ends_stored() != stored;
+                if reports.get() != number || news {
+                    return;
+                }
+            }
+        };
+        let _ = time::timeout(wait, wanted).await;
+    }
+
+    fn orders(&self, name: &str) -> Result<Orders, Refusal> {
+        let now_ms = util::boot_ms();
+        let mut lead = self.inner.lead.borrow_mut();
+        let Some(lead) = lead.as_mut() else { return Err(self.not_leader()) };
+        if lead.confirmed_ms + CONFIRM_MAX_MS < now_ms {
+            // Cut off, perhaps: another instance may lead.
+            return Err(Refusal::NotLeader { leader: None });
+        }
+        let members = self.members();
+        let (term, until_ms) = (lead.term, lead.confirmed_ms + GRANT_MS);
+        let Some(sidecar) = lead.sidecars.get_mut(name) else { return Err(self.not_leader()) };
+        sidecar.granted_until_ms = until_ms;
+        Ok(Orders {
+            term,
+            link: sidecar.link,
+            grant_ms: until_ms.saturating_sub(now_ms),
+            ends_stored: sidecar.ends_stored(),
+            batches: if sidecar.synced { sidecar.due(now_ms) } else { Vec::new() },
+            members,
+        })
+    }
+}
--- /dev/null
+++ b/src/control/jobs/service.rs
@@ -0,0 +1,28 @@
+//! The calls of entries and sidecars.
+
+use tarpc::context::Context;
+
+use super::Coordinator;
+use crate::protocol::wire::queue::{Answer, Call, Orders, Refusal, Report, Service};
+
+/// Serves the calls of one connection.
+#[derive(Clone)]
+pub struct Handler {
+    coordinator: Coordinator,
+}
+
+impl Handler {
+    pub fn new(coordinator: Coordinator) -> Handler {
+        Handler { coordinator }
+    }
+}
+
+impl Service for Handler {
+    async fn call(self, _: Context, call: Call) -> Result<Answer, Refusal> {
+        self.coordinator.call(call).await
+    }
+
+    async fn report(self, _: Context, report: Report) -> Result<Orders, Refusal> {
+        self.coordinator.report(report).await
+    }
+}
--- /dev/null
+++ b/src/control/jobs/sidecar.rs
@@ -0,0 +1,127 @@
+//! Sessions of sidecars with the leader: fences, grants, and orders until they were taken.
+
+use std::{cell::Cell, collections::BTreeSet, net::SocketAddr, rc::Rc};
+
+use tokio::sync::Notify;
+
+use crate::{
+    coordination::schedule::Key,
+    protocol::wire::queue::{Batch, Report, ServerId},
+};
+
+/// Time after which orders are sent again if no report says that they were taken, in ms.
+const RESEND_MS: u64 = 400;
+
+/// What the leader knows of a sidecar.
+#[derive(Debug)]
+pub struct Sidecar {
+    pub session: u64,
+    /// Where entries reach it.
+    pub addr: SocketAddr,
+    pub link: u64,
+    /// Whether all that runs at the server was reported under `link`.
+    pub synced: bool,
+    pub server: Option<(ServerId, Key)>,
+    /// When the last grant ends, on the leader's clock.
+    pub granted_until_ms: u64,
+    /// Wakes the report that waits for orders.
+    pub wake: Rc<Notify>,
+    /// Number of the newest report.
+    pub reports: Rc<Cell<u64>>,
+    batches: Vec<(Batch, u64)>,
+    batch: u64,
+    ends: Ends,
+}
+
+/// Which ends of a server may be acknowledged.
+#[derive(Debug, Default)]
+struct Ends {
+    seen: u64,
+    storing: BTreeSet<u64>,
+}
+
+impl Sidecar {
+    pub fn new(session: u64, addr: SocketAddr, link: u64) -> Sidecar {
+        Sidecar {
+            session,
+            addr,
+            link,
+            synced: false,
+            server: None,
+            granted_until_ms: 0,
+            wake: Rc::default(),
+            reports: Rc::default(),
+            batches: Vec::new(),
+            batch: 0,
+            ends: Ends::default(),
+        }
+    }
+
+    /// Starts anew under a higher link.
+    pub fn reset(&mut self, session: u64, link: u64) {
+        self.session = session;
+        self.link = link;
+        self.synced = false;
+        self.batches.clear();
+        self.batch = 0;
+    }
+
+    /// A new server has a list of ends of its own.
+    pub fn reset_ends(&mut self) {
+        self.ends = Ends::default();
+    }
+
+    /// Whether a report belongs to the present session and server.
+    pub fn knows(&self, report: &Report) -> bool {
+        self.session == report.session
+            && self.server.as_ref().map(|(id, _)| id) == report.server.as_ref().map(|s| &s.id)
+    }
+
+    /// Whether an end is new; it then counts as being stored.
+    pub fn take_end(&mut self, number: u64) -> bool {
+        let new = number > self.ends.seen;
+        if new {
+            self.ends.seen = number;
+            self.ends.storing.insert(number);
+        }
+        new
+    }
+
+    /// An end is stored, or need not be.
+    pub fn stored(&mut self, number: u64) {
+        self.ends.storing.remove(&number);
+    }
+
+    /// Ends up to here may be acknowledged.
+    pub fn ends_stored(&self) -> u64 {
+        self.ends.storing.first().map_or(self.ends.seen, |first| first - 1)
+    }
+
+    /// Forgets batches that were taken.
+    pub fn taken(&mut self, batch: u64) {
+        self.batches.retain(|(b, _)| b.number > batch);
+    }
+
+    pub fn push(&mut self, mut batch: Batch) {
+        self.batch += 1;
+        batch.number = self.batch;
+        self.batches.push((batch, 0));
+    }
+
+    /// Batches to be sent now: new ones, and those that seem to have been lost.
+    pub fn due(&mut self, now_ms: u64) -> Vec<Batch> {
+        let mut due = Vec::new();
+        for (batch, sent_ms) in &mut self.batches {
+            if *sent_ms == 0 || *sent_ms + RESEND_MS <= now_ms {
+                *sent_ms = now_ms.max(1);
+                due.push(batch.clone());
+            }
+        }
+        due
+    }
+
+    /// Whether there are batches to be sent now.
+    pub fn has_due(&self, now_ms: u64) -> bool {
+        self.batches.iter().any(|(_, sent_ms)| *sent_ms == 0 || *sent_ms + RESEND_MS <= now_ms)
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod confirm;
 mod core;
+pub mod jobs;
 mod meter;
 pub mod replica;
 mod service;
--- a/src/control/replica/drive.rs
+++ b/src/control/replica/drive.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    Inner, POLL, Settings,
+    Inner, POLL, Settings, Standing,
     core::{Core, Reply, decode, size},
     peers::Peers,
     role,
@@ -529,6 +529,23 @@
         }
     }
 
+    pub fn standing(&self) -> Standing {
+        let core = self.core.borrow();
+        let instance = &core.instance;
+        if instance.role() != Role::Leader {
+            return Standing::default();
+        }
+        let members = instance.members();
+        let silent = members.iter().map(|m| m.id).filter(|id| !instance.answering(id));
+        let member = |hello: &Hello| members.iter().any(|m| m.id == hello.id);
+        Standing {
+            members: members.len(),
+            voters: members.iter().filter(|m| m.votes).count(),
+            silent: silent.collect(),
+            applicants: instance.applicants().filter(|h| !member(h)).copied().collect(),
+        }
+    }
+
     pub fn hand_over_limit(&self) -> Duration {
         Duration::from_millis(2 * self.settings.timing.election_max_ms)
     }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -24,7 +24,7 @@
         id,
         wire::{
             control::{self, Refusal, VoterChange},
-            peer::{Id, Member},
+            peer::{Hello, Id, Member},
         },
     },
     state::{
@@ -69,6 +69,18 @@
     }
 }
 
+/// Members as the leader sees them.
+#[derive(Debug, Default, Clone)]
+pub struct Standing {
+    /// Members, learners included.
+    pub members: usize,
+    pub voters: usize,
+    /// Members that do not answer.
+    pub silent: Vec<Id>,
+    /// Instances that have introduced themselves and are no members.
+    pub applicants: Vec<Hello>,
+}
+
 /// A replica of the state machine. Cheap to clone; all clones are the same replica.
 #[derive(Clone, Default)]
 pub struct Replica {
@@ -214,6 +226,16 @@
         drive.status(self.inner.applied.get())
     }
 
+    /// Whether this instance belongs to no cluster yet.
+    pub fn blank(&self) -> bool {
+        matches!(self.status().role, control::Role::Blank)
+    }
+
+    /// Members and applicants; empty unless this instance leads.
+    pub fn standing(&self) -> Standing {
+        self.inner.drive.as_ref().map_or_else(Standing::default, Drive::standing)
+    }
+
     /// Before a planned stop: lets another voter lead. Returns once this instance does not lead,
     /// or no other voter has taken over in time.
     pub async fn hand_over(&self) {
--- /dev/null
+++ b/src/coordination/agent.rs
@@ -0,0 +1,523 @@
+//! What a sidecar knows of its backend server, and what runs there for whom.
+//!
+//! Runs are ordered by the leader of the control instances, for jobs that are kept, and by
+//! entries, for jobs that are not. Each of them holds a lease; what it ordered is stopped when that
+//! has ended, so that it knows without an answer when nothing of it runs any more.
+
+mod life;
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use indexmap::IndexMap;
+
+use crate::protocol::{
+    queue::{How, Id, Run},
+    wire::{
+        queue::{Batch, End, NotStarted, Orders, Reason, Report, Server, Start},
+        work::{Ended, Entry, Load},
+    },
+};
+use life::{Attempt, Life, State};
+
+/// Least time left of a lease for a start to be ordered, in ms.
+const START_MARGIN_MS: u64 = 50;
+/// Most tasks that wait for room.
+const QUEUE_MAX: usize = 64;
+
+/// Who ordered a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    Leader,
+    Entry(Entry),
+}
+
+/// What is to be asked of the backend server next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hold {
+    pub fence: u64,
+    /// Ends up to here are acknowledged.
+    pub acknowledged: u64,
+    /// New end of the lease on the server's clock; `None` leaves the lease as it is.
+    pub lease_until_ms: Option<u64>,
+}
+
+/// What a backend server answered.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Held {
+    /// The server's clock.
+    pub clock_ms: u64,
+    pub running: Vec<Run>,
+    pub ends: Vec<End>,
+}
+
+/// Result of an order to start a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    Started,
+    NotStarted(Reason),
+    /// The order may be carried out later.
+    Unknown,
+}
+
+/// What is to be done now.
+#[derive(Debug, Default, PartialEq)]
+pub struct Work {
+    pub starts: Vec<Start>,
+    pub stops: Vec<Run>,
+    /// What became of entries' orders, with the run time in ms.
+    pub verdicts: Vec<(Entry, Run, Ended, u64)>,
+    /// There is something to report to the leader.
+    pub news: bool,
+}
+
+/// State of a sidecar. Times are ms on a steady clock that counts suspended time.
+#[derive(Debug)]
+pub struct Agent {
+    name: String,
+    addr: SocketAddr,
+    session: u64,
+    max_lease_ms: u64,
+    life: Option<Life>,
+    /// Fencing token of this session; 0 before a leader gave one.
+    token: u64,
+    term: u64,
+    /// Number of the leader's view of this sidecar; a new one asks for all that runs.
+    link: u64,
+    granted_until_ms: u64,
+    /// Batches taken.
+    batch: u64,
+    early: BTreeMap<u64, Batch>,
+    not_started: Vec<NotStarted>,
+    /// Ends of the entries' leases.
+    leases: IndexMap<Entry, u64>,
+    stopping: bool,
+    work: Work,
+}
+
+impl Agent {
+    /// `addr` is where entries reach this sidecar.
+    pub fn new(name: String, addr: SocketAddr, session: u64, max_lease_ms: u64) -> Agent {
+        Agent {
+            name,
+            addr,
+            session,
+            max_lease_ms,
+            life: None,
+            token: 0,
+            term: 0,
+            link: 0,
+            granted_until_ms: 0,
+            batch: 0,
+            early: BTreeMap::new(),
+            not_started: Vec::new(),
+            leases: IndexMap::new(),
+            stopping: false,
+            work: Work::default(),
+        }
+    }
+
+    pub fn session(&self) -> u64 {
+        self.session
+    }
+
+    /// What is to be done since the last call.
+    pub fn take_work(&mut self) -> Work {
+        std::mem::take(&mut self.work)
+    }
+
+    /// Takes an announcement of the backend server.
+    pub fn announce(&mut self, now_ms: u64, server: Server, addr: SocketAddr, seq: u64) {
+        match &mut self.life {
+            Some(life) if life.server.id == server.id => {
+                if life.announced(&server, addr, seq) {
+                    self.work.news = true;
+                }
+                self.dispatch(now_ms);
+            }
+            Some(life) if server.id.born_ms < life.server.id.born_ms => {
+                log::info!("event=announcement_outdated server={}", server.id);
+            }
+            _ => {
+                log::info!("event=server server={} service={}", server.id, server.service);
+                self.lose();
+                self.life = Some(Life::new(server, addr, seq));
+                self.work.news = true;
+            }
+        }
+    }
+
+    /// The backend server says that it has left.
+    pub fn leave(&mut self, id: &str) {
+        if self.life.as_ref().is_some_and(|life| life.server.id.id == id) {
+            log::info!("event=server_left server={id}");
+            self.lose();
+            self.work.news = true;
+        }
+    }
+
+    /// Takes no more orders from now on.
+    pub fn drain(&mut self) {
+        self.stopping = true;
+        self.work.news = true;
+    }
+
+    /// Nothing of the present life of the backend server runs any more.
+    fn lose(&mut self) {
+        let Some(life) = self.life.take() else { return };
+        for (run, attempt) in life.attempts {
+            self.tell(run, &attempt, Ended::Lost, 0);
+        }
+    }
+
+    /// Tells an entry what became of its order. The leader learns of it from reports.
+    fn tell(&mut self, run: Run, attempt: &Attempt, end: Ended, took_ms: u64) {
+        match (attempt.source, end) {
+            (Source::Entry(entry), _) => self.work.verdicts.push((entry, run, end, took_ms)),
+            (Source::Leader, Ended::NotStarted(reason)) => {
+                self.not_started.push(NotStarted { run, reason });
+                self.work.news = true;
+            }
+            (Source::Leader, _) => {}
+        }
+    }
+
+    /// The backend server and its address.
+    pub fn server(&self) -> Option<(&Server, SocketAddr)> {
+        self.life.as_ref().map(|life| (&life.server, life.addr))
+    }
+
+    /// Whether runs are there, or may be.
+    pub fn busy(&self) -> bool {
+        self.life.as_ref().is_some_and(|life| !life.attempts.is_empty())
+    }
+
+    /// What the backend server is doing.
+    pub fn load(&self) -> Load {
+        let Some(life) = &self.life else { return Load::default() };
+        Load { open: life.open() && !self.stopping, used: life.used, queued: life.queued() }
+    }
+
+    /// Whether nothing of an earlier session is left at the backend server.
+    pub fn clean(&self) -> bool {
+        self.life.as_ref().is_some_and(|life| life.clean)
+    }
+
+    /// What to ask of the backend server; `None` before a leader gave a fencing token.
+    pub fn hold(&self, now_ms: u64) -> Option<Hold> {
+        let life = self.life.as_ref().filter(|_| self.token > 0)?;
+        Some(Hold {
+            fence: self.token,
+            acknowledged: life.acknowledged(),
+            lease_until_ms: life.lease(now_ms, self.max_lease_ms),
+        })
+    }
+
+    /// Takes the backend server's answer to a hold that was sent at `sent_ms`.
+    pub fn held(&mut self, sent_ms: u64, now_ms: u64, hold: &Hold, held: Held) {
+        let Some(life) = &mut self.life else { return };
+        life.read_clock(held.clock_ms, now_ms);
+        if hold.lease_until_ms.is_some() {
+            life.leased(now_ms, self.max_lease_ms);
+        }
+        if std::mem::take(&mut life.unreachable) {
+            log::info!("event=server_reachable server={}", life.server.id);
+            self.work.news = true;
+        }
+        for end in held.ends {
+            self.ended(now_ms, end);
+        }
+        self.seen(sent_ms, now_ms, &held.running);
+        self.dispatch(now_ms);
+    }
+
+    /// Takes an end from the backend server's list.
+    fn ended(&mut self, now_ms: u64, end: End) {
+        let Some(life) = &mut self.life else { return };
+        if !life.new_end(end.number) {
+            return;
+        }
+        let attempt = end.run.and_then(|run| Some((run, life.remove(&run)?)));
+        let for_leader = attempt.as_ref().is_none_or(|(_, a)| a.source == Source::Leader);
+        if for_leader {
+            life.ends.insert(end.number, end.clone());
+            self.work.news = true;
+        }
+        if let Some((run, attempt)) = attempt {
+            let how = match end.how {
+                How::Done => Ended::Done,
+                How::Failed => Ended::Failed,
+                How::Stopped => Ended::Stopped,
+            };
+            self.tell(run, &attempt, how, now_ms.saturating_sub(attempt.ordered_ms));
+        }
+    }
+
+    /// Compares what runs with what was ordered.
+    fn seen(&mut self, sent_ms: u64, now_ms: u64, running: &[Run]) {
+        let Some(life) = &mut self.life else { return };
+        let mut foreign = 0;
+        for run in running {
+            match life.attempts.get_mut(run) {
+                Some(attempt) => attempt.seen(now_ms),
+                None => {
+                    foreign += 1;
+                    // Of an earlier session, whose orders nobody waits for any more.
+                    if life.stop_foreign(now_ms, *run) {
+                        log::info!("event=run_not_wanted run={run}");
+                        self.work.stops.push(*run);
+                    }
+                }
+            }
+        }
+        if foreign == 0 && !life.clean {
+            life.clean = true;
+            self.work.news = true;
+        }
+        let barred: Vec<Run> = life.barred(sent_ms, running);
+        for run in barred {
+            if let Some(attempt) = self.life.as_mut().and_then(|life| life.remove(&run)) {
+                self.tell(run, &attempt, Ended::NotStarted(Reason::NoAnswer), 0);
+            }
+        }
+    }
+
+    /// The backend server did not answer a hold; `refused` if nothing listens at its address.
+    pub fn silent(&mut self, now_ms: u64, refused: bool) {
+        let Some(life) = &mut self.life else { return };
+        if !life.lapsed(now_ms, refused) {
+            return;
+        }
+        log::warn!("event=server_unreachable server={} refused={refused}", life.server.id);
+        let attempts = life.reset();
+        for (run, attempt) in attempts {
+            self.tell(run, &attempt, Ended::Lost, 0);
+        }
+        self.work.news = true;
+    }
+
+    /// Renews an entry's lease, which ends at `until_ms`.
+    pub fn renew(&mut self, entry: Entry, until_ms: u64) {
+        let lease = self.leases.entry(entry).or_insert(0);
+        *lease = until_ms.max(*lease);
+    }
+
+    /// Stops what was ordered by those whose leases have ended.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.leases.retain(|_, until_ms| *until_ms > now_ms);
+        let Some(life) = &self.life else { return };
+        let ended = |attempt: &Attempt| match attempt.source {
+            Source::Entry(entry) => !self.leases.contains_key(&entry),
+            Source::Leader => self.granted_until_ms <= now_ms,
+        };
+        let runs: Vec<Run> =
+            life.attempts.iter().filter(|(_, a)| ended(a)).map(|(run, _)| *run).collect();
+        for run in runs {
+            self.stop(run);
+        }
+        self.dispatch(now_ms);
+    }
+
+    /// Takes an entry's order.
+    pub fn order(&mut self, now_ms: u64, source: Source, start: Start, due_ms: u64, until_ms: u64) {
+        let run = start.run;
+        let attempt = Attempt::new(source, start, due_ms, until_ms);
+        let refusal = match &self.life {
+            None => Some(Reason::Unavailable),
+            Some(life) if !life.open() || self.stopping => Some(Reason::Unavailable),
+            Some(life) if life.attempts.contains_key(&run) => Some(Reason::Late),
+            Some(life) if life.waiting() >= QUEUE_MAX => Some(Reason::Room),
+            Some(_) if self.lease_left(now_ms, source) < START_MARGIN_MS => Some(Reason::Late),
+            Some(_) => None,
+        };
+        if let Some(reason) = refusal {
+            return self.tell(run, &attempt, Ended::NotStarted(reason), 0);
+        }
+        if let Some(life) = &mut self.life {
+            life.attempts.insert(run, attempt);
+        }
+        self.dispatch(now_ms);
+    }
+
+    fn lease_left(&self, now_ms: u64, source: Source) -> u64 {
+        let until_ms = match source {
+            Source::Leader => self.granted_until_ms,
+            Source::Entry(entry) => self.leases.get(&entry).copied().unwrap_or(0),
+        };
+        until_ms.saturating_sub(now_ms)
+    }
+
+    /// Starts what waits and has room, the most urgent first; refuses what has waited too long.
+    fn dispatch(&mut self, now_ms: u64) {
+        let Some(life) = &mut self.life else { return };
+        let open = life.open() && !self.stopping;
+        for run in life.queue() {
+            let attempt = &life.attempts[&run];
+            let (needs, until_ms) = (attempt.start.needs, attempt.until_ms);
+            let reason = if !open {
+                Reason::Unavailable
+            } else if life.has_room(&needs) {
+                if let Some(start) = life.begin(now_ms, &run) {
+                    self.work.starts.push(start);
+                }
+                continue;
+            } else if until_ms <= now_ms {
+                Reason::Room
+            } else {
+                continue;
+            };
+            if let Some(attempt) = life.remove(&run) {
+                match attempt.source {
+                    Source::Entry(entry) => {
+                        let end = Ended::NotStarted(reason);
+                        self.work.verdicts.push((entry, run, end, 0));
+                    }
+                    Source::Leader => {
+                        self.not_started.push(NotStarted { run, reason });
+                        self.work.news = true;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes the result of an order to start.
+    pub fn begun(&mut self, now_ms: u64, run: Run, outcome: Outcome) {
+        let Some(life) = &mut self.life else { return };
+        let Some(attempt) = life.attempts.get_mut(&run) else { return };
+        match outcome {
+            Outcome::Started => attempt.seen(now_ms),
+            Outcome::NotStarted(reason) => {
+                if let Some(attempt) = life.remove(&run) {
+                    self.tell(run, &attempt, Ended::NotStarted(reason), 0);
+                }
+                self.dispatch(now_ms);
+            }
+            Outcome::Unknown if attempt.state == State::Running => {}
+            Outcome::Unknown => {
+                attempt.state = State::Unsure;
+                self.work.stops.push(run);
+            }
+        }
+    }
+
+    /// Orders a run to end; one that waits is refused at once.
+    pub fn stop(&mut self, run: Run) {
+        let Some(life) = &mut self.life else { return };
+        let Some(attempt) = life.attempts.get_mut(&run) else { return };
+        if attempt.state == State::Waiting {
+            if let Some(attempt) = life.remove(&run) {
+                self.tell(run, &attempt, Ended::NotStarted(Reason::Late), 0);
+            }
+        } else if !std::mem::replace(&mut attempt.stopping, true) {
+            self.work.stops.push(run);
+        }
+    }
+
+    /// Orders a run to end, if `source` ordered it.
+    pub fn stop_for(&mut self, source: Source, run: Run) {
+        let ordered = self.life.as_ref().and_then(|life| life.attempts.get(&run));
+        if ordered.is_some_and(|attempt| attempt.source == source) {
+            self.stop(run);
+        }
+    }
+
+    /// Stops the runs of a job. Answers whether there were any.
+    pub fn cancel(&mut self, job: Id) -> bool {
+        let Some(life) = &self.life else { return false };
+        let runs: Vec<Run> =
+            life.attempts.keys().filter(|run| run.task.job == job).copied().collect();
+        for run in &runs {
+            self.stop(*run);
+        }
+        !runs.is_empty()
+    }
+
+    /// Whether an order to stop has not been confirmed and still matters.
+    pub fn stop_due(&self, run: Run) -> bool {
+        self.life.as_ref().is_some_and(|life| life.stop_due(&run))
+    }
+
+    /// The backend server has confirmed a stop: a run that is not there will not start.
+    pub fn stopped(&mut self, now_ms: u64, run: Run) {
+        if let Some(attempt) = self.life.as_mut().and_then(|life| life.attempts.get_mut(&run)) {
+            attempt.state = State::Barred { at_ms: now_ms };
+        }
+    }
+
+    /// What to tell the leader.
+    pub fn report(&self, wait_ms: u64) -> Report {
+        let life = self.life.as_ref().filter(|life| !life.unreachable);
+        let describe = |life: &Life| Server {
+            draining: life.server.draining || self.stopping,
+            ..life.server.clone()
+        };
+        let linked = life.filter(|life| life.clean);
+        Report {
+            sidecar: self.name.clone(),
+            addr: self.addr,
+            session: self.session,
+            server: life.map(describe),
+            link: self.link,
+            running: linked.filter(|life| life.linked != self.link).map(Life::of_leader),
+            ends: linked.map_or_else(Vec::new, |life| life.ends.values().cloned().collect()),
+            not_started: self.not_started.clone(),
+            batch: self.batch,
+            wait_ms,
+        }
+    }
+
+    /// Takes the answer to a report that was sent at `sent_ms`.
+    pub fn ordered(&mut self, now_ms: u64, sent_ms: u64, report: &Report, orders: Orders) {
+        if orders.term < self.term || orders.link < self.link {
+            log::info!("event=orders_outdated term={} known={}", orders.term, self.term);
+            return;
+        }
+        self.term = orders.term;
+        self.granted_until_ms = self.granted_until_ms.max(sent_ms + orders.grant_ms);
+        if self.token == 0 {
+            self.token = orders.link;
+            log::info!("event=fence token={}", self.token);
+        }
+        if orders.link > self.link {
+            self.link = orders.link;
+            self.batch = 0;
+            self.early.clear();
+            self.not_started.clear();
+            self.work.news |= self.clean();
+            return;
+        }
+        let Some(life) = &mut self.life else { return };
+        if report.server.as_ref().map(|s| &s.id) != Some(&life.server.id)
+            || report.link != self.link
+        {
+            return;
+        }
+        if report.running.is_some() {
+            life.linked = self.link;
+        }
+        life.stored(orders.ends_stored);
+        self.not_started.retain(|not| !report.not_started.contains(not));
+        self.early.extend(orders.batches.into_iter().map(|batch| (batch.number, batch)));
+        self.take_batches(now_ms);
+    }
+
+    /// Takes batches in their order; answers on one connection may overtake each other.
+    fn take_batches(&mut self, now_ms: u64) {
+        while let Some(entry) = self.early.first_entry() {
+            if *entry.key() > self.batch + 1 {
+                break;
+            }
+            let batch = entry.remove();
+            if batch.number <= self.batch {
+                continue;
+            }
+            self.batch = batch.number;
+            for start in batch.starts {
+                self.order(now_ms, Source::Leader, start, now_ms, now_ms);
+            }
+            for run in batch.stops {
+                self.stop(run);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/agent/life.rs
@@ -0,0 +1,264 @@
+//! One life of the backend server: clock, lease, what runs, and what has ended.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use indexmap::IndexMap;
+
+use super::Source;
+use crate::protocol::{
+    queue::{Resources, Run},
+    wire::queue::{End, Server, Start},
+};
+
+/// Rate of the slowest clock that a backend server may have, against this one.
+const CLOCK_SLOWEST: f64 = 0.98;
+/// Time after the end of a lease before a silent backend server counts as lost, in ms.
+const LAPSE_SLACK_MS: u64 = 100;
+/// Refused connections in a row after which a backend server counts as lost.
+const REFUSALS_MAX: u32 = 2;
+/// Pause before a run of an earlier session is ordered to stop again, in ms.
+const FOREIGN_STOP_MS: u64 = 300;
+
+/// Where a run stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum State {
+    /// It waits for room.
+    Waiting,
+    /// The order is under way.
+    Sent,
+    Running,
+    /// The order had no answer: it must be stopped before it counts as not started.
+    Unsure,
+    /// The backend server has confirmed that the run ends, or cannot start from now on.
+    Barred {
+        at_ms: u64,
+    },
+}
+
+/// A run that was ordered.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub source: Source,
+    pub start: Start,
+    pub due_ms: u64,
+    /// Until when it may wait for room.
+    pub until_ms: u64,
+    pub state: State,
+    pub stopping: bool,
+    /// When the start was ordered at the backend server.
+    pub ordered_ms: u64,
+}
+
+impl Attempt {
+    pub fn new(source: Source, start: Start, due_ms: u64, until_ms: u64) -> Attempt {
+        Attempt {
+            source,
+            start,
+            due_ms,
+            until_ms,
+            state: State::Waiting,
+            stopping: false,
+            ordered_ms: 0,
+        }
+    }
+
+    /// It is known to be at work.
+    pub fn seen(&mut self, _now_ms: u64) {
+        if matches!(self.state, State::Sent | State::Unsure) {
+            self.state = State::Running;
+        }
+    }
+}
+
+/// One life of the backend server.
+#[derive(Debug)]
+pub(super) struct Life {
+    pub server: Server,
+    pub addr: SocketAddr,
+    seq: u64,
+    /// The server's clock and when it was read.
+    clock: Option<(u64, u64)>,
+    /// When the last lease ends at the latest.
+    lease_until_ms: u64,
+    refusals: u32,
+    pub unreachable: bool,
+    /// Whether nothing of an earlier session is left.
+    pub clean: bool,
+    /// The leader's view to which all that runs was reported.
+    pub linked: u64,
+    pub attempts: IndexMap<Run, Attempt>,
+    pub used: Resources,
+    foreign: IndexMap<Run, u64>,
+    /// Ends that the leader has not stored yet.
+    pub ends: BTreeMap<u64, End>,
+    newest_end: u64,
+}
+
+impl Life {
+    pub fn new(server: Server, addr: SocketAddr, seq: u64) -> Life {
+        Life {
+            server,
+            addr,
+            seq,
+            clock: None,
+            lease_until_ms: 0,
+            refusals: 0,
+            unreachable: false,
+            clean: false,
+            linked: 0,
+            attempts: IndexMap::new(),
+            used: Resources::default(),
+            foreign: IndexMap::new(),
+            ends: BTreeMap::new(),
+            newest_end: 0,
+        }
+    }
+
+    /// Takes a further announcement of this life. Returns whether something has changed.
+    pub fn announced(&mut self, server: &Server, addr: SocketAddr, seq: u64) -> bool {
+        if seq <= self.seq {
+            log::info!("event=announcement_outdated server={} seq={seq}", server.id);
+            return false;
+        }
+        self.seq = seq;
+        self.addr = addr;
+        let changed = self.server != *server;
+        self.server = server.clone();
+        changed
+    }
+
+    /// Whether tasks may start.
+    pub fn open(&self) -> bool {
+        self.clean && !self.unreachable && !self.server.draining
+    }
+
+    pub fn read_clock(&mut self, clock_ms: u64, now_ms: u64) {
+        self.clock = Some((clock_ms, now_ms));
+        self.refusals = 0;
+    }
+
+    /// End of a new lease of `lease_ms` on the server's clock, if that is known.
+    pub fn lease(&self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+        let (clock_ms, read_ms) = self.clock?;
+        let since_ms = now_ms.saturating_sub(read_ms) as f64 * CLOCK_SLOWEST;
+        Some(clock_ms + since_ms as u64 + lease_ms)
+    }
+
+    /// A lease was granted.
+    pub fn leased(&mut self, now_ms: u64, lease_ms: u64) {
+        self.lease_until_ms = now_ms + (lease_ms as f64 / CLOCK_SLOWEST) as u64;
+    }
+
+    /// Whether a silent server counts as lost from now on: its leases have ended, or it is gone.
+    pub fn lapsed(&mut self, now_ms: u64, refused: bool) -> bool {
+        self.refusals = if refused { self.refusals + 1 } else { 0 };
+        let gone = self.refusals >= REFUSALS_MAX;
+        !self.unreachable && (gone || now_ms >= self.lease_until_ms + LAPSE_SLACK_MS)
+    }
+
+    /// Forgets all that ran; the server is lost for now.
+    pub fn reset(&mut self) -> IndexMap<Run, Attempt> {
+        self.unreachable = true;
+        self.clean = false;
+        self.linked = 0;
+        self.used = Resources::default();
+        std::mem::take(&mut self.attempts)
+    }
+
+    pub fn has_room(&self, needs: &Resources) -> bool {
+        let mut used = self.used;
+        used.add(needs);
+        self.server.capacity.fits(&used)
+    }
+
+    /// Tasks that wait for room, the most urgent first.
+    pub fn queue(&self) -> Vec<Run> {
+        let waiting = self.attempts.iter().filter(|(_, a)| a.state == State::Waiting);
+        let mut queue: Vec<(u64, Run)> = waiting.map(|(run, a)| (a.due_ms, *run)).collect();
+        queue.sort_unstable();
+        queue.into_iter().map(|(_, run)| run).collect()
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.attempts.values().filter(|a| a.state == State::Waiting).count()
+    }
+
+    /// Resources of what waits for room.
+    pub fn queued(&self) -> Resources {
+        let mut queued = Resources::default();
+        let waiting = self.attempts.values().filter(|a| a.state == State::Waiting);
+        waiting.for_each(|attempt| queued.add(&attempt.start.needs));
+        queued
+    }
+
+    /// Takes the resources of a waiting run, which is to be started now.
+    pub fn begin(&mut self, now_ms: u64, run: &Run) -> Option<Start> {
+        let attempt = self.attempts.get_mut(run)?;
+        attempt.state = State::Sent;
+        attempt.ordered_ms = now_ms;
+        self.used.add(&attempt.start.needs);
+        Some(attempt.start.clone())
+    }
+
+    /// Forgets a run and frees its resources.
+    pub fn remove(&mut self, run: &Run) -> Option<Attempt> {
+        let attempt = self.attempts.swap_remove(run)?;
+        if attempt.state != State::Waiting {
+            self.used.sub(&attempt.start.needs);
+        }
+        Some(attempt)
+    }
+
+    /// Whether an end has not been seen before.
+    pub fn new_end(&mut self, number: u64) -> bool {
+        let new = number > self.newest_end;
+        self.newest_end = self.newest_end.max(number);
+        new
+    }
+
+    /// Ends up to here need not be listed again.
+    pub fn acknowledged(&self) -> u64 {
+        self.ends.keys().next().map_or(self.newest_end, |first| first - 1)
+    }
+
+    /// The leader has stored ends up to `number`.
+    pub fn stored(&mut self, number: u64) {
+        self.ends.retain(|end, _| *end > number);
+    }
+
+    /// Runs that the leader ordered.
+    pub fn of_leader(&self) -> Vec<Run> {
+        let of_leader = |(_, attempt): &(&Run, &Attempt)| attempt.source == Source::Leader;
+        self.attempts.iter().filter(of_leader).map(|(run, _)| *run).collect()
+    }
+
+    /// Whether a run of an earlier session is to be ordered to stop now.
+    pub fn stop_foreign(&mut self, now_ms: u64, run: Run) -> bool {
+        let at_ms = self.foreign.entry(run).or_insert(0);
+        let due = *at_ms == 0 || *at_ms + FOREIGN_STOP_MS <= now_ms;
+        if due {
+            *at_ms = now_ms;
+        }
+        due
+    }
+
+    /// Whether an order to stop a run still matters.
+    pub fn stop_due(&self, run: &Run) -> bool {
+        match self.attempts.get(run) {
+            Some(attempt) => {
+                !matches!(attempt.state, State::Barred { .. })
+                    && (attempt.stopping || attempt.state == State::Unsure)
+            }
+            None => false,
+        }
+    }
+
+    /// Runs that neither run nor can start, by an answer to a hold that was sent at `sent_ms`.
+    pub fn barred(&self, sent_ms: u64, running: &[Run]) -> Vec<Run> {
+        let barred = |run: &Run, attempt: &Attempt| {
+            matches!(attempt.state, State::Barred { at_ms } if at_ms <= sent_ms)
+                && !running.contains(run)
+        };
+        self.attempts.iter().filter(|(run, a)| barred(run, a)).map(|(run, _)| *run).collect()
+    }
+}
--- a/src/coordination/consensus/leader.rs
+++ b/src/coordination/consensus/leader.rs
@@ -92,7 +92,7 @@
     }
 
     /// Whether a member has answered within an election timeout.
-    pub(super) fn answering(&self, id: &Id) -> bool {
+    pub fn answering(&self, id: &Id) -> bool {
         let limit = self.timing.election_max_ms;
         *id == self.id
             || self.progress.get(id).is_some_and(|p| !p.lost && self.now < p.answered_at + limit)
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,6 @@
 //! Pure decision code: time and randomness are arguments, messages go in, decisions come out.
 
+pub mod agent;
 pub mod consensus;
 pub mod dispatch;
 pub mod health;
@@ -11,6 +12,8 @@
 pub mod quota;
 pub mod retry;
 pub mod route;
+pub mod schedule;
 pub mod session;
 pub mod slot;
 pub mod speed;
+pub mod spread;
--- /dev/null
+++ b/src/coordination/spread.rs
@@ -0,0 +1,323 @@
+//! Which task of an entry's jobs starts next, and at which backend server.
+//!
+//! An entry runs the jobs that need not be kept. It binds a task to a server only when that server
+//! seems to have room. Other entries share the servers, so a server's room is what its sidecar last
+//! told, less what this entry has ordered since.
+
+mod server;
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+
+use indexmap::IndexMap;
+use slab::Slab;
+
+use crate::protocol::{
+    queue::{self, Id, Phase, Queue, Resources, Run, Step, Task},
+    wire::{
+        queue::{Reason, Sidecar, Start},
+        work::{Ended, Load, Verdict},
+    },
+};
+use server::Server;
+
+/// Ready tasks that may find no place before the rest is not tried.
+const MISSES_MAX: usize = 16;
+/// Added to the number of a run after one that the backend server found outdated.
+const NUMBER_STEP: u32 = 16;
+/// How long a task may wait at a sidecar for room, in ms.
+const ROOM_WAIT_MS: u64 = 150;
+
+/// A backend server known to a spread.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(usize);
+
+/// Order in which ready tasks start: by the latest start at which the job would be on time.
+type Rank = (u64, Task);
+
+/// A task's state.
+#[derive(Debug, Default)]
+struct Progress {
+    done: bool,
+    failed: u32,
+    number: u32,
+    at: Option<(Run, Key)>,
+}
+
+#[derive(Debug)]
+struct Job {
+    job: Arc<queue::Job>,
+    spec: Arc<str>,
+    service: String,
+    max_attempts: u32,
+    due_ms: u64,
+    tasks: Vec<Progress>,
+    released: Vec<bool>,
+    left: usize,
+    started: bool,
+}
+
+/// An order for a sidecar.
+#[derive(Debug, PartialEq)]
+pub struct Order {
+    pub server: Key,
+    pub start: Start,
+    pub due_ms: u64,
+    pub wait_ms: u64,
+}
+
+/// What is to be done now.
+#[derive(Debug, Default, PartialEq)]
+pub struct Work {
+    pub orders: Vec<Order>,
+    pub stops: Vec<(Key, Run)>,
+    pub closed: Vec<(Id, Phase)>,
+}
+
+/// Decides about starts. Times are ms on one steady clock.
+#[derive(Debug, Default)]
+pub struct Spread {
+    servers: Slab<Server>,
+    jobs: IndexMap<Id, Job>,
+    ready: BTreeSet<Rank>,
+    work: Work,
+}
+
+impl Spread {
+    /// What is to be done since the last call.
+    pub fn take_work(&mut self) -> Work {
+        std::mem::take(&mut self.work)
+    }
+
+    /// Takes a sidecar's description; a new one has no open link yet.
+    pub fn describe(&mut self, sidecar: Sidecar) -> Key {
+        let known = self.servers.iter().find(|(_, s)| s.sidecar.name == sidecar.name);
+        let key = known.map(|(key, _)| key);
+        match key {
+            Some(key) => {
+                self.servers[key].describe(sidecar);
+                Key(key)
+            }
+            None => Key(self.servers.insert(Server::new(sidecar))),
+        }
+    }
+
+    /// Where a sidecar is.
+    pub fn addr(&self, key: Key) -> SocketAddr {
+        self.servers[key.0].sidecar.addr
+    }
+
+    /// All sidecars, by name.
+    pub fn servers(&self) -> impl Iterator<Item = (&str, Key)> {
+        self.servers.iter().map(|(key, server)| (server.sidecar.name.as_str(), Key(key)))
+    }
+
+    /// Orders that wait for their end at a server.
+    pub fn outstanding(&self, key: Key) -> usize {
+        self.servers[key.0].outstanding()
+    }
+
+    /// A link to a sidecar has been opened.
+    pub fn link_up(&mut self, key: Key) {
+        self.servers[key.0].up = true;
+    }
+
+    /// A link to a sidecar has broken: nothing is ordered there.
+    pub fn link_down(&mut self, key: Key) {
+        self.servers[key.0].up = false;
+    }
+
+    /// Takes a sidecar's word on its load.
+    pub fn loaded(&mut self, now_ms: u64, key: Key, load: &Load) {
+        self.servers[key.0].loaded(load);
+        self.assign(now_ms);
+    }
+
+    /// Whether a job is known.
+    pub fn knows(&self, id: Id) -> bool {
+        self.jobs.contains_key(&id)
+    }
+
+    /// Whether a task of a job has been ordered.
+    pub fn started(&self, id: Id) -> bool {
+        self.jobs.get(&id).is_some_and(|job| job.started)
+    }
+
+    /// Tasks that wait to be ordered.
+    pub fn waiting(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Takes a job.
+    pub fn submit(&mut self, now_ms: u64, id: Id, queue: &Queue, job: queue::Job) {
+        let target_ms =
+            job.chain_ms() * u64::from(queue.slo_factor_milli) / 1_000 + u64::from(queue.slo_ms);
+        let tasks: Vec<Progress> = (0..job.tasks()).map(|_| Progress::default()).collect();
+        let entry = Job {
+            spec: Arc::from(job.spec.as_str()),
+            service: queue.service.clone(),
+            max_attempts: queue.max_attempts.max(1),
+            due_ms: now_ms + target_ms.saturating_sub(job.chain_ms()),
+            released: vec![false; job.steps.len()],
+            left: tasks.len(),
+            tasks,
+            started: false,
+            job: Arc::new(job),
+        };
+        self.jobs.insert(id, entry);
+        self.release(id);
+        self.assign(now_ms);
+    }
+
+    /// Makes the tasks of steps ready whose turn has come.
+    fn release(&mut self, id: Id) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let steps = job.job.clone();
+        for (number, step) in steps.steps.iter().enumerate() {
+            let ready = step.after.iter().all(|after| job.step_done(usize::from(*after)));
+            if job.released[number] || !ready {
+                continue;
+            }
+            job.released[number] = true;
+            for index in 0..step.tasks {
+                self.ready.insert((job.due_ms, Task { job: id, step: number as u16, index }));
+            }
+        }
+    }
+
+    /// Gives a job up: what waits is forgotten, what runs is stopped.
+    pub fn cancel(&mut self, id: Id) -> bool {
+        let Some(job) = self.jobs.swap_remove(&id) else { return false };
+        self.ready.retain(|(_, task)| task.job != id);
+        for task in &job.tasks {
+            if let Some((run, key)) = task.at {
+                self.work.stops.push((key, run));
+            }
+        }
+        true
+    }
+
+    /// An order has ended. `None`: nothing is known, and nothing of it runs any more.
+    pub fn ended(&mut self, now_ms: u64, key: Key, run: Run, verdict: Option<&Verdict>) {
+        let end = verdict.map_or(Ended::Lost, |verdict| verdict.end);
+        let server = &mut self.servers[key.0];
+        let estimate_ms = self.jobs.get(&run.task.job).map_or(0, |job| job.estimate_ms(run.task));
+        server.ended(&run);
+        if let Some(verdict) = verdict {
+            server.loaded(&verdict.load);
+            server.learn(now_ms, end, verdict.took_ms, estimate_ms);
+        }
+        self.settle(run, end);
+        self.assign(now_ms);
+    }
+
+    fn settle(&mut self, run: Run, end: Ended) {
+        let id = run.task.job;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(position) = job.job.position(run.task) else { return };
+        let task = &mut job.tasks[position];
+        task.at = None;
+        match end {
+            Ended::Done => {
+                task.done = true;
+                job.left -= 1;
+                if job.left == 0 {
+                    self.jobs.swap_remove(&id);
+                    self.work.closed.push((id, Phase::Completed));
+                } else {
+                    self.release(id);
+                }
+                return;
+            }
+            Ended::Failed => {
+                task.failed += 1;
+                if task.failed >= job.max_attempts {
+                    self.cancel(id);
+                    self.work.closed.push((id, Phase::Failed));
+                    return;
+                }
+            }
+            Ended::NotStarted(Reason::Late) => task.number += NUMBER_STEP,
+            Ended::Stopped | Ended::Lost | Ended::NotStarted(_) => {}
+        }
+        self.ready.insert((job.due_ms, run.task));
+    }
+
+    /// Orders ready tasks at servers that seem to have room.
+    pub fn assign(&mut self, now_ms: u64) {
+        let mut misses = 0;
+        let mut from = None;
+        while misses < MISSES_MAX {
+            let next = match from {
+                None => self.ready.first().copied(),
+                Some(rank) => {
+                    let after = (std::ops::Bound::Excluded(rank), std::ops::Bound::Unbounded);
+                    self.ready.range(after).next().copied()
+                }
+            };
+            let Some(rank) = next else { return };
+            from = Some(rank);
+            if !self.place(now_ms, rank) {
+                misses += 1;
+            }
+        }
+    }
+
+    fn place(&mut self, now_ms: u64, rank: Rank) -> bool {
+        let (due_ms, task) = rank;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            self.ready.remove(&rank);
+            return true;
+        };
+        let steps = job.job.clone();
+        let step = &steps.steps[usize::from(task.step)];
+        let Some(key) = choose(&self.servers, now_ms, &job.service, task, step) else {
+            return false;
+        };
+        let Some(position) = steps.position(task) else { return true };
+        self.ready.remove(&rank);
+        let progress = &mut job.tasks[position];
+        progress.number += 1;
+        let run = Run { task, number: progress.number };
+        progress.at = Some((run, key));
+        job.started = true;
+        let start = Start { run, needs: step.needs, spec: job.spec.clone() };
+        self.servers[key.0].ordered(run, step.needs);
+        self.work.orders.push(Order { server: key, start, due_ms, wait_ms: ROOM_WAIT_MS });
+        true
+    }
+
+    /// Resources that all servers of a service have together.
+    pub fn capacity(&self, service: &str) -> Resources {
+        let mut capacity = Resources::default();
+        let servers = self.servers.iter().map(|(_, server)| &server.sidecar.server);
+        servers.filter(|s| s.service == service).for_each(|s| capacity.add(&s.capacity));
+        capacity
+    }
+}
+
+/// The server at which the task would end first.
+fn choose(
+    servers: &Slab<Server>,
+    now_ms: u64,
+    service: &str,
+    task: Task,
+    step: &Step,
+) -> Option<Key> {
+    servers
+        .iter()
+        .filter(|(_, server)| server.takes(now_ms, service, task, step))
+        .min_by(|(_, a), (_, b)| a.cost(step).total_cmp(&b.cost(step)))
+        .map(|(key, _)| Key(key))
+}
+
+impl Job {
+    fn step_done(&self, step: usize) -> bool {
+        let before: usize = self.job.steps[..step].iter().map(|s| usize::from(s.tasks)).sum();
+        let tasks = usize::from(self.job.steps[step].tasks);
+        self.tasks[before..before + tasks].iter().all(|task| task.done)
+    }
+
+    fn estimate_ms(&self, task: Task) -> u32 {
+        self.job.steps.get(usize::from(task.step)).map_or(0, |step| step.estimate_ms)
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The shared main of the daemons: settings, log, signals, graceful stop.
 
-use std::{env, future::Future, net::SocketAddr, path::Path, process::ExitCode, time::Duration};
+use std::{env, future::Future, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 
 use getopts::Options;
 
@@ -12,6 +12,8 @@
 
 /// Exit code after a stop that cut work off, or a failure while running.
 const EXIT_FAILED: u8 = 1;
+/// Environment variable that names the settings file, unless an option does.
+const SETTINGS_VARIABLE: &str = "BRIARGAUGE_SETTINGS";
 /// Exit code for a wrong command line or wrong settings.
 const EXIT_USAGE: u8 = 2;
 
@@ -80,7 +82,8 @@
 
 fn settings<P: Process>() -> Result<Option<P::Settings>> {
     let mut options = Options::new();
-    options.reqopt("s", "settings", "settings file: JSON with comments", "FILE");
+    let help = format!("settings file: JSON with comments (default: ${SETTINGS_VARIABLE})");
+    options.optopt("s", "settings", &help, "FILE");
     options.optflag("h", "help", "print this text");
     options.optflag("", "check", "check the settings file and exit");
     let args: Vec<String> = env::args().skip(1).collect();
@@ -92,11 +95,16 @@
     let matches = options
         .parse(&args)
         .map_err(|e| error::UsageSnafu { reason: format!("{e}\n{usage}") }.build())?;
-    let path = matches.opt_str("settings").unwrap_or_default();
-    let settings = config::load(Path::new(&path))?;
+    let path = settings_path(matches.opt_str("settings"), &usage)?;
+    let settings = config::load(&path)?;
     Ok((!matches.opt_present("check")).then_some(settings))
 }
 
+fn settings_path(option: Option<String>, usage: &str) -> Result<PathBuf> {
+    let path = option.map(PathBuf::from).or_else(|| env::var_os(SETTINGS_VARIABLE).map(Into::into));
+    path.ok_or_else(|| error::UsageSnafu { reason: format!("no settings file\n{usage}") }.build())
+}
+
 async fn run<P: Process>(settings: P::Settings) -> Result<usize> {
     let mut signals = signal::Stop::new().map_err(|source| error::Error::File {
         step: "signals",
--- /dev/null
+++ b/src/entry/jobs/call.rs
@@ -0,0 +1,109 @@
+//! Callers' calls.
+
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::Entry;
+use crate::{
+    leader::Failure,
+    protocol::{
+        queue::{Id, Job, Phase},
+        wire::queue::{Answer, Call},
+    },
+    util,
+};
+
+/// Time that callers wait, if they do not say.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+/// Part of a caller's deadline kept for the way back.
+const RETURN_TIME: Duration = Duration::from_millis(150);
+
+/// How a job that need not be kept has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    Phase(Phase),
+    /// No such queue.
+    NoQueue,
+    /// The path names no job.
+    NoJob,
+    /// Nothing ran: there is no configuration yet.
+    NotReady,
+}
+
+/// Gives a job up when its caller has left.
+struct Guard {
+    entry: Entry,
+    id: Id,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let waits = |waiters: &mut Vec<oneshot::Sender<Phase>>| {
+            waiters.retain(|waiter| !waiter.is_closed());
+            !waiters.is_empty()
+        };
+        let inner = &self.entry.inner;
+        let wanted = inner.waiters.borrow_mut().get_mut(&self.id).is_some_and(waits);
+        if wanted {
+            return;
+        }
+        inner.waiters.borrow_mut().swap_remove(&self.id);
+        if inner.spread.borrow_mut().cancel(self.id) {
+            log::info!("event=caller_left job={}", self.id);
+            self.entry.carry_out();
+        }
+    }
+}
+
+impl Entry {
+    /// Passes a call to the leader. `deadline` is the time for which the caller waits.
+    pub async fn call(&self, call: Call, deadline: Option<Duration>) -> Result<Answer, Failure> {
+        let limit = deadline.unwrap_or(DEADLINE).saturating_sub(RETURN_TIME);
+        self.inner.leader.call(call, limit).await
+    }
+
+    /// Runs a job that need not be kept, and returns when it has ended. Dropping the future gives
+    /// the job up.
+    pub async fn run_job(&self, host: &str, path: &str, job: Job) -> Ended {
+        let Some(config) = self.inner.config.borrow().clone() else { return Ended::NotReady };
+        let Some((queue, rest)) = config.route(host, path) else { return Ended::NoQueue };
+        let Some(id) = Id::parse(rest) else { return Ended::NoJob };
+        let (waiter, ended) = oneshot::channel();
+        self.inner.waiters.borrow_mut().entry(id).or_default().push(waiter);
+        if !self.inner.spread.borrow().knows(id) {
+            self.inner.spread.borrow_mut().submit(util::boot_ms(), id, queue, job);
+        }
+        let guard = Guard { entry: self.clone(), id };
+        self.carry_out();
+        let phase = ended.await.unwrap_or(Phase::Canceled);
+        drop(guard);
+        Ended::Phase(phase)
+    }
+
+    /// Cancels a job: one of this entry, or any other by the sidecars and the leader.
+    pub async fn cancel(
+        &self,
+        host: String,
+        path: String,
+        deadline: Option<Duration>,
+    ) -> Result<Answer, Failure> {
+        let id = {
+            let config = self.inner.config.borrow();
+            let route = config.as_ref().and_then(|config| config.route(&host, &path));
+            route.and_then(|(_, rest)| Id::parse(rest))
+        };
+        if let Some(id) = id {
+            if self.inner.spread.borrow_mut().cancel(id) {
+                log::info!("event=canceled job={id}");
+                let waiters = self.inner.waiters.borrow_mut().swap_remove(&id);
+                for waiter in waiters.into_iter().flatten() {
+                    let _ = waiter.send(Phase::Canceled);
+                }
+                self.carry_out();
+                return Ok(Answer::Accepted);
+            }
+        }
+        self.call(Call::Cancel { host, path }, deadline).await
+    }
+}
--- /dev/null
+++ b/src/entry/jobs/mod.rs
@@ -0,0 +1,159 @@
+//! The entry of the queues: runs the jobs that need not be kept, and passes all other calls to the
+//! leader.
+
+mod call;
+mod link;
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use indexmap::IndexMap;
+use tokio::{sync::oneshot, time};
+
+use crate::{
+    coordination::spread::{Key, Spread},
+    leader::{Failure, Leader},
+    protocol::{
+        queue::{Config, Id, Phase},
+        wire::queue::{Answer, Call, View},
+    },
+    util,
+};
+pub use call::Ended;
+use link::Link;
+
+/// Longest time that a watch waits for changes.
+const WATCH_WAIT: Duration = Duration::from_millis(400);
+/// Time that a watch may take in all.
+const WATCH_LIMIT: Duration = Duration::from_millis(900);
+/// How often waiting tasks are looked at.
+const TICK: Duration = Duration::from_millis(25);
+
+/// An entry. Cheap to clone.
+#[derive(Clone)]
+pub struct Entry {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    leader: Leader,
+    spread: RefCell<Spread>,
+    links: RefCell<IndexMap<Key, Link>>,
+    config: RefCell<Option<Arc<Config>>>,
+    /// Version of the list of sidecars.
+    sidecars: Cell<u64>,
+    /// Callers that wait for the end of a job.
+    waiters: RefCell<IndexMap<Id, Vec<oneshot::Sender<Phase>>>>,
+    stopping: Cell<bool>,
+}
+
+impl Entry {
+    /// Starts an entry that follows the leader.
+    pub fn start(leader: Leader) -> Entry {
+        let inner = Inner {
+            leader,
+            spread: RefCell::default(),
+            links: RefCell::default(),
+            config: RefCell::default(),
+            sidecars: Cell::new(0),
+            waiters: RefCell::default(),
+            stopping: Cell::new(false),
+        };
+        let entry = Entry { inner: Rc::new(inner) };
+        actix_rt::spawn(entry.clone().watch());
+        actix_rt::spawn(entry.clone().tick());
+        entry
+    }
+
+    /// Whether callers should come here.
+    pub fn ready(&self) -> bool {
+        let configured = self.inner.config.borrow().is_some();
+        configured && !self.inner.stopping.get()
+    }
+
+    /// Callers should go elsewhere from now on.
+    pub fn close(&self) {
+        self.inner.stopping.set(true);
+    }
+
+    /// Keeps configuration and sidecars up to date.
+    async fn watch(self) {
+        loop {
+            let call = Call::Watch {
+                config: self.inner.config.borrow().as_ref().map_or(0, |config| config.version),
+                sidecars: self.inner.sidecars.get(),
+                wait_ms: util::millis(WATCH_WAIT),
+            };
+            match self.inner.leader.call(call, WATCH_LIMIT).await {
+                Ok(Answer::View(view)) => self.take_view(view),
+                Ok(answer) => log::error!("event=watch_answer answer={answer:?}"),
+                Err(Failure::NotDone { detail } | Failure::Unknown { detail }) => {
+                    log::info!("event=watch_failed detail={detail:?}");
+                }
+            }
+        }
+    }
+
+    fn take_view(&self, view: View) {
+        if let Some(config) = view.config {
+            let held = self.inner.config.borrow().as_ref().map_or(0, |config| config.version);
+            if config.version > held {
+                log::info!("event=config version={} held={held}", config.version);
+                self.inner.config.replace(Some(config));
+            }
+        }
+        let Some((version, sidecars)) = view.sidecars else { return };
+        log::info!("event=sidecars version={version} count={}", sidecars.len());
+        self.inner.sidecars.set(version);
+        for sidecar in sidecars {
+            let addr = sidecar.addr;
+            let key = self.inner.spread.borrow_mut().describe(sidecar);
+            let known = self.inner.links.borrow().contains_key(&key);
+            if !known {
+                let link = Link::new(addr, key);
+                self.inner.links.borrow_mut().insert(key, link.clone());
+                actix_rt::spawn(self.clone().run_link(link));
+            }
+        }
+        self.carry_out();
+    }
+
+    async fn tick(self) {
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if self.inner.spread.borrow().waiting() > 0 {
+                self.inner.spread.borrow_mut().assign(util::boot_ms());
+                self.carry_out();
+            }
+        }
+    }
+
+    /// Does what the spread has asked for.
+    fn carry_out(&self) {
+        let work = self.inner.spread.borrow_mut().take_work();
+        for order in work.orders {
+            let link = self.inner.links.borrow().get(&order.server).cloned();
+            if let Some(link) = link {
+                actix_rt::spawn(self.clone().run(link, order));
+            }
+        }
+        for (key, run) in work.stops {
+            let link = self.inner.links.borrow().get(&key).cloned();
+            if let Some(link) = link {
+                link.stop(run);
+            }
+        }
+        for (id, phase) in work.closed {
+            let waiters = self.inner.waiters.borrow_mut().swap_remove(&id);
+            for waiter in waiters.into_iter().flatten() {
+                let _ = waiter.send(phase);
+            }
+        }
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod engine;
 pub mod held;
+pub mod jobs;
 pub mod keyed;
 pub mod meter;
 pub mod peer;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 pub mod entry;
 pub mod error;
+pub mod leader;
 pub mod load;
 pub mod metric;
 pub mod protocol;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,5 +3,6 @@
 pub mod announce;
 pub mod id;
 pub mod job;
+pub mod queue;
 pub mod rule;
 pub mod wire;
--- /dev/null
+++ b/src/protocol/queue.rs
@@ -0,0 +1,246 @@
+//! Queues of durable jobs: what operators configure and what callers hand in.
+
+use std::{collections::HashSet, fmt};
+
+use serde::{Deserialize, Serialize};
+
+/// A job, by the number that its caller chose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Id(pub u64);
+
+/// One task of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Task {
+    pub job: Id,
+    pub step: u16,
+    pub index: u16,
+}
+
+/// One start of a task. Numbers of later starts are higher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Run {
+    pub task: Task,
+    pub number: u32,
+}
+
+/// The configuration in force: queues and the services that run their tasks.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Config {
+    pub version: u64,
+    pub queues: Vec<Queue>,
+    pub services: Vec<Service>,
+    /// The operator's document, returned as it was sent.
+    pub document: String,
+}
+
+/// A queue of jobs.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Queue {
+    pub host: String,
+    pub prefix: String,
+    pub service: String,
+    /// 0 is the most urgent.
+    pub priority: u32,
+    /// Runs of a task that may fail before its job fails.
+    pub max_attempts: u32,
+    /// A job is on time within this multiple of its longest chain of work, in thousandths.
+    pub slo_factor_milli: u32,
+    /// Time beyond `slo_factor_milli`.
+    pub slo_ms: u32,
+    pub timeout_ms: u32,
+    /// Whether an outside service decides where a step may run.
+    pub advised: bool,
+}
+
+/// A pool of backend servers.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Service {
+    pub name: String,
+    /// Whether its backend servers refuse what does not fit.
+    pub enforces_capacity: bool,
+}
+
+/// A job as it was handed in.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Job {
+    /// Passed on to the backend servers unchanged.
+    pub spec: String,
+    pub steps: Vec<Step>,
+}
+
+/// A step: tasks that are alike.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    pub tasks: u16,
+    pub needs: Resources,
+    /// Declared run time of a task.
+    pub estimate_ms: u32,
+    /// Earlier steps that must have ended first.
+    pub after: Vec<u16>,
+    /// Label that a backend server must have.
+    pub required_label: Option<String>,
+    /// Rack that holds the data; tasks elsewhere take longer.
+    pub data_rack: Option<String>,
+    /// Most tasks of the step on one backend server.
+    pub max_per_server: Option<u16>,
+}
+
+/// Resources of a backend server, or those that a task takes.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resources {
+    /// Thousandths of a core.
+    pub cpu_milli: u64,
+    pub memory_mb: u64,
+    pub accelerators: u64,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum How {
+    Done,
+    /// By the task's own fault or the backend server's; counts as an attempt.
+    Failed,
+    /// On order, or because a lease lapsed; does not count as an attempt.
+    Stopped,
+}
+
+/// Where a job stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    Queued,
+    Running,
+    Completed,
+    Failed,
+    Canceled,
+}
+
+impl Id {
+    /// A job's number as callers write it: 16 hexadecimal digits in lower case.
+    pub fn parse(text: &str) -> Option<Id> {
+        let digit = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+        if text.len() != 16 || !text.bytes().all(digit) {
+            return None;
+        }
+        u64::from_str_radix(text, 16).ok().map(Id)
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Display for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Task { job, step, index } = self.task;
+        write!(f, "{job}/{step}/{index}#{}", self.number)
+    }
+}
+
+impl Resources {
+    /// Whether `needs` fit into these.
+    pub fn fits(&self, needs: &Resources) -> bool {
+        needs.cpu_milli <= self.cpu_milli
+            && needs.memory_mb <= self.memory_mb
+            && needs.accelerators <= self.accelerators
+    }
+
+    pub fn add(&mut self, other: &Resources) {
+        self.cpu_milli += other.cpu_milli;
+        self.memory_mb += other.memory_mb;
+        self.accelerators += other.accelerators;
+    }
+
+    /// Takes `other` away, down to nothing.
+    pub fn sub(&mut self, other: &Resources) {
+        self.cpu_milli = self.cpu_milli.saturating_sub(other.cpu_milli);
+        self.memory_mb = self.memory_mb.saturating_sub(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_sub(other.accelerators);
+    }
+}
+
+impl Config {
+    /// What is wrong with the configuration.
+    pub fn check(&self) -> Result<(), String> {
+        let services: HashSet<&str> = self.services.iter().map(|s| s.name.as_str()).collect();
+        let mut places = HashSet::new();
+        for queue in &self.queues {
+            let place = format!("{}{}", queue.host, queue.prefix);
+            if !services.contains(queue.service.as_str()) {
+                return Err(format!("queue {place} names unknown service {:?}", queue.service));
+            }
+            if queue.timeout_ms == 0 {
+                return Err(format!("queue {place} has a timeout of 0"));
+            }
+            if !places.insert((&queue.host, &queue.prefix)) {
+                return Err(format!("two queues share {place}"));
+            }
+        }
+        Ok(())
+    }
+
+    /// The queue of the longest prefix of `path`, and the rest of the path.
+    pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Queue, &'a str)> {
+        self.queues
+            .iter()
+            .filter(|queue| queue.host == host)
+            .filter_map(|queue| Some((queue, path.strip_prefix(queue.prefix.as_str())?)))
+            .max_by_key(|(queue, _)| queue.prefix.len())
+    }
+}
+
+impl Job {
+    /// What is wrong with the job.
+    pub fn check(&self) -> Result<(), String> {
+        if self.steps.is_empty() {
+            return Err("a job needs a step".to_owned());
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if step.tasks == 0 {
+                return Err(format!("step {number} has no tasks"));
+            }
+            if step.after.iter().any(|after| usize::from(*after) >= number) {
+                return Err(format!("step {number} waits for a step that is not before it"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Tasks of all steps.
+    pub fn tasks(&self) -> usize {
+        self.steps.iter().map(|step| usize::from(step.tasks)).sum()
+    }
+
+    /// Position of a task among all tasks of the job, if there is such a task.
+    pub fn position(&self, task: Task) -> Option<usize> {
+        let step = self.steps.get(usize::from(task.step))?;
+        if task.index >= step.tasks {
+            return None;
+        }
+        let before: usize =
+            self.steps[..usize::from(task.step)].iter().map(|s| usize::from(s.tasks)).sum();
+        Some(before + usize::from(task.index))
+    }
+
+    /// Declared time of the longest chain of dependent steps, in ms.
+    pub fn chain_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let start = step.after.iter().map(|s| ends[usize::from(*s)]).max().unwrap_or(0);
+            ends.push(start + u64::from(step.estimate_ms));
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+}
+
+impl Phase {
+    /// Whether nothing more happens to a job in this phase.
+    pub fn closed(self) -> bool {
+        match self {
+            Phase::Queued | Phase::Running => false,
+            Phase::Completed | Phase::Failed | Phase::Canceled => true,
+        }
+    }
+}
--- a/src/protocol/wire/mod.rs
+++ b/src/protocol/wire/mod.rs
@@ -6,7 +6,9 @@
 pub mod control;
 pub mod entry;
 pub mod peer;
+pub mod queue;
 pub mod sidecar;
+pub mod work;
 
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/src/protocol/wire/queue.rs
@@ -0,0 +1,217 @@
+//! The service of the leading control instance towards entries and sidecars of durable jobs.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    protocol::queue::{Config, How, Job, Phase, Resources, Run},
+    transport::rpc,
+};
+
+/// Calls of entries, operators' endpoints and sidecars. Only the leader accepts them.
+#[tarpc::service]
+pub trait Service {
+    /// Carries out a caller's or an operator's call.
+    async fn call(call: Call) -> Result<Answer, Refusal>;
+    /// Takes a sidecar's report. Returns at once if there are orders, otherwise after `wait_ms` or
+    /// when the next report comes.
+    async fn report(report: Report) -> Result<Orders, Refusal>;
+}
+
+/// Why an instance did not take a call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// Nothing was done. Another instance leads, if known at the given address.
+    NotLeader { leader: Option<SocketAddr> },
+    /// Nothing was done, and nothing will be.
+    NotReady { detail: String },
+    /// The call may or may not be carried out later.
+    Unknown { detail: String },
+}
+
+/// A call about jobs or the configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    Submit {
+        host: String,
+        path: String,
+        job: Job,
+    },
+    Query {
+        host: String,
+        path: String,
+    },
+    Cancel {
+        host: String,
+        path: String,
+    },
+    Configure(Arc<Config>),
+    ReadConfig,
+    /// Asks for what an entry needs to know, if it is newer than this; waits for that.
+    Watch {
+        config: u64,
+        sidecars: u64,
+        wait_ms: u64,
+    },
+}
+
+/// Answer to a [`Call`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Stored, and in force.
+    Accepted,
+    State(Phase),
+    /// Jobs of the queue of which no task has started.
+    Pending(u64),
+    Config(Arc<Config>),
+    /// What is newer than an entry's view.
+    View(View),
+    /// No such queue.
+    NoQueue,
+    /// No such job.
+    NoJob,
+    /// No configuration has been accepted yet.
+    NoConfig,
+    /// Not accepted: the backend servers cannot do it in time.
+    Busy,
+}
+
+/// What an entry knows of the system.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    pub config: Option<Arc<Config>>,
+    /// Version of the list and the list.
+    pub sidecars: Option<(u64, Vec<Sidecar>)>,
+    /// Control instances.
+    pub members: Vec<SocketAddr>,
+}
+
+/// A sidecar with a backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Sidecar {
+    pub name: String,
+    pub addr: SocketAddr,
+    pub server: Server,
+}
+
+/// One life of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServerId {
+    pub id: String,
+    /// Start of this life, ms since the Unix epoch by the server's clock.
+    pub born_ms: u64,
+}
+
+/// A backend server as its sidecar knows it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Server {
+    pub id: ServerId,
+    pub service: String,
+    pub data_centre: String,
+    pub capacity: Resources,
+    pub labels: Vec<String>,
+    pub draining: bool,
+}
+
+/// What a sidecar tells the leader.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Name of the sidecar.
+    pub sidecar: String,
+    /// Where entries reach it.
+    pub addr: SocketAddr,
+    /// Random number of this start of the sidecar's process.
+    pub session: u64,
+    /// The backend server, unless it is lost.
+    pub server: Option<Server>,
+    /// Newest number of the leader's view of this sidecar that it was told of.
+    pub link: u64,
+    /// All that runs there on the leader's orders, or may; until the leader has it.
+    pub running: Option<Vec<Run>>,
+    /// Ends that are not yet acknowledged.
+    pub ends: Vec<End>,
+    /// Runs that were ordered and did not start, and cannot start any more.
+    pub not_started: Vec<NotStarted>,
+    /// Batches of orders taken up to here.
+    pub batch: u64,
+    pub wait_ms: u64,
+}
+
+/// A run that has ended at a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct End {
+    /// Position in the server's list of ends.
+    pub number: u64,
+    /// `None` if the backend server named no task.
+    pub run: Option<Run>,
+    pub how: How,
+}
+
+/// A run that did not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NotStarted {
+    pub run: Run,
+    pub reason: Reason,
+}
+
+/// Why a run did not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reason {
+    /// The backend server has too little room.
+    Room,
+    /// The backend server is draining or refuses work.
+    Unavailable,
+    /// The order came too late, or is outdated.
+    Late,
+    /// The backend server did not answer.
+    NoAnswer,
+}
+
+/// What the leader wants of a sidecar.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Orders {
+    pub term: u64,
+    /// Number of the leader's view of the sidecar. A higher one than the report's asks for all that
+    /// runs; the first one is the sidecar's fencing token.
+    pub link: u64,
+    /// How long from the sending of the report the leader's orders hold.
+    pub grant_ms: u64,
+    /// Ends up to here are stored or need not be.
+    pub ends_stored: u64,
+    pub batches: Vec<Batch>,
+    /// Control instances.
+    pub members: Vec<SocketAddr>,
+}
+
+/// Orders that are repeated until a report says that they were taken.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Batch {
+    /// 1 is the first under a link.
+    pub number: u64,
+    pub starts: Vec<Start>,
+    pub stops: Vec<Run>,
+}
+
+/// A run to start.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Start {
+    pub run: Run,
+    pub needs: Resources,
+    pub spec: Arc<str>,
+}
+
+impl fmt::Display for ServerId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.id, self.born_ms)
+    }
+}
+
+impl rpc::Client for ServiceClient {
+    type Request = ServiceRequest;
+    type Response = ServiceResponse;
+
+    fn new(transport: rpc::Transport<Self::Request, Self::Response>) -> Self {
+        ServiceClient::new(rpc::client_config(), transport).spawn()
+    }
+}
--- /dev/null
+++ b/src/protocol/wire/work.rs
@@ -0,0 +1,106 @@
+//! The service of a sidecar towards entries that run jobs which need not be kept.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    protocol::{
+        queue::{Id, Resources, Run},
+        wire::queue::{Reason, Start},
+    },
+    transport::rpc,
+};
+
+/// Calls of entries.
+#[tarpc::service]
+pub trait Service {
+    /// Renews an entry's lease and tells how the sidecar stands.
+    async fn renew(renewal: Renewal) -> Standing;
+    /// Runs a task; returns when the run has ended or will not start.
+    async fn run(order: Order) -> Verdict;
+    /// Stops runs of an entry.
+    async fn stop(entry: Entry, runs: Vec<Run>);
+    /// Stops all runs of a job, whichever entry ordered them. Answers whether there were any.
+    async fn cancel(job: Id) -> bool;
+}
+
+/// One start of an entry's process: a random number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Entry(pub u64);
+
+/// Renews an entry's lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewal {
+    pub entry: Entry,
+    /// End of the lease on the sidecar's clock; 0 if that is not known yet.
+    pub lease_until_ms: u64,
+}
+
+/// How a sidecar stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Random number of this start of the sidecar's process.
+    pub session: u64,
+    /// The sidecar's clock.
+    pub clock_ms: u64,
+    /// Whether nothing is left at the backend server of earlier sessions.
+    pub clean: bool,
+    pub load: Load,
+}
+
+/// What the backend server is doing.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Whether tasks are started at present.
+    pub open: bool,
+    /// Resources of what runs, or may.
+    pub used: Resources,
+    /// Resources of what waits for room.
+    pub queued: Resources,
+}
+
+/// An order to run a task.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    pub entry: Entry,
+    /// As in [`Renewal`]; an order that arrives later is refused.
+    pub lease_until_ms: u64,
+    pub start: Start,
+    /// Latest start at which its job would be on time, on the sidecar's clock. Of the tasks that
+    /// wait for room the one with the lowest starts first.
+    pub due_ms: u64,
+    /// How long it may wait for room.
+    pub wait_ms: u64,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Verdict {
+    pub end: Ended,
+    /// From the start to the end of the run.
+    pub took_ms: u64,
+    pub clock_ms: u64,
+    pub load: Load,
+}
+
+/// How an order ended. In all cases nothing runs any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ended {
+    Done,
+    Failed,
+    /// Stopped on order, or because a lease ended.
+    Stopped,
+    /// The backend server is gone.
+    Lost,
+    /// The run did not start.
+    NotStarted(Reason),
+}
+
+impl rpc::Client for ServiceClient {
+    type Request = ServiceRequest;
+    type Response = ServiceResponse;
+
+    fn new(transport: rpc::Transport<Self::Request, Self::Response>) -> Self {
+        ServiceClient::new(rpc::client_config(), transport).spawn()
+    }
+}
--- /dev/null
+++ b/src/sidecar/jobs.rs
@@ -0,0 +1,315 @@
+//! The sidecar of the queues: carries the orders of the leader and of entries to the backend server
+//! beside it, and tells them what became of them.
+
+mod service;
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use indexmap::IndexMap;
+use tokio::{
+    sync::{Notify, oneshot},
+    time,
+};
+
+use crate::{
+    coordination::agent::{Agent, Held, Hold, Outcome, Work},
+    error::Result,
+    leader::Leader,
+    protocol::{
+        queue::Run,
+        wire::{
+            queue::{Server, ServerId, Start},
+            work::{Ended, Entry, Service},
+        },
+    },
+    transport::rpc,
+    util,
+};
+
+/// Longest time that a hold waits for an end.
+const HOLD_WAIT: Duration = Duration::from_millis(250);
+/// Pause after a hold that failed.
+const HOLD_RETRY: Duration = Duration::from_millis(40);
+/// Longest time that a report waits for orders.
+const REPORT_WAIT: Duration = Duration::from_millis(500);
+/// Time for an answer beyond the wait asked for.
+const REPORT_LIMIT: Duration = Duration::from_millis(500);
+/// Reports under way; a newer one ends the wait of an older one.
+const REPORTS_MAX: usize = 3;
+/// Pause between two tries to stop a run.
+const STOP_RETRY: Duration = Duration::from_millis(100);
+/// How often leases are looked at.
+const TICK: Duration = Duration::from_millis(50);
+/// How often a stopping sidecar looks whether runs have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Answer of a backend server to a hold.
+#[derive(Debug)]
+pub enum Look {
+    Held(Held),
+    /// Nothing listens at its address.
+    Refused,
+    Silent,
+}
+
+/// Calls to the backend server. Each is made at most once.
+pub trait Backend: 'static {
+    /// Orders the start of a run.
+    fn start(
+        &self,
+        addr: SocketAddr,
+        server: &ServerId,
+        start: &Start,
+        hold: &Hold,
+    ) -> impl Future<Output = Outcome>;
+
+    /// Orders the end of a run. `true` once the server has confirmed that it ends or never starts.
+    fn stop(
+        &self,
+        addr: SocketAddr,
+        server: &ServerId,
+        run: Run,
+        fence: u64,
+    ) -> impl Future<Output = bool>;
+
+    /// Renews the lease and reads what runs and has ended; waits for an end up to `wait`.
+    fn hold(
+        &self,
+        addr: SocketAddr,
+        server: &ServerId,
+        hold: &Hold,
+        wait: Duration,
+    ) -> impl Future<Output = Look>;
+}
+
+type Waiter = oneshot::Sender<(Ended, u64)>;
+
+/// The running sidecar. Cheap to clone.
+pub struct Sidecar<B> {
+    inner: Rc<Inner<B>>,
+}
+
+struct Inner<B> {
+    agent: RefCell<Agent>,
+    leader: Leader,
+    backend: B,
+    /// There is something to report.
+    news: Notify,
+    /// There is something to tell the backend server.
+    due: Notify,
+    reports: Cell<usize>,
+    /// Entries' calls that wait for the end of a run.
+    waiters: RefCell<IndexMap<(Entry, Run), Waiter>>,
+    server: RefCell<Option<rpc::Server>>,
+}
+
+impl<B> Clone for Sidecar<B> {
+    fn clone(&self) -> Sidecar<B> {
+        Sidecar { inner: self.inner.clone() }
+    }
+}
+
+impl<B: Backend> Sidecar<B> {
+    /// Starts the sidecar `name`, which serves entries at `addr`.
+    pub async fn start(
+        name: String,
+        addr: SocketAddr,
+        max_lease_ms: u64,
+        leader: Leader,
+        backend: B,
+    ) -> Result<Sidecar<B>> {
+        let inner = Inner {
+            agent: RefCell::new(Agent::new(name, addr, rand::random(), max_lease_ms)),
+            leader,
+            backend,
+            news: Notify::new(),
+            due: Notify::new(),
+            reports: Cell::new(0),
+            waiters: RefCell::default(),
+            server: RefCell::default(),
+        };
+        let sidecar = Sidecar { inner: Rc::new(inner) };
+        let served = rpc::serve(addr, service::Handler::new(sidecar.clone()).serve()).await?;
+        sidecar.inner.server.replace(Some(served));
+        actix_rt::spawn(sidecar.clone().run_reports());
+        actix_rt::spawn(sidecar.clone().run_holds());
+        actix_rt::spawn(sidecar.clone().run_ticks());
+        Ok(sidecar)
+    }
+
+    /// Takes the backend server's announcement.
+    pub fn announce(&self, server: Server, addr: SocketAddr, seq: u64) {
+        self.inner.agent.borrow_mut().announce(util::boot_ms(), server, addr, seq);
+        self.inner.due.notify_one();
+        self.carry_out();
+    }
+
+    /// The backend server has left.
+    pub fn leave(&self, id: &str) {
+        self.inner.agent.borrow_mut().leave(id);
+        self.carry_out();
+    }
+
+    /// Before a planned stop: takes no more work, and waits until what runs has ended, at most
+    /// `limit`.
+    pub async fn drain(&self, limit: Duration) {
+        self.inner.agent.borrow_mut().drain();
+        self.carry_out();
+        let end = time::Instant::now() + limit;
+        while self.inner.agent.borrow().busy() && time::Instant::now() < end {
+            time::sleep(DRAIN_POLL).await;
+        }
+        time::sleep(DRAIN_POLL).await;
+    }
+
+    /// Does what the agent has asked for.
+    fn carry_out(&self) {
+        let Work { starts, stops, verdicts, news } = self.inner.agent.borrow_mut().take_work();
+        for start in starts {
+            actix_rt::spawn(self.clone().start_run(start));
+        }
+        for run in stops {
+            actix_rt::spawn(self.clone().stop_run(run));
+        }
+        for (entry, run, end, took_ms) in verdicts {
+            let waiter = self.inner.waiters.borrow_mut().swap_remove(&(entry, run));
+            if let Some(waiter) = waiter {
+                let _ = waiter.send((end, took_ms));
+            }
+        }
+        if news {
+            self.inner.news.notify_one();
+        }
+    }
+
+    async fn run_ticks(self) {
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if self.inner.agent.borrow().busy() {
+                self.inner.agent.borrow_mut().tick(util::boot_ms());
+                self.carry_out();
+            }
+        }
+    }
+
+    async fn run_reports(self) {
+        loop {
+            if self.inner.reports.get() == 0 {
+                self.spawn_report();
+            }
+            self.inner.news.notified().await;
+            if self.inner.reports.get() < REPORTS_MAX {
+                self.spawn_report();
+            }
+        }
+    }
+
+    fn spawn_report(&self) {
+        self.inner.reports.set(self.inner.reports.get() + 1);
+        actix_rt::spawn(self.clone().report());
+    }
+
+    async fn report(self) {
+        let sent_ms = util::boot_ms();
+        let report = self.inner.agent.borrow().report(util::millis(REPORT_WAIT));
+        let limit = REPORT_WAIT + REPORT_LIMIT;
+        let answer = self.inner.leader.report(report.clone(), limit).await;
+        match answer {
+            Ok(Ok(orders)) => {
+                self.inner.leader.set_members(orders.members.clone());
+                let fenced = self.inner.agent.borrow().hold(sent_ms).is_some();
+                let now_ms = util::boot_ms();
+                self.inner.agent.borrow_mut().ordered(now_ms, sent_ms, &report, orders);
+                if !fenced {
+                    self.inner.due.notify_one();
+                }
+                self.carry_out();
+            }
+            Ok(Err(refusal)) => {
+                log::debug!("event=report_refused refusal={refusal:?}");
+                self.inner.leader.pause().await;
+            }
+            Err(e) => {
+                log::info!("event=report_failed {e}");
+                self.inner.leader.pause().await;
+            }
+        }
+        self.inner.reports.set(self.inner.reports.get() - 1);
+        self.inner.news.notify_one();
+    }
+
+    fn server(&self) -> Option<(ServerId, SocketAddr)> {
+        let agent = self.inner.agent.borrow();
+        agent.server().map(|(server, addr)| (server.id.clone(), addr))
+    }
+
+    async fn start_run(self, start: Start) {
+        let hold = self.inner.agent.borrow().hold(util::boot_ms());
+        let (Some(hold), Some((server, addr))) = (hold, self.server()) else { return };
+        let outcome = self.inner.backend.start(addr, &server, &start, &hold).await;
+        if outcome != Outcome::Started {
+            log::info!("event=start run={} server={server} outcome={outcome:?}", start.run);
+        }
+        if self.server().is_some_and(|(id, _)| id == server) {
+            self.inner.agent.borrow_mut().begun(util::boot_ms(), start.run, outcome);
+            self.carry_out();
+        }
+    }
+
+    async fn stop_run(self, run: Run) {
+        loop {
+            let hold = self.inner.agent.borrow().hold(util::boot_ms());
+            let (Some(hold), Some((server, addr))) = (hold, self.server()) else { return };
+            if self.inner.backend.stop(addr, &server, run, hold.fence).await {
+                if self.server().is_some_and(|(id, _)| id == server) {
+                    self.inner.agent.borrow_mut().stopped(util::boot_ms(), run);
+                    self.carry_out();
+                }
+                return;
+            }
+            time::sleep(STOP_RETRY).await;
+            if !self.inner.agent.borrow().stop_due(run) {
+                return;
+            }
+        }
+    }
+
+    async fn run_holds(self) {
+        loop {
+            let now_ms = util::boot_ms();
+            let hold = self.inner.agent.borrow().hold(now_ms);
+            let (Some(hold), Some((server, addr))) = (hold, self.server()) else {
+                let _ = time::timeout(HOLD_WAIT, self.inner.due.notified()).await;
+                continue;
+            };
+            let wait = match self.inner.agent.borrow().clean() {
+                true => HOLD_WAIT,
+                false => Duration::ZERO,
+            };
+            let look = self.inner.backend.hold(addr, &server, &hold, wait).await;
+            if self.server().is_none_or(|(id, _)| id != server) {
+                continue;
+            }
+            let pause = !matches!(look, Look::Held(_)) || wait.is_zero();
+            let done_ms = util::boot_ms();
+            match look {
+                Look::Held(held) => {
+                    self.inner.agent.borrow_mut().held(now_ms, done_ms, &hold, held);
+                }
+                Look::Refused => self.inner.agent.borrow_mut().silent(done_ms, true),
+                Look::Silent => self.inner.agent.borrow_mut().silent(done_ms, false),
+            }
+            self.carry_out();
+            if pause {
+                time::sleep(HOLD_RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/sidecar/jobs/service.rs
@@ -0,0 +1,78 @@
+//! The calls of entries.
+
+use tarpc::context::Context;
+use tokio::sync::oneshot;
+
+use super::{Backend, Sidecar};
+use crate::{
+    coordination::agent::Source,
+    protocol::{
+        queue::{Id, Run},
+        wire::{
+            queue::Reason,
+            work::{Ended, Entry, Order, Renewal, Service, Standing, Verdict},
+        },
+    },
+    util,
+};
+
+/// Serves the calls of one connection.
+pub struct Handler<B> {
+    sidecar: Sidecar<B>,
+}
+
+impl<B> Clone for Handler<B> {
+    fn clone(&self) -> Handler<B> {
+        Handler { sidecar: self.sidecar.clone() }
+    }
+}
+
+impl<B> Handler<B> {
+    pub fn new(sidecar: Sidecar<B>) -> Handler<B> {
+        Handler { sidecar }
+    }
+}
+
+impl<B: Backend> Service for Handler<B> {
+    async fn renew(self, _: Context, renewal: Renewal) -> Standing {
+        let mut agent = self.sidecar.inner.agent.borrow_mut();
+        let clock_ms = util::boot_ms();
+        if renewal.lease_until_ms > clock_ms {
+            agent.renew(renewal.entry, renewal.lease_until_ms);
+        }
+        Standing { session: agent.session(), clock_ms, clean: agent.clean(), load: agent.load() }
+    }
+
+    async fn run(self, _: Context, order: Order) -> Verdict {
+        let inner = &self.sidecar.inner;
+        let (run, entry) = (order.start.run, order.entry);
+        let (waiter, verdict) = oneshot::channel();
+        inner.waiters.borrow_mut().insert((entry, run), waiter);
+        {
+            let now_ms = util::boot_ms();
+            let mut agent = inner.agent.borrow_mut();
+            if order.lease_until_ms > now_ms {
+                agent.renew(entry, order.lease_until_ms);
+            }
+            let until_ms = now_ms + order.wait_ms;
+            agent.order(now_ms, Source::Entry(entry), order.start, order.due_ms, until_ms);
+        }
+        self.sidecar.carry_out();
+        let (end, took_ms) = verdict.await.unwrap_or((Ended::NotStarted(Reason::Late), 0));
+        let load = inner.agent.borrow().load();
+        Verdict { end, took_ms, clock_ms: util::boot_ms(), load }
+    }
+
+    async fn stop(self, _: Context, entry: Entry, runs: Vec<Run>) {
+        for run in runs {
+            self.sidecar.inner.agent.borrow_mut().stop_for(Source::Entry(entry), run);
+        }
+        self.sidecar.carry_out();
+    }
+
+    async fn cancel(self, _: Context, job: Id) -> bool {
+        let any = self.sidecar.inner.agent.borrow_mut().cancel(job);
+        self.sidecar.carry_out();
+        any
+    }
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod core;
+pub mod jobs;
 pub mod meter;
 pub mod platform;
 pub mod service;
--- a/src/sidecar/worker.rs
+++ b/src/sidecar/worker.rs
@@ -215,7 +215,7 @@
         };
         match client.call(call).await {
             Ok(answer) => checked(&attempt, answer),
-            Err(CallError::NotSent(reason)) => End::Unreachable(reason),
+            Err(CallError::NotSent(unsent)) => End::Unreachable(unsent.reason),
             Err(e) => End::Unknown(e.to_string()),
         }
     }
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod history;
+pub mod queue;
 mod session;
 
 use serde::{Deserialize, Serialize};
@@ -35,6 +36,8 @@
     Abandon(Vec<id::Epoch>),
     /// Sets how long and how much is kept. The leader proposes it when its settings differ.
     Limit(Limits),
+    /// Changes of the queues of durable jobs, in order.
+    Queue(Vec<queue::Change>),
 }
 
 /// Result of a command.
@@ -44,6 +47,8 @@
     Admission(control::Admission),
     Finished(control::Finished),
     Changed(control::Changed),
+    /// Results of the changes of the queues, in their order.
+    Queue(Vec<queue::Reply>),
     Done,
     /// The command's session is fenced.
     Fenced,
@@ -89,6 +94,7 @@
     sessions: session::Sessions,
     admissions: admission::Admissions,
     history: history::History,
+    queues: queue::Queues,
 }
 
 impl State {
@@ -123,6 +129,10 @@
                 self.limits = limits;
                 Reply::Done
             }
+            Op::Queue(changes) => {
+                let apply = |change| self.queues.apply(self.now_ms, change);
+                Reply::Queue(changes.into_iter().map(apply).collect())
+            }
         }
     }
 
@@ -140,6 +150,11 @@
         self.admissions.lookup(key, &self.sessions)
     }
 
+    /// The queues of durable jobs.
+    pub fn queues(&self) -> &queue::Queues {
+        &self.queues
+    }
+
     /// The rules in force.
     pub fn rules(&self) -> &control::Rules {
         self.history.rules()
--- /dev/null
+++ b/src/state/machine/queue.rs
@@ -0,0 +1,230 @@
+//! Durable jobs: the configuration, and for each job which tasks have ended and how.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::queue::{Config, How, Id, Job, Phase, Run, Task};
+
+/// A change of the queues.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Change {
+    /// Takes effect if its version is higher than the one in force.
+    Configure(Arc<Config>),
+    Submit(Submission),
+    /// Runs that have ended.
+    End(Vec<End>),
+    Cancel(Id),
+}
+
+/// A job to be taken.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Submission {
+    pub id: Id,
+    pub host: String,
+    pub path: String,
+    pub job: Job,
+    /// Leader's term: later leaders number runs above those of earlier ones.
+    pub term: u64,
+    /// How long the record is kept after the job is closed.
+    pub keep_ms: u64,
+}
+
+/// The end of a run that matters to its job.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct End {
+    pub run: Run,
+    pub how: How,
+}
+
+/// Result of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    Done,
+    /// The job was known already.
+    Known,
+    /// No queue has this address.
+    NoQueue,
+    /// No configuration has been accepted yet.
+    NoConfig,
+    /// No such job.
+    Unknown,
+}
+
+/// What is kept of a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    pub job: Arc<Job>,
+    pub service: String,
+    pub host: String,
+    pub prefix: String,
+    pub priority: u32,
+    pub max_attempts: u32,
+    /// Time within which the job is on time.
+    pub target_ms: u64,
+    /// When it was accepted, ms since the Unix epoch.
+    pub accepted_ms: u64,
+    pub term: u64,
+    pub keep_ms: u64,
+    pub phase: Phase,
+    /// By position in the job.
+    pub tasks: Vec<Progress>,
+    /// Tasks that are not done.
+    pub left: usize,
+}
+
+/// What has become of a task.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    pub done: bool,
+    pub failed: u32,
+}
+
+/// The replicated queues.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Queues {
+    config: Option<Arc<Config>>,
+    jobs: IndexMap<Id, Record>,
+    /// Closed jobs and when they may be forgotten, in the order of closing.
+    closed: VecDeque<(u64, Id)>,
+}
+
+impl Record {
+    /// Whether all tasks that `step` waits for are done.
+    pub fn ready(&self, step: usize) -> bool {
+        self.job.steps[step].after.iter().all(|after| self.step_done(usize::from(*after)))
+    }
+
+    fn step_done(&self, step: usize) -> bool {
+        let before: usize = self.job.steps[..step].iter().map(|s| usize::from(s.tasks)).sum();
+        let tasks = usize::from(self.job.steps[step].tasks);
+        self.tasks[before..before + tasks].iter().all(|task| task.done)
+    }
+
+    /// What has become of a task, if the job has it.
+    pub fn progress(&self, task: Task) -> Option<Progress> {
+        self.tasks.get(self.job.position(task)?).copied()
+    }
+}
+
+impl Queues {
+    pub(super) fn apply(&mut self, now_ms: u64, change: Change) -> Reply {
+        self.sweep(now_ms);
+        match change {
+            Change::Configure(config) => self.configure(config),
+            Change::Submit(submission) => self.submit(now_ms, submission),
+            Change::End(ends) => {
+                for end in ends {
+                    self.end(now_ms, end);
+                }
+                Reply::Done
+            }
+            Change::Cancel(id) => self.cancel(now_ms, id),
+        }
+    }
+
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref()
+    }
+
+    pub fn job(&self, id: Id) -> Option<&Record> {
+        self.jobs.get(&id)
+    }
+
+    /// Jobs that are not closed.
+    pub fn open(&self) -> impl Iterator<Item = (Id, &Record)> {
+        self.jobs.iter().filter(|(_, job)| !job.phase.closed()).map(|(id, job)| (*id, job))
+    }
+
+    fn configure(&mut self, config: Arc<Config>) -> Reply {
+        if self.config.as_ref().is_none_or(|held| held.version < config.version) {
+            self.config = Some(config);
+        }
+        Reply::Done
+    }
+
+    fn submit(&mut self, now_ms: u64, submission: Submission) -> Reply {
+        if self.jobs.contains_key(&submission.id) {
+            return Reply::Known;
+        }
+        let Some(config) = &self.config else { return Reply::NoConfig };
+        let Some((queue, _)) = config.route(&submission.host, &submission.path) else {
+            return Reply::NoQueue;
+        };
+        let job = submission.job;
+        let tasks = job.tasks();
+        let record = Record {
+            service: queue.service.clone(),
+            host: queue.host.clone(),
+            prefix: queue.prefix.clone(),
+            priority: queue.priority,
+            max_attempts: queue.max_attempts.max(1),
+            target_ms: job.chain_ms() * u64::from(queue.slo_factor_milli) / 1_000
+                + u64::from(queue.slo_ms),
+            accepted_ms: now_ms,
+            term: submission.term,
+            keep_ms: submission.keep_ms,
+            phase: Phase::Running,
+            tasks: vec![Progress::default(); tasks],
+            left: tasks,
+            job: Arc::new(job),
+        };
+        self.jobs.insert(submission.id, record);
+        Reply::Done
+    }
+
+    fn end(&mut self, now_ms: u64, end: End) {
+        let id = end.run.task.job;
+        let Some(record) = self.jobs.get_mut(&id) else { return };
+        let Some(position) = record.job.position(end.run.task) else { return };
+        let task = &mut record.tasks[position];
+        if record.phase.closed() || task.done {
+            return;
+        }
+        match end.how {
+            How::Done => {
+                task.done = true;
+                record.left -= 1;
+                if record.left == 0 {
+                    self.close(now_ms, id, Phase::Completed);
+                }
+            }
+            How::Failed => {
+                task.failed += 1;
+                if task.failed >= record.max_attempts {
+                    self.close(now_ms, id, Phase::Failed);
+                }
+            }
+            How::Stopped => {}
+        }
+    }
+
+    fn cancel(&mut self, now_ms: u64, id: Id) -> Reply {
+        match self.jobs.get(&id) {
+            None => Reply::Unknown,
+            Some(record) if record.phase.closed() => Reply::Known,
+            Some(_) => {
+                self.close(now_ms, id, Phase::Canceled);
+                Reply::Done
+            }
+        }
+    }
+
+    /// Closes a job. Its steps are kept, as tasks that still run take resources; its spec is not.
+    fn close(&mut self, now_ms: u64, id: Id, phase: Phase) {
+        let Some(record) = self.jobs.get_mut(&id) else { return };
+        record.phase = phase;
+        Arc::make_mut(&mut record.job).spec = String::new();
+        self.closed.push_back((now_ms + record.keep_ms, id));
+    }
+
+    fn sweep(&mut self, now_ms: u64) {
+        while let Some((until_ms, id)) = self.closed.front().copied()
+            && until_ms <= now_ms
+        {
+            self.closed.pop_front();
+            self.jobs.swap_remove(&id);
+        }
+    }
+}
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -276,11 +276,32 @@
 /// Time a client has to open a connection.
 const CLIENT_CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// Why no connection could be made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unsent {
+    pub reason: String,
+    /// Whether the peer refused, as it does where nothing listens.
+    pub refused: bool,
+}
+
+impl Unsent {
+    /// Any other reason than that the peer refused.
+    pub fn new(reason: String) -> Unsent {
+        Unsent { reason, refused: false }
+    }
+}
+
+impl std::fmt::Display for Unsent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.reason)
+    }
+}
+
 /// Why a request got no usable answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallError {
     /// No connection could be made: nothing of the request was written.
-    NotSent(String),
+    NotSent(Unsent),
     /// The request was written, in part or whole; its answer is missing or not whole.
     Broken(String),
     /// The answer is longer than the given limit, in bytes.
@@ -397,8 +418,12 @@
         SendRequestError::Connect(ConnectError::Disconnected) => {
             CallError::Broken("connection closed before an answer".into())
         }
-        SendRequestError::Connect(e) => CallError::NotSent(e.to_string()),
-        SendRequestError::Url(e) => CallError::NotSent(e.to_string()),
+        SendRequestError::Connect(e) => {
+            let refused = matches!(&e, ConnectError::Io(io)
+                if io.kind() == std::io::ErrorKind::ConnectionRefused);
+            CallError::NotSent(Unsent { reason: e.to_string(), refused })
+        }
+        SendRequestError::Url(e) => CallError::NotSent(Unsent::new(e.to_string())),
         e => CallError::Broken(format!("{e:?}")),
     }
 }
