SIGHUP reloads settings; sidecars report only news; a stopping entry closes connections at once

Change: Stop::next tells stop and reload apart; a report is spawned for news or if none is under way; Connection: close from SIGTERM on, and jobs that cannot end before the process does are refused.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,13 @@
 //! The shared main of the daemons: settings, log, signals, graceful stop.
 
-use std::{env, future::Future, net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
+use std::{
+    env,
+    future::Future,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    time::Duration,
+};
 
 use getopts::Options;
 
@@ -30,6 +37,9 @@
     /// Where it serves.
     fn listening(&self) -> Listening;
 
+    /// Takes changed settings while running. What cannot change stays as it is.
+    fn reload(&self, _settings: Self::Settings) {}
+
     /// Finishes the work in flight and stops. Returns how many pieces of work were cut off.
     fn stop(self) -> impl Future<Output = usize>;
 }
@@ -46,7 +56,7 @@
 /// Runs a daemon until a signal stops it.
 pub fn main<P: Process>() -> ExitCode {
     init_log("info");
-    let settings = match settings::<P>() {
+    let (path, settings) = match settings::<P>() {
         Ok(Some(settings)) => settings,
         Ok(None) => return ExitCode::SUCCESS,
         Err(e) => {
@@ -54,7 +64,7 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    match actix_rt::System::new().block_on(run::<P>(settings)) {
+    match actix_rt::System::new().block_on(run::<P>(path, settings)) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::from(EXIT_FAILED),
         Err(e) => {
@@ -80,7 +90,7 @@
     writeln!(out, "at_ms={at} level={} {}", record.level(), record.args())
 }
 
-fn settings<P: Process>() -> Result<Option<P::Settings>> {
+fn settings<P: Process>() -> Result<Option<(PathBuf, P::Settings)>> {
     let mut options = Options::new();
     let help = format!("settings file: JSON with comments (default: ${SETTINGS_VARIABLE})");
     options.optopt("s", "settings", &help, "FILE");
@@ -97,7 +107,7 @@
         .map_err(|e| error::UsageSnafu { reason: format!("{e}\n{usage}") }.build())?;
     let path = settings_path(matches.opt_str("settings"), &usage)?;
     let settings = config::load(&path)?;
-    Ok((!matches.opt_present("check")).then_some(settings))
+    Ok((!matches.opt_present("check")).then_some((path, settings)))
 }
 
 fn settings_path(option: Option<String>, usage: &str) -> Result<PathBuf> {
@@ -105,7 +115,7 @@
     path.ok_or_else(|| error::UsageSnafu { reason: format!("no settings file\n{usage}") }.build())
 }
 
-async fn run<P: Process>(settings: P::Settings) -> Result<usize> {
+async fn run<P: Process>(path: PathBuf, settings: P::Settings) -> Result<usize> {
     let mut signals = signal::Stop::new().map_err(|source| error::Error::File {
         step: "signals",
         path: "".into(),
@@ -121,7 +131,9 @@
     }
     println!("{line}");
     log::info!("event=started process={} {}", P::NAME, &line["listening".len()..].trim_start());
-    signals.recv().await;
+    while let signal::Event::Reload = signals.next().await {
+        reload(&process, &path);
+    }
     log::info!("event=stopping process={}", P::NAME);
     let cut = tokio::select! {
         cut = process.stop() => cut,
@@ -136,5 +148,16 @@
     Ok(cut)
 }
 
+/// Hands changed settings to the process; a file that cannot be used changes nothing.
+fn reload<P: Process>(process: &P, path: &Path) {
+    match config::load(path) {
+        Ok(settings) => {
+            log::info!("event=reloaded process={}", P::NAME);
+            process.reload(settings);
+        }
+        Err(e) => log::error!("event=reload_failed process={} {e}", P::NAME),
+    }
+}
+
 /// Pause before exit.
 const FLUSH: Duration = Duration::from_millis(20);
--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -1,6 +1,6 @@
 //! Callers' calls.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
 
@@ -19,6 +19,11 @@
 /// Part of a caller's deadline kept for the way back.
 const RETURN_TIME: Duration = Duration::from_millis(150);
 
+/// Multiple of a job's declared time that a stopping entry must have left to take it.
+const STOP_FACTOR: u64 = 2;
+/// Time added to that.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
 /// How a job that need not be kept has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
@@ -27,7 +32,7 @@
     NoQueue,
     /// The path names no job.
     NoJob,
-    /// Nothing ran: there is no configuration yet.
+    /// Nothing ran: there is no configuration yet, or the entry is stopping.
     NotReady,
 }
 
@@ -69,6 +74,10 @@
         let Some(config) = self.inner.config.borrow().clone() else { return Ended::NotReady };
         let Some((queue, rest)) = config.route(host, path) else { return Ended::NoQueue };
         let Some(id) = Id::parse(rest) else { return Ended::NoJob };
+        if !self.has_time(&job) {
+            log::info!("event=refused job={id} reason=stopping chain_ms={}", job.chain_ms());
+            return Ended::NotReady;
+        }
         let (waiter, ended) = oneshot::channel();
         self.inner.waiters.borrow_mut().entry(id).or_default().push(waiter);
         if !self.inner.spread.borrow().knows(id) {
@@ -81,6 +90,13 @@
         Ended::Phase(phase)
     }
 
+    /// Whether a job can be expected to end before a stopping entry does.
+    fn has_time(&self, job: &Job) -> bool {
+        let Some(ends_at) = self.inner.ends_at.get() else { return true };
+        let left = ends_at.saturating_duration_since(Instant::now());
+        Duration::from_millis(job.chain_ms() * STOP_FACTOR) + STOP_MARGIN < left
+    }
+
     /// Cancels a job: one of this entry, or any other by the sidecars and the leader.
     pub async fn cancel(
         &self,
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -8,7 +8,7 @@
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use indexmap::IndexMap;
@@ -48,7 +48,8 @@
     sidecars: Cell<u64>,
     /// Callers that wait for the end of a job.
     waiters: RefCell<IndexMap<Id, Vec<oneshot::Sender<Phase>>>>,
-    stopping: Cell<bool>,
+    /// When the process ends, once it is stopping.
+    ends_at: Cell<Option<Instant>>,
 }
 
 impl Entry {
@@ -61,7 +62,7 @@
             config: RefCell::default(),
             sidecars: Cell::new(0),
             waiters: RefCell::default(),
-            stopping: Cell::new(false),
+            ends_at: Cell::new(None),
         };
         let entry = Entry { inner: Rc::new(inner) };
         actix_rt::spawn(entry.clone().watch());
@@ -72,12 +73,12 @@
     /// Whether callers should come here.
     pub fn ready(&self) -> bool {
         let configured = self.inner.config.borrow().is_some();
-        configured && !self.inner.stopping.get()
+        configured && self.inner.ends_at.get().is_none()
     }
 
-    /// Callers should go elsewhere from now on.
-    pub fn close(&self) {
-        self.inner.stopping.set(true);
+    /// Callers should go elsewhere from now on; the process ends after `left`.
+    pub fn close(&self, left: Duration) {
+        self.inner.ends_at.set(Some(Instant::now() + left));
     }
 
     /// Keeps configuration and sidecars up to date.
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -98,8 +98,10 @@
     agent: RefCell<Agent>,
     leader: Leader,
     backend: B,
-    /// There is something to report.
+    /// Wakes the loop of reports.
     news: Notify,
+    /// There is something that no report has told yet.
+    has_news: Cell<bool>,
     /// There is something to tell the backend server.
     due: Notify,
     reports: Cell<usize>,
@@ -128,6 +130,7 @@
             leader,
             backend,
             news: Notify::new(),
+            has_news: Cell::new(false),
             due: Notify::new(),
             reports: Cell::new(0),
             waiters: RefCell::default(),
@@ -183,6 +186,7 @@
             }
         }
         if news {
+            self.inner.has_news.set(true);
             self.inner.news.notify_one();
         }
     }
@@ -201,13 +205,12 @@
 
     async fn run_reports(self) {
         loop {
-            if self.inner.reports.get() == 0 {
+            let reports = self.inner.reports.get();
+            let news = reports < REPORTS_MAX && self.inner.has_news.replace(false);
+            if news || reports == 0 {
                 self.spawn_report();
             }
             self.inner.news.notified().await;
-            if self.inner.reports.get() < REPORTS_MAX {
-                self.spawn_report();
-            }
         }
     }
 
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -154,6 +154,15 @@
         }
     }
 
+    /// As [`Server::idle_out`], but new connections are expected during `notice`.
+    pub async fn idle_out_after(&self, notice: Duration, limit: Duration) {
+        time::sleep(notice).await;
+        let end = time::Instant::now() + limit.saturating_sub(notice);
+        while self.connections() > 0 && time::Instant::now() < end {
+            time::sleep(DRAIN_POLL).await;
+        }
+    }
+
     /// Closes the listener; open connections go on until they are idle.
     pub fn stop(&self) {
         let _ = self.stop.send(());
--- a/src/transport/signal.rs
+++ b/src/transport/signal.rs
@@ -1,11 +1,19 @@
-//! Signals that stop a process.
+//! Signals that stop a process or make it read its settings again.
 
 use tokio::signal::unix::{self, SignalKind};
 
-/// Waits for SIGTERM and SIGINT.
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    Stop,
+    Reload,
+}
+
+/// Waits for SIGTERM, SIGINT and SIGHUP.
 pub struct Stop {
     terminate: unix::Signal,
     interrupt: unix::Signal,
+    hangup: unix::Signal,
 }
 
 impl Stop {
@@ -14,14 +22,21 @@
         Ok(Stop {
             terminate: unix::signal(SignalKind::terminate())?,
             interrupt: unix::signal(SignalKind::interrupt())?,
+            hangup: unix::signal(SignalKind::hangup())?,
         })
     }
 
-    /// Returns at the next signal.
-    pub async fn recv(&mut self) {
+    /// Returns what the next signal asks for.
+    pub async fn next(&mut self) -> Event {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => Event::Stop,
+            _ = self.interrupt.recv() => Event::Stop,
+            _ = self.hangup.recv() => Event::Reload,
         }
     }
+
+    /// Returns at the next signal to stop.
+    pub async fn recv(&mut self) {
+        while self.next().await != Event::Stop {}
+    }
 }
