Leases count from the moment a call is sent; entries order tasks that can be on time first

Ruled out: late starts after the stop of an unsure run (the trace shows none). Entries put tasks that cannot be on time last, refuse what is worth nothing, stop runs that stand still, blame a server only for a job's first failure.

--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -33,7 +33,7 @@
 const GRANT_MS: u64 = 2_500;
 /// Time added to a grant before what runs under it counts as ended, in ms: a backend server's lease
 /// outlasts its sidecar, and a stop takes time.
-const GRANT_SLACK_MS: u64 = 1_000;
+const GRANT_SLACK_MS: u64 = 1_200;
 /// How often leadership, grants and voters are looked at.
 const TICK: Duration = Duration::from_millis(20);
 /// Age of the last proof of leadership at which a new one is asked for, in ms.
--- a/src/coordination/agent.rs
+++ b/src/coordination/agent.rs
@@ -202,9 +202,10 @@
         self.life.as_ref().is_some_and(|life| life.clean)
     }
 
-    /// What to ask of the backend server; `None` before a leader gave a fencing token.
-    pub fn hold(&self, now_ms: u64) -> Option<Hold> {
-        let life = self.life.as_ref().filter(|_| self.token > 0)?;
+    /// What to ask of the backend server now; `None` before a leader gave a fencing token. The lease
+    /// counts as given, since a call without an answer may have been carried out.
+    pub fn hold(&mut self, now_ms: u64) -> Option<Hold> {
+        let life = self.life.as_mut().filter(|_| self.token > 0)?;
         Some(Hold {
             fence: self.token,
             acknowledged: life.acknowledged(),
@@ -212,13 +213,20 @@
         })
     }
 
+    /// Whether the backend server can be asked.
+    pub fn fenced(&self) -> bool {
+        self.token > 0
+    }
+
+    /// Whether the backend server may be asked to wait for an end before it answers.
+    pub fn may_wait(&self) -> bool {
+        self.life.as_ref().is_some_and(|life| life.clean && !life.silent())
+    }
+
     /// Takes the backend server's answer to a hold that was sent at `sent_ms`.
-    pub fn held(&mut self, sent_ms: u64, now_ms: u64, hold: &Hold, held: Held) {
+    pub fn held(&mut self, sent_ms: u64, now_ms: u64, held: Held) {
         let Some(life) = &mut self.life else { return };
         life.read_clock(held.clock_ms, now_ms);
-        if hold.lease_until_ms.is_some() {
-            life.leased(now_ms, self.max_lease_ms);
-        }
         if std::mem::take(&mut life.unreachable) {
             log::info!("event=server_reachable server={}", life.server.id);
             self.work.news = true;
--- a/src/coordination/agent/life.rs
+++ b/src/coordination/agent/life.rs
@@ -14,6 +14,9 @@
 const CLOCK_SLOWEST: f64 = 0.98;
 /// Time after the end of a lease before a silent backend server counts as lost, in ms.
 const LAPSE_SLACK_MS: u64 = 100;
+/// Holds in a row without an answer after which no lease is renewed and nothing is started. One
+/// may get lost.
+const SILENCES_MAX: u32 = 2;
 /// Refused connections in a row after which a backend server counts as lost.
 const REFUSALS_MAX: u32 = 2;
 /// Pause before a run of an earlier session is ordered to stop again, in ms.
@@ -78,8 +81,10 @@
     seq: u64,
     /// The server's clock and when it was read.
     clock: Option<(u64, u64)>,
-    /// When the last lease ends at the latest.
+    /// When the last lease that was asked for ends at the latest.
     lease_until_ms: u64,
+    /// Holds in a row without an answer.
+    silences: u32,
     refusals: u32,
     pub unreachable: bool,
     /// Whether nothing of an earlier session is left.
@@ -102,6 +107,7 @@
             seq,
             clock: None,
             lease_until_ms: 0,
+            silences: 0,
             refusals: 0,
             unreachable: false,
             clean: false,
@@ -129,28 +135,32 @@
 
     /// Whether tasks may start.
     pub fn open(&self) -> bool {
-        self.clean && !self.unreachable && !self.server.draining
+        self.clean && !self.unreachable && !self.silent() && !self.server.draining
     }
 
     pub fn read_clock(&mut self, clock_ms: u64, now_ms: u64) {
         self.clock = Some((clock_ms, now_ms));
         self.refusals = 0;
+        self.silences = 0;
     }
 
-    /// End of a new lease of `lease_ms` on the server's clock, if that is known.
-    pub fn lease(&self, now_ms: u64, lease_ms: u64) -> Option<u64> {
-        let (clock_ms, read_ms) = self.clock?;
+    /// End of a new lease of `lease_ms` on the server's clock, if that is known. A silent server
+    /// gets none, so that what runs there ends.
+    pub fn lease(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+        let (clock_ms, read_ms) = self.clock.filter(|_| !self.silent())?;
+        self.lease_until_ms = now_ms + (lease_ms as f64 / CLOCK_SLOWEST) as u64;
         let since_ms = now_ms.saturating_sub(read_ms) as f64 * CLOCK_SLOWEST;
         Some(clock_ms + since_ms as u64 + lease_ms)
     }
 
-    /// A lease was granted.
-    pub fn leased(&mut self, now_ms: u64, lease_ms: u64) {
-        self.lease_until_ms = now_ms + (lease_ms as f64 / CLOCK_SLOWEST) as u64;
+    /// Whether several holds in a row had no answer.
+    pub fn silent(&self) -> bool {
+        self.silences >= SILENCES_MAX
     }
 
     /// Whether a silent server counts as lost from now on: its leases have ended, or it is gone.
     pub fn lapsed(&mut self, now_ms: u64, refused: bool) -> bool {
+        self.silences += 1;
         self.refusals = if refused { self.refusals + 1 } else { 0 };
         let gone = self.refusals >= REFUSALS_MAX;
         !self.unreachable && (gone || now_ms >= self.lease_until_ms + LAPSE_SLACK_MS)
--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -12,7 +12,7 @@
 use slab::Slab;
 
 use crate::protocol::{
-    queue::{self, Id, Phase, Queue, Resources, Run, Step, Task},
+    queue::{self, Id, Queue, Resources, Run, Step, Task},
     wire::{
         queue::{Reason, Sidecar, Start},
         work::{Ended, Load, Verdict},
@@ -27,6 +27,20 @@
 /// How long a task may wait at a sidecar for room, in ms.
 const ROOM_WAIT_MS: u64 = 150;
 
+/// Multiple of the target time from which on a job is worth nothing.
+const LATE_FACTOR: u64 = 3;
+/// Time after its latest start for which a job may still be on time, as declared times are rough,
+/// in ms.
+const LATE_SLACK_MS: u64 = 30;
+/// A run is given up after this multiple of its declared time, which may be far off, ...
+const STALL_FACTOR: u64 = 5;
+/// ... and this time, in ms.
+const STALL_SLACK_MS: u64 = 400;
+/// Time added to the declared one when a run is compared with it, in ms.
+const LAG_SLACK_MS: u64 = 30;
+/// How much slower a server counts as for a task that failed there.
+const AGAIN_FACTOR: f64 = 20.0;
+
 /// A backend server known to a spread.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key(usize);
@@ -40,7 +54,18 @@
     done: bool,
     failed: u32,
     number: u32,
-    at: Option<(Run, Key)>,
+    at: Option<Place>,
+    /// Where it failed last.
+    avoid: Option<Key>,
+}
+
+/// Where a task runs, or is to.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    run: Run,
+    server: Key,
+    ordered_ms: u64,
+    stopping: bool,
 }
 
 #[derive(Debug)]
@@ -50,6 +75,10 @@
     service: String,
     max_attempts: u32,
     due_ms: u64,
+    /// Start from which on the job is worth nothing.
+    hopeless_ms: u64,
+    /// The first server at which a task failed.
+    failed_at: Option<Key>,
     tasks: Vec<Progress>,
     released: Vec<bool>,
     left: usize,
@@ -70,7 +99,17 @@
 pub struct Work {
     pub orders: Vec<Order>,
     pub stops: Vec<(Key, Run)>,
-    pub closed: Vec<(Id, Phase)>,
+    pub closed: Vec<(Id, Closed)>,
+}
+
+/// How a job was closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closed {
+    Completed,
+    Failed,
+    Canceled,
+    /// No task was started, and none will be.
+    NotRun,
 }
 
 /// Decides about starts. Times are ms on one steady clock.
@@ -142,9 +181,9 @@
         self.jobs.get(&id).is_some_and(|job| job.started)
     }
 
-    /// Tasks that wait to be ordered.
-    pub fn waiting(&self) -> usize {
-        self.ready.len()
+    /// Whether there are jobs.
+    pub fn busy(&self) -> bool {
+        !self.jobs.is_empty()
     }
 
     /// Takes a job.
@@ -157,6 +196,8 @@
             service: queue.service.clone(),
             max_attempts: queue.max_attempts.max(1),
             due_ms: now_ms + target_ms.saturating_sub(job.chain_ms()),
+            hopeless_ms: now_ms + (LATE_FACTOR * target_ms).saturating_sub(job.chain_ms()),
+            failed_at: None,
             released: vec![false; job.steps.len()],
             left: tasks.len(),
             tasks,
@@ -189,8 +230,8 @@
         let Some(job) = self.jobs.swap_remove(&id) else { return false };
         self.ready.retain(|(_, task)| task.job != id);
         for task in &job.tasks {
-            if let Some((run, key)) = task.at {
-                self.work.stops.push((key, run));
+            if let Some(place) = task.at {
+                self.work.stops.push((place.server, place.run));
             }
         }
         true
@@ -199,18 +240,28 @@
     /// An order has ended. `None`: nothing is known, and nothing of it runs any more.
     pub fn ended(&mut self, now_ms: u64, key: Key, run: Run, verdict: Option<&Verdict>) {
         let end = verdict.map_or(Ended::Lost, |verdict| verdict.end);
+        let blamed = end != Ended::Failed || self.blames(key, run);
         let server = &mut self.servers[key.0];
         let estimate_ms = self.jobs.get(&run.task.job).map_or(0, |job| job.estimate_ms(run.task));
         server.ended(&run);
         if let Some(verdict) = verdict {
             server.loaded(&verdict.load);
-            server.learn(now_ms, end, verdict.took_ms, estimate_ms);
+            if blamed {
+                server.learn(now_ms, end, verdict.took_ms, estimate_ms);
+            }
         }
-        self.settle(run, end);
+        self.settle(key, run, end);
         self.assign(now_ms);
     }
 
-    fn settle(&mut self, run: Run, end: Ended) {
+    /// Whether a failed run speaks against its server. A job whose tasks fail at several servers
+    /// cannot be done anywhere.
+    fn blames(&mut self, key: Key, run: Run) -> bool {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return false };
+        *job.failed_at.get_or_insert(key) == key
+    }
+
+    fn settle(&mut self, key: Key, run: Run, end: Ended) {
         let id = run.task.job;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(position) = job.job.position(run.task) else { return };
@@ -222,7 +273,7 @@
                 job.left -= 1;
                 if job.left == 0 {
                     self.jobs.swap_remove(&id);
-                    self.work.closed.push((id, Phase::Completed));
+                    self.work.closed.push((id, Closed::Completed));
                 } else {
                     self.release(id);
                 }
@@ -230,9 +281,10 @@
             }
             Ended::Failed => {
                 task.failed += 1;
+                task.avoid = Some(key);
                 if task.failed >= job.max_attempts {
                     self.cancel(id);
-                    self.work.closed.push((id, Phase::Failed));
+                    self.work.closed.push((id, Closed::Failed));
                     return;
                 }
             }
@@ -242,24 +294,75 @@
         self.ready.insert((job.due_ms, run.task));
     }
 
-    /// Orders ready tasks at servers that seem to have room.
+    /// Looks at what runs too long and at what has waited too long, and orders ready tasks.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.watch_runs(now_ms);
+        self.refuse_hopeless(now_ms);
+        self.assign(now_ms);
+    }
+
+    /// Stops runs that take far longer than declared, and learns from those that take long.
+    fn watch_runs(&mut self, now_ms: u64) {
+        for (_, server) in &mut self.servers {
+            server.lag = 0.0;
+        }
+        for job in self.jobs.values_mut() {
+            let steps = job.job.clone();
+            for place in job.tasks.iter_mut().filter_map(|task| task.at.as_mut()) {
+                let step = &steps.steps[usize::from(place.run.task.step)];
+                let ran_ms = now_ms.saturating_sub(place.ordered_ms);
+                let server = &mut self.servers[place.server.0];
+                let estimate_ms = u64::from(step.estimate_ms.max(1));
+                server.lag = server.lag.max(ran_ms as f64 / (estimate_ms + LAG_SLACK_MS) as f64);
+                let limit_ms = estimate_ms * STALL_FACTOR + STALL_SLACK_MS;
+                if ran_ms > limit_ms && !place.stopping {
+                    place.stopping = true;
+                    server.stalled(now_ms);
+                    self.work.stops.push((place.server, place.run));
+                }
+            }
+        }
+    }
+
+    /// Refuses jobs that would be worth nothing and of which nothing has started.
+    fn refuse_hopeless(&mut self, now_ms: u64) {
+        let hopeless: Vec<Id> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.started && job.hopeless_ms < now_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in hopeless {
+            log::info!("event=refused job={id} reason=late waiting={}", self.ready.len());
+            self.cancel(id);
+            self.work.closed.push((id, Closed::NotRun));
+        }
+    }
+
+    /// Orders ready tasks at servers that seem to have room: first those of jobs that can be on
+    /// time, the most urgent first, then the others.
     pub fn assign(&mut self, now_ms: u64) {
+        let first = Task { job: Id(0), step: 0, index: 0 };
+        let late: (u64, Task) = (now_ms.saturating_sub(LATE_SLACK_MS), first);
+        let on_time: Vec<Rank> = self.ready.range(late..).copied().collect();
+        if self.place_all(now_ms, &on_time) {
+            let others: Vec<Rank> = self.ready.range(..late).copied().collect();
+            self.place_all(now_ms, &others);
+        }
+    }
+
+    /// Whether all found a place, but for a few.
+    fn place_all(&mut self, now_ms: u64, ranks: &[Rank]) -> bool {
         let mut misses = 0;
-        let mut from = None;
-        while misses < MISSES_MAX {
-            let next = match from {
-                None => self.ready.first().copied(),
-                Some(rank) => {
-                    let after = (std::ops::Bound::Excluded(rank), std::ops::Bound::Unbounded);
-                    self.ready.range(after).next().copied()
-                }
-            };
-            let Some(rank) = next else { return };
-            from = Some(rank);
-            if !self.place(now_ms, rank) {
+        for rank in ranks {
+            if !self.place(now_ms, *rank) {
                 misses += 1;
             }
+            if misses >= MISSES_MAX {
+                return false;
+            }
         }
+        true
     }
 
     fn place(&mut self, now_ms: u64, rank: Rank) -> bool {
@@ -270,15 +373,15 @@
         };
         let steps = job.job.clone();
         let step = &steps.steps[usize::from(task.step)];
-        let Some(key) = choose(&self.servers, now_ms, &job.service, task, step) else {
-            return false;
-        };
         let Some(position) = steps.position(task) else { return true };
+        let avoid = job.tasks[position].avoid;
+        let chosen = choose(&self.servers, now_ms, &job.service, task, step, avoid);
+        let Some(key) = chosen else { return false };
         self.ready.remove(&rank);
         let progress = &mut job.tasks[position];
         progress.number += 1;
         let run = Run { task, number: progress.number };
-        progress.at = Some((run, key));
+        progress.at = Some(Place { run, server: key, ordered_ms: now_ms, stopping: false });
         job.started = true;
         let start = Start { run, needs: step.needs, spec: job.spec.clone() };
         self.servers[key.0].ordered(run, step.needs);
@@ -302,11 +405,16 @@
     service: &str,
     task: Task,
     step: &Step,
+    avoid: Option<Key>,
 ) -> Option<Key> {
+    let cost = |key: usize, server: &Server| {
+        let again = if avoid == Some(Key(key)) { AGAIN_FACTOR } else { 1.0 };
+        server.cost(step) * again
+    };
     servers
         .iter()
         .filter(|(_, server)| server.takes(now_ms, service, task, step))
-        .min_by(|(_, a), (_, b)| a.cost(step).total_cmp(&b.cost(step)))
+        .min_by(|(k, a), (l, b)| cost(*k, a).total_cmp(&cost(*l, b)))
         .map(|(key, _)| Key(key))
 }
 
--- a/src/coordination/spread/server.rs
+++ b/src/coordination/spread/server.rs
@@ -11,14 +11,16 @@
 };
 
 /// Weight of the newest run in the learned pace.
-const PACE_WEIGHT: f64 = 0.1;
+const PACE_WEIGHT: f64 = 0.15;
 /// Runs that may fail in a row before a server is left alone for a while.
-const FAILURES_MAX: u32 = 3;
+const FAILURES_MAX: u32 = 2;
 /// First pause of a server that fails all that it starts; it doubles with each further failure.
-const PAUSE_MS: u64 = 500;
+const PAUSE_MS: u64 = 1_000;
 const PAUSE_MAX_MS: u64 = 8_000;
 /// Pause after a server refused work, in ms.
 const REFUSED_PAUSE_MS: u64 = 200;
+/// Part of the time that present runs have taken that counts as the server's pace.
+const LAG_WEIGHT: f64 = 0.7;
 /// Assumed slowdown of a task away from the rack of its data.
 const FAR_FACTOR: f64 = 1.5;
 /// Part of the pace by which a full server is less attractive than an empty one.
@@ -41,6 +43,8 @@
     own: IndexMap<Run, Resources>,
     own_sum: Resources,
     pace: f64,
+    /// Longest time of a present run against the declared one.
+    pub lag: f64,
     failures: u32,
     paused_until_ms: u64,
 }
@@ -55,6 +59,7 @@
             own: IndexMap::new(),
             own_sum: Resources::default(),
             pace: 1.0,
+            lag: 0.0,
             failures: 0,
             paused_until_ms: 0,
         }
@@ -139,7 +144,7 @@
             _ => 1.0,
         };
         let part = self.used().cpu_milli as f64 / server.capacity.cpu_milli.max(1) as f64;
-        self.pace * far * (1.0 + LOAD_WEIGHT * part)
+        self.pace.max(LAG_WEIGHT * self.lag) * far * (1.0 + LOAD_WEIGHT * part)
     }
 
     /// Learns from the end of an order.
@@ -160,6 +165,11 @@
         }
     }
 
+    /// A run here stands still.
+    pub fn stalled(&mut self, now_ms: u64) {
+        self.failed(now_ms);
+    }
+
     fn failed(&mut self, now_ms: u64) {
         self.failures += 1;
         if self.failures < FAILURES_MAX {
--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -1,14 +1,18 @@
 //! Callers' calls.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use tokio::sync::oneshot;
+use tokio::{sync::oneshot, time};
 
 use super::Entry;
 use crate::{
+    coordination::spread::Closed,
     leader::Failure,
     protocol::{
-        queue::{Id, Job, Phase},
+        queue::{Config, Id, Job, Phase},
         wire::queue::{Answer, Call},
     },
     util,
@@ -19,6 +23,10 @@
 /// Part of a caller's deadline kept for the way back.
 const RETURN_TIME: Duration = Duration::from_millis(150);
 
+/// How long an entry that has just started holds a job until it has a configuration.
+const CONFIG_WAIT: Duration = Duration::from_millis(400);
+/// How often it looks for one.
+const CONFIG_POLL: Duration = Duration::from_millis(20);
 /// Multiple of a job's declared time that a stopping entry must have left to take it.
 const STOP_FACTOR: u64 = 2;
 /// Time added to that.
@@ -32,6 +40,8 @@
     NoQueue,
     /// The path names no job.
     NoJob,
+    /// Nothing ran: there was no room in time.
+    NotRun,
     /// Nothing ran: there is no configuration yet, or the entry is stopping.
     NotReady,
 }
@@ -44,7 +54,7 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        let waits = |waiters: &mut Vec<oneshot::Sender<Phase>>| {
+        let waits = |waiters: &mut Vec<oneshot::Sender<Closed>>| {
             waiters.retain(|waiter| !waiter.is_closed());
             !waiters.is_empty()
         };
@@ -71,7 +81,7 @@
     /// Runs a job that need not be kept, and returns when it has ended. Dropping the future gives
     /// the job up.
     pub async fn run_job(&self, host: &str, path: &str, job: Job) -> Ended {
-        let Some(config) = self.inner.config.borrow().clone() else { return Ended::NotReady };
+        let Some(config) = self.config().await else { return Ended::NotReady };
         let Some((queue, rest)) = config.route(host, path) else { return Ended::NoQueue };
         let Some(id) = Id::parse(rest) else { return Ended::NoJob };
         if !self.has_time(&job) {
@@ -85,9 +95,26 @@
         }
         let guard = Guard { entry: self.clone(), id };
         self.carry_out();
-        let phase = ended.await.unwrap_or(Phase::Canceled);
+        let closed = ended.await.unwrap_or(Closed::Canceled);
         drop(guard);
-        Ended::Phase(phase)
+        match closed {
+            Closed::Completed => Ended::Phase(Phase::Completed),
+            Closed::Failed => Ended::Phase(Phase::Failed),
+            Closed::Canceled => Ended::Phase(Phase::Canceled),
+            Closed::NotRun => Ended::NotRun,
+        }
+    }
+
+    /// The configuration; an entry that has just started waits for it.
+    async fn config(&self) -> Option<Arc<Config>> {
+        let end = Instant::now() + CONFIG_WAIT;
+        loop {
+            let config = self.inner.config.borrow().clone();
+            if config.is_some() || Instant::now() >= end {
+                return config;
+            }
+            time::sleep(CONFIG_POLL).await;
+        }
     }
 
     /// Whether a job can be expected to end before a stopping entry does.
@@ -114,7 +141,7 @@
                 log::info!("event=canceled job={id}");
                 let waiters = self.inner.waiters.borrow_mut().swap_remove(&id);
                 for waiter in waiters.into_iter().flatten() {
-                    let _ = waiter.send(Phase::Canceled);
+                    let _ = waiter.send(Closed::Canceled);
                 }
                 self.carry_out();
                 return Ok(Answer::Accepted);
--- a/src/entry/jobs/link.rs
+++ b/src/entry/jobs/link.rs
@@ -38,7 +38,7 @@
 const STOP_MS: u64 = 250;
 /// Time after which nothing runs under a sidecar that has died, in ms: the longest lease of the
 /// backend server.
-const DEAD_MS: u64 = 700;
+const DEAD_MS: u64 = 1_100;
 /// Longest time that a call may wait for the end of a run.
 const RUN_LIMIT: Duration = Duration::from_secs(24 * 3600);
 
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -15,10 +15,10 @@
 use tokio::{sync::oneshot, time};
 
 use crate::{
-    coordination::spread::{Key, Spread},
+    coordination::spread::{Closed, Key, Spread},
     leader::{Failure, Leader},
     protocol::{
-        queue::{Config, Id, Phase},
+        queue::{Config, Id},
         wire::queue::{Answer, Call, View},
     },
     util,
@@ -47,7 +47,7 @@
     /// Version of the list of sidecars.
     sidecars: Cell<u64>,
     /// Callers that wait for the end of a job.
-    waiters: RefCell<IndexMap<Id, Vec<oneshot::Sender<Phase>>>>,
+    waiters: RefCell<IndexMap<Id, Vec<oneshot::Sender<Closed>>>>,
     /// When the process ends, once it is stopping.
     ends_at: Cell<Option<Instant>>,
 }
@@ -128,8 +128,8 @@
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            if self.inner.spread.borrow().waiting() > 0 {
-                self.inner.spread.borrow_mut().assign(util::boot_ms());
+            if self.inner.spread.borrow().busy() {
+                self.inner.spread.borrow_mut().tick(util::boot_ms());
                 self.carry_out();
             }
         }
@@ -150,10 +150,10 @@
                 link.stop(run);
             }
         }
-        for (id, phase) in work.closed {
+        for (id, closed) in work.closed {
             let waiters = self.inner.waiters.borrow_mut().swap_remove(&id);
             for waiter in waiters.into_iter().flatten() {
-                let _ = waiter.send(phase);
+                let _ = waiter.send(closed);
             }
         }
     }
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -227,7 +227,7 @@
         match answer {
             Ok(Ok(orders)) => {
                 self.inner.leader.set_members(orders.members.clone());
-                let fenced = self.inner.agent.borrow().hold(sent_ms).is_some();
+                let fenced = self.inner.agent.borrow().fenced();
                 let now_ms = util::boot_ms();
                 self.inner.agent.borrow_mut().ordered(now_ms, sent_ms, &report, orders);
                 if !fenced {
@@ -254,7 +254,7 @@
     }
 
     async fn start_run(self, start: Start) {
-        let hold = self.inner.agent.borrow().hold(util::boot_ms());
+        let hold = self.inner.agent.borrow_mut().hold(util::boot_ms());
         let (Some(hold), Some((server, addr))) = (hold, self.server()) else { return };
         let outcome = self.inner.backend.start(addr, &server, &start, &hold).await;
         if outcome != Outcome::Started {
@@ -268,7 +268,7 @@
 
     async fn stop_run(self, run: Run) {
         loop {
-            let hold = self.inner.agent.borrow().hold(util::boot_ms());
+            let hold = self.inner.agent.borrow_mut().hold(util::boot_ms());
             let (Some(hold), Some((server, addr))) = (hold, self.server()) else { return };
             if self.inner.backend.stop(addr, &server, run, hold.fence).await {
                 if self.server().is_some_and(|(id, _)| id == server) {
@@ -287,12 +287,12 @@
     async fn run_holds(self) {
         loop {
             let now_ms = util::boot_ms();
-            let hold = self.inner.agent.borrow().hold(now_ms);
+            let hold = self.inner.agent.borrow_mut().hold(now_ms);
             let (Some(hold), Some((server, addr))) = (hold, self.server()) else {
                 let _ = time::timeout(HOLD_WAIT, self.inner.due.notified()).await;
                 continue;
             };
-            let wait = match self.inner.agent.borrow().clean() {
+            let wait = match self.inner.agent.borrow().may_wait() {
                 true => HOLD_WAIT,
                 false => Duration::ZERO,
             };
@@ -300,11 +300,11 @@
             if self.server().is_none_or(|(id, _)| id != server) {
                 continue;
             }
-            let pause = !matches!(look, Look::Held(_)) || wait.is_zero();
+            let pause = matches!(look, Look::Refused) || wait.is_zero();
             let done_ms = util::boot_ms();
             match look {
                 Look::Held(held) => {
-                    self.inner.agent.borrow_mut().held(now_ms, done_ms, &hold, held);
+                    self.inner.agent.borrow_mut().held(now_ms, done_ms, held);
                 }
                 Look::Refused => self.inner.agent.borrow_mut().silent(done_ms, true),
                 Look::Silent => self.inner.agent.borrow_mut().silent(done_ms, false),
