--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -77,8 +77,8 @@
     due_ms: u64,
     /// Start from which on the job is worth nothing.
     hopeless_ms: u64,
-    /// The first server at which a task failed.
-    failed_at: Option<Key>,
+    /// Whether a run has failed.
+    has_failed: bool,
     tasks: Vec<Progress>,
     released: Vec<bool>,
     left: usize,
@@ -197,7 +197,7 @@
             max_attempts: queue.max_attempts.max(1),
             due_ms: now_ms + target_ms.saturating_sub(job.chain_ms()),
             hopeless_ms: now_ms + (LATE_FACTOR * target_ms).saturating_sub(job.chain_ms()),
-            failed_at: None,
+            has_failed: false,
             released: vec![false; job.steps.len()],
             left: tasks.len(),
             tasks,
@@ -240,7 +240,7 @@
     /// An order has ended. `None`: nothing is known, and nothing of it runs any more.
     pub fn ended(&mut self, now_ms: u64, key: Key, run: Run, verdict: Option<&Verdict>) {
         let end = verdict.map_or(Ended::Lost, |verdict| verdict.end);
-        let blamed = end != Ended::Failed || self.blames(key, run);
+        let blamed = end != Ended::Failed || self.blames(run);
         let server = &mut self.servers[key.0];
         let estimate_ms = self.jobs.get(&run.task.job).map_or(0, |job| job.estimate_ms(run.task));
         server.ended(&run);
@@ -254,11 +254,11 @@
         self.assign(now_ms);
     }
 
-    /// Whether a failed run speaks against its server. A job whose tasks fail at several servers
-    /// cannot be done anywhere.
-    fn blames(&mut self, key: Key, run: Run) -> bool {
-        let Some(job) = self.jobs.get_mut(&run.task.job) else { return false };
-        *job.failed_at.get_or_insert(key) == key
+    /// Whether a failed run speaks against its server. Further failures of a job do not: it may be
+    /// one that cannot be done anywhere.
+    fn blames(&mut self, run: Run) -> bool {
+        let job = self.jobs.get_mut(&run.task.job);
+        job.is_some_and(|job| !std::mem::replace(&mut job.has_failed, true))
     }
 
     fn settle(&mut self, key: Key, run: Run, end: Ended) {
--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -136,16 +136,16 @@
             let route = config.as_ref().and_then(|config| config.route(&host, &path));
             route.and_then(|(_, rest)| Id::parse(rest))
         };
-        if let Some(id) = id {
-            if self.inner.spread.borrow_mut().cancel(id) {
-                log::info!("event=canceled job={id}");
-                let waiters = self.inner.waiters.borrow_mut().swap_remove(&id);
-                for waiter in waiters.into_iter().flatten() {
-                    let _ = waiter.send(Closed::Canceled);
-                }
-                self.carry_out();
-                return Ok(Answer::Accepted);
+        if let Some(id) = id
+            && self.inner.spread.borrow_mut().cancel(id)
+        {
+            log::info!("event=canceled job={id}");
+            let waiters = self.inner.waiters.borrow_mut().swap_remove(&id);
+            for waiter in waiters.into_iter().flatten() {
+                let _ = waiter.send(Closed::Canceled);
             }
+            self.carry_out();
+            return Ok(Answer::Accepted);
         }
         self.call(Call::Cancel { host, path }, deadline).await
     }
--- a/tests/machine/naive.rs
+++ b/tests/machine/naive.rs
@@ -72,6 +72,7 @@
                 self.limits = *limits;
                 Reply::Done
             }
+            Op::Queue(_) => unreachable!("drawn by tests/queues.rs, not here"),
         };
         vec![reply]
     }
--- /dev/null
+++ b/tests/spread.rs
@@ -0,0 +1,249 @@
+//! The entry's choice of tasks and backend servers, under the loads that it answers.
+
+use std::net::SocketAddr;
+
+use briargauge::{
+    coordination::spread::{Closed, Key, Order, Spread},
+    protocol::{
+        queue::{Id, Job, Queue, Resources, Run, Step},
+        wire::{
+            queue::{Reason, Server, ServerId, Sidecar},
+            work::{Ended, Load, Verdict},
+        },
+    },
+};
+
+const OPEN: Load = Load {
+    open: true,
+    used: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
+    queued: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
+};
+
+fn addr() -> SocketAddr {
+    "127.0.0.1:1".parse().unwrap()
+}
+
+/// A sidecar whose backend server holds `tasks` tasks of one core.
+fn sidecar(name: &str, tasks: u64) -> Sidecar {
+    let server = Server {
+        id: ServerId { id: name.to_owned(), born_ms: 1 },
+        service: "quotes".to_owned(),
+        data_centre: "saga".to_owned(),
+        capacity: Resources { cpu_milli: tasks * 1_000, memory_mb: 1_000, accelerators: 0 },
+        labels: vec![format!("rack-{name}")],
+        draining: false,
+    };
+    Sidecar { name: name.to_owned(), addr: addr(), server }
+}
+
+fn spread(servers: &[(&str, u64)]) -> (Spread, Vec<Key>) {
+    let mut spread = Spread::default();
+    let keys = servers.iter().map(|(name, tasks)| {
+        let key = spread.describe(sidecar(name, *tasks));
+        spread.link_up(key);
+        spread.loaded(0, key, &OPEN);
+        key
+    });
+    let keys = keys.collect();
+    (spread, keys)
+}
+
+fn queue() -> Queue {
+    Queue {
+        service: "quotes".to_owned(),
+        max_attempts: 3,
+        slo_factor_milli: 1_500,
+        slo_ms: 50,
+        ..Queue::default()
+    }
+}
+
+/// A job of one step. It is on time within one and a half of `estimate_ms` and 50 ms.
+fn job(tasks: u16, estimate_ms: u32) -> Job {
+    let needs = Resources { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 };
+    let step = Step { tasks, needs, estimate_ms, ..Step::default() };
+    Job { spec: "spec".to_owned(), steps: vec![step] }
+}
+
+fn submit(spread: &mut Spread, now_ms: u64, id: u64, job: Job) -> Vec<Order> {
+    spread.submit(now_ms, Id(id), &queue(), job);
+    spread.take_work().orders
+}
+
+fn verdict(end: Ended, took_ms: u64) -> Verdict {
+    Verdict { end, took_ms, clock_ms: 0, load: OPEN }
+}
+
+fn end(spread: &mut Spread, now_ms: u64, order: &Order, end: Ended, took_ms: u64) -> Vec<Order> {
+    spread.ended(now_ms, order.server, order.start.run, Some(&verdict(end, took_ms)));
+    spread.take_work().orders
+}
+
+fn places(orders: &[Order]) -> Vec<(u64, Key)> {
+    orders.iter().map(|order| (order.start.run.task.job.0, order.server)).collect()
+}
+
+/// Pattern: a burst. Guards against first come, first served, which makes short jobs late behind
+/// long ones that have time left.
+#[test]
+fn of_the_tasks_that_wait_the_most_urgent_starts_first() {
+    let (mut spread, keys) = spread(&[("a", 1)]);
+    let first = submit(&mut spread, 0, 1, job(1, 100));
+    submit(&mut spread, 1, 2, job(1, 1_000));
+    submit(&mut spread, 2, 3, job(1, 60));
+    let next = end(&mut spread, 50, &first[0], Ended::Done, 50);
+    assert_eq!(places(&next), [(3, keys[0])]);
+}
+
+/// Pattern: more load than room. Guards against the order by due time alone, which serves jobs
+/// that are late already and makes all others late, too.
+#[test]
+fn jobs_that_cannot_be_on_time_come_last() {
+    let (mut spread, keys) = spread(&[("a", 1)]);
+    let first = submit(&mut spread, 0, 1, job(1, 100));
+    submit(&mut spread, 0, 2, job(1, 100));
+    submit(&mut spread, 300, 3, job(1, 100));
+    let next = end(&mut spread, 310, &first[0], Ended::Done, 310);
+    assert_eq!(places(&next), [(3, keys[0])]);
+    let last = end(&mut spread, 320, &next[0], Ended::Done, 10);
+    assert_eq!(places(&last), [(2, keys[0])]);
+}
+
+/// Pattern: more load than room. Guards against a job that is held until its caller has left.
+#[test]
+fn a_job_that_is_worth_nothing_any_more_is_refused_unless_it_has_started() {
+    let (mut spread, _) = spread(&[("a", 1)]);
+    submit(&mut spread, 0, 1, job(2, 100));
+    submit(&mut spread, 0, 2, job(1, 100));
+    // Worth nothing from three times 200 ms on, less the 100 ms that it takes.
+    spread.tick(500);
+    assert_eq!(spread.take_work().closed, []);
+    spread.tick(501);
+    assert_eq!(spread.take_work().closed, [(Id(2), Closed::NotRun)]);
+    assert!(spread.knows(Id(1)));
+}
+
+/// Pattern: servers of unlike speed. Guards against equal shares for unequal servers.
+#[test]
+fn the_faster_server_is_preferred_once_it_is_known() {
+    let (mut spread, keys) = spread(&[("a", 8), ("b", 8)]);
+    let mut now_ms = 0;
+    for id in 0..20 {
+        for order in submit(&mut spread, now_ms, id, job(2, 100)) {
+            let took_ms = if order.server == keys[0] { 200 } else { 80 };
+            end(&mut spread, now_ms + took_ms, &order, Ended::Done, took_ms);
+        }
+        now_ms += 300;
+    }
+    let orders = submit(&mut spread, now_ms, 99, job(4, 100));
+    assert!(orders.iter().all(|order| order.server == keys[1]), "{orders:?}");
+}
+
+/// Pattern: a server that has turned slow. Guards against learning only from runs that have ended,
+/// which a slow server has few of.
+#[test]
+fn a_server_whose_runs_take_long_is_left_before_they_end() {
+    let (mut spread, keys) = spread(&[("a", 8), ("b", 8)]);
+    let orders = submit(&mut spread, 0, 1, job(1, 100));
+    assert_eq!(places(&orders), [(1, keys[0])]);
+    spread.tick(400);
+    let orders = submit(&mut spread, 400, 2, job(2, 100));
+    assert!(orders.iter().all(|order| order.server == keys[1]), "{orders:?}");
+}
+
+/// Pattern: tasks that stand still. Guards against a job that waits for them until its caller
+/// leaves, and against a second run before the first one's end is known.
+#[test]
+fn a_run_that_stands_still_is_stopped_and_starts_elsewhere() {
+    let (mut spread, keys) = spread(&[("a", 2), ("b", 2)]);
+    let orders = submit(&mut spread, 0, 1, job(1, 100));
+    spread.tick(900);
+    assert_eq!(spread.take_work().stops, []);
+    spread.tick(901);
+    let work = spread.take_work();
+    assert_eq!(work.stops, [(keys[0], orders[0].start.run)]);
+    assert_eq!(work.orders, []);
+    spread.tick(1_000);
+    assert_eq!(spread.take_work().stops, [], "the order to stop is given once");
+    let again = end(&mut spread, 1_010, &orders[0], Ended::Stopped, 1_010);
+    assert_eq!(places(&again), [(1, keys[1])]);
+    assert_eq!(again[0].start.run.number, 2);
+}
+
+/// Pattern: a server that fails all that it starts. It has always room, so that without a pause it
+/// would draw all tasks.
+#[test]
+fn a_server_that_fails_all_is_left_alone_and_tried_again_with_one_task() {
+    let (mut spread, keys) = spread(&[("a", 8), ("b", 1)]);
+    for id in 1..=2 {
+        let orders = submit(&mut spread, 0, id, job(1, 10));
+        assert_eq!(places(&orders), [(id, keys[0])]);
+        let again = end(&mut spread, 1, &orders[0], Ended::Failed, 1);
+        assert_eq!(places(&again), [(id, keys[1])], "another server than the one that failed it");
+        end(&mut spread, 2, &again[0], Ended::Done, 10);
+    }
+    assert_eq!(submit(&mut spread, 3, 3, job(3, 10)).len(), 1);
+    let probe = submit(&mut spread, 1_002, 4, job(3, 500));
+    assert_eq!(places(&probe).iter().filter(|(_, key)| *key == keys[0]).count(), 1);
+}
+
+/// Pattern: jobs that can never be done. Guards against sound servers that are left alone because
+/// such jobs fail at them.
+#[test]
+fn a_job_that_fails_everywhere_speaks_against_no_second_server() {
+    let (mut spread, keys) = spread(&[("a", 8), ("b", 8)]);
+    for id in 1..=6 {
+        let mut orders = submit(&mut spread, id, id, job(1, 10));
+        while let Some(order) = orders.pop() {
+            orders = end(&mut spread, id, &order, Ended::Failed, 1);
+        }
+        assert_eq!(spread.knows(Id(id)), false, "three attempts");
+        // Sound jobs in between, at both servers.
+        for order in submit(&mut spread, id, 100 + id, job(8, 10)) {
+            end(&mut spread, id, &order, Ended::Done, 10);
+        }
+    }
+    let orders = submit(&mut spread, 10, 200, job(16, 10));
+    assert_eq!(orders.len(), 16);
+    assert!(orders.iter().any(|order| order.server == keys[0]));
+    assert!(orders.iter().any(|order| order.server == keys[1]));
+}
+
+/// Guards against a run number that the backend server has seen, which it refuses for good.
+#[test]
+fn a_run_found_outdated_gets_a_higher_number() {
+    let (mut spread, _) = spread(&[("a", 1)]);
+    let orders = submit(&mut spread, 0, 1, job(1, 100));
+    let late = Ended::NotStarted(Reason::Late);
+    let again = end(&mut spread, 1, &orders[0], late, 0);
+    assert_eq!(again[0].start.run.number, 18);
+}
+
+/// Guards against starts of a step before the steps that it waits for have ended.
+#[test]
+fn a_step_starts_when_the_steps_before_it_are_done() {
+    let (mut spread, _) = spread(&[("a", 8)]);
+    let mut work = job(2, 10);
+    let second = Step { after: vec![0], tasks: 1, ..work.steps[0].clone() };
+    work.steps.push(second);
+    let orders = submit(&mut spread, 0, 1, work);
+    assert_eq!(orders.len(), 2);
+    assert_eq!(end(&mut spread, 10, &orders[0], Ended::Done, 10), []);
+    let last = end(&mut spread, 11, &orders[1], Ended::Done, 11);
+    assert_eq!(last[0].start.run.task.step, 1);
+    spread.ended(20, last[0].server, last[0].start.run, Some(&verdict(Ended::Done, 9)));
+    assert_eq!(spread.take_work().closed, [(Id(1), Closed::Completed)]);
+}
+
+/// Guards against orders to a sidecar that cannot be reached, and against a task that is lost with
+/// its link.
+#[test]
+fn what_was_lost_with_a_link_starts_elsewhere() {
+    let (mut spread, keys) = spread(&[("a", 1), ("b", 1)]);
+    let orders = submit(&mut spread, 0, 1, job(1, 100));
+    spread.link_down(orders[0].server);
+    let run: Run = orders[0].start.run;
+    spread.ended(10, orders[0].server, run, None);
+    let again = spread.take_work().orders;
+    assert_eq!(places(&again), [(1, keys[1])]);
+}
