Entries learn of sidecars at once; sooner elections at start; cancels reach other entries' jobs

A cancel at another entry did nothing. After a reset connection an entry waited for the whole lease. Parallel failures at one server doubled its pause several times at once. Ruled out: sidecars' fencing tokens, which all had 0.14 s after the election.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -124,7 +124,7 @@
 
 /// Runs the command line `args`, without the program's name.
 pub fn main(args: &[String]) -> ExitCode {
-    daemon::init_log("warn");
+    daemon::init_log("warn", env_logger::Target::Stderr);
     match dispatch(args) {
         Ok(code) => code,
         Err(e) => {
--- a/src/control/jobs/call.rs
+++ b/src/control/jobs/call.rs
@@ -19,8 +19,8 @@
 
 /// Longest time that an entry waits for changes.
 const WATCH_MAX: Duration = Duration::from_millis(1_000);
-/// Time in office after which a leader's list of sidecars is told, in ms.
-const LIST_AFTER_MS: u64 = 300;
+/// Time for which changes are collected before an entry is told.
+const COLLECT: Duration = Duration::from_millis(15);
 
 impl Coordinator {
     /// Carries out a call, if this instance leads.
@@ -37,7 +37,9 @@
             Call::Configure(config) => self.configure(config).await,
             Call::Watch { config, sidecars, wait_ms } => {
                 let wait = Duration::from_millis(wait_ms).min(WATCH_MAX);
-                let _ = time::timeout(wait, self.changed(config, sidecars)).await;
+                if time::timeout(wait, self.changed(config, sidecars)).await.is_ok() {
+                    time::sleep(COLLECT).await;
+                }
                 self.current().await?;
                 self.view(config, sidecars).map(Answer::View)
             }
@@ -67,11 +69,9 @@
         let state = self.inner.replica.state();
         let held = state.queues().config().filter(|held| held.version > config);
         let version = lead.list_version();
-        // Sidecars need some time to find a new leader.
-        let settled = lead.since_ms + LIST_AFTER_MS <= util::boot_ms();
         Ok(View {
             config: held.cloned(),
-            sidecars: (settled && version != sidecars).then(|| (version, lead.list())),
+            sidecars: (version != sidecars).then(|| (version, lead.list())),
             members: self.members(),
         })
     }
--- a/src/coordination/agent.rs
+++ b/src/coordination/agent.rs
@@ -90,6 +90,8 @@
     not_started: Vec<NotStarted>,
     /// Ends of the entries' leases.
     leases: IndexMap<Entry, u64>,
+    /// Entries whose leases were given back, and until when late messages of theirs may come.
+    released: IndexMap<Entry, u64>,
     stopping: bool,
     work: Work,
 }
@@ -111,6 +113,7 @@
             early: BTreeMap::new(),
             not_started: Vec::new(),
             leases: IndexMap::new(),
+            released: IndexMap::new(),
             stopping: false,
             work: Work::default(),
         }
@@ -171,6 +174,10 @@
 
     /// Tells an entry what became of its order. The leader learns of it from reports.
     fn tell(&mut self, run: Run, attempt: &Attempt, end: Ended, took_ms: u64) {
+        let end = match end {
+            Ended::Stopped | Ended::NotStarted(_) if attempt.canceled => Ended::Canceled,
+            end => end,
+        };
         match (attempt.source, end) {
             (Source::Entry(entry), _) => self.work.verdicts.push((entry, run, end, took_ms)),
             (Source::Leader, Ended::NotStarted(reason)) => {
@@ -305,20 +312,21 @@
 
     /// Renews an entry's lease, which ends at `until_ms`.
     pub fn renew(&mut self, entry: Entry, until_ms: u64) {
-        let lease = self.leases.entry(entry).or_insert(0);
+        let leases = match self.released.contains_key(&entry) {
+            true => &mut self.released,
+            false => &mut self.leases,
+        };
+        let lease = leases.entry(entry).or_insert(0);
         *lease = until_ms.max(*lease);
     }
 
     /// Stops what was ordered by those whose leases have ended.
     pub fn tick(&mut self, now_ms: u64) {
         self.leases.retain(|_, until_ms| *until_ms > now_ms);
-        let Some(life) = &self.life else { return };
-        let ended = |attempt: &Attempt| match attempt.source {
+        let runs = self.runs(|_, attempt| match attempt.source {
             Source::Entry(entry) => !self.leases.contains_key(&entry),
             Source::Leader => self.granted_until_ms <= now_ms,
-        };
-        let runs: Vec<Run> =
-            life.attempts.iter().filter(|(_, a)| ended(a)).map(|(run, _)| *run).collect();
+        });
         for run in runs {
             self.stop(run);
         }
@@ -358,6 +366,7 @@
     fn dispatch(&mut self, now_ms: u64) {
         let Some(life) = &mut self.life else { return };
         let open = life.open() && !self.stopping;
+        let mut refused = Vec::new();
         for run in life.queue() {
             let attempt = &life.attempts[&run];
             let (needs, until_ms) = (attempt.start.needs, attempt.until_ms);
@@ -374,18 +383,12 @@
                 continue;
             };
             if let Some(attempt) = life.remove(&run) {
-                match attempt.source {
-                    Source::Entry(entry) => {
-                        let end = Ended::NotStarted(reason);
-                        self.work.verdicts.push((entry, run, end, 0));
-                    }
-                    Source::Leader => {
-                        self.not_started.push(NotStarted { run, reason });
-                        self.work.news = true;
-                    }
-                }
+                refused.push((run, attempt, reason));
             }
         }
+        for (run, attempt, reason) in refused {
+            self.tell(run, &attempt, Ended::NotStarted(reason), 0);
+        }
     }
 
     /// Takes the result of an order to start.
@@ -429,17 +432,37 @@
         }
     }
 
+    /// Ends an entry's lease and stops its runs. Answers whether none is left.
+    pub fn release(&mut self, now_ms: u64, entry: Entry) -> bool {
+        if let Some(until_ms) = self.leases.swap_remove(&entry) {
+            self.released.insert(entry, until_ms);
+        }
+        self.released.retain(|other, until_ms| *other == entry || *until_ms > now_ms);
+        let runs = self.runs(|_, attempt| attempt.source == Source::Entry(entry));
+        for run in &runs {
+            self.stop(*run);
+        }
+        self.runs(|_, attempt| attempt.source == Source::Entry(entry)).is_empty()
+    }
+
     /// Stops the runs of a job. Answers whether there were any.
     pub fn cancel(&mut self, job: Id) -> bool {
-        let Some(life) = &self.life else { return false };
-        let runs: Vec<Run> =
-            life.attempts.keys().filter(|run| run.task.job == job).copied().collect();
+        let runs = self.runs(|run, _| run.task.job == job);
         for run in &runs {
+            if let Some(attempt) = self.life.as_mut().and_then(|life| life.attempts.get_mut(run)) {
+                attempt.canceled = true;
+            }
             self.stop(*run);
         }
         !runs.is_empty()
     }
 
+    /// The runs that were ordered and that `wanted` holds for.
+    fn runs(&self, wanted: impl Fn(&Run, &Attempt) -> bool) -> Vec<Run> {
+        let attempts = self.life.iter().flat_map(|life| &life.attempts);
+        attempts.filter(|(run, attempt)| wanted(run, attempt)).map(|(run, _)| *run).collect()
+    }
+
     /// Whether an order to stop has not been confirmed and still matters.
     pub fn stop_due(&self, run: Run) -> bool {
         self.life.as_ref().is_some_and(|life| life.stop_due(&run))
--- a/src/coordination/agent/life.rs
+++ b/src/coordination/agent/life.rs
@@ -48,6 +48,8 @@
     pub until_ms: u64,
     pub state: State,
     pub stopping: bool,
+    /// Whether its job was cancelled through another entry than the one that ordered it.
+    pub canceled: bool,
     /// When the start was ordered at the backend server.
     pub ordered_ms: u64,
 }
@@ -61,6 +63,7 @@
             until_ms,
             state: State::Waiting,
             stopping: false,
+            canceled: false,
             ordered_ms: 0,
         }
     }
--- a/src/coordination/consensus/mod.rs
+++ b/src/coordination/consensus/mod.rs
@@ -43,6 +43,10 @@
     }
 }
 
+/// Least time between the start of an instance and its first election: others that start at the
+/// same time must be listening.
+const START_MIN_MS: u64 = 60;
+
 /// What an instance starts from.
 #[derive(Debug, Clone)]
 pub struct Start {
@@ -199,7 +203,10 @@
             output: Output::default(),
             after: Vec::new(),
         };
-        instance.reset_election();
+        // A leader that is there prevents the election, so an instance that starts need not wait
+        // for one as long as one that has just lost its leader.
+        let wait = instance.random.random_range(START_MIN_MS..=start.timing.election_min_ms);
+        instance.election_at = now + wait;
         if instance.majority() == 1 && instance.votes() {
             instance.election_at = now;
         }
--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -288,6 +288,11 @@
                     return;
                 }
             }
+            Ended::Canceled => {
+                self.cancel(id);
+                self.work.closed.push((id, Closed::Canceled));
+                return;
+            }
             Ended::NotStarted(Reason::Late) => task.number += NUMBER_STEP,
             Ended::Stopped | Ended::Lost | Ended::NotStarted(_) => {}
         }
--- a/src/coordination/spread/server.rs
+++ b/src/coordination/spread/server.rs
@@ -161,7 +161,7 @@
             Ended::NotStarted(Reason::Unavailable | Reason::NoAnswer) | Ended::Lost => {
                 self.paused_until_ms = self.paused_until_ms.max(now_ms + REFUSED_PAUSE_MS);
             }
-            Ended::Stopped | Ended::NotStarted(Reason::Room | Reason::Late) => {}
+            Ended::Stopped | Ended::Canceled | Ended::NotStarted(Reason::Room | Reason::Late) => {}
         }
     }
 
@@ -171,6 +171,10 @@
     }
 
     fn failed(&mut self, now_ms: u64) {
+        if now_ms < self.paused_until_ms && self.failures >= FAILURES_MAX {
+            // Runs that were under way when the pause began say nothing new.
+            return;
+        }
         self.failures += 1;
         if self.failures < FAILURES_MAX {
             return;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,6 +14,7 @@
 use crate::{
     config,
     error::{self, Result},
+    output,
     transport::signal,
 };
 
@@ -55,7 +56,7 @@
 
 /// Runs a daemon until a signal stops it.
 pub fn main<P: Process>() -> ExitCode {
-    init_log("info");
+    init_log("info", env_logger::Target::Pipe(Box::new(output::Output::new(std::io::stdout()))));
     let (path, settings) = match settings::<P>() {
         Ok(Some(settings)) => settings,
         Ok(None) => return ExitCode::SUCCESS,
@@ -64,19 +65,23 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
-    match actix_rt::System::new().block_on(run::<P>(path, settings)) {
+    let code = match actix_rt::System::new().block_on(run::<P>(path, settings)) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::from(EXIT_FAILED),
         Err(e) => {
             log::error!("event=failed process={} {e}", P::NAME);
             ExitCode::from(EXIT_FAILED)
         }
-    }
+    };
+    // Lets the last log lines, and answers that were just written, leave the process.
+    std::thread::sleep(FLUSH);
+    code
 }
 
-/// Sends log lines to stderr; `RUST_LOG` goes before `level`.
-pub fn init_log(level: &str) {
+/// Sends log lines to `target`; `RUST_LOG` goes before `level`.
+pub fn init_log(level: &str, target: env_logger::Target) {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level))
+        .target(target)
         // tarpc logs each call at the level of events.
         .filter_module("tarpc", log::LevelFilter::Warn)
         .format(log_line)
@@ -143,8 +148,6 @@
         }
     };
     log::info!("event=stopped process={} cut={cut}", P::NAME);
-    // Lets answers that were just written leave the socket buffers of this process.
-    tokio::time::sleep(FLUSH).await;
     Ok(cut)
 }
 
--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -5,9 +5,10 @@
     time::{Duration, Instant},
 };
 
+use futures::future::join_all;
 use tokio::{sync::oneshot, time};
 
-use super::Entry;
+use super::{Entry, link::Link};
 use crate::{
     coordination::spread::Closed,
     leader::Failure,
@@ -94,9 +95,18 @@
             self.inner.spread.borrow_mut().submit(util::boot_ms(), id, queue, job);
         }
         let guard = Guard { entry: self.clone(), id };
+        let taken = Instant::now();
         self.carry_out();
         let closed = ended.await.unwrap_or(Closed::Canceled);
         drop(guard);
+        let took = taken.elapsed();
+        self.inner.meter.ended(&queue.prefix, closed, took);
+        log::info!(
+            "event=job job={id} queue={host}{} outcome={closed:?} took_ms={} config={}",
+            queue.prefix,
+            took.as_millis(),
+            config.version
+        );
         match closed {
             Closed::Completed => Ended::Phase(Phase::Completed),
             Closed::Failed => Ended::Phase(Phase::Failed),
@@ -147,6 +157,14 @@
             self.carry_out();
             return Ok(Answer::Accepted);
         }
+        if let Some(id) = id {
+            let links: Vec<Link> = self.inner.links.borrow().values().cloned().collect();
+            let answers = join_all(links.iter().map(|link| link.cancel(id))).await;
+            if answers.contains(&Some(true)) {
+                log::info!("event=canceled job={id} by=sidecars");
+                return Ok(Answer::Accepted);
+            }
+        }
         self.call(Call::Cancel { host, path }, deadline).await
     }
 }
--- a/src/entry/jobs/link.rs
+++ b/src/entry/jobs/link.rs
@@ -17,7 +17,7 @@
 use crate::{
     coordination::spread::{Key, Order},
     protocol::{
-        queue::Run,
+        queue::{Id, Run},
         wire::work::{self, Renewal, ServiceClient, Standing, Verdict},
     },
     transport::rpc,
@@ -34,8 +34,6 @@
 const RENEW_LIMIT: Duration = Duration::from_millis(350);
 /// Pause before a broken link is opened again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
-/// Time for a sidecar that works to stop runs whose lease has ended, in ms.
-const STOP_MS: u64 = 250;
 /// Time after which nothing runs under a sidecar that has died, in ms: the longest lease of the
 /// backend server.
 const DEAD_MS: u64 = 1_100;
@@ -95,6 +93,19 @@
         Link { inner: Rc::new(inner) }
     }
 
+    /// Cancels a job of another entry. `None` if the sidecar cannot be asked.
+    pub async fn cancel(&self, job: Id) -> Option<bool> {
+        let session = self.inner.session.borrow().clone()?;
+        let answer = session.client.cancel(rpc::context(RENEW_LIMIT), job);
+        match time::timeout(RENEW_LIMIT, answer).await {
+            Ok(Ok(any)) => Some(any),
+            Ok(Err(_)) | Err(_) => {
+                log::info!("event=cancel_unanswered job={job} sidecar={}", self.inner.addr.get());
+                None
+            }
+        }
+    }
+
     /// Orders a run to stop; its order then ends.
     pub fn stop(&self, run: Run) {
         let session = self.inner.session.borrow().clone();
@@ -252,12 +263,13 @@
         if session.lease_until_ms.get() + DEAD_MS < clock_ms {
             break;
         }
-        if let Some((_, _, standing)) = open(addr).await {
+        if let Some((again, _, standing)) = open(addr).await {
             let alive = standing.session == known;
-            if alive && session.lease_until_ms.get() + STOP_MS < standing.clock_ms {
+            if !alive && standing.clean {
                 break;
             }
-            if !alive && standing.clean {
+            let release = again.client.release(rpc::context(RENEW_LIMIT), session.entry);
+            if alive && matches!(time::timeout(RENEW_LIMIT, release).await, Ok(Ok(true))) {
                 break;
             }
         }
--- /dev/null
+++ b/src/entry/jobs/meter.rs
@@ -0,0 +1,52 @@
+//! Metrics of the jobs that an entry runs.
+
+use std::{cell::RefCell, time::Duration};
+
+use prometheus::{HistogramVec, IntCounterVec, Registry};
+
+use crate::{coordination::spread::Closed, metric};
+
+/// Counters and histograms by queue.
+pub(super) struct Meter {
+    registry: Registry,
+    queues: RefCell<metric::Teams>,
+    response: HistogramVec,
+    jobs: IntCounterVec,
+}
+
+impl Meter {
+    pub fn new() -> Meter {
+        let registry = Registry::new();
+        let response = metric::seconds(
+            &registry,
+            "briargauge_queue_response_seconds",
+            "Time from the arrival of a job to its end.",
+            &["queue"],
+        );
+        let jobs = metric::counter(
+            &registry,
+            "briargauge_queue_jobs_total",
+            "Jobs by how they ended.",
+            &["queue", "outcome"],
+        );
+        Meter { registry, queues: RefCell::default(), response, jobs }
+    }
+
+    /// Counts a job that has ended.
+    pub fn ended(&self, queue: &str, closed: Closed, took: Duration) {
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.label(queue);
+        let outcome = match closed {
+            Closed::Completed => "completed",
+            Closed::Failed => "failed",
+            Closed::Canceled => "canceled",
+            Closed::NotRun => "not_run",
+        };
+        self.response.with_label_values(&[queue]).observe(took.as_secs_f64());
+        self.jobs.with_label_values(&[queue, outcome]).inc();
+    }
+
+    pub fn render(&self) -> Vec<u8> {
+        metric::render(&self.registry)
+    }
+}
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -3,6 +3,7 @@
 
 mod call;
 mod link;
+mod meter;
 
 use std::{
     cell::{Cell, RefCell},
@@ -25,6 +26,7 @@
 };
 pub use call::Ended;
 use link::Link;
+use meter::Meter;
 
 /// Longest time that a watch waits for changes.
 const WATCH_WAIT: Duration = Duration::from_millis(400);
@@ -50,6 +52,7 @@
     waiters: RefCell<IndexMap<Id, Vec<oneshot::Sender<Closed>>>>,
     /// When the process ends, once it is stopping.
     ends_at: Cell<Option<Instant>>,
+    meter: Meter,
 }
 
 impl Entry {
@@ -63,6 +66,7 @@
             sidecars: Cell::new(0),
             waiters: RefCell::default(),
             ends_at: Cell::new(None),
+            meter: Meter::new(),
         };
         let entry = Entry { inner: Rc::new(inner) };
         actix_rt::spawn(entry.clone().watch());
@@ -81,6 +85,11 @@
         self.inner.ends_at.set(Some(Instant::now() + left));
     }
 
+    /// Metrics in the text format of Prometheus.
+    pub fn metrics(&self) -> Vec<u8> {
+        self.inner.meter.render()
+    }
+
     /// Keeps configuration and sidecars up to date.
     async fn watch(self) {
         loop {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod leader;
 pub mod load;
 pub mod metric;
+pub mod output;
 pub mod protocol;
 pub mod sidecar;
 pub mod state;
--- a/src/protocol/wire/work.rs
+++ b/src/protocol/wire/work.rs
@@ -19,6 +19,8 @@
     async fn run(order: Order) -> Verdict;
     /// Stops runs of an entry.
     async fn stop(entry: Entry, runs: Vec<Run>);
+    /// Ends an entry's lease and stops its runs. Answers whether none is left.
+    async fn release(entry: Entry) -> bool;
     /// Stops all runs of a job, whichever entry ordered them. Answers whether there were any.
     async fn cancel(job: Id) -> bool;
 }
@@ -90,6 +92,8 @@
     Failed,
     /// Stopped on order, or because a lease ended.
     Stopped,
+    /// The job was cancelled through another entry.
+    Canceled,
     /// The backend server is gone.
     Lost,
     /// The run did not start.
--- a/src/sidecar/jobs/service.rs
+++ b/src/sidecar/jobs/service.rs
@@ -70,6 +70,12 @@
         self.sidecar.carry_out();
     }
 
+    async fn release(self, _: Context, entry: Entry) -> bool {
+        let released = self.sidecar.inner.agent.borrow_mut().release(util::boot_ms(), entry);
+        self.sidecar.carry_out();
+        released
+    }
+
     async fn cancel(self, _: Context, job: Id) -> bool {
         let any = self.sidecar.inner.agent.borrow_mut().cancel(job);
         self.sidecar.carry_out();
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -108,6 +108,35 @@
     assert_eq!(agent.take_work().stops, [run(1, 1)]);
 }
 
+/// Guards against a long wait after a connection was reset: what was ordered over it can be given
+/// back.
+#[test]
+fn an_entry_that_is_released_has_nothing_left() {
+    let mut agent = agent();
+    order(&mut agent, 0, run(1, 1));
+    agent.begun(1, run(1, 1), Outcome::Started);
+    assert!(!agent.release(1, Entry(7)));
+    assert_eq!(agent.take_work().stops, [run(1, 1)]);
+    agent.stopped(2, run(1, 1));
+    agent.held(3, 4, held(&[], &[(1, run(1, 1), How::Stopped)]));
+    assert!(agent.release(4, Entry(7)));
+    agent.take_work();
+    agent.renew(Entry(7), 10_000);
+    let late = Ended::NotStarted(Reason::Late);
+    assert_eq!(order(&mut agent, 5, run(2, 1)).verdicts, [(Entry(7), run(2, 1), late, 0)]);
+}
+
+/// Guards against a cancelled job whose entry starts it again because its run was stopped.
+#[test]
+fn a_job_cancelled_through_another_entry_is_not_merely_stopped() {
+    let mut agent = agent();
+    order(&mut agent, 0, run(1, 1));
+    assert!(!agent.cancel(Id(2)));
+    assert!(agent.cancel(Id(1)));
+    agent.held(3, 4, held(&[], &[(1, run(1, 1), How::Stopped)]));
+    assert_eq!(agent.take_work().verdicts, [(Entry(7), run(1, 1), Ended::Canceled, 4)]);
+}
+
 /// Guards against an order that lay in a cut connection and is carried out after its entry gave
 /// it up.
 #[test]
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -197,7 +197,7 @@
         while let Some(order) = orders.pop() {
             orders = end(&mut spread, id, &order, Ended::Failed, 1);
         }
-        assert_eq!(spread.knows(Id(id)), false, "three attempts");
+        assert!(!spread.knows(Id(id)), "three attempts");
         // Sound jobs in between, at both servers.
         for order in submit(&mut spread, id, 100 + id, job(8, 10)) {
             end(&mut spread, id, &order, Ended::Done, 10);
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -6,10 +6,9 @@
 
 use std::{
     fs::{self, File},
-    io::{BufRead, BufReader},
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::{Child, Command, ExitStatus, Output, Stdio},
+    process::{Child, Command, ExitStatus, Output},
     thread,
     time::{Duration, Instant},
 };
@@ -97,22 +96,29 @@
 
 impl Daemon {
     fn start(program: Program, settings: &Path, log: PathBuf) -> Daemon {
-        let stderr = File::options().append(true).create(true).open(&log).unwrap();
-        let mut child = Command::new(program.path())
+        let output = File::options().append(true).create(true).open(&log).unwrap();
+        let before = read(&log).len();
+        let child = Command::new(program.path())
             .args(["--settings", settings.to_str().unwrap()])
             .env("RUST_LOG", "info")
-            .stdout(Stdio::piped())
-            .stderr(stderr)
+            .stdout(output.try_clone().unwrap())
+            .stderr(output)
             .spawn()
             .unwrap();
-        let mut line = String::new();
-        BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
-        assert!(line.starts_with("listening"), "{program:?} did not start: {}", read(&log));
+        // Killed if it does not start.
+        let mut daemon = Daemon { child, http: None, rpc: None, peer: None, log };
+        let line = wait_for("the start", || {
+            let log = daemon.log();
+            assert!(daemon.child.try_wait().unwrap().is_none(), "{program:?} ended: {log}");
+            let line = log[before..].lines().find(|line| line.starts_with("listening"))?;
+            log[before..].contains(&format!("{line}\n")).then(|| line.to_owned())
+        });
         let addr = |name: &str| {
             let word = line.split_whitespace().find_map(|w| w.strip_prefix(name))?;
             word.parse().ok()
         };
-        Daemon { http: addr("http="), rpc: addr("rpc="), peer: addr("peer="), child, log }
+        (daemon.http, daemon.rpc, daemon.peer) = (addr("http="), addr("rpc="), addr("peer="));
+        daemon
     }
 
     pub fn http(&self) -> SocketAddr {
