--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -227,11 +227,13 @@
         let Some(lead) = lead.as_mut() else { return };
         let state = self.inner.replica.state();
         for (name, sidecar) in &mut lead.sidecars {
-            if sidecar.granted_until_ms + GRANT_SLACK_MS > now_ms {
+            let silent = sidecar.granted_until_ms + GRANT_SLACK_MS <= now_ms;
+            let over = sidecar.over_ms.is_some_and(|over_ms| over_ms <= now_ms);
+            if !silent && !over {
                 continue;
             }
             if let Some((id, key)) = sidecar.server.take() {
-                log::warn!("event=server_lost sidecar={name} server={} reason=silent", id.id);
+                log::warn!("event=server_lost sidecar={name} server={id} reason=silent");
                 lead.lists += 1;
                 lead.scheduler.lose(key, state.queues());
                 lead.dirty = true;
--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -4,10 +4,10 @@
 
 use tokio::time;
 
-use super::{CONFIRM_MAX_MS, Coordinator, GRANT_MS, Lead, Sidecar};
+use super::{CONFIRM_MAX_MS, Coordinator, GRANT_MS, GRANT_SLACK_MS, Lead, Sidecar};
 use crate::{
     coordination::schedule::Server,
-    protocol::wire::queue::{End, Orders, Refusal, Report},
+    protocol::wire::queue::{Backend, End, Orders, Refusal, Report},
     state::machine::queue::{self, Change, Queues},
     util,
 };
@@ -43,7 +43,7 @@
         sidecar.reports.set(sidecar.reports.get() + 1);
         sidecar.wake.notify_waiters();
         let Some((_, key)) = sidecar.server.clone() else { return Ok(Vec::new()) };
-        if let Some(info) = report.server
+        if let Backend::Present(info) = report.backend
             && let Some(server) = scheduler.server_mut(key)
             && server.info != info
         {
@@ -97,23 +97,28 @@
         sidecar.addr = report.addr;
         lead.lists += 1;
         self.inner.changed.notify_waiters();
-        let known = sidecar.server.as_ref().map(|(id, _)| id);
-        if known == report.server.as_ref().map(|server| &server.id) {
-            if let Some((_, key)) = &sidecar.server
-                && let Some(server) = lead.scheduler.server_mut(*key)
-            {
-                server.shut();
+        let kept = match &report.backend {
+            Backend::Unknown => true,
+            Backend::Lost => false,
+            Backend::Present(server) => {
+                sidecar.server.as_ref().is_some_and(|(id, _)| *id == server.id)
             }
-        } else if let Some((id, key)) = sidecar.server.take() {
-            log::warn!(
-                "event=server_lost sidecar={} server={} reason=replaced",
-                report.sidecar,
-                id.id
-            );
+        };
+        sidecar.over_ms = match &report.backend {
+            Backend::Unknown => Some(util::boot_ms() + GRANT_SLACK_MS),
+            Backend::Lost | Backend::Present(_) => None,
+        };
+        if !kept && let Some((id, key)) = sidecar.server.take() {
+            log::warn!("event=server_lost sidecar={} server={id} reason=replaced", report.sidecar);
             lead.scheduler.lose(key, queues);
         }
+        if let Some((_, key)) = &sidecar.server
+            && let Some(server) = lead.scheduler.server_mut(*key)
+        {
+            server.shut();
+        }
         if sidecar.server.is_none()
-            && let Some(server) = &report.server
+            && let Some(server) = report.backend.server()
         {
             sidecar.reset_ends();
             let key = lead.scheduler.add_server(Server::new(server.clone()));
@@ -123,7 +128,7 @@
             "event=session sidecar={} session={} link={link} server={}",
             report.sidecar,
             report.session,
-            report.server.as_ref().map_or("none", |server| &server.id.id)
+            report.backend.server().map_or("none", |server| &server.id.id)
         );
     }
 
--- a/src/control/jobs/sidecar.rs
+++ b/src/control/jobs/sidecar.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     coordination::schedule::Key,
-    protocol::wire::queue::{Batch, Report, ServerId},
+    protocol::wire::queue::{Backend, Batch, Report, ServerId},
 };
 
 /// Time after which orders are sent again if no report says that they were taken, in ms.
@@ -24,6 +24,9 @@
     pub server: Option<(ServerId, Key)>,
     /// When the last grant ends, on the leader's clock.
     pub granted_until_ms: u64,
+    /// When nothing runs any more of what an earlier process of the sidecar ordered, if the present
+    /// one has not met the server.
+    pub over_ms: Option<u64>,
     /// Wakes the report that waits for orders.
     pub wake: Rc<Notify>,
     /// Number of the newest report.
@@ -49,6 +52,7 @@
             synced: false,
             server: None,
             granted_until_ms: 0,
+            over_ms: None,
             wake: Rc::default(),
             reports: Rc::default(),
             batches: Vec::new(),
@@ -73,8 +77,13 @@
 
     /// Whether a report belongs to the present session and server.
     pub fn knows(&self, report: &Report) -> bool {
-        self.session == report.session
-            && self.server.as_ref().map(|(id, _)| id) == report.server.as_ref().map(|s| &s.id)
+        let server = self.server.as_ref().map(|(id, _)| id);
+        let same = match &report.backend {
+            Backend::Unknown => true,
+            Backend::Lost => server.is_none(),
+            Backend::Present(present) => server == Some(&present.id),
+        };
+        self.session == report.session && same
     }
 
     /// Whether an end is new; it then counts as being stored.
--- a/src/coordination/agent.rs
+++ b/src/coordination/agent.rs
@@ -13,7 +13,7 @@
 use crate::protocol::{
     queue::{How, Id, Run},
     wire::{
-        queue::{Batch, End, NotStarted, Orders, Reason, Report, Server, Start},
+        queue::{Backend, Batch, End, NotStarted, Orders, Reason, Report, Server, Start},
         work::{Ended, Entry, Load},
     },
 };
@@ -78,6 +78,8 @@
     session: u64,
     max_lease_ms: u64,
     life: Option<Life>,
+    /// Whether a backend server has announced itself.
+    met: bool,
     /// Fencing token of this session; 0 before a leader gave one.
     token: u64,
     term: u64,
@@ -105,6 +107,7 @@
             session,
             max_lease_ms,
             life: None,
+            met: false,
             token: 0,
             term: 0,
             link: 0,
@@ -144,6 +147,7 @@
                 log::info!("event=server server={} service={}", server.id, server.service);
                 self.lose();
                 self.life = Some(Life::new(server, addr, seq));
+                self.met = true;
                 self.work.news = true;
             }
         }
@@ -445,9 +449,9 @@
         self.runs(|_, attempt| attempt.source == Source::Entry(entry)).is_empty()
     }
 
-    /// Stops the runs of a job. Answers whether there were any.
+    /// Stops the runs of a job that an entry ordered. Answers whether there were any.
     pub fn cancel(&mut self, job: Id) -> bool {
-        let runs = self.runs(|run, _| run.task.job == job);
+        let runs = self.runs(|run, a| run.task.job == job && a.source != Source::Leader);
         for run in &runs {
             if let Some(attempt) = self.life.as_mut().and_then(|life| life.attempts.get_mut(run)) {
                 attempt.canceled = true;
@@ -487,7 +491,11 @@
             sidecar: self.name.clone(),
             addr: self.addr,
             session: self.session,
-            server: life.map(describe),
+            backend: match life {
+                Some(life) => Backend::Present(describe(life)),
+                None if self.met => Backend::Lost,
+                None => Backend::Unknown,
+            },
             link: self.link,
             running: linked.filter(|life| life.linked != self.link).map(Life::of_leader),
             ends: linked.map_or_else(Vec::new, |life| life.ends.values().cloned().collect()),
@@ -518,7 +526,7 @@
             return;
         }
         let Some(life) = &mut self.life else { return };
-        if report.server.as_ref().map(|s| &s.id) != Some(&life.server.id)
+        if report.backend.server().map(|s| &s.id) != Some(&life.server.id)
             || report.link != self.link
         {
             return;
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -114,6 +114,27 @@
     pub draining: bool,
 }
 
+/// What a sidecar knows of the backend server beside it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Backend {
+    /// It has not announced itself since the sidecar started: what an earlier process of the sidecar
+    /// ordered may still run.
+    Unknown,
+    /// Nothing runs there any more.
+    Lost,
+    Present(Server),
+}
+
+impl Backend {
+    /// The backend server, if it is there.
+    pub fn server(&self) -> Option<&Server> {
+        match self {
+            Backend::Present(server) => Some(server),
+            Backend::Unknown | Backend::Lost => None,
+        }
+    }
+}
+
 /// What a sidecar tells the leader.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -123,8 +144,7 @@
     pub addr: SocketAddr,
     /// Random number of this start of the sidecar's process.
     pub session: u64,
-    /// The backend server, unless it is lost.
-    pub server: Option<Server>,
+    pub backend: Backend,
     /// Newest number of the leader's view of this sidecar that it was told of.
     pub link: u64,
     /// All that runs there on the leader's orders, or may; until the leader has it.
--- a/src/protocol/wire/work.rs
+++ b/src/protocol/wire/work.rs
@@ -21,7 +21,8 @@
     async fn stop(entry: Entry, runs: Vec<Run>);
     /// Ends an entry's lease and stops its runs. Answers whether none is left.
     async fn release(entry: Entry) -> bool;
-    /// Stops all runs of a job, whichever entry ordered them. Answers whether there were any.
+    /// Stops the runs of a job that need not be kept, whichever entry ordered them. Answers whether
+    /// there were any.
     async fn cancel(job: Id) -> bool;
 }
 
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -7,7 +7,7 @@
     protocol::{
         queue::{How, Id, Resources, Run, Task},
         wire::{
-            queue::{Batch, End, Orders, Reason, Server, ServerId, Start},
+            queue::{Backend, Batch, End, Orders, Reason, Server, ServerId, Start},
             work::{Ended, Entry},
         },
     },
@@ -248,6 +248,18 @@
     assert_eq!(agent.report(0).batch, 2);
 }
 
+/// Guards against a leader that takes a server for lost because its sidecar has just started: the
+/// runs of the sidecar's earlier process went on beside their second ones.
+#[test]
+fn a_server_that_was_not_met_is_not_lost() {
+    let mut agent = Agent::new("s".to_owned(), addr(), 1, LEASE_MS);
+    assert_eq!(agent.report(0).backend, Backend::Unknown);
+    agent.announce(0, server(1, 1_000), addr(), 1);
+    assert_eq!(agent.report(0).backend, Backend::Present(server(1, 1_000)));
+    agent.leave("b");
+    assert_eq!(agent.report(0).backend, Backend::Lost);
+}
+
 /// A backend server that carries orders out late, or not at all, and lets runs end at random.
 #[derive(Default)]
 struct Fake {
