One module for what is learned of a backend server; one copy of target and turn

Cause: pace, pauses and failures stood in the entry's and in the leader's view of a server, with different limits; a job's target and the turn of its steps were computed twice. Change: coordination::pace serves both (the leader now pauses after 2 failures in a row for 1 s, as entries do); queue::Queue::target_ms, queue::Job::turn_has_come.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 pub mod limit;
 pub mod member;
 pub mod naive;
+pub mod pace;
 pub mod queue;
 pub mod quota;
 pub mod retry;
--- a/src/coordination/schedule/server.rs
+++ b/src/coordination/schedule/server.rs
@@ -3,18 +3,14 @@
 use indexmap::IndexMap;
 
 use super::pause_ms;
-use crate::protocol::{
-    queue::{How, Id, Resources, Run, Step},
-    wire::queue::{self, Batch, Reason, Start},
+use crate::{
+    coordination::pace::Pace,
+    protocol::{
+        queue::{How, Id, Resources, Run, Step},
+        wire::queue::{self, Batch, Reason, Start},
+    },
 };
 
-/// Weight of the newest run in the learned pace.
-const PACE_WEIGHT: f64 = 0.1;
-/// Runs that may fail in a row before a server is left alone for a while.
-const FAILURES_MAX: u32 = 3;
-/// First pause of a server that fails all that it starts; it doubles with each further failure.
-const PAUSE_MS: u64 = 500;
-const PAUSE_MAX_MS: u64 = 8_000;
 /// Assumed slowdown of a task away from the rack of its data.
 const FAR_FACTOR: f64 = 1.5;
 
@@ -26,10 +22,7 @@
     open: bool,
     used: Resources,
     runs: IndexMap<Run, ()>,
-    /// Run time against the declared one.
-    pace: f64,
-    failures: u32,
-    paused_until_ms: u64,
+    pace: Pace,
     outbox: Batch,
 }
 
@@ -40,9 +33,7 @@
             info,
             open: false,
             runs: IndexMap::new(),
-            pace: 1.0,
-            failures: 0,
-            paused_until_ms: 0,
+            pace: Pace::default(),
             outbox: Batch::default(),
         }
     }
@@ -69,11 +60,10 @@
     pub(super) fn takes(&self, now_ms: u64, service: &str, step: &Step) -> bool {
         self.open
             && !self.info.draining
-            && self.paused_until_ms <= now_ms
+            && self.pace.open(now_ms, self.runs.len())
             && self.info.service == service
             && self.has_room(&step.needs)
             && step.required_label.as_ref().is_none_or(|label| self.info.labels.contains(label))
-            && (self.failures < FAILURES_MAX || self.runs.is_empty())
     }
 
     fn has_room(&self, needs: &Resources) -> bool {
@@ -85,8 +75,8 @@
     /// Relative time that a task of `step` would take here.
     pub(super) fn cost(&self, step: &Step) -> f64 {
         match &step.data_rack {
-            Some(rack) if !self.info.labels.contains(rack) => self.pace * FAR_FACTOR,
-            _ => self.pace,
+            Some(rack) if !self.info.labels.contains(rack) => self.pace.ratio() * FAR_FACTOR,
+            _ => self.pace.ratio(),
         }
     }
 
@@ -109,32 +99,19 @@
     /// Learns from the end of a run.
     pub(super) fn learn(&mut self, now_ms: u64, how: How, took_ms: u64, estimate_ms: u32) {
         match how {
-            How::Done => {
-                self.failures = 0;
-                if estimate_ms > 0 {
-                    let ratio = took_ms as f64 / f64::from(estimate_ms);
-                    self.pace += PACE_WEIGHT * (ratio - self.pace);
+            How::Done => self.pace.done(took_ms, estimate_ms),
+            How::Failed => {
+                if let Some(pause_ms) = self.pace.failed(now_ms) {
+                    let server = &self.info.id;
+                    log::info!("event=server_paused server={server} pause_ms={pause_ms}");
                 }
             }
-            How::Failed => self.failed(now_ms),
             How::Stopped => {}
         }
     }
 
-    fn failed(&mut self, now_ms: u64) {
-        self.failures += 1;
-        if self.failures >= FAILURES_MAX {
-            let doublings = (self.failures - FAILURES_MAX).min(8);
-            let pause = (PAUSE_MS << doublings).min(PAUSE_MAX_MS);
-            self.paused_until_ms = now_ms + pause;
-            let server = &self.info.id.id;
-            let failures = self.failures;
-            log::info!("event=server_paused server={server} failures={failures} pause_ms={pause}");
-        }
-    }
-
     pub(super) fn refused(&mut self, now_ms: u64, reason: Reason) {
-        self.paused_until_ms = self.paused_until_ms.max(now_ms + pause_ms(reason));
+        self.pace.pause(now_ms + pause_ms(reason));
     }
 
     pub(super) fn order_start(&mut self, start: Start) {
--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -188,8 +188,7 @@
 
     /// Takes a job.
     pub fn submit(&mut self, now_ms: u64, id: Id, queue: &Queue, job: queue::Job) {
-        let target_ms =
-            job.chain_ms() * u64::from(queue.slo_factor_milli) / 1_000 + u64::from(queue.slo_ms);
+        let target_ms = queue.target_ms(&job);
         let tasks: Vec<Progress> = (0..job.tasks()).map(|_| Progress::default()).collect();
         let entry = Job {
             spec: Arc::from(job.spec.as_str()),
@@ -214,8 +213,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let steps = job.job.clone();
         for (number, step) in steps.steps.iter().enumerate() {
-            let ready = step.after.iter().all(|after| job.step_done(usize::from(*after)));
-            if job.released[number] || !ready {
+            if job.released[number] || !job.turn_has_come(step) {
                 continue;
             }
             job.released[number] = true;
@@ -322,7 +320,7 @@
                 let limit_ms = estimate_ms * STALL_FACTOR + STALL_SLACK_MS;
                 if ran_ms > limit_ms && !place.stopping {
                     place.stopping = true;
-                    server.stalled(now_ms);
+                    server.failed(now_ms);
                     self.work.stops.push((place.server, place.run));
                 }
             }
@@ -424,10 +422,8 @@
 }
 
 impl Job {
-    fn step_done(&self, step: usize) -> bool {
-        let before: usize = self.job.steps[..step].iter().map(|s| usize::from(s.tasks)).sum();
-        let tasks = usize::from(self.job.steps[step].tasks);
-        self.tasks[before..before + tasks].iter().all(|task| task.done)
+    fn turn_has_come(&self, step: &Step) -> bool {
+        self.job.turn_has_come(step, |position| self.tasks[position].done)
     }
 
     fn estimate_ms(&self, task: Task) -> u32 {
--- a/src/coordination/spread/server.rs
+++ b/src/coordination/spread/server.rs
@@ -2,21 +2,17 @@
 
 use indexmap::IndexMap;
 
-use crate::protocol::{
-    queue::{Resources, Run, Step, Task},
-    wire::{
-        queue::{Reason, Sidecar},
-        work::{Ended, Load},
+use crate::{
+    coordination::pace::Pace,
+    protocol::{
+        queue::{Resources, Run, Step, Task},
+        wire::{
+            queue::{Reason, Sidecar},
+            work::{Ended, Load},
+        },
     },
 };
 
-/// Weight of the newest run in the learned pace.
-const PACE_WEIGHT: f64 = 0.15;
-/// Runs that may fail in a row before a server is left alone for a while.
-const FAILURES_MAX: u32 = 2;
-/// First pause of a server that fails all that it starts; it doubles with each further failure.
-const PAUSE_MS: u64 = 1_000;
-const PAUSE_MAX_MS: u64 = 8_000;
 /// Pause after a server refused work, in ms.
 const REFUSED_PAUSE_MS: u64 = 200;
 /// Part of the time that present runs have taken that counts as the server's pace.
@@ -42,11 +38,9 @@
     /// What this entry has ordered.
     own: IndexMap<Run, Resources>,
     own_sum: Resources,
-    pace: f64,
+    pace: Pace,
     /// Longest time of a present run against the declared one.
     pub lag: f64,
-    failures: u32,
-    paused_until_ms: u64,
 }
 
 impl Server {
@@ -58,19 +52,15 @@
             others: Resources::default(),
             own: IndexMap::new(),
             own_sum: Resources::default(),
-            pace: 1.0,
+            pace: Pace::default(),
             lag: 0.0,
-            failures: 0,
-            paused_until_ms: 0,
         }
     }
 
     /// Takes a new description; another backend server has to be learned anew.
     pub fn describe(&mut self, sidecar: Sidecar) {
         if self.sidecar.server.id != sidecar.server.id {
-            self.pace = 1.0;
-            self.failures = 0;
-            self.paused_until_ms = 0;
+            self.pace = Pace::default();
         }
         self.sidecar = sidecar;
     }
@@ -104,9 +94,8 @@
         self.up
             && self.open
             && !server.draining
-            && self.paused_until_ms <= now_ms
             && server.service == service
-            && (self.failures < FAILURES_MAX || self.own.is_empty())
+            && self.pace.open(now_ms, self.own.len())
             && step.required_label.as_ref().is_none_or(|label| server.labels.contains(label))
             && self.has_room(&step.needs)
             && step.max_per_server.is_none_or(|most| self.count(task) < usize::from(most))
@@ -144,48 +133,25 @@
             _ => 1.0,
         };
         let part = self.used().cpu_milli as f64 / server.capacity.cpu_milli.max(1) as f64;
-        self.pace.max(LAG_WEIGHT * self.lag) * far * (1.0 + LOAD_WEIGHT * part)
+        self.pace.ratio().max(LAG_WEIGHT * self.lag) * far * (1.0 + LOAD_WEIGHT * part)
     }
 
     /// Learns from the end of an order.
     pub fn learn(&mut self, now_ms: u64, end: Ended, took_ms: u64, estimate_ms: u32) {
         match end {
-            Ended::Done => {
-                self.failures = 0;
-                if estimate_ms > 0 {
-                    let ratio = took_ms as f64 / f64::from(estimate_ms);
-                    self.pace += PACE_WEIGHT * (ratio.min(8.0) - self.pace);
-                }
-            }
+            Ended::Done => self.pace.done(took_ms, estimate_ms),
             Ended::Failed => self.failed(now_ms),
             Ended::NotStarted(Reason::Unavailable | Reason::NoAnswer) | Ended::Lost => {
-                self.paused_until_ms = self.paused_until_ms.max(now_ms + REFUSED_PAUSE_MS);
+                self.pace.pause(now_ms + REFUSED_PAUSE_MS);
             }
             Ended::Stopped | Ended::Canceled | Ended::NotStarted(Reason::Room | Reason::Late) => {}
         }
     }
 
-    /// A run here stands still.
-    pub fn stalled(&mut self, now_ms: u64) {
-        self.failed(now_ms);
-    }
-
-    fn failed(&mut self, now_ms: u64) {
-        if now_ms < self.paused_until_ms && self.failures >= FAILURES_MAX {
-            // Runs that were under way when the pause began say nothing new.
-            return;
-        }
-        self.failures += 1;
-        if self.failures < FAILURES_MAX {
-            return;
+    /// A run here has failed or stands still.
+    pub fn failed(&mut self, now_ms: u64) {
+        if let Some(pause_ms) = self.pace.failed(now_ms) {
+            log::info!("event=server_paused server={} pause_ms={pause_ms}", self.sidecar.server.id);
         }
-        let doublings = (self.failures - FAILURES_MAX).min(8);
-        let pause_ms = (PAUSE_MS << doublings).min(PAUSE_MAX_MS);
-        self.paused_until_ms = now_ms + pause_ms;
-        log::info!(
-            "event=server_paused server={} failures={} pause_ms={pause_ms}",
-            self.sidecar.server.id,
-            self.failures
-        );
     }
 }
--- a/src/protocol/queue.rs
+++ b/src/protocol/queue.rs
@@ -1,6 +1,6 @@
 //! Queues of durable jobs: what operators configure and what callers hand in.
 
-use std::{collections::HashSet, fmt};
+use std::{collections::HashSet, fmt, ops::Range};
 
 use serde::{Deserialize, Serialize};
 
@@ -191,6 +191,13 @@
     }
 }
 
+impl Queue {
+    /// Time within which a job of this queue is on time, in ms.
+    pub fn target_ms(&self, job: &Job) -> u64 {
+        job.chain_ms() * u64::from(self.slo_factor_milli) / 1_000 + u64::from(self.slo_ms)
+    }
+}
+
 impl Job {
     /// What is wrong with the job.
     pub fn check(&self) -> Result<(), String> {
@@ -216,12 +223,20 @@
     /// Position of a task among all tasks of the job, if there is such a task.
     pub fn position(&self, task: Task) -> Option<usize> {
         let step = self.steps.get(usize::from(task.step))?;
-        if task.index >= step.tasks {
-            return None;
-        }
-        let before: usize =
-            self.steps[..usize::from(task.step)].iter().map(|s| usize::from(s.tasks)).sum();
-        Some(before + usize::from(task.index))
+        let start = self.positions(usize::from(task.step)).start;
+        (task.index < step.tasks).then_some(start + usize::from(task.index))
+    }
+
+    /// Positions of the tasks of a step.
+    fn positions(&self, step: usize) -> Range<usize> {
+        let start = self.steps[..step].iter().map(|step| usize::from(step.tasks)).sum();
+        start..start + usize::from(self.steps[step].tasks)
+    }
+
+    /// Whether all steps that `step` waits for have ended. `done` tells whether the task at a
+    /// position has.
+    pub fn turn_has_come(&self, step: &Step, done: impl Fn(usize) -> bool) -> bool {
+        step.after.iter().all(|after| self.positions(usize::from(*after)).all(&done))
     }
 
     /// Declared time of the longest chain of dependent steps, in ms.
--- a/src/state/machine/queue.rs
+++ b/src/state/machine/queue.rs
@@ -93,13 +93,7 @@
 impl Record {
     /// Whether all tasks that `step` waits for are done.
     pub fn ready(&self, step: usize) -> bool {
-        self.job.steps[step].after.iter().all(|after| self.step_done(usize::from(*after)))
-    }
-
-    fn step_done(&self, step: usize) -> bool {
-        let before: usize = self.job.steps[..step].iter().map(|s| usize::from(s.tasks)).sum();
-        let tasks = usize::from(self.job.steps[step].tasks);
-        self.tasks[before..before + tasks].iter().all(|task| task.done)
+        self.job.turn_has_come(&self.job.steps[step], |position| self.tasks[position].done)
     }
 
     /// What has become of a task, if the job has it.
@@ -160,8 +154,7 @@
             prefix: queue.prefix.clone(),
             priority: queue.priority,
             max_attempts: queue.max_attempts.max(1),
-            target_ms: job.chain_ms() * u64::from(queue.slo_factor_milli) / 1_000
-                + u64::from(queue.slo_ms),
+            target_ms: queue.target_ms(&job),
             accepted_ms: now_ms,
             term: submission.term,
             keep_ms: submission.keep_ms,
