--- a/tests/output.rs
+++ b/tests/output.rs
@@ -11,19 +11,32 @@
 /// A reader that takes nothing until it is opened.
 #[derive(Clone, Default)]
 struct Pipe {
-    inner: Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>,
+    inner: Arc<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    state: Mutex<State>,
+    opened: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    open: bool,
+    read: Vec<u8>,
 }
 
 impl Pipe {
     fn open(&self) {
-        self.inner.0.lock().unwrap().0 = true;
-        self.inner.1.notify_all();
+        self.inner.state.lock().unwrap().open = true;
+        self.inner.opened.notify_all();
     }
 
     fn wait_for(&self, text: &str) -> String {
         let end = Instant::now() + Duration::from_secs(10);
         loop {
-            let read = String::from_utf8(self.inner.0.lock().unwrap().1.clone()).unwrap();
+            let read = self.inner.state.lock().unwrap().read.clone();
+            let read = String::from_utf8(read).unwrap();
             if read.contains(text) {
                 return read;
             }
@@ -35,11 +48,11 @@
 
 impl Write for Pipe {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut state = self.inner.0.lock().unwrap();
-        while !state.0 {
-            state = self.inner.1.wait(state).unwrap();
+        let mut state = self.inner.state.lock().unwrap();
+        while !state.open {
+            state = self.inner.opened.wait(state).unwrap();
         }
-        state.1.extend_from_slice(bytes);
+        state.read.extend_from_slice(bytes);
         Ok(bytes.len())
     }
 
