The leader keeps a server that a restarted sidecar has met

Cause: when a sidecar restarts, the leader notes when the runs of its earlier process are over. Ruled out: load (it failed on the idle machine), the stand-in (its witness counts starts and ends). Change: the note is removed by the first report that names the server.

--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -43,13 +43,16 @@
         sidecar.reports.set(sidecar.reports.get() + 1);
         sidecar.wake.notify_waiters();
         let Some((_, key)) = sidecar.server.clone() else { return Ok(Vec::new()) };
-        if let Backend::Present(info) = report.backend
-            && let Some(server) = scheduler.server_mut(key)
-            && server.info != info
-        {
-            server.describe(info);
-            *lists += 1;
-            self.inner.changed.notify_waiters();
+        if let Backend::Present(info) = report.backend {
+            // The present process has met the server, and stops what an earlier one left.
+            sidecar.over_ms = None;
+            if let Some(server) = scheduler.server_mut(key)
+                && server.info != info
+            {
+                server.describe(info);
+                *lists += 1;
+                self.inner.changed.notify_waiters();
+            }
         }
         if report.link != sidecar.link {
             return Ok(Vec::new());
