--- a/src/coordination/agent.rs
+++ b/src/coordination/agent.rs
@@ -234,10 +234,13 @@
         self.life.as_ref().is_some_and(|life| life.clean && !life.silent())
     }
 
-    /// Takes the backend server's answer to a hold that was sent at `sent_ms`.
+    /// Takes the backend server's answer to a hold that was sent at `sent_ms`. An answer that a
+    /// newer one has overtaken says nothing new.
     pub fn held(&mut self, sent_ms: u64, now_ms: u64, held: Held) {
         let Some(life) = &mut self.life else { return };
-        life.read_clock(held.clock_ms, now_ms);
+        if !life.read_clock(held.clock_ms, now_ms) {
+            return;
+        }
         if std::mem::take(&mut life.unreachable) {
             log::info!("event=server_reachable server={}", life.server.id);
             self.work.news = true;
@@ -300,10 +303,11 @@
         }
     }
 
-    /// The backend server did not answer a hold; `refused` if nothing listens at its address.
-    pub fn silent(&mut self, now_ms: u64, refused: bool) {
+    /// The backend server did not answer a hold that was sent at `sent_ms`; `refused` if nothing
+    /// listens at its address.
+    pub fn silent(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
         let Some(life) = &mut self.life else { return };
-        if !life.lapsed(now_ms, refused) {
+        if life.answered_since(sent_ms) || !life.lapsed(now_ms, refused) {
             return;
         }
         log::warn!("event=server_unreachable server={} refused={refused}", life.server.id);
--- a/src/coordination/agent/life.rs
+++ b/src/coordination/agent/life.rs
@@ -141,10 +141,20 @@
         self.clean && !self.unreachable && !self.silent() && !self.server.draining
     }
 
-    pub fn read_clock(&mut self, clock_ms: u64, now_ms: u64) {
+    /// Takes the server's clock from an answer. Returns whether it is the newest so far.
+    pub fn read_clock(&mut self, clock_ms: u64, now_ms: u64) -> bool {
+        if self.clock.is_some_and(|(newest_ms, _)| clock_ms < newest_ms) {
+            return false;
+        }
         self.clock = Some((clock_ms, now_ms));
         self.refusals = 0;
         self.silences = 0;
+        true
+    }
+
+    /// Whether an answer has come after `sent_ms`.
+    pub fn answered_since(&self, sent_ms: u64) -> bool {
+        self.clock.is_some_and(|(_, read_ms)| read_ms > sent_ms)
     }
 
     /// End of a new lease of `lease_ms` on the server's clock, if that is known. A silent server
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -1,6 +1,7 @@
 //! The sidecar of the queues: carries the orders of the leader and of entries to the backend server
 //! beside it, and tells them what became of them.
 
+mod hold;
 mod service;
 
 use std::{
@@ -31,10 +32,6 @@
     util,
 };
 
-/// Longest time that a hold waits for an end.
-const HOLD_WAIT: Duration = Duration::from_millis(250);
-/// Pause after a hold that failed.
-const HOLD_RETRY: Duration = Duration::from_millis(40);
 /// Longest time that a report waits for orders.
 const REPORT_WAIT: Duration = Duration::from_millis(500);
 /// Time for an answer beyond the wait asked for.
@@ -42,7 +39,7 @@
 /// Reports under way; a newer one ends the wait of an older one.
 const REPORTS_MAX: usize = 3;
 /// Pause between two tries to stop a run.
-const STOP_RETRY: Duration = Duration::from_millis(100);
+const STOP_RETRY: Duration = Duration::from_millis(50);
 /// How often leases are looked at.
 const TICK: Duration = Duration::from_millis(50);
 /// How often a stopping sidecar looks whether runs have ended.
@@ -104,6 +101,8 @@
     has_news: Cell<bool>,
     /// There is something to tell the backend server.
     due: Notify,
+    /// Whether the newest hold waits as long as it may while nothing runs.
+    idle: Cell<bool>,
     reports: Cell<usize>,
     /// Entries' calls that wait for the end of a run.
     waiters: RefCell<IndexMap<(Entry, Run), Waiter>>,
@@ -132,6 +131,7 @@
             news: Notify::new(),
             has_news: Cell::new(false),
             due: Notify::new(),
+            idle: Cell::new(false),
             reports: Cell::new(0),
             waiters: RefCell::default(),
             server: RefCell::default(),
@@ -173,6 +173,9 @@
     /// Does what the agent has asked for.
     fn carry_out(&self) {
         let Work { starts, stops, verdicts, news } = self.inner.agent.borrow_mut().take_work();
+        if !starts.is_empty() {
+            self.hold_sooner();
+        }
         for start in starts {
             actix_rt::spawn(self.clone().start_run(start));
         }
@@ -274,6 +277,7 @@
                 if self.server().is_some_and(|(id, _)| id == server) {
                     self.inner.agent.borrow_mut().stopped(util::boot_ms(), run);
                     self.carry_out();
+                    self.hold_once();
                 }
                 return;
             }
@@ -283,36 +287,4 @@
             }
         }
     }
-
-    async fn run_holds(self) {
-        loop {
-            let now_ms = util::boot_ms();
-            let hold = self.inner.agent.borrow_mut().hold(now_ms);
-            let (Some(hold), Some((server, addr))) = (hold, self.server()) else {
-                let _ = time::timeout(HOLD_WAIT, self.inner.due.notified()).await;
-                continue;
-            };
-            let wait = match self.inner.agent.borrow().may_wait() {
-                true => HOLD_WAIT,
-                false => Duration::ZERO,
-            };
-            let look = self.inner.backend.hold(addr, &server, &hold, wait).await;
-            if self.server().is_none_or(|(id, _)| id != server) {
-                continue;
-            }
-            let pause = matches!(look, Look::Refused) || wait.is_zero();
-            let done_ms = util::boot_ms();
-            match look {
-                Look::Held(held) => {
-                    self.inner.agent.borrow_mut().held(now_ms, done_ms, held);
-                }
-                Look::Refused => self.inner.agent.borrow_mut().silent(done_ms, true),
-                Look::Silent => self.inner.agent.borrow_mut().silent(done_ms, false),
-            }
-            self.carry_out();
-            if pause {
-                time::sleep(HOLD_RETRY).await;
-            }
-        }
-    }
 }
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -175,17 +175,38 @@
     order(&mut agent, 0, run(1, 1));
     let asked = agent.hold(2_000).unwrap();
     assert_eq!(asked.lease_until_ms, Some(5 + 1_960 + LEASE_MS), "on the server's clock");
-    agent.silent(2_450, false);
+    agent.silent(2_000, 2_450, false);
     assert!(agent.hold(2_450).unwrap().lease_until_ms.is_some(), "one answer may get lost");
-    agent.silent(2_900, false);
+    agent.silent(2_450, 2_900, false);
     assert_eq!(agent.hold(2_900).unwrap().lease_until_ms, None);
-    agent.silent(3_500, false);
+    agent.silent(3_050, 3_500, false);
     assert_eq!(agent.take_work().verdicts, []);
     // 1,020 ms on a clock that is 2% slow, and the slack.
-    agent.silent(2_450 + 1_020 + 100, false);
+    agent.silent(3_500, 2_450 + 1_020 + 100, false);
     assert_eq!(agent.take_work().verdicts, [(Entry(7), run(1, 1), Ended::Lost, 0)]);
 }
 
+/// Guards against a server taken for silent because of one lost answer while later ones arrive, and
+/// against a list that a newer one has overtaken: its run has ended, and is no foreign one.
+#[test]
+fn a_newer_answer_counts_more_than_an_older_one() {
+    let mut agent = agent();
+    order(&mut agent, 0, run(1, 1));
+    agent.begun(1, run(1, 1), Outcome::Started);
+    agent.held(10, 40, Held { clock_ms: 40, ..held(&[], &[(1, run(1, 1), How::Done)]) });
+    agent.take_work();
+    agent.held(5, 41, Held { clock_ms: 35, ..held(&[run(1, 1)], &[]) });
+    assert_eq!(agent.take_work(), Work::default());
+    for sent_ms in [20, 30] {
+        agent.silent(sent_ms, 300, false);
+    }
+    assert!(agent.may_wait(), "an answer has come since");
+    for sent_ms in [50, 60] {
+        agent.silent(sent_ms, 300, false);
+    }
+    assert!(!agent.may_wait());
+}
+
 /// Guards against starts beside runs that an earlier process of the sidecar has left.
 #[test]
 fn what_an_earlier_session_left_is_stopped_first() {
