Under more load than room entries finish what has begun and place by time left

Change: begun jobs first, unless worth nothing; then those that can be on time, by due time, or, while there is no room for all, by priority and declared work; then late ones. A server on which a task could not be in time is left out while there is one that is not. What would be late is refused once there has been no room for 200 ms; not while servers are just being found.

--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -4,34 +4,36 @@
 //! seems to have room. Other entries share the servers, so a server's room is what its sidecar last
 //! told, less what this entry has ordered since.
 
+mod job;
+mod ready;
 mod server;
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
 use indexmap::IndexMap;
 use slab::Slab;
 
 use crate::protocol::{
-    queue::{self, Id, Queue, Resources, Run, Step, Task},
+    queue::{self, Id, Queue, Run, Step, Task},
     wire::{
         queue::{Reason, Sidecar, Start},
         work::{Ended, Load, Verdict},
     },
 };
+use job::{Job, Place};
+use ready::{Phase, Ready};
 use server::Server;
 
-/// Ready tasks that may find no place before the rest is not tried.
+/// Jobs whose ready tasks may find no place before the rest is not tried.
 const MISSES_MAX: usize = 16;
 /// Added to the number of a run after one that the backend server found outdated.
 const NUMBER_STEP: u32 = 16;
 /// How long a task may wait at a sidecar for room, in ms.
 const ROOM_WAIT_MS: u64 = 150;
 
-/// Multiple of the target time from which on a job is worth nothing.
-const LATE_FACTOR: u64 = 3;
-/// Time after its latest start for which a job may still be on time, as declared times are rough,
-/// in ms.
-const LATE_SLACK_MS: u64 = 30;
+/// Time for which jobs that can be on time have found no room after which those that cannot are
+/// refused, in ms.
+const FULL_MS: u64 = 200;
 /// A run is given up after this multiple of its declared time, which may be far off, ...
 const STALL_FACTOR: u64 = 5;
 /// ... and this time, in ms.
@@ -45,46 +47,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key(usize);
 
-/// Order in which ready tasks start: by the latest start at which the job would be on time.
-type Rank = (u64, Task);
-
-/// A task's state.
-#[derive(Debug, Default)]
-struct Progress {
-    done: bool,
-    failed: u32,
-    number: u32,
-    at: Option<Place>,
-    /// Where it failed last.
-    avoid: Option<Key>,
-}
-
-/// Where a task runs, or is to.
-#[derive(Debug, Clone, Copy)]
-struct Place {
-    run: Run,
-    server: Key,
-    ordered_ms: u64,
-    stopping: bool,
-}
-
-#[derive(Debug)]
-struct Job {
-    job: Arc<queue::Job>,
-    spec: Arc<str>,
-    service: String,
-    max_attempts: u32,
-    due_ms: u64,
-    /// Start from which on the job is worth nothing.
-    hopeless_ms: u64,
-    /// Whether a run has failed.
-    has_failed: bool,
-    tasks: Vec<Progress>,
-    released: Vec<bool>,
-    left: usize,
-    started: bool,
-}
-
 /// An order for a sidecar.
 #[derive(Debug, PartialEq)]
 pub struct Order {
@@ -117,7 +79,9 @@
 pub struct Spread {
     servers: Slab<Server>,
     jobs: IndexMap<Id, Job>,
-    ready: BTreeSet<Rank>,
+    ready: Ready,
+    /// Since when jobs that can be on time have found no room.
+    full_since_ms: Option<u64>,
     work: Work,
 }
 
@@ -155,9 +119,11 @@
         self.servers[key.0].outstanding()
     }
 
-    /// A link to a sidecar has been opened.
+    /// A link to a sidecar has been opened. There may soon be more room, as after a restart of all
+    /// instances, so that no job is refused for lack of it yet.
     pub fn link_up(&mut self, key: Key) {
         self.servers[key.0].up = true;
+        self.full_since_ms = None;
     }
 
     /// A link to a sidecar has broken: nothing is ordered there.
@@ -188,21 +154,7 @@
 
     /// Takes a job.
     pub fn submit(&mut self, now_ms: u64, id: Id, queue: &Queue, job: queue::Job) {
-        let target_ms = queue.target_ms(&job);
-        let tasks: Vec<Progress> = (0..job.tasks()).map(|_| Progress::default()).collect();
-        let entry = Job {
-            spec: Arc::from(job.spec.as_str()),
-            service: queue.service.clone(),
-            max_attempts: queue.max_attempts.max(1),
-            due_ms: now_ms + target_ms.saturating_sub(job.chain_ms()),
-            hopeless_ms: now_ms + (LATE_FACTOR * target_ms).saturating_sub(job.chain_ms()),
-            has_failed: false,
-            released: vec![false; job.steps.len()],
-            left: tasks.len(),
-            tasks,
-            started: false,
-            job: Arc::new(job),
-        };
+        let entry = Job::new(now_ms, queue, job);
         self.jobs.insert(id, entry);
         self.release(id);
         self.assign(now_ms);
@@ -211,22 +163,14 @@
     /// Makes the tasks of steps ready whose turn has come.
     fn release(&mut self, id: Id) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let steps = job.job.clone();
-        for (number, step) in steps.steps.iter().enumerate() {
-            if job.released[number] || !job.turn_has_come(step) {
-                continue;
-            }
-            job.released[number] = true;
-            for index in 0..step.tasks {
-                self.ready.insert((job.due_ms, Task { job: id, step: number as u16, index }));
-            }
-        }
+        job.release(id);
+        self.ready.place(id, job);
     }
 
     /// Gives a job up: what waits is forgotten, what runs is stopped.
     pub fn cancel(&mut self, id: Id) -> bool {
         let Some(job) = self.jobs.swap_remove(&id) else { return false };
-        self.ready.retain(|(_, task)| task.job != id);
+        self.ready.remove(id, &job);
         for task in &job.tasks {
             if let Some(place) = task.at {
                 self.work.stops.push((place.server, place.run));
@@ -294,7 +238,8 @@
             Ended::NotStarted(Reason::Late) => task.number += NUMBER_STEP,
             Ended::Stopped | Ended::Lost | Ended::NotStarted(_) => {}
         }
-        self.ready.insert((job.due_ms, run.task));
+        job.ready.insert(run.task);
+        self.ready.place(id, job);
     }
 
     /// Looks at what runs too long and at what has waited too long, and orders ready tasks.
@@ -327,60 +272,70 @@
         }
     }
 
-    /// Refuses jobs that would be worth nothing and of which nothing has started.
+    /// Refuses jobs of which nothing has started and that would be worth nothing, or that would be
+    /// late and only wait behind others, as there has been no room for some time.
     fn refuse_hopeless(&mut self, now_ms: u64) {
-        let hopeless: Vec<Id> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| !job.started && job.hopeless_ms < now_ms)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in hopeless {
-            log::info!("event=refused job={id} reason=late waiting={}", self.ready.len());
+        let full = self.full_since_ms.is_some_and(|since_ms| since_ms + FULL_MS <= now_ms);
+        let hopeless = |job: &Job| job.is_worthless(now_ms) || full && job.is_late(now_ms);
+        let refused = self.jobs.iter().filter(|(_, job)| !job.started && hopeless(job));
+        let refused: Vec<Id> = refused.map(|(id, _)| *id).collect();
+        for id in refused {
+            log::info!("event=refused job={id} reason=late full={full}");
             self.cancel(id);
             self.work.closed.push((id, Closed::NotRun));
         }
     }
 
-    /// Orders ready tasks at servers that seem to have room: first those of jobs that can be on
-    /// time, the most urgent first, then the others.
+    /// Orders ready tasks at servers that seem to have room.
     pub fn assign(&mut self, now_ms: u64) {
-        let first = Task { job: Id(0), step: 0, index: 0 };
-        let late: (u64, Task) = (now_ms.saturating_sub(LATE_SLACK_MS), first);
-        let on_time: Vec<Rank> = self.ready.range(late..).copied().collect();
-        if self.place_all(now_ms, &on_time) {
-            let others: Vec<Rank> = self.ready.range(..late).copied().collect();
-            self.place_all(now_ms, &others);
-        }
-    }
-
-    /// Whether all found a place, but for a few.
-    fn place_all(&mut self, now_ms: u64, ranks: &[Rank]) -> bool {
         let mut misses = 0;
-        for rank in ranks {
-            if !self.place(now_ms, *rank) {
-                misses += 1;
+        for phase in Phase::ALL {
+            for id in self.ready.first(now_ms, phase, self.full_since_ms.is_some()) {
+                misses += usize::from(!self.place_all(now_ms, id));
+                if misses >= MISSES_MAX {
+                    break;
+                }
+            }
+            if phase == Phase::OnTime {
+                self.note_room(now_ms, misses == 0);
             }
             if misses >= MISSES_MAX {
-                return false;
+                return;
             }
         }
-        true
     }
 
-    fn place(&mut self, now_ms: u64, rank: Rank) -> bool {
-        let (due_ms, task) = rank;
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            self.ready.remove(&rank);
-            return true;
+    /// Notes whether jobs that can be on time have found room. Without any server that is no sign of
+    /// too much load.
+    fn note_room(&mut self, now_ms: u64, found: bool) {
+        let any = self.servers.iter().any(|(_, server)| server.is_open());
+        self.full_since_ms = match found || !any {
+            true => None,
+            false => self.full_since_ms.or(Some(now_ms)),
         };
+    }
+
+    /// Orders a job's ready tasks. Returns whether all found a place.
+    fn place_all(&mut self, now_ms: u64, id: Id) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return true };
+        let ready: Vec<Task> = job.ready.iter().copied().collect();
+        let placed = ready.into_iter().all(|task| self.place(now_ms, task));
+        if let Some(job) = self.jobs.get(&id) {
+            self.ready.place(id, job);
+        }
+        placed
+    }
+
+    fn place(&mut self, now_ms: u64, task: Task) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return true };
         let steps = job.job.clone();
         let step = &steps.steps[usize::from(task.step)];
         let Some(position) = steps.position(task) else { return true };
         let avoid = job.tasks[position].avoid;
-        let chosen = choose(&self.servers, now_ms, &job.service, task, step, avoid);
-        let Some(key) = chosen else { return false };
-        self.ready.remove(&rank);
+        let left_ms = job.on_time_ms.saturating_sub(now_ms);
+        let wanted = Wanted { service: &job.service, task, step, avoid, left_ms };
+        let Some(key) = choose(&self.servers, now_ms, &wanted) else { return false };
+        job.ready.remove(&task);
         let progress = &mut job.tasks[position];
         progress.number += 1;
         let run = Run { task, number: progress.number };
@@ -388,45 +343,35 @@
         job.started = true;
         let start = Start { run, needs: step.needs, spec: job.spec.clone() };
         self.servers[key.0].ordered(run, step.needs);
+        let due_ms = job.due_ms;
         self.work.orders.push(Order { server: key, start, due_ms, wait_ms: ROOM_WAIT_MS });
         true
     }
-
-    /// Resources that all servers of a service have together.
-    pub fn capacity(&self, service: &str) -> Resources {
-        let mut capacity = Resources::default();
-        let servers = self.servers.iter().map(|(_, server)| &server.sidecar.server);
-        servers.filter(|s| s.service == service).for_each(|s| capacity.add(&s.capacity));
-        capacity
-    }
 }
 
-/// The server at which the task would end first.
-fn choose(
-    servers: &Slab<Server>,
-    now_ms: u64,
-    service: &str,
+/// A task that needs a place.
+struct Wanted<'a> {
+    service: &'a str,
     task: Task,
-    step: &Step,
+    step: &'a Step,
     avoid: Option<Key>,
-) -> Option<Key> {
+    /// Time within which its job is on time, in ms.
+    left_ms: u64,
+}
+
+/// The server at which the task would end first. A server that is too slow for the job to be on
+/// time is left out while there is one that is not, even if that is full at present.
+fn choose(servers: &Slab<Server>, now_ms: u64, wanted: &Wanted) -> Option<Key> {
+    let Wanted { service, task, step, avoid, left_ms } = *wanted;
+    let suitable = || servers.iter().filter(|(_, s)| s.suits(now_ms, service, task, step));
+    let in_time = |server: &Server| server.expected_ms(step) <= left_ms as f64;
+    let any_in_time = suitable().any(|(_, server)| in_time(server));
     let cost = |key: usize, server: &Server| {
         let again = if avoid == Some(Key(key)) { AGAIN_FACTOR } else { 1.0 };
         server.cost(step) * again
     };
-    servers
-        .iter()
-        .filter(|(_, server)| server.takes(now_ms, service, task, step))
+    suitable()
+        .filter(|(_, server)| server.has_room(&step.needs) && (in_time(server) || !any_in_time))
         .min_by(|(k, a), (l, b)| cost(*k, a).total_cmp(&cost(*l, b)))
         .map(|(key, _)| Key(key))
 }
-
-impl Job {
-    fn turn_has_come(&self, step: &Step) -> bool {
-        self.job.turn_has_come(step, |position| self.tasks[position].done)
-    }
-
-    fn estimate_ms(&self, task: Task) -> u32 {
-        self.job.steps.get(usize::from(task.step)).map_or(0, |step| step.estimate_ms)
-    }
-}
--- a/src/coordination/spread/server.rs
+++ b/src/coordination/spread/server.rs
@@ -88,16 +88,18 @@
         }
     }
 
-    /// Whether a task of `step` may be ordered here.
-    pub fn takes(&self, now_ms: u64, service: &str, task: Task, step: &Step) -> bool {
+    /// Whether the server takes orders at all.
+    pub fn is_open(&self) -> bool {
+        self.up && self.open && !self.sidecar.server.draining
+    }
+
+    /// Whether a task of `step` may be ordered here once there is room.
+    pub fn suits(&self, now_ms: u64, service: &str, task: Task, step: &Step) -> bool {
         let server = &self.sidecar.server;
-        self.up
-            && self.open
-            && !server.draining
+        self.is_open()
             && server.service == service
             && self.pace.open(now_ms, self.own.len())
             && step.required_label.as_ref().is_none_or(|label| server.labels.contains(label))
-            && self.has_room(&step.needs)
             && step.max_per_server.is_none_or(|most| self.count(task) < usize::from(most))
     }
 
@@ -113,7 +115,7 @@
         used
     }
 
-    fn has_room(&self, needs: &Resources) -> bool {
+    pub fn has_room(&self, needs: &Resources) -> bool {
         let capacity = self.sidecar.server.capacity;
         if !capacity.fits(needs) {
             return false;
@@ -125,15 +127,25 @@
         most.fits(&used)
     }
 
-    /// Relative time until a task of `step` would end here.
-    pub fn cost(&self, step: &Step) -> f64 {
-        let server = &self.sidecar.server;
+    /// Run time of a task of `step` here against the declared one.
+    fn slowdown(&self, step: &Step) -> f64 {
         let far = match &step.data_rack {
-            Some(rack) if !server.labels.contains(rack) => FAR_FACTOR,
+            Some(rack) if !self.sidecar.server.labels.contains(rack) => FAR_FACTOR,
             _ => 1.0,
         };
-        let part = self.used().cpu_milli as f64 / server.capacity.cpu_milli.max(1) as f64;
-        self.pace.ratio().max(LAG_WEIGHT * self.lag) * far * (1.0 + LOAD_WEIGHT * part)
+        self.pace.ratio().max(LAG_WEIGHT * self.lag) * far
+    }
+
+    /// Run time to be expected of a task of `step`, in ms.
+    pub fn expected_ms(&self, step: &Step) -> f64 {
+        f64::from(step.estimate_ms) * self.slowdown(step)
+    }
+
+    /// Relative time until a task of `step` would end here.
+    pub fn cost(&self, step: &Step) -> f64 {
+        let capacity = self.sidecar.server.capacity.cpu_milli.max(1);
+        let part = self.used().cpu_milli as f64 / capacity as f64;
+        self.slowdown(step) * (1.0 + LOAD_WEIGHT * part)
     }
 
     /// Learns from the end of an order.
