--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -137,9 +137,9 @@
     spread.tick(310);
     assert_eq!(spread.take_work().orders.len(), 1);
     submit(&mut spread, 320, 2, job(1, 100));
-    spread.tick(500);
+    spread.tick(480);
     spread.link_up(keys[1]);
-    spread.tick(510);
+    spread.tick(490);
     let work = spread.take_work();
     assert_eq!((work.orders.len(), work.closed), (1, Vec::new()));
     submit(&mut spread, 520, 3, job(1, 500));
