--- a/src/coordination/agent.rs
+++ b/src/coordination/agent.rs
@@ -280,7 +280,7 @@
         let mut foreign = 0;
         for run in running {
             match life.attempts.get_mut(run) {
-                Some(attempt) => attempt.seen(now_ms),
+                Some(attempt) => attempt.seen(),
                 None => {
                     foreign += 1;
                     // Of an earlier session, whose orders nobody waits for any more.
@@ -404,7 +404,7 @@
         let Some(life) = &mut self.life else { return };
         let Some(attempt) = life.attempts.get_mut(&run) else { return };
         match outcome {
-            Outcome::Started => attempt.seen(now_ms),
+            Outcome::Started => attempt.seen(),
             Outcome::NotStarted(reason) => {
                 if let Some(attempt) = life.remove(&run) {
                     self.tell(run, &attempt, Ended::NotStarted(reason), 0);
--- a/src/coordination/agent/life.rs
+++ b/src/coordination/agent/life.rs
@@ -69,7 +69,7 @@
     }
 
     /// It is known to be at work.
-    pub fn seen(&mut self, _now_ms: u64) {
+    pub fn seen(&mut self) {
         if matches!(self.state, State::Sent | State::Unsure) {
             self.state = State::Running;
         }
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -16,7 +16,7 @@
 use crate::{
     protocol::{
         queue::{How, Id, Resources, Run, Step, Task},
-        wire::queue::{Batch, NotStarted, Reason, ServerId, Start},
+        wire::queue::{Batch, NotStarted, Reason, Start},
     },
     state::machine::queue::{End, Queues, Record},
 };
@@ -416,20 +416,10 @@
         self.servers.iter().filter(|(_, s)| s.has_orders()).map(|(key, _)| Key(key)).collect()
     }
 
-    /// Tasks that wait for room.
-    pub fn waiting(&self) -> usize {
-        self.ready.values().map(BTreeSet::len).sum()
-    }
-
     /// Runs that were ordered and have not ended.
     pub fn running(&self) -> usize {
         self.runs.len()
     }
-
-    /// The identity of a server.
-    pub fn id(&self, key: Key) -> Option<&ServerId> {
-        Some(&self.servers.get(key.0)?.info.id)
-    }
 }
 
 /// How long a server is left alone after it refused a start.
--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -78,6 +78,8 @@
 #[derive(Debug, Default)]
 pub struct Spread {
     servers: Slab<Server>,
+    /// Servers by the names of their sidecars.
+    names: IndexMap<String, Key>,
     jobs: IndexMap<Id, Job>,
     ready: Ready,
     /// Since when jobs that can be on time have found no room.
@@ -93,14 +95,17 @@
 
     /// Takes a sidecar's description; a new one has no open link yet.
     pub fn describe(&mut self, sidecar: Sidecar) -> Key {
-        let known = self.servers.iter().find(|(_, s)| s.sidecar.name == sidecar.name);
-        let key = known.map(|(key, _)| key);
-        match key {
-            Some(key) => {
-                self.servers[key].describe(sidecar);
-                Key(key)
+        match self.names.get(&sidecar.name) {
+            Some(&key) => {
+                self.servers[key.0].describe(sidecar);
+                key
+            }
+            None => {
+                let name = sidecar.name.clone();
+                let key = Key(self.servers.insert(Server::new(sidecar)));
+                self.names.insert(name, key);
+                key
             }
-            None => Key(self.servers.insert(Server::new(sidecar))),
         }
     }
 
@@ -109,11 +114,6 @@
         self.servers[key.0].sidecar.addr
     }
 
-    /// All sidecars, by name.
-    pub fn servers(&self) -> impl Iterator<Item = (&str, Key)> {
-        self.servers.iter().map(|(key, server)| (server.sidecar.name.as_str(), Key(key)))
-    }
-
     /// Orders that wait for their end at a server.
     pub fn outstanding(&self, key: Key) -> usize {
         self.servers[key.0].outstanding()
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,15 +1,16 @@
 //! The shared main of the daemons: settings, log, signals, graceful stop.
 
 use std::{
-    env,
+    env, fs,
     future::Future,
     net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitCode,
-    time::Duration,
+    time::{Duration, SystemTime},
 };
 
 use getopts::Options;
+use tokio::time;
 
 use crate::{
     config,
@@ -20,6 +21,8 @@
 
 /// Exit code after a stop that cut work off, or a failure while running.
 const EXIT_FAILED: u8 = 1;
+/// How often the settings file is looked at, as it may change without a signal.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
 /// Environment variable that names the settings file, unless an option does.
 const SETTINGS_VARIABLE: &str = "BRIARGAUGE_SETTINGS";
 /// Exit code for a wrong command line or wrong settings.
@@ -82,8 +85,9 @@
 pub fn init_log(level: &str, target: env_logger::Target) {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level))
         .target(target)
-        // tarpc logs each call at the level of events.
-        .filter_module("tarpc", log::LevelFilter::Warn)
+        // tarpc logs each call at the level of events, and each one past its deadline as an error
+        // without its cause; the callers log what failed.
+        .filter_module("tarpc", log::LevelFilter::Off)
         .format(log_line)
         .init();
 }
@@ -136,7 +140,15 @@
     }
     println!("{line}");
     log::info!("event=started process={} {}", P::NAME, &line["listening".len()..].trim_start());
-    while let signal::Event::Reload = signals.next().await {
+    let mut modified = modified(&path);
+    loop {
+        match time::timeout(SETTINGS_POLL, signals.next()).await {
+            Ok(signal::Event::Stop) => break,
+            Ok(signal::Event::Reload) => {}
+            Err(_) if modified == self::modified(&path) => continue,
+            Err(_) => log::info!("event=settings_changed process={}", P::NAME),
+        }
+        modified = self::modified(&path);
         reload(&process, &path);
     }
     log::info!("event=stopping process={}", P::NAME);
@@ -151,6 +163,12 @@
     Ok(cut)
 }
 
+/// When a file was last written; `None` if that cannot be told, as while it is being replaced.
+fn modified(path: &Path) -> Option<SystemTime> {
+    let modified = fs::metadata(path).and_then(|file| file.modified());
+    modified.map_err(|e| log::debug!("event=settings_not_found error={e}")).ok()
+}
+
 /// Hands changed settings to the process; a file that cannot be used changes nothing.
 fn reload<P: Process>(process: &P, path: &Path) {
     match config::load(path) {
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -6,6 +6,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    fmt,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -104,6 +105,8 @@
     /// Whether the newest hold waits as long as it may while nothing runs.
     idle: Cell<bool>,
     reports: Cell<usize>,
+    /// Whether the last report had an answer.
+    led: Cell<bool>,
     /// Entries' calls that wait for the end of a run.
     waiters: RefCell<IndexMap<(Entry, Run), Waiter>>,
     server: RefCell<Option<rpc::Server>>,
@@ -133,6 +136,7 @@
             due: Notify::new(),
             idle: Cell::new(false),
             reports: Cell::new(0),
+            led: Cell::new(false),
             waiters: RefCell::default(),
             server: RefCell::default(),
         };
@@ -229,6 +233,9 @@
         let answer = self.inner.leader.report(report.clone(), limit).await;
         match answer {
             Ok(Ok(orders)) => {
+                if !self.inner.led.replace(true) {
+                    log::info!("event=leader_found term={}", orders.term);
+                }
                 self.inner.leader.set_members(orders.members.clone());
                 let fenced = self.inner.agent.borrow().fenced();
                 let now_ms = util::boot_ms();
@@ -239,11 +246,11 @@
                 self.carry_out();
             }
             Ok(Err(refusal)) => {
-                log::debug!("event=report_refused refusal={refusal:?}");
+                self.not_led(format_args!("reason=refused refusal={refusal:?}"));
                 self.inner.leader.pause().await;
             }
             Err(e) => {
-                log::info!("event=report_failed {e}");
+                self.not_led(format_args!("reason=failed {e}"));
                 self.inner.leader.pause().await;
             }
         }
@@ -251,6 +258,14 @@
         self.inner.news.notify_one();
     }
 
+    /// Logs the first report that failed; the others follow every few ms until a leader is found.
+    fn not_led(&self, reason: fmt::Arguments) {
+        match self.inner.led.replace(false) {
+            true => log::warn!("event=leader_lost {reason}"),
+            false => log::debug!("event=no_leader {reason}"),
+        }
+    }
+
     fn server(&self) -> Option<(ServerId, SocketAddr)> {
         let agent = self.inner.agent.borrow();
         agent.server().map(|(server, addr)| (server.id.clone(), addr))
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -148,7 +148,11 @@
     /// Waits until all connections have closed, which idle ones do after [`KEEP_ALIVE`], at most
     /// `limit`: a request that arrives on one meanwhile is still answered.
     pub async fn idle_out(&self, limit: Duration) {
-        let end = time::Instant::now() + limit.min(KEEP_ALIVE + IDLE_MARGIN);
+        self.connections_closed(limit.min(KEEP_ALIVE + IDLE_MARGIN)).await;
+    }
+
+    async fn connections_closed(&self, limit: Duration) {
+        let end = time::Instant::now() + limit;
         while self.connections() > 0 && time::Instant::now() < end {
             time::sleep(DRAIN_POLL).await;
         }
@@ -157,10 +161,7 @@
     /// As [`Server::idle_out`], but new connections are expected during `notice`.
     pub async fn idle_out_after(&self, notice: Duration, limit: Duration) {
         time::sleep(notice).await;
-        let end = time::Instant::now() + limit.saturating_sub(notice);
-        while self.connections() > 0 && time::Instant::now() < end {
-            time::sleep(DRAIN_POLL).await;
-        }
+        self.connections_closed(limit.saturating_sub(notice)).await;
     }
 
     /// Closes the listener; open connections go on until they are idle.
