--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -296,10 +296,11 @@
                     break;
                 }
             }
-            if phase == Phase::OnTime {
+            let blocked = misses >= MISSES_MAX;
+            if phase == Phase::OnTime || phase == Phase::Begun && blocked {
                 self.note_room(now_ms, misses == 0);
             }
-            if misses >= MISSES_MAX {
+            if blocked {
                 return;
             }
         }
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -125,6 +125,26 @@
     assert!(spread.knows(Id(1)) && spread.knows(Id(3)));
 }
 
+/// Pattern: more load than room. Guards against a job that is held because jobs that have begun wait
+/// in such numbers that none of the others is looked at.
+#[test]
+fn jobs_that_have_begun_and_wait_count_as_a_lack_of_room() {
+    let (mut spread, keys) = spread(&[("a", 20)]);
+    let cpu = |cpu_milli| Resources { cpu_milli, ..OPEN.used };
+    let full = Load { open: true, used: cpu(20_000), queued: cpu(1_000) };
+    let orders: Vec<Order> =
+        (1..=20).flat_map(|id| submit(&mut spread, 0, id, job(1, 300))).collect();
+    for order in &orders {
+        let verdict = Verdict { load: full, ..verdict(Ended::NotStarted(Reason::Room), 0) };
+        spread.ended(0, order.server, order.start.run, Some(&verdict));
+    }
+    assert_eq!(spread.take_work().orders, []);
+    spread.link_up(keys[0]);
+    submit(&mut spread, 1, 99, job(1, 100));
+    spread.tick(300);
+    assert_eq!(spread.take_work().closed, [(Id(99), Closed::NotRun)]);
+}
+
 /// Pattern: the return of all instances after a loss of power. Guards against jobs that are refused
 /// for lack of room while the servers are just being found.
 #[test]
