Services wait for room apart from each other

Cause: found by reading: an assignment ended after 16 jobs without room, whichever service they belong to, so that jobs of a service with free servers waited behind those of a full one; and one service without room made late jobs of all services be refused. The users' sites have one service each. Change: the ready jobs, and since when there is no room, are kept by service. Test first: spread::a_full_service_holds_up_no_other failed before.

--- a/src/coordination/spread.rs
+++ b/src/coordination/spread.rs
@@ -81,9 +81,8 @@
     /// Servers by the names of their sidecars.
     names: IndexMap<String, Key>,
     jobs: IndexMap<Id, Job>,
-    ready: Ready,
-    /// Since when jobs that can be on time have found no room.
-    full_since_ms: Option<u64>,
+    /// By service: each has servers of its own.
+    ready: IndexMap<String, Ready>,
     work: Work,
 }
 
@@ -122,8 +121,11 @@
     /// A link to a sidecar has been opened. There may soon be more room, as after a restart of all
     /// instances, so that no job is refused for lack of it yet.
     pub fn link_up(&mut self, key: Key) {
-        self.servers[key.0].up = true;
-        self.full_since_ms = None;
+        let server = &mut self.servers[key.0];
+        server.up = true;
+        if let Some(ready) = self.ready.get_mut(&server.sidecar.server.service) {
+            ready.note_room(0, true);
+        }
     }
 
     /// A link to a sidecar has broken: nothing is ordered there.
@@ -164,13 +166,13 @@
     fn release(&mut self, id: Id) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.release(id);
-        self.ready.place(id, job);
+        ready_of(&mut self.ready, job).update(id, job);
     }
 
     /// Gives a job up: what waits is forgotten, what runs is stopped.
     pub fn cancel(&mut self, id: Id) -> bool {
         let Some(job) = self.jobs.swap_remove(&id) else { return false };
-        self.ready.remove(id, &job);
+        ready_of(&mut self.ready, &job).remove(id, &job);
         for task in &job.tasks {
             if let Some(place) = task.at {
                 self.work.stops.push((place.server, place.run));
@@ -239,7 +241,7 @@
             Ended::Stopped | Ended::Lost | Ended::NotStarted(_) => {}
         }
         job.ready.insert(run.task);
-        self.ready.place(id, job);
+        ready_of(&mut self.ready, job).update(id, job);
     }
 
     /// Looks at what runs too long and at what has waited too long, and orders ready tasks.
@@ -275,11 +277,14 @@
     /// Refuses jobs of which nothing has started and that would be worth nothing, or that would be
     /// late and only wait behind others, as there has been no room for some time.
     fn refuse_hopeless(&mut self, now_ms: u64) {
-        let full = self.full_since_ms.is_some_and(|since_ms| since_ms + FULL_MS <= now_ms);
-        let hopeless = |job: &Job| job.is_worthless(now_ms) || full && job.is_late(now_ms);
+        let full = |job: &Job| {
+            let ready = self.ready.get(&job.service);
+            ready.is_some_and(|ready| ready.full_for(now_ms) >= Some(FULL_MS))
+        };
+        let hopeless = |job: &Job| job.is_worthless(now_ms) || job.is_late(now_ms) && full(job);
         let refused = self.jobs.iter().filter(|(_, job)| !job.started && hopeless(job));
-        let refused: Vec<Id> = refused.map(|(id, _)| *id).collect();
-        for id in refused {
+        let refused: Vec<(Id, bool)> = refused.map(|(id, job)| (*id, full(job))).collect();
+        for (id, full) in refused {
             log::info!("event=refused job={id} reason=late full={full}");
             self.cancel(id);
             self.work.closed.push((id, Closed::NotRun));
@@ -288,9 +293,16 @@
 
     /// Orders ready tasks at servers that seem to have room.
     pub fn assign(&mut self, now_ms: u64) {
+        for pool in 0..self.ready.len() {
+            self.assign_pool(now_ms, pool);
+        }
+    }
+
+    /// Orders the ready tasks of one service.
+    fn assign_pool(&mut self, now_ms: u64, pool: usize) {
         let mut misses = 0;
         for phase in Phase::ALL {
-            for id in self.ready.first(now_ms, phase, self.full_since_ms.is_some()) {
+            for id in self.ready[pool].first(now_ms, phase) {
                 misses += usize::from(!self.place_all(now_ms, id));
                 if misses >= MISSES_MAX {
                     break;
@@ -298,7 +310,7 @@
             }
             let blocked = misses >= MISSES_MAX;
             if phase == Phase::OnTime || phase == Phase::Begun && blocked {
-                self.note_room(now_ms, misses == 0);
+                self.note_room(now_ms, pool, misses == 0);
             }
             if blocked {
                 return;
@@ -308,12 +320,11 @@
 
     /// Notes whether jobs that can be on time have found room. Without any server that is no sign of
     /// too much load.
-    fn note_room(&mut self, now_ms: u64, found: bool) {
-        let any = self.servers.iter().any(|(_, server)| server.is_open());
-        self.full_since_ms = match found || !any {
-            true => None,
-            false => self.full_since_ms.or(Some(now_ms)),
-        };
+    fn note_room(&mut self, now_ms: u64, pool: usize, found: bool) {
+        let Some((service, ready)) = self.ready.get_index_mut(pool) else { return };
+        let mut servers = self.servers.iter();
+        let any = servers.any(|(_, s)| s.is_open() && s.sidecar.server.service == *service);
+        ready.note_room(now_ms, found || !any);
     }
 
     /// Orders a job's ready tasks. Returns whether all found a place.
@@ -322,7 +333,7 @@
         let ready: Vec<Task> = job.ready.iter().copied().collect();
         let placed = ready.into_iter().all(|task| self.place(now_ms, task));
         if let Some(job) = self.jobs.get(&id) {
-            self.ready.place(id, job);
+            ready_of(&mut self.ready, job).update(id, job);
         }
         placed
     }
@@ -350,6 +361,14 @@
     }
 }
 
+/// The ready jobs of a job's service.
+fn ready_of<'a>(ready: &'a mut IndexMap<String, Ready>, job: &Job) -> &'a mut Ready {
+    if !ready.contains_key(&job.service) {
+        ready.insert(job.service.clone(), Ready::default());
+    }
+    &mut ready[&job.service]
+}
+
 /// A task that needs a place.
 struct Wanted<'a> {
     service: &'a str,
--- a/src/coordination/spread/ready.rs
+++ b/src/coordination/spread/ready.rs
@@ -1,4 +1,4 @@
-//! The jobs that have ready tasks, in the order in which they get room.
+//! The jobs of a service that have ready tasks, in the order in which they get room.
 
 use std::collections::BTreeSet;
 
@@ -35,11 +35,13 @@
     fresh: BTreeSet<(u64, Id)>,
     /// The others, by priority and declared work, with the latest start.
     light: BTreeSet<(u32, u64, Id, u64)>,
+    /// Since when jobs that can be on time have found no room.
+    full_since_ms: Option<u64>,
 }
 
 impl Ready {
     /// Takes note of a job's ready tasks.
-    pub fn place(&mut self, id: Id, job: &Job) {
+    pub fn update(&mut self, id: Id, job: &Job) {
         self.remove(id, job);
         match (job.ready.is_empty(), job.started) {
             (true, _) => {}
@@ -57,15 +59,28 @@
         self.light.remove(&(job.priority, job.work, id, job.due_ms));
     }
 
+    /// Notes whether jobs that can be on time find room.
+    pub fn note_room(&mut self, now_ms: u64, found: bool) {
+        self.full_since_ms = match found {
+            true => None,
+            false => self.full_since_ms.or(Some(now_ms)),
+        };
+    }
+
+    /// For how long jobs that can be on time have found no room, in ms.
+    pub fn full_for(&self, now_ms: u64) -> Option<u64> {
+        self.full_since_ms.map(|since_ms| now_ms.saturating_sub(since_ms))
+    }
+
     /// The first jobs of a phase. Jobs that can be on time come by urgency; but while there is no
-    /// room for all of them (`full`) by priority and then by work, as most are served so.
-    pub fn first(&self, now_ms: u64, phase: Phase, full: bool) -> Vec<Id> {
+    /// room for all of them by priority and then by work, as most are served so.
+    pub fn first(&self, now_ms: u64, phase: Phase) -> Vec<Id> {
         let late_ms = now_ms.saturating_sub(LATE_SLACK_MS);
         let id = |(_, id): &(u64, Id)| *id;
         match phase {
             Phase::Begun => self.begun(|hopeless_ms| hopeless_ms >= now_ms),
             Phase::Worthless => self.begun(|hopeless_ms| hopeless_ms < now_ms),
-            Phase::OnTime if full => {
+            Phase::OnTime if self.full_since_ms.is_some() => {
                 let on_time = self.light.iter().filter(|(_, _, _, due_ms)| *due_ms >= late_ms);
                 on_time.map(|(_, _, id, _)| *id).take(BATCH).collect()
             }
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -145,6 +145,24 @@
     assert_eq!(spread.take_work().closed, [(Id(99), Closed::NotRun)]);
 }
 
+/// Pattern: two services, one with more load than room. Guards against jobs that wait behind those
+/// of another service, whose servers are full.
+#[test]
+fn a_full_service_holds_up_no_other() {
+    let (mut spread, _) = spread(&[("a", 1)]);
+    let mut other = sidecar("b", 1);
+    other.server.service = "visits".to_owned();
+    let key = spread.describe(other);
+    for id in 0..40 {
+        submit(&mut spread, 0, id, job(1, 300));
+    }
+    spread.link_up(key);
+    spread.loaded(1, key, &OPEN);
+    let queue = Queue { service: "visits".to_owned(), ..queue() };
+    spread.submit(1, Id(99), &queue, job(1, 300));
+    assert_eq!(places(&spread.take_work().orders), [(99, key)]);
+}
+
 /// Pattern: the return of all instances after a loss of power. Guards against jobs that are refused
 /// for lack of room while the servers are just being found.
 #[test]
