Keep charges, turns and requirements when the lanes are rebuilt

Ruled out: a bounds check in `charge` alone; it hides the lost charges and the wrong lane. Keys of servers, groups, executions and attempts were gone through in route, naive, slot and schedule: they are arena keys that are looked up with a generation or never reused, and no other index was found.

Change: a rebuilt lane takes the deficits and turns of the lane that the requirement had before. An attempt refers to its requirement instead of its lane. Requirements are dropped only between submissions, when neither executions nor attempts are left. An unknown account gets an empty queue. `FairQueue::drain` had no caller and is removed.

Tests: four for these faults and drawn histories of servers, groups, placements, accounts and shares that change between submit, start, end and cancel.

Not mended: requirements of kinds that callers invent stay while executions never run empty, and groups without servers are not removed.

--- a/src/coordination/dispatch/admit.rs
+++ b/src/coordination/dispatch/admit.rs
@@ -31,6 +31,7 @@
         if spec.deadline <= now {
             return Err(job::Refusal::DeadlineExceeded);
         }
+        self.drop_unused_requirements();
         let (mut work, mut longest) = (0.0, 0.0);
         for task in &spec.tasks {
             let requirement = self.requirement(&task.kind, &task.needs);
--- a/src/coordination/dispatch/core.rs
+++ b/src/coordination/dispatch/core.rs
@@ -286,6 +286,13 @@
     /// Queues a task at the end of its batch. So a task that is queued again is served first in its
     /// batch, except by a slow server, which gets tasks from the front.
     pub(super) fn enqueue(&mut self, key: usize, task: u16) {
+        let credit = self.idle_credit(self.executions[key].account);
+        self.enqueue_with(key, task, credit);
+    }
+
+    /// As `enqueue`, with the run time that the account is credited for the time in which it had
+    /// nothing queued.
+    pub(super) fn enqueue_with(&mut self, key: usize, task: u16, credit: f64) {
         let execution = &mut self.executions[key];
         let state = execution.tasks[usize::from(task)];
         let lane = self.requirements[state.requirement].lane;
@@ -301,7 +308,6 @@
             queue::Item { score: execution.score, execution: key as u32, batch: batch as u16 };
         let account = execution.account;
         let large = execution.tasks.len() > BULK_TASKS;
-        let credit = self.idle_credit(account);
         self.lanes[lane].queue.push(account, item, credit);
         self.adjust_queued(account, lane, 1, state.mean_us, large);
     }
@@ -403,7 +409,6 @@
         let attempt = id::Attempt { execution: execution.id, task, number: state.next_number };
         state.next_number += 1;
         state.in_flight += 1;
-        let lane = self.requirements[state.requirement].lane;
         let speed = self.router.servers[server.0].speed.factor();
         let rtt = self.router.rtt_us(server);
         let p95 = self.estimates.p95_us(state.class);
@@ -416,7 +421,7 @@
             execution: Some(key),
             position: execution.attempts.len(),
             account: execution.account,
-            lane,
+            requirement: state.requirement,
             server,
             class: state.class,
             sent_at: now,
@@ -443,7 +448,8 @@
             let Some(sent) = self.attempt_index.get(&attempt).map(|i| &self.attempts[*i]) else {
                 continue;
             };
-            let (Some(key), lane) = (sent.execution, sent.lane) else { continue };
+            let Some(key) = sent.execution else { continue };
+            let lane = self.requirements[sent.requirement].lane;
             let task = self.executions[key].tasks[usize::from(attempt.task)];
             if self.executions[key].stopped || task.answered || task.in_flight != 1 {
                 continue;
--- a/src/coordination/dispatch/execution.rs
+++ b/src/coordination/dispatch/execution.rs
@@ -64,7 +64,8 @@
     /// Position in `Execution::attempts`.
     pub position: usize,
     pub account: queue::Account,
-    pub lane: usize,
+    /// Index into `Core::requirements`.
+    pub requirement: usize,
     pub server: route::Key,
     pub class: speed::Class,
     pub sent_at: Micros,
--- a/src/coordination/dispatch/lane.rs
+++ b/src/coordination/dispatch/lane.rs
@@ -6,7 +6,7 @@
 };
 
 /// Number of requirements above which `Core::requirements` is emptied as soon as there are no
-/// executions, which refer to it.
+/// executions and attempts, which refer to it.
 const REQUIREMENTS_MAX: usize = 50_000;
 
 /// Kind and needs of a task, which together decide which servers fit it.
@@ -32,12 +32,18 @@
 pub(super) type NeedsKey = (u16, u32, u16);
 
 impl Core {
-    /// Index of the requirement with a kind and needs. A new requirement is added.
-    pub(super) fn requirement(&mut self, kind: &str, needs: &job::Needs) -> usize {
-        if self.requirements.len() > REQUIREMENTS_MAX && self.executions.is_empty() {
+    /// Drops all requirements if there are many and nothing refers to them. Called between
+    /// submissions only, as the tasks of one refer to their requirements while it is added.
+    pub(super) fn drop_unused_requirements(&mut self) {
+        let unused = self.executions.is_empty() && self.attempts.is_empty();
+        if unused && self.requirements.len() > REQUIREMENTS_MAX {
             self.requirements.clear();
             self.requirement_index.clear();
         }
+    }
+
+    /// Index of the requirement with a kind and needs. A new requirement is added.
+    pub(super) fn requirement(&mut self, kind: &str, needs: &job::Needs) -> usize {
         let id = (needs.cpus, needs.memory_mb, needs.accelerators);
         if let Some(requirement) = self.requirement_index.get(&id).and_then(|kinds| kinds.get(kind))
         {
@@ -63,18 +69,20 @@
         self.lanes.len() - 1
     }
 
-    /// Assigns all requirements, queued tasks and attempts in flight to lanes again after the
-    /// groups of servers have changed.
+    /// Assigns all requirements and queued tasks to lanes again after the groups of servers have
+    /// changed.
     pub(super) fn rebuild_lanes(&mut self) {
-        self.lanes.clear();
+        let old_lanes = std::mem::take(&mut self.lanes);
         self.lane_index.clear();
         for requirement in 0..self.requirements.len() {
-            let (kind, needs) = (
-                std::mem::take(&mut self.requirements[requirement].kind),
-                self.requirements[requirement].needs,
-            );
-            self.requirements[requirement].lane = self.lane(&kind, &needs);
-            self.requirements[requirement].kind = kind;
+            let lanes = self.lanes.len();
+            let Requirement { kind, needs, lane: old_lane } = &mut self.requirements[requirement];
+            let (kind, needs, old_lane) = (std::mem::take(kind), *needs, *old_lane);
+            let lane = self.lane(&kind, &needs);
+            if lane == lanes {
+                self.lanes[lane].queue = old_lanes[old_lane].queue.without_items();
+            }
+            self.requirements[requirement] = Requirement { kind, needs, lane };
         }
         for account in &mut self.accounts {
             (account.queued, account.queued_us) = (0, 0.0);
@@ -84,16 +92,9 @@
         for key in keys {
             for batch in std::mem::take(&mut self.executions[key].batches) {
                 for task in batch.tasks {
-                    self.enqueue(key, task);
+                    self.enqueue_with(key, task, 0.0);
                 }
             }
         }
-        for (_, sent) in &mut self.attempts {
-            if let Some(execution) = sent.execution {
-                let requirement =
-                    self.executions[execution].tasks[usize::from(sent.attempt.task)].requirement;
-                sent.lane = self.requirements[requirement].lane;
-            }
-        }
     }
 }
--- a/src/coordination/dispatch/reply.rs
+++ b/src/coordination/dispatch/reply.rs
@@ -74,8 +74,8 @@
                 self.router.servers[key.0].window.ran(excess, ran_us as f64);
                 self.router.update_speeds(key, self.estimates.overall_us());
                 let overall = self.estimates.overall_us();
-                let lane = &mut self.lanes[sent.lane];
-                lane.queue.charge(sent.account, work - sent.mean_us, overall);
+                let lane = self.requirements[sent.requirement].lane;
+                self.lanes[lane].queue.charge(sent.account, work - sent.mean_us, overall);
             }
             // Attempts of a removed execution are cancelled. A cancelled attempt ends as failed,
             // which says nothing about the server.
--- a/src/coordination/queue.rs
+++ b/src/coordination/queue.rs
@@ -36,14 +36,18 @@
 }
 
 impl FairQueue {
+    /// Returns a queue without items in which each account has the deficit and the turn that it has
+    /// in this one.
+    pub fn without_items(&self) -> Self {
+        let queue = |queue: &AccountQueue| AccountQueue { items: BTreeSet::new(), ..*queue };
+        Self { queues: self.queues.iter().map(queue).collect(), rotation: self.rotation.clone() }
+    }
+
     /// Adds an item. `credit` is the run time that the account was entitled to since it last had
     /// queued items. With it, an account that used less than its share is served before the others
     /// until it has caught up.
     pub fn push(&mut self, account: Account, item: Item, credit: f64) {
-        if self.queues.len() <= account.0 as usize {
-            self.queues.resize_with(account.0 as usize + 1, AccountQueue::default);
-        }
-        let queue = &mut self.queues[account.0 as usize];
+        let queue = self.queue(account);
         queue.items.insert(item);
         if !queue.in_rotation {
             queue.in_rotation = true;
@@ -92,21 +96,17 @@
     /// Charges an account for run time, or credits it if `cost` is negative. An account in debt is
     /// skipped until its quanta have paid the debt off.
     pub fn charge(&mut self, account: Account, cost: f64, quantum: f64) {
-        let queue = &mut self.queues[account.0 as usize];
+        let queue = self.queue(account);
         let bound = DEFICIT_MAX * quantum;
         queue.deficit = (queue.deficit - cost).clamp(-bound, bound);
     }
 
-    /// Removes and returns all items; deficits stay.
-    pub fn drain(&mut self) -> Vec<(Account, Item)> {
-        self.rotation.clear();
-        let mut all = Vec::new();
-        for (index, queue) in self.queues.iter_mut().enumerate() {
-            queue.in_rotation = false;
-            all.extend(
-                std::mem::take(&mut queue.items).into_iter().map(|i| (Account(index as u32), i)),
-            );
+    /// The queue of an account, which is added if it is new.
+    fn queue(&mut self, account: Account) -> &mut AccountQueue {
+        let index = account.0 as usize;
+        if self.queues.len() <= index {
+            self.queues.resize_with(index + 1, AccountQueue::default);
         }
-        all
+        &mut self.queues[index]
     }
 }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -404,6 +404,236 @@
     assert!(!world.in_flight.is_empty());
 }
 
+/// A server in a data centre that no other server of the tests is in.
+fn server_of_new_group(server: u64, draining: bool) -> control::Server {
+    control::Server { data_centre: format!("new{server}"), ..announced_server(server, draining) }
+}
+
+/// Guards against a panic when an attempt ends whose account has nothing queued since the lanes
+/// were rebuilt for a new group.
+#[test]
+fn attempts_end_after_a_new_group_joins() {
+    let mut world = World::new(Policy::Briargauge);
+    world.submit(0, 1, false);
+    world.poll().unwrap();
+    let joined = server_changes(vec![server_of_new_group(20, false)], vec![]);
+    world.dispatcher.set_servers(world.now, &joined);
+    world.end(0, 0).unwrap();
+    world.finish().unwrap();
+}
+
+/// Guards against a panic, or a charge to the wrong lane, when an attempt of a removed execution
+/// ends after the lanes were rebuilt. Here, fewer lanes exist afterwards.
+#[test]
+fn attempts_of_removed_executions_end_after_a_new_group_joins() {
+    let mut world = World::new(Policy::Briargauge);
+    world.dispatcher.set_placements(
+        world.now,
+        ["kind0", "kind1", "kind2"].map(|kind| placement(kind, "dc1")).to_vec(),
+    );
+    world.submit(0, 3, false);
+    world.poll().unwrap();
+    world.cancel(0).unwrap();
+    world.dispatcher.set_placements(world.now, vec![]);
+    let joined = server_changes(vec![server_of_new_group(20, false)], vec![]);
+    world.dispatcher.set_servers(world.now, &joined);
+    while !world.in_flight.is_empty() {
+        world.end(0, 0).unwrap();
+    }
+    world.finish().unwrap();
+}
+
+/// Guards against charges that are forgotten, and idle credit that is given to busy accounts, when
+/// the lanes are rebuilt: a new group without free capacity must not change the order of starts.
+#[test]
+fn a_new_group_does_not_change_the_order_of_starts() {
+    fn starts(with_group: bool) -> Vec<id::Attempt> {
+        let mut world = World::new(Policy::Briargauge);
+        // The first account's tasks take ten times as long.
+        let end_all = |world: &mut World, order: &mut Vec<id::Attempt>| {
+            for (attempt, _) in std::mem::take(&mut world.in_flight) {
+                order.push(attempt);
+                let slow = attempt.execution.seq % 2 == 1;
+                let done = Ended::Done { ran_us: if slow { 200_000 } else { 20_000 } };
+                let next = world.dispatcher.ended(world.now, attempt, None, done);
+                world.check_end(attempt, done, next).unwrap();
+            }
+        };
+        (0..40).for_each(|n| world.submit(n % 2, 10, false));
+        let mut order = Vec::new();
+        for round in 0..30 {
+            world.now += 20_000;
+            world.poll().unwrap();
+            end_all(&mut world, &mut order);
+            if with_group && round == 10 {
+                let joined = server_changes(vec![server_of_new_group(20, true)], vec![]);
+                world.dispatcher.set_servers(world.now, &joined);
+            }
+        }
+        order
+    }
+    assert_eq!(starts(true), starts(false));
+}
+
+/// Guards against tasks that refer to requirements which were dropped while their own submission
+/// added more of them.
+#[test]
+fn a_submission_of_many_requirements_keeps_all_of_them() {
+    let mut dispatcher = Dispatcher::default();
+    let mut server = announced_server(1, false);
+    server.size = job::Needs { cpus: 4, memory_mb: u32::MAX, accelerators: 0 };
+    dispatcher.set_servers(1, &server_changes(vec![server], vec![]));
+    let mut random = Pcg64::seed_from_u64(1);
+    for seq in 0..2u32 {
+        let mut spec = spec("team", 30_000, DEADLINE_US, false);
+        for (task, memory_mb) in spec.tasks.iter_mut().zip(seq * 30_000..) {
+            task.needs.memory_mb = memory_mb;
+        }
+        let execution = id::Execution { epoch: id::Epoch(1), seq: seq.into() };
+        dispatcher.submit(2, execution, spec).unwrap();
+        let Some(Action::Start { attempt, .. }) = dispatcher.poll(2, &mut random) else {
+            panic!("no task was started")
+        };
+        dispatcher.remove(2, execution);
+        dispatcher.ended(2, attempt, None, Ended::Done { ran_us: 1_000 });
+        assert_eq!(dispatcher.queued(), 0);
+    }
+}
+
+/// A change of what the operators or control decide, or another event.
+#[derive(Debug, Clone)]
+enum Change {
+    Step(Step),
+    /// A server joins or changes, in one of many groups.
+    Group {
+        server: u8,
+        data_centre: u8,
+        slots: u8,
+        kind: Option<u8>,
+        draining: bool,
+    },
+    /// The whole list is sent: all servers but these.
+    List {
+        without: u16,
+    },
+    Placements {
+        kinds: u8,
+        data_centre: u8,
+    },
+    Accounts {
+        account: u8,
+        weight: u8,
+        waiting_max: u8,
+    },
+    Shares {
+        accounts: u8,
+        starts_per_s: u8,
+    },
+}
+
+impl Arbitrary for Change {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let draw = |g: &mut Gen, most: u8| u8::arbitrary(g) % most;
+        match draw(g, 16) {
+            0..=8 => Change::Step(Step::arbitrary(g)),
+            9..=11 => Change::Group {
+                server: draw(g, 9),
+                data_centre: draw(g, 12),
+                slots: draw(g, 5),
+                kind: bool::arbitrary(g).then(|| draw(g, 3)),
+                draining: draw(g, 4) == 0,
+            },
+            12 => Change::List { without: u16::arbitrary(g) % 512 },
+            13 => Change::Placements { kinds: draw(g, 8), data_centre: draw(g, 12) },
+            14 => Change::Accounts {
+                account: draw(g, 4),
+                weight: draw(g, 9),
+                waiting_max: u8::arbitrary(g),
+            },
+            _ => Change::Shares { accounts: draw(g, 16), starts_per_s: draw(g, 50) },
+        }
+    }
+}
+
+impl World {
+    fn change(&mut self, change: &Change) -> Result<(), String> {
+        match *change {
+            Change::Step(ref step) => return self.step(step),
+            Change::Group { server, data_centre, slots, kind, draining } => {
+                self.servers.insert(server.into(), !draining);
+                let changed = control::Server {
+                    data_centre: format!("dc{data_centre}"),
+                    slots: slots.into(),
+                    kinds: kind.map(|kind| format!("kind{kind}")).into_iter().collect(),
+                    ..announced_server(server.into(), draining)
+                };
+                self.dispatcher.set_servers(self.now, &server_changes(vec![changed], vec![]));
+            }
+            Change::List { without } => {
+                self.servers.retain(|server, _| without >> server & 1 == 0);
+                let listed = |(server, serving): (&u64, &bool)| announced_server(*server, !serving);
+                let changed = self.servers.iter().map(listed).collect();
+                let list = control::Servers { full: true, ..server_changes(changed, vec![]) };
+                self.dispatcher.set_servers(self.now, &list);
+            }
+            Change::Placements { kinds, data_centre } => {
+                let restricted = (0..3).filter(|kind| kinds >> kind & 1 == 1);
+                let placements = restricted
+                    .map(|kind| placement(&format!("kind{kind}"), &format!("dc{data_centre}")));
+                self.dispatcher.set_placements(self.now, placements.collect());
+            }
+            Change::Accounts { account, weight, waiting_max } => {
+                let settings = AccountSettings {
+                    weight: 0.5 + f64::from(weight),
+                    waiting_max: waiting_max.into(),
+                    ..AccountSettings::default()
+                };
+                let account = id::Account(format!("team{account}"));
+                self.dispatcher.set_accounts(self.now, &[(account, settings)]);
+            }
+            Change::Shares { accounts, starts_per_s } => {
+                let share = |account| control::Share {
+                    account: id::Account(format!("team{account}")),
+                    starts_per_s: starts_per_s.into(),
+                };
+                let limited = (0..4).filter(|account| accounts >> account & 1 == 1);
+                self.dispatcher.set_shares(self.now, &limited.map(share).collect::<Vec<_>>());
+            }
+        }
+        self.poll()
+    }
+}
+
+fn run_changes(policy: Policy, changes: &[Change]) -> Result<(), String> {
+    let mut world = World::new(policy);
+    for change in changes {
+        world.change(change)?;
+    }
+    world.finish()?;
+    // What is still in flight ends after its execution has, which must not fail either.
+    while !world.in_flight.is_empty() {
+        world.end(0, 0)?;
+    }
+    match world.dispatcher.queued() {
+        0 => Ok(()),
+        queued => Err(format!("{queued} tasks of ended executions are still queued")),
+    }
+}
+
+/// Guards against a panic, a forgotten task and a task that runs twice when servers, groups,
+/// placements, accounts and quota shares change between any events of a task.
+#[test]
+fn changes_of_servers_and_rules_lose_no_task() {
+    fn holds(changes: Vec<Change>) -> Result<(), String> {
+        run_changes(Policy::Briargauge, &changes)
+    }
+    checker().quickcheck(holds as fn(Vec<Change>) -> Result<(), String>);
+}
+
+fn placement(kind: &str, data_centre: &str) -> Placement {
+    Placement { kind: kind.to_owned(), data_centre: Some(data_centre.to_owned()), rack: None }
+}
+
 /// Guards against a kind that runs where no placement allows it, and against a kind that is still
 /// restricted after its placement was withdrawn.
 #[test]
