Give a restarted entry the quota shares of its earlier process

Cause: an entry that restarted refused client accounts as over their quota for 2 to 6 s. The session of its earlier process stayed open until its lease had run out and its jobs were recorded as failed. Until then its shares counted as in use. An account with high demand had its whole quota there, so the new session got a share of 0. After a change of the leader no share at all was raised before the old session had gone, because it never reported to the new leader.

Ruled out: a reserve of each quota for new entries. Accounts at their quota would be refused below it all the time, and it shrinks with each restart.

Change: only one process at a time listens at an entry's address. So a session that is registered from an address takes over what the earlier sessions of that address may have held, until its first report says what the process holds. The same process can register again and hold shares; this is why they are not freed at once. A session that was taken over no longer counts as an entry among which the rest is divided, unless it reports again. Two comments that called the registration number one of the process start are corrected.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -177,12 +177,13 @@
         // the entry instance may still use one, and could grant others more than the quota allows.
         self.read_barrier().await?;
         let known = self.replica.state().live_session(hello.start).is_some();
+        let earlier = self.replica.state().sessions_at(hello.addr);
         let (addr, start) = (hello.addr, hello.start);
         match self.propose(Op::Register(hello)).await? {
             Reply::Registered(epoch) => {
                 log::info!("event=session_opened epoch={} addr={addr} start={start:x}", epoch.0);
                 if !known {
-                    self.leader_state.borrow_mut().quotas.join(epoch);
+                    self.leader_state.borrow_mut().quotas.join(epoch, &earlier);
                 }
                 Ok(control::Session { epoch, lease_ms: LEASE_MS })
             }
--- a/src/coordination/quota.rs
+++ b/src/coordination/quota.rs
@@ -35,6 +35,8 @@
     /// Entries whose shares are known, with the number of their last report, 0 before the first.
     reports: IndexMap<id::Epoch, u64>,
     accounts: IndexMap<String, IndexMap<id::Epoch, EntryShare>>,
+    /// Open sessions whose entry has opened a later one and that have not reported since.
+    ended: HashSet<id::Epoch>,
 }
 
 /// One entry's share of one account's quota, in starts per second.
@@ -57,9 +59,25 @@
 }
 
 impl Table {
-    /// Adds a session that was opened in this term and so holds no shares yet.
-    pub fn join(&mut self, epoch: id::Epoch) {
-        self.reports.entry(epoch).or_insert(0);
+    /// Adds a session that was opened in this term. `earlier` are the sessions that were opened from
+    /// the same address. Only one process at a time listens at an address, so they have ended, and
+    /// what they may have held counts as held by the new session until it reports.
+    pub fn join(&mut self, epoch: id::Epoch, earlier: &[id::Epoch]) {
+        // The shares of a session that has not reported in this term are unknown.
+        let known = earlier.iter().all(|earlier| self.reports.contains_key(earlier));
+        if known {
+            self.reports.entry(epoch).or_insert(0);
+        }
+        for earlier in earlier {
+            self.reports.entry(*earlier).or_insert(0);
+            self.ended.insert(*earlier);
+            for shares in self.accounts.values_mut() {
+                let Some(share) = shares.swap_remove(earlier) else { continue };
+                let joined = shares.entry(epoch).or_default();
+                joined.demand = joined.demand.max(share.demand);
+                joined.granted += share.bound();
+            }
+        }
     }
 
     /// Drops the entries whose sessions are neither in `live` nor in `fenced`, and the accounts of
@@ -67,6 +85,7 @@
     pub fn retain(&mut self, live: &[id::Epoch], fenced: &[id::Epoch]) {
         let known = |epoch: &id::Epoch| live.contains(epoch) || fenced.contains(epoch);
         self.reports.retain(|epoch, _| known(epoch));
+        self.ended.retain(known);
         for shares in self.accounts.values_mut() {
             shares
                 .retain(|epoch, share| known(epoch) && (share.demand > 0.0 || share.bound() > 0.0));
@@ -82,6 +101,7 @@
             return false;
         }
         self.reports.insert(epoch, number);
+        self.ended.remove(&epoch);
         for shares in self.accounts.values_mut() {
             if let Some(share) = shares.get_mut(&epoch) {
                 *share = EntryShare { demand: decayed(share.demand), held: 0.0, granted: 0.0 };
@@ -108,6 +128,8 @@
         fenced: &[id::Epoch],
     ) -> Vec<control::Share> {
         let all_reported = live.iter().chain(fenced).all(|e| self.reports.contains_key(e));
+        let live: Vec<id::Epoch> =
+            live.iter().copied().filter(|e| !self.ended.contains(e)).collect();
         // Accounts that the rules name and that have a quota. Each entry gets a share of it, even
         // without demand.
         let named_with_quota =
@@ -127,7 +149,7 @@
             // ended would take many reports to shrink.
             let entry_share = &mut shares[&epoch];
             entry_share.demand = entry_share.demand.min(f64::from(quota));
-            let target = target(f64::from(quota), shares, epoch, live);
+            let target = target(f64::from(quota), shares, epoch, &live);
             let others = shares.iter().filter(|(e, _)| **e != epoch);
             // What the other entries cannot be using.
             let available =
--- a/src/protocol/wire/control.rs
+++ b/src/protocol/wire/control.rs
@@ -69,8 +69,8 @@
     /// Address of the entry's `wire::entry` service.
     pub addr: SocketAddr,
     pub data_centre: String,
-    /// Random number drawn when the entry's process starts. If `register` is repeated with the same
-    /// number, it returns the same session.
+    /// Random number drawn for each registration. If `register` is repeated with the same number, it
+    /// returns the same session.
     pub start: u64,
 }
 
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -8,6 +8,8 @@
 pub mod queue;
 mod session;
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::protocol::{
@@ -183,12 +185,17 @@
         self.sessions.is_live(epoch)
     }
 
-    /// The live session that an entry instance opened under the number that it drew at its process
-    /// start, see `control::Hello::start`.
+    /// The live session that an entry instance opened under the number that it drew for the
+    /// registration, see `control::Hello::start`.
     pub fn live_session(&self, start: u64) -> Option<id::Epoch> {
         self.sessions.live_session(start)
     }
 
+    /// Sessions that an address has opened and that have not been abandoned.
+    pub fn sessions_at(&self, addr: SocketAddr) -> Vec<id::Epoch> {
+        self.sessions.at(addr)
+    }
+
     /// Fenced sessions whose open jobs have not been recorded as failed yet.
     pub fn fenced_sessions(&self) -> Vec<id::Epoch> {
         self.sessions.fenced()
--- a/src/state/machine/session.rs
+++ b/src/state/machine/session.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Session {
     addr: SocketAddr,
-    /// Random number that the entry instance drew when its process started.
+    /// Random number that the entry instance drew for this registration.
     start: u64,
     phase: Phase,
     /// Number of admission records that this session owns.
@@ -42,7 +42,7 @@
 }
 
 impl Sessions {
-    /// Opens a session, or returns the live one of the same process start.
+    /// Opens a session, or returns the live one of the same registration.
     pub fn register(&mut self, index: u64, hello: &control::Hello) -> id::Epoch {
         if let Some(epoch) = self.live_session(hello.start) {
             return epoch;
@@ -55,7 +55,7 @@
         epoch
     }
 
-    /// The live session of a process start.
+    /// The live session of a registration, which may have been sent more than once.
     pub fn live_session(&self, start: u64) -> Option<id::Epoch> {
         let live = self.table.iter().filter(|(_, s)| s.phase == Phase::Live);
         live.filter(|(_, s)| s.start == start).map(|(epoch, _)| *epoch).next()
@@ -109,6 +109,12 @@
         }
     }
 
+    /// Sessions of an address that have not been abandoned.
+    pub fn at(&self, addr: SocketAddr) -> Vec<id::Epoch> {
+        let kept = self.table.iter().filter(|(_, s)| s.phase != Phase::Abandoned);
+        kept.filter(|(_, s)| s.addr == addr).map(|(epoch, _)| *epoch).collect()
+    }
+
     pub fn addr(&self, epoch: id::Epoch) -> SocketAddr {
         self.table.get(&epoch).map_or(UNKNOWN_OWNER, |s| s.addr)
     }
--- a/tests/control/quota.rs
+++ b/tests/control/quota.rs
@@ -18,6 +18,14 @@
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Join,
+    /// The process of an entry restarts at its address while its session is open.
+    Restart {
+        entry: usize,
+    },
+    /// An entry opens another session.
+    Reopen {
+        entry: usize,
+    },
     Demand {
         entry: usize,
         account: usize,
@@ -58,7 +66,7 @@
     fn arbitrary(g: &mut Gen) -> Step {
         let entry = usize::arbitrary(g) % 3;
         let index = usize::arbitrary(g) % 3;
-        match u8::arbitrary(g) % 32 {
+        match u8::arbitrary(g) % 36 {
             0..3 => Step::Join,
             3 => Step::Fence { entry },
             4 => Step::Abandon { entry },
@@ -71,6 +79,8 @@
             15..18 => Step::Report { entry },
             18..22 => Step::Send { entry },
             22..27 => Step::DeliverReport { entry, index },
+            27..29 => Step::Restart { entry },
+            29..31 => Step::Reopen { entry },
             _ => Step::DeliverAnswer { entry, index },
         }
     }
@@ -84,6 +94,8 @@
 struct Entry {
     epoch: id::Epoch,
     fenced: bool,
+    /// Whether the process still uses this session.
+    in_use: bool,
     number: u64,
     demands: HashMap<&'static str, f64>,
     shares: Vec<control::Share>,
@@ -127,13 +139,14 @@
         self.entries.iter().filter(|e| e.fenced == fenced).map(|e| e.epoch).collect()
     }
 
-    fn join(&mut self) {
+    fn join(&mut self, earlier: &[id::Epoch]) {
         self.last_epoch += 1;
         let epoch = id::Epoch(self.last_epoch);
-        self.table.join(epoch);
+        self.table.join(epoch, earlier);
         self.entries.push(Entry {
             epoch,
             fenced: false,
+            in_use: true,
             number: 0,
             demands: HashMap::new(),
             shares: Vec::new(),
@@ -142,6 +155,20 @@
         });
     }
 
+    /// Opens another session for the process of an entry, or for a new process at its address. A new
+    /// process holds no shares.
+    fn reopen(&mut self, entry: usize, same_process: bool) {
+        let Some(earlier) = self.entries.get_mut(entry).filter(|e| e.in_use) else { return };
+        earlier.in_use = false;
+        earlier.answers.clear();
+        let shares = std::mem::take(&mut earlier.shares);
+        let epoch = earlier.epoch;
+        self.join(&[epoch]);
+        if same_process {
+            self.entries.last_mut().unwrap().shares = shares;
+        }
+    }
+
     fn deliver_report(&mut self, entry: usize, index: usize) {
         let (live, fenced) = (self.sessions(false), self.sessions(true));
         let Some(entry) = self.entries.get_mut(entry) else { return };
@@ -151,7 +178,9 @@
         let report = entry.reports.remove(index);
         if self.table.report(entry.epoch, report.number, &report.demands) {
             let shares = self.table.grant(entry.epoch, &self.rules, &live, &fenced);
-            entry.answers.push((report.number, shares));
+            if entry.in_use {
+                entry.answers.push((report.number, shares));
+            }
         }
     }
 
@@ -173,7 +202,7 @@
     }
 
     fn report(&mut self, entry: usize) {
-        if let Some(sender) = self.entries.get_mut(entry) {
+        if let Some(sender) = self.entries.get_mut(entry).filter(|e| e.in_use) {
             sender.send();
             let newest = sender.reports.len() - 1;
             self.deliver_report(entry, newest);
@@ -184,15 +213,17 @@
         match step {
             Step::Sync { entry } => self.sync(entry),
             Step::Report { entry } => self.report(entry),
-            Step::Join if self.entries.len() < 3 => self.join(),
+            Step::Join if self.entries.len() < 3 => self.join(&[]),
             Step::Join => {}
+            Step::Restart { entry } => self.reopen(entry, false),
+            Step::Reopen { entry } => self.reopen(entry, true),
             Step::Demand { entry, account, starts_per_s } => {
                 if let Some(entry) = self.entries.get_mut(entry) {
                     entry.demands.insert(ACCOUNTS[account], starts_per_s.into());
                 }
             }
             Step::Send { entry } => {
-                if let Some(entry) = self.entries.get_mut(entry) {
+                if let Some(entry) = self.entries.get_mut(entry).filter(|e| e.in_use) {
                     entry.send();
                 }
             }
@@ -244,7 +275,7 @@
 #[test]
 fn shares_follow_demand() {
     let mut simulation = Simulation::new();
-    (0..3).for_each(|_| simulation.join());
+    (0..3).for_each(|_| simulation.join(&[]));
     let round = |simulation: &mut Simulation| (0..3).for_each(|entry| simulation.sync(entry));
     simulation.entries[0].demands.insert("a", 1_000.0);
     (0..4).for_each(|_| round(&mut simulation));
@@ -266,3 +297,32 @@
     }
     assert!(simulation.in_use("a") <= QUOTA + ROUNDING);
 }
+
+/// Guards against an entry that refuses an account as over its quota after a restart, because the
+/// shares of its earlier process are still counted, or because they are not known to a new leader.
+#[test]
+fn restarted_entries_have_a_share_at_once() {
+    for new_leader in [false, true] {
+        let mut simulation = Simulation::new();
+        (0..2).for_each(|_| simulation.join(&[]));
+        for entry in 0..2 {
+            simulation.entries[entry].demands.insert("a", 1_000.0);
+        }
+        for entry in [0, 1, 0, 1] {
+            simulation.sync(entry);
+        }
+        if new_leader {
+            simulation.step(Step::NewLeader);
+            simulation.sync(1);
+        }
+        for restart in 0..3 {
+            let entry = if restart == 0 { 0 } else { simulation.entries.len() - 1 };
+            simulation.step(Step::Restart { entry });
+            let restarted = simulation.entries.len() - 1;
+            simulation.sync(restarted);
+            let share = simulation.entries[restarted].share("a");
+            assert!(share >= 0.03 * QUOTA, "{share} after restart {restart}, {new_leader}");
+            assert!(simulation.in_use("a") <= QUOTA + ROUNDING);
+        }
+    }
+}
