Contain panics: restart loops, answer waiters, end a replica that is half changed

Cause: the runtime catches a panic and drops the task in which it happened. A process whose report, poll, tick, drive or accept loop had ended that way stayed up and did nothing. A call whose task had panicked left its slot, its key or its caller waiting until the deadline. A panic in the storage thread or while a peer's message was handled left a control instance without a replica, or with half of a change.

Ruled out: `panic = "abort"`. It ends a process with the requests of others in it.

Change: `supervisor` logs panics as one line and starts loops again after a pause that grows to 2 s. The tasks of attempts and keyed submissions end as "outcome unknown". A replica whose consensus state may be half changed ends; its process then stops, as it can serve nothing, and recovers from disk when it is started again. A coordinator of the queues that has panicked hands leadership over first. An attempt whose connection task has failed counts as running until the leases have ended.

Not covered by a test: a panic in a single peer message, and the hand-over by a coordinator.

--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -22,7 +22,7 @@
     control::{barrier::SharedBarrier, replica::Replica},
     coordination::schedule::Scheduler,
     protocol::wire::queue::{self, Refusal},
-    util,
+    supervisor, util,
 };
 use batcher::Batcher;
 pub use service::Handler;
@@ -144,6 +144,11 @@
 
     /// Coordinates whenever this instance leads, until [`Coordinator::stop`].
     pub async fn run(self) {
+        if self.inner.leadership.borrow().is_some() {
+            // A panic may have left the leadership half changed. The next leader starts from the
+            // replicated state.
+            self.inner.replica.transfer_leadership().await;
+        }
         let mut ticks = time::interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         while !self.inner.stopping.get() {
@@ -224,7 +229,11 @@
             return;
         };
         if confirmed_ms + CONFIRM_INTERVAL_MS <= now_ms && !self.inner.confirming.replace(true) {
-            actix_rt::spawn(self.clone().confirm_leadership());
+            let coordinator = self.clone();
+            actix_rt::spawn(async move {
+                supervisor::catch("confirm_leadership", coordinator.confirm_leadership()).await;
+                coordinator.inner.confirming.set(false);
+            });
         }
         self.expire_leases(now_ms);
         self.maintain_members(now_ms);
@@ -232,11 +241,10 @@
     }
 
     /// Requests a confirmation of leadership and, if it succeeds, records when it was requested.
-    async fn confirm_leadership(self) {
+    async fn confirm_leadership(&self) {
         let requested_ms = util::boot_ms();
         let term = self.inner.replica.leading();
         let confirmed = self.inner.barrier.wait().await;
-        self.inner.confirming.set(false);
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) =
             leadership.as_mut().filter(|leadership| Some(leadership.term) == term)
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,6 +19,7 @@
     daemon,
     error::Result,
     protocol::wire::control::Service,
+    supervisor,
     transport::{http, rpc},
 };
 
@@ -51,7 +52,9 @@
         let http_core = core.clone();
         let http = http::serve(http, move |request| answer(http_core.clone(), request)).await?;
         let (stop, stopped) = watch::channel(());
-        actix_rt::spawn(tick(core.clone(), stopped));
+        let ticked = core.clone();
+        let ticks = move || tick(ticked.clone(), stopped.clone());
+        actix_rt::spawn(supervisor::restart("control_tick", ticks));
         Ok(Control { core, rpc, http, _stop: stop })
     }
 
@@ -63,6 +66,10 @@
         }
     }
 
+    async fn failed(&self) {
+        self.core.replica.failed().await;
+    }
+
     async fn stop(self) -> usize {
         self.core.announce_stop();
         let limit = Duration::from_millis(self.core.settings.drain_limit_ms);
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -35,6 +35,7 @@
         machine,
         snapshot::Snapshot,
     },
+    supervisor,
     transport::rpc,
 };
 
@@ -70,6 +71,10 @@
     stopping: Cell<bool>,
     /// Set once the data directory is closed.
     closed: Cell<bool>,
+    /// Set after a panic, which may have left `core` half changed.
+    panicked: Cell<bool>,
+    /// Notified when the replica has ended without a call of `stop`.
+    failed: Notify,
 }
 
 /// Recovers the data directory, starts the peer service and spawns [`run`].
@@ -127,6 +132,8 @@
         started: Instant::now(),
         stopping: Cell::new(false),
         closed: Cell::new(false),
+        panicked: Cell::new(false),
+        failed: Notify::new(),
     };
     let inner = Rc::new(Inner {
         state: RefCell::new(Arc::new(state)),
@@ -151,7 +158,7 @@
         if let Some(inner) = self.0.upgrade()
             && let Some(driver) = &inner.driver
         {
-            driver.step(sender, message);
+            driver.guard("peer_message", || driver.step(sender, message));
         }
     }
 
@@ -159,9 +166,11 @@
         if let Some(inner) = self.0.upgrade()
             && let Some(driver) = &inner.driver
         {
-            let mut core = driver.core.borrow_mut();
-            core.routes.insert(hello.id, hello.peer);
-            core.instance.hello(hello);
+            driver.guard("peer_hello", || {
+                let mut core = driver.core.borrow_mut();
+                core.routes.insert(hello.id, hello.peer);
+                core.instance.hello(hello);
+            });
         }
     }
 
@@ -169,44 +178,66 @@
         let Some(inner) = self.0.upgrade() else { return false };
         let Some(driver) = &inner.driver else { return false };
         let (from, sender) = (chunk.head.from, chunk.sender);
-        let added = driver.core.borrow_mut().incoming.entry(from).or_default().add(chunk);
-        match added {
-            Ok(message) => {
+        let added = driver.guard("snapshot_chunk", || {
+            let added = driver.core.borrow_mut().incoming.entry(from).or_default().add(chunk);
+            added.map(|message| {
                 message.into_iter().for_each(|message| driver.step(sender, message));
-                true
-            }
-            Err(()) => false,
-        }
+            })
+        });
+        matches!(added, Some(Ok(())))
     }
 }
 
 /// Runs the replica until it is stopped or fails, then waits until the data directory is closed.
 async fn run(inner: Rc<Inner>, mut results: UnboundedReceiver<JobResult>) {
     let driver = inner.driver.as_ref().expect("only replicas with a disk run");
+    let ended = supervisor::catch("replica", run_until_end(&inner, driver, &mut results)).await;
+    driver.close();
+    while results.recv().await.is_some() {}
+    driver.closed.set(true);
+    if ended != Some(End::Stopped) {
+        driver.failed.notify_one();
+    }
+}
+
+/// Why a replica has ended.
+#[derive(Debug, PartialEq)]
+enum End {
+    Stopped,
+    Failed,
+}
+
+async fn run_until_end(
+    inner: &Rc<Inner>,
+    driver: &Driver,
+    results: &mut UnboundedReceiver<JobResult>,
+) -> End {
     let tick =
         Duration::from_millis((driver.settings.timing.heartbeat_ms / TICKS_PER_HEARTBEAT).max(1));
     let mut ticks = time::interval(tick);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     while !driver.stopping.get() {
+        if driver.panicked.get() {
+            log::error!("event=replica_failed reason=panic");
+            return End::Failed;
+        }
         tokio::select! {
             () = driver.wake.notified() => {}
             _ = ticks.tick() => driver.tick(),
             result = results.recv() => match result {
-                Some(result) => driver.handle_result(&inner, result),
+                Some(result) => driver.handle_result(inner, result),
                 None => {
                     log::error!("event=replica_failed reason=\"storage thread ended\"");
-                    break;
+                    return End::Failed;
                 }
             },
         }
-        if let Err(reason) = driver.process_output(&inner) {
+        if let Err(reason) = driver.process_output(inner) {
             log::error!("event=replica_failed reason={reason:?}");
-            break;
+            return End::Failed;
         }
     }
-    driver.close();
-    while results.recv().await.is_some() {}
-    driver.closed.set(true);
+    End::Stopped
 }
 
 impl Driver {
@@ -214,6 +245,17 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Handles a message of a peer. If that panics, the consensus state may be half changed, and the
+    /// replica ends.
+    fn guard<T>(&self, step: &str, handle: impl FnOnce() -> T) -> Option<T> {
+        let result = supervisor::catch_in(step, handle);
+        if result.is_none() {
+            self.panicked.set(true);
+            self.wake.notify_one();
+        }
+        result
+    }
+
     fn step(&self, sender: SocketAddr, message: Message) {
         let mut core = self.core.borrow_mut();
         core.routes.insert(message.from, sender);
@@ -573,6 +615,11 @@
         !matches!(started, Err(consensus::Refusal::Invalid(_)))
     }
 
+    /// Returns once the replica has ended without a call of `stop`.
+    pub async fn failed(&self) {
+        self.failed.notified().await;
+    }
+
     pub async fn stop(&self) {
         self.stopping.set(true);
         self.wake.notify_one();
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -258,6 +258,15 @@
         }
     }
 
+    /// Returns once the replica has ended because of a failure. It can only be started again by a new
+    /// process, which recovers the data directory.
+    pub async fn failed(&self) {
+        match &self.inner.driver {
+            Some(driver) => driver.failed().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Leaves the consensus protocol and refuses waiting calls. Returns once the data directory is
     /// closed.
     pub async fn stop(&self) {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,7 +15,7 @@
 use crate::{
     config,
     error::{self, Result},
-    output,
+    output, supervisor,
     transport::signal,
 };
 
@@ -42,6 +42,11 @@
     /// Addresses at which it serves.
     fn listening(&self) -> Listening;
 
+    /// Returns once the process cannot serve any more and must be started again.
+    fn failed(&self) -> impl Future<Output = ()> {
+        std::future::pending()
+    }
+
     /// Applies changed settings while running. Settings that cannot change while running are
     /// ignored.
     fn reload(&self, _settings: Self::Settings) {}
@@ -63,6 +68,7 @@
 /// Runs a daemon until a signal stops it.
 pub fn main<P: Process>() -> ExitCode {
     init_log("info", env_logger::Target::Pipe(Box::new(output::Output::new(std::io::stdout()))));
+    supervisor::log_panics();
     let (path, settings) = match settings::<P>() {
         Ok(Some(settings)) => settings,
         Ok(None) => return ExitCode::SUCCESS,
@@ -148,7 +154,14 @@
     log::info!("event=started process={} {}", P::NAME, &line["listening".len()..].trim_start());
     let mut modified = modified(&path);
     loop {
-        match time::timeout(SETTINGS_POLL, signals.next()).await {
+        let event = tokio::select! {
+            event = time::timeout(SETTINGS_POLL, signals.next()) => event,
+            () = process.failed() => {
+                log::error!("event=stopped process={} reason=failed", P::NAME);
+                return Ok(1);
+            }
+        };
+        match event {
             Ok(signal::Event::Stop) => break,
             Ok(signal::Event::Reload) => {}
             Err(_) if modified == self::modified(&path) => continue,
--- a/src/entry/backend.rs
+++ b/src/entry/backend.rs
@@ -220,6 +220,12 @@
 }
 
 impl AttemptReport {
+    /// The report of an attempt whose call panicked. Whether it ran is not known.
+    pub fn panicked() -> AttemptReport {
+        let detail = "internal error during the call".to_owned();
+        AttemptReport::without_load(AttemptOutcome::Lost { detail })
+    }
+
     fn without_load(outcome: AttemptOutcome) -> AttemptReport {
         AttemptReport { load: None, outcome }
     }
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -27,7 +27,7 @@
         rule::Rules,
         wire::{Answer, Outcome, control, sidecar},
     },
-    util,
+    supervisor, util,
 };
 
 /// Executes submissions. An engine lives on a single thread and is shared through `Rc`.
@@ -365,7 +365,9 @@
         let engine = self.clone();
         actix_rt::spawn(async move {
             let start = Instant::now();
-            let report = backend.run(message, deadline, &engine.session).await;
+            let run = backend.run(message, deadline, &engine.session);
+            let report = supervisor::catch("run_attempt", run).await;
+            let report = report.unwrap_or_else(AttemptReport::panicked);
             task_seconds.observe(start.elapsed().as_secs_f64());
             engine.ended(attempt, report);
         });
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -81,6 +81,27 @@
         clock_ms + util::boot_ms().saturating_sub(sent_ms)
     }
 
+    /// Whether the lease and, after it, the longest lease of the backend server have ended.
+    fn lease_over(&self) -> bool {
+        // Lower bound of the sidecar's clock: the reading was taken at most one time limit after
+        // its request was sent.
+        let (clock_ms, sent_ms) = self.clock_reading.get();
+        let elapsed_ms = util::boot_ms().saturating_sub(sent_ms + util::millis(RENEW_TIMEOUT));
+        self.lease_until_ms.get() + BACKEND_LEASE_MAX_MS < clock_ms + elapsed_ms
+    }
+
+    /// Waits until no attempt that was started over the connection is running any more. If the task
+    /// that determines it has failed, that is when the leases have ended.
+    async fn wait_for_termination(&self) {
+        let mut terminated = self.terminated.clone();
+        if terminated.wait_for(|terminated| *terminated).await.is_ok() {
+            return;
+        }
+        while !self.lease_over() {
+            time::sleep(RECONNECT_DELAY).await;
+        }
+    }
+
     /// Returns the end, on the sidecar's clock, of a lease that is extended now. A newer reading of
     /// the clock can give an earlier end than before, but the sidecar keeps the latest end that it
     /// receives, so the latest one is recorded.
@@ -151,7 +172,7 @@
     async fn run_on_channel(
         &self,
         connection: &Connection,
-        mut channel: Channel,
+        channel: Channel,
         command: StartCommand,
     ) -> Option<Reply> {
         // Converts the due time from the entry's clock to the sidecar's.
@@ -176,16 +197,19 @@
                     connection.inner.broken.notify_one();
                 }
             },
-            _ = channel.terminated.wait_for(|terminated| *terminated) => return None,
+            () = channel.wait_for_termination() => return None,
         }
-        // If the sender was dropped without sending, the attempts count as terminated too.
-        let _ = channel.terminated.wait_for(|terminated| *terminated).await;
+        channel.wait_for_termination().await;
         None
     }
 
     /// Opens a connection, renews its lease, and opens it again whenever it breaks.
     pub(super) async fn maintain_connection(self, connection: Connection) {
         let key = connection.inner.key;
+        if connection.inner.channel.replace(None).is_some() {
+            // The task that maintained the connection before has failed.
+            self.inner.scheduler.borrow_mut().disconnected(key);
+        }
         loop {
             let addr = self.inner.scheduler.borrow().addr(key);
             connection.inner.addr.set(addr);
@@ -287,12 +311,7 @@
     addr: SocketAddr,
 ) {
     loop {
-        // Lower bound of the sidecar's clock: the reading was taken at most one time limit after
-        // its request was sent.
-        let (clock_ms, sent_ms) = channel.clock_reading.get();
-        let elapsed_ms = util::boot_ms().saturating_sub(sent_ms + util::millis(RENEW_TIMEOUT));
-        let clock_ms = clock_ms + elapsed_ms;
-        if channel.lease_until_ms.get() + BACKEND_LEASE_MAX_MS < clock_ms {
+        if channel.lease_over() {
             break;
         }
         if let Some((new_channel, _, status)) = open(addr).await {
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -22,7 +22,7 @@
         queue::{Config, Id},
         wire::queue::{Answer, Call, View},
     },
-    util,
+    supervisor, util,
 };
 pub use call::Ended;
 use connection::Connection;
@@ -69,8 +69,10 @@
             meter: Meter::new(),
         };
         let entry = Entry { inner: Rc::new(inner) };
-        actix_rt::spawn(entry.clone().watch());
-        actix_rt::spawn(entry.clone().tick());
+        let watching = entry.clone();
+        actix_rt::spawn(supervisor::restart("watch", move || watching.clone().watch()));
+        let ticking = entry.clone();
+        actix_rt::spawn(supervisor::restart("entry_tick", move || ticking.clone().tick()));
         entry
     }
 
@@ -127,7 +129,9 @@
             if !known {
                 let connection = Connection::new(addr, key);
                 self.inner.connections.borrow_mut().insert(key, connection.clone());
-                actix_rt::spawn(self.clone().maintain_connection(connection));
+                let entry = self.clone();
+                let maintain = move || entry.clone().maintain_connection(connection.clone());
+                actix_rt::spawn(supervisor::restart("maintain_connection", maintain));
             }
         }
         self.carry_out();
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -20,6 +20,7 @@
         id, job,
         wire::{self, Answer, Outcome, control, entry},
     },
+    supervisor,
 };
 
 /// Time limit of a `lookup` of a key at control, e.g. before a submission is refused.
@@ -172,7 +173,13 @@
     core.submissions.borrow_mut().insert(key.clone(), active.clone());
     let (handler, submission) = (core.clone(), active.clone());
     actix_rt::spawn(async move {
-        let status = Rc::new(process(&handler, &submission, keyed).await);
+        let status = supervisor::catch("process", process(&handler, &submission, keyed)).await;
+        let status = Rc::new(status.unwrap_or_else(|| {
+            Status::failed(
+                job::Failure::OutcomeUnknown,
+                "internal error while the job was processed",
+            )
+        }));
         handler.submissions.borrow_mut().remove(&key);
         submission.stage.send_replace(Stage::Ended(status));
     });
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -55,6 +55,7 @@
     },
     error::Result,
     protocol::{id, job, wire::entry as wire_entry},
+    supervisor,
     transport::{http, rpc},
 };
 
@@ -236,8 +237,10 @@
         let handler = core.clone();
         let http = http::serve(settings.http, move |request| api::handle(handler.clone(), request))
             .await?;
-        actix_rt::spawn(core.engine.clone().drive());
-        actix_rt::spawn(sync::run(core.clone()));
+        let engine = core.engine.clone();
+        actix_rt::spawn(supervisor::restart("drive", move || engine.clone().drive()));
+        let synced = core.clone();
+        actix_rt::spawn(supervisor::restart("sync", move || sync::run(synced.clone())));
         Ok(Entry { core, http, rpc })
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod protocol;
 pub mod sidecar;
 pub mod state;
+pub mod supervisor;
 pub mod transport;
 pub mod util;
--- a/src/sidecar/attempt.rs
+++ b/src/sidecar/attempt.rs
@@ -70,11 +70,15 @@
         let supervisor = Supervisor { core: &core, lease: &lease, stop: &stop, needs };
         let supervise = supervisor.run(core.instant(deadline));
         tokio::pin!(supervise);
-        tokio::select! {
-            biased;
-            outcome = core.platform.run(&lease, spec) => outcome,
-            never = &mut supervise => match never {},
-        }
+        let run = async {
+            tokio::select! {
+                biased;
+                outcome = core.platform.run(&lease, spec) => outcome,
+                never = &mut supervise => match never {},
+            }
+        };
+        let outcome = crate::supervisor::catch("run_attempt", run).await;
+        outcome.unwrap_or_else(|| Outcome::Unknown("internal error during the run".into()))
     };
     let ran = started_at.elapsed();
     let result = result(outcome, stop.reason.get(), ran);
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -29,6 +29,7 @@
             work::{Entry, Outcome, Service},
         },
     },
+    supervisor,
     transport::rpc,
     util,
 };
@@ -150,9 +151,13 @@
         let sidecar = Sidecar { inner: Rc::new(inner) };
         let served = rpc::serve(addr, service::Handler::new(sidecar.clone()).serve()).await?;
         sidecar.inner.server.replace(Some(served));
-        actix_rt::spawn(sidecar.clone().run_reports());
-        actix_rt::spawn(sidecar.clone().run_polls());
-        actix_rt::spawn(sidecar.clone().run_ticks());
+        let reporting = sidecar.clone();
+        let reports = move || reporting.clone().run_reports();
+        actix_rt::spawn(supervisor::restart("reports", reports));
+        let polling = sidecar.clone();
+        actix_rt::spawn(supervisor::restart("polls", move || polling.clone().run_polls()));
+        let ticking = sidecar.clone();
+        actix_rt::spawn(supervisor::restart("sidecar_tick", move || ticking.clone().run_ticks()));
         Ok(sidecar)
     }
 
@@ -232,11 +237,16 @@
 
     fn spawn_report(&self) {
         self.inner.reports_in_flight.set(self.inner.reports_in_flight.get() + 1);
-        actix_rt::spawn(self.clone().report());
+        let sidecar = self.clone();
+        actix_rt::spawn(async move {
+            supervisor::catch("report", sidecar.report()).await;
+            sidecar.inner.reports_in_flight.set(sidecar.inner.reports_in_flight.get() - 1);
+            sidecar.inner.report_wake.notify_one();
+        });
     }
 
     /// Sends a report and carries out the commands in the answer.
-    async fn report(self) {
+    async fn report(&self) {
         let sent_ms = util::boot_ms();
         let report = self.inner.state.borrow().report(util::millis(REPORT_WAIT));
         let limit = REPORT_WAIT + REPORT_TIMEOUT;
@@ -264,8 +274,6 @@
                 self.inner.leader.pause().await;
             }
         }
-        self.inner.reports_in_flight.set(self.inner.reports_in_flight.get() - 1);
-        self.inner.report_wake.notify_one();
     }
 
     /// Logs the first failed report as a warning and later ones at debug level, because they follow
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -21,6 +21,7 @@
     daemon,
     error::Result,
     protocol::wire::sidecar::Service as _,
+    supervisor,
     transport::{http, rpc},
 };
 
@@ -49,8 +50,12 @@
         let http_addr = core.settings.http;
         let web = core.clone();
         let http = http::serve(http_addr, move |request| web::answer(web.clone(), request)).await?;
-        actix_rt::spawn(core.clone().run_ticker());
-        let sync = actix_rt::spawn(sync::run(core.clone()));
+        let ticked = core.clone();
+        let ticker = move || ticked.clone().run_ticker();
+        actix_rt::spawn(supervisor::restart("sidecar_tick", ticker));
+        let synced = core.clone();
+        let sync = supervisor::restart("sync", move || sync::run(synced.clone()));
+        let sync = actix_rt::spawn(sync);
         Ok(Sidecar { core, http, rpc, sync })
     }
 
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -15,7 +15,10 @@
 use snafu::ResultExt;
 use tokio::{net::TcpListener, sync::watch, time};
 
-use crate::error::{self, Result};
+use crate::{
+    error::{self, Result},
+    supervisor,
+};
 
 /// Idle time after which the server closes a kept-alive connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
@@ -187,18 +190,22 @@
     let listener =
         TcpListener::bind(addr).await.context(error::NetSnafu { step: "listen", peer: addr })?;
     let addr = listener.local_addr().context(error::NetSnafu { step: "listen", peer: addr })?;
+    let listener = Rc::new(listener);
     let (stop, stopped) = watch::channel(());
     let shared = Rc::new(Shared {
         closing: Cell::new(false),
         in_flight: Cell::new(0),
         connections: Cell::new(0),
     });
-    actix_rt::spawn(accept(listener, handler, shared.clone(), stopped));
+    let accepting = shared.clone();
+    actix_rt::spawn(supervisor::restart("accept", move || {
+        accept(listener.clone(), handler.clone(), accepting.clone(), stopped.clone())
+    }));
     Ok(Server { addr, shared, stop })
 }
 
 async fn accept<H, F>(
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     handler: H,
     shared: Rc<Shared>,
     mut stopped: watch::Receiver<()>,
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -24,7 +24,10 @@
 };
 use tokio_util::codec::{Decoder, LengthDelimitedCodec};
 
-use crate::error::{self, Error, Result};
+use crate::{
+    error::{self, Error, Result},
+    supervisor,
+};
 
 /// Largest message, in bytes. It must be large enough for all answers of one job, which an entry
 /// sends to another entry in one message.
@@ -233,12 +236,15 @@
     let listener =
         TcpListener::bind(addr).await.context(error::NetSnafu { step: "listen", peer: addr })?;
     let addr = listener.local_addr().context(error::NetSnafu { step: "listen", peer: addr })?;
+    let listener = Rc::new(listener);
     let (stop, stopped) = watch::channel(());
-    actix_rt::spawn(accept(listener, service, stopped));
+    actix_rt::spawn(supervisor::restart("accept", move || {
+        accept(listener.clone(), service.clone(), stopped.clone())
+    }));
     Ok(Server { addr, _stop: stop })
 }
 
-async fn accept<S>(listener: TcpListener, service: S, mut stopped: watch::Receiver<()>)
+async fn accept<S>(listener: Rc<TcpListener>, service: S, mut stopped: watch::Receiver<()>)
 where
     S: Serve + Clone + 'static,
     S::Req: DeserializeOwned + RequestName + 'static,
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -398,3 +398,86 @@
     assert_eq!(cluster.commit(admit(cluster.epoch, 2), &[0, 1, 2]).await, kept);
     cluster.stop().await;
 }
+
+/// A disk whose driver panics on each write once `broken` is set.
+struct BrokenDisk {
+    directory: Directory,
+    broken: Arc<AtomicBool>,
+}
+
+struct BrokenHandle {
+    handle: Box<dyn Handle>,
+    broken: Arc<AtomicBool>,
+}
+
+impl Handle for BrokenHandle {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        assert!(!self.broken.load(Ordering::Relaxed), "the disk is broken");
+        self.handle.write(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.handle.sync()
+    }
+}
+
+impl Files for BrokenDisk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.directory.list()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.directory.read(name)
+    }
+
+    fn create(&self, name: &str) -> io::Result<Box<dyn Handle>> {
+        let handle = self.directory.create(name)?;
+        Ok(Box::new(BrokenHandle { handle, broken: self.broken.clone() }))
+    }
+
+    fn open(&self, name: &str, len: u64) -> io::Result<Box<dyn Handle>> {
+        let handle = self.directory.open(name, len)?;
+        Ok(Box::new(BrokenHandle { handle, broken: self.broken.clone() }))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.directory.rename(from, to)
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.directory.remove(name)
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.directory.sync()
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.directory.path(name)
+    }
+}
+
+/// Guards against a control instance that stays, without a replica, after a panic in its storage
+/// thread: it must say that it has failed, and its records must be readable again afterwards.
+#[actix_rt::test]
+async fn a_panic_ends_the_replica_and_keeps_its_records() {
+    let directory = TempDir::new().unwrap();
+    let broken = Arc::new(AtomicBool::new(false));
+    let files = BrokenDisk {
+        directory: Directory::open(directory.path()).unwrap(),
+        broken: broken.clone(),
+    };
+    let settings = settings(1, directory.path(), &[]);
+    let replica = Replica::start_on(Box::new(files), settings.clone()).await.unwrap();
+    replica.init().await.unwrap();
+    let Ok(Reply::Registered(epoch)) = replica.propose(register(1)).await else { panic!() };
+    broken.store(true, Ordering::Relaxed);
+    replica.propose(register(2)).await.unwrap_err();
+    time::timeout(LIMIT, replica.failed()).await.unwrap();
+    assert!(replica.propose(register(3)).await.is_err());
+
+    let replica = Replica::start(settings).await.unwrap();
+    until("a leader", || replica.leading().is_some()).await;
+    replica.barrier().await.unwrap();
+    assert!(replica.state().is_live(epoch));
+}
