Keep saying that a dropped attempt of an ended session may have started

Cause: a sidecar remembers which attempts it has started by age, and for those that it has dropped the highest sequence number of each epoch. With each confirmation it dropped these numbers for the fenced epochs. An entry that asked afterwards about an attempt of its ended session was told "not started", though the attempt could have run.

Ruled out: a longer record of attempts; it only moves the time.

Tests: dropped_attempts_of_fenced_epochs_may_have_started (answered Refused(Fenced) before); dropped_attempts_of_old_epochs_are_forgotten bounds the table.

--- a/src/coordination/slot.rs
+++ b/src/coordination/slot.rs
@@ -28,6 +28,9 @@
 /// last 400 s at the 160 starts/s of 8 slots with tasks of 50 ms. No job lasts that long, so the
 /// rule affects late duplicates only.
 pub const REMEMBERED_MAX: usize = 65_536;
+/// Number of fenced epochs for which the highest dropped sequence number is kept. An entry asks about
+/// attempts of a session for seconds after its end, and opens the next one at once.
+pub const FENCED_EPOCHS_MAX: usize = 1_000;
 /// Run time assumed for a task that declares none, in ms.
 pub const DECLARED_DEFAULT_MS: u32 = 200;
 /// Time in ms for which smaller tasks may overtake the task that was queued first while it waits
@@ -298,11 +301,23 @@
         }
     }
 
-    /// Drops the numbers in `dropped_up_to` of fenced epochs, because a fenced epoch stays fenced
-    /// and its attempts are refused even without a record. The records themselves are dropped by
-    /// age.
+    /// Drops the numbers in `dropped_up_to` of fenced epochs beyond the newest
+    /// [`FENCED_EPOCHS_MAX`]. Newer ones are kept: the entry can still ask whether an attempt of its
+    /// ended session has started. The records themselves are dropped by age.
     pub fn forget_fenced(&mut self, lease: &Lease) {
-        self.dropped_up_to.retain(|epoch, _| !lease.fenced(*epoch));
+        let mut fenced: Vec<id::Epoch> =
+            self.dropped_up_to.keys().copied().filter(|epoch| lease.fenced(*epoch)).collect();
+        if fenced.len() > FENCED_EPOCHS_MAX {
+            fenced.sort_unstable();
+            for epoch in &fenced[..fenced.len() - FENCED_EPOCHS_MAX] {
+                self.dropped_up_to.remove(epoch);
+            }
+        }
+    }
+
+    /// Number of epochs of which an id has been dropped.
+    pub fn epochs_with_dropped_ids(&self) -> usize {
+        self.dropped_up_to.len()
     }
 
     /// Why an attempt that has not started must not start now, if there is a reason.
--- a/tests/slot.rs
+++ b/tests/slot.rs
@@ -9,7 +9,10 @@
 use briargauge::{
     coordination::{
         lease::Lease,
-        slot::{DECLARED_DEFAULT_MS, Limits, Next, OVERTAKE_MAX_MS, Request, Slots, Verdict},
+        slot::{
+            DECLARED_DEFAULT_MS, FENCED_EPOCHS_MAX, Limits, Next, OVERTAKE_MAX_MS, Request, Slots,
+            Verdict,
+        },
     },
     protocol::{
         id, job,
@@ -614,3 +617,43 @@
     assert!(!lease.fenced(id::Epoch(12)));
     assert!(!lease.fenced(id::Epoch(21)), "epoch registered after the list was made");
 }
+
+/// Guards against an attempt that ran and is reported as not started, to the entry whose session
+/// has ended meanwhile, once its record has been dropped.
+#[test]
+fn dropped_attempts_of_fenced_epochs_may_have_started() {
+    let mut lease = lease();
+    let mut slots = Slots::new(INCARNATION, LIMITS).with_remembered_max(2);
+    for seq in 1..=4 {
+        assert_eq!(slots.offer(0, &lease, request(seq, "a", 10)), Verdict::Start);
+        slots.ended(attempt(seq, 0));
+    }
+    lease.confirm(1, view(1_000_000_000, 5, &EPOCHS[1..]));
+    assert!(lease.fenced(id::Epoch(EPOCHS[0])));
+    slots.forget_fenced(&lease);
+    assert_eq!(slots.offer(2, &lease, request(1, "a", 10)), Verdict::Forgotten);
+    assert_eq!(slots.revoke(attempt(1, 0)), Revoked::Started);
+}
+
+/// Guards against a table that grows with each session that an entry ever had.
+#[test]
+fn dropped_attempts_of_old_epochs_are_forgotten() {
+    let mut lease = Lease::default();
+    let mut slots = Slots::new(INCARNATION, LIMITS).with_remembered_max(2);
+    let epochs = 1..=3 * FENCED_EPOCHS_MAX as u64;
+    for epoch in epochs.clone() {
+        lease.confirm(epoch, view(1_000_000_000, epoch, &[epoch]));
+        for seq in 1..=3 {
+            let mut request = request(seq, "a", 10);
+            request.attempt.execution.epoch = id::Epoch(epoch);
+            let attempt = request.attempt;
+            assert_eq!(slots.offer(epoch, &lease, request), Verdict::Start);
+            slots.ended(attempt);
+        }
+        slots.forget_fenced(&lease);
+        assert!(slots.epochs_with_dropped_ids() <= FENCED_EPOCHS_MAX + 1);
+    }
+    let mut newest_fenced = attempt(1, 0);
+    newest_fenced.execution.epoch = id::Epoch(epochs.end() - 1);
+    assert_eq!(slots.revoke(newest_fenced), Revoked::Started);
+}
