Bound the tasks of a job and saturate declared resources

Cause: a job of the queues was checked for its steps, not for the number of its tasks. A body of 256 KiB, the longest that is accepted, can name 800 million tasks. An entry that ran such a job, or every control instance that stored it, would have taken all memory of its machine. Declared resources near the largest number made sums wrap around, so that a task for which no server is large enough counted as one that needs nothing.

Ruled out: a smaller limit on the body; wide jobs with many steps need the room.

Change: at most 10,000 tasks a job, twenty times the largest that the system is designed for; refused as malformed at once. Sums of resources and the target time saturate. Removed, as nothing reads them: Leadership::dirty, Scheduler::servers_with_commands, Table::bound, and a constant of 0 in the window.

--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -93,9 +93,6 @@
     list_changes: u64,
     /// When the last successful confirmation of leadership was requested.
     confirmed_ms: u64,
-    /// Whether tasks may have become assignable since the last assignment. Nothing reads this: each
-    /// tick assigns tasks in any case.
-    dirty: bool,
     member_monitor: members::Monitor,
 }
 
@@ -209,7 +206,6 @@
             generations_in_term: 0,
             list_changes: 0,
             confirmed_ms,
-            dirty: false,
             member_monitor: members::Monitor::new(now_ms),
         };
         *self.inner.leadership.borrow_mut() = Some(leadership);
@@ -276,7 +272,6 @@
                 log::warn!("event=server_lost sidecar={name} server={id} reason=silent");
                 leadership.list_changes += 1;
                 leadership.scheduler.remove_server(key, state.queues());
-                leadership.dirty = true;
             }
         }
         if leadership.scheduler.inherited() > 0
@@ -284,7 +279,6 @@
         {
             log::info!("event=inherited_released tasks={}", leadership.scheduler.inherited());
             leadership.scheduler.release_inherited();
-            leadership.dirty = true;
         }
     }
 
@@ -293,7 +287,6 @@
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return };
         let state = self.inner.replica.state();
-        leadership.dirty = false;
         leadership.scheduler.assign(now_ms, state.queues());
         for sidecar in leadership.sidecars.values_mut() {
             let Some((_, key)) = &sidecar.server else { continue };
--- a/src/coordination/limit.rs
+++ b/src/coordination/limit.rs
@@ -4,8 +4,6 @@
 
 /// Size of a bucket, in seconds of its quota.
 const BURST_S: f64 = 1.0;
-/// Number of attempts by which the window of a backend server may exceed its slots.
-const BEYOND_SLOTS_MAX: f64 = 0.0;
 /// Fraction of the slots below which a window does not shrink.
 const SLOTS_FRACTION_MIN: f64 = 0.5;
 /// Attempts by which a window shrinks when a full server refuses an attempt.
@@ -98,7 +96,7 @@
         if waited_us > WAIT_RATIO_MAX * ran_us {
             self.shrink(WAITED_STEP);
         } else {
-            self.limit = (self.limit + GROW_STEP).min(self.slots + BEYOND_SLOTS_MAX);
+            self.limit = (self.limit + GROW_STEP).min(self.slots);
         }
     }
 
--- a/src/coordination/quota.rs
+++ b/src/coordination/quota.rs
@@ -172,14 +172,6 @@
         }
         granted
     }
-
-    /// Sum of the highest shares of an account's quota that the entries may be using, in starts per
-    /// second.
-    pub fn bound(&self, account: &str) -> f64 {
-        self.accounts
-            .get(account)
-            .map_or(0.0, |shares| shares.values().map(EntryShare::bound).sum())
-    }
 }
 
 /// The share that an entry should have.
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -438,11 +438,6 @@
         self.servers.get_mut(key.0)?.commands()
     }
 
-    /// Returns the servers with commands that are to be sent.
-    pub fn servers_with_commands(&self) -> Vec<Key> {
-        self.servers.iter().filter(|(_, s)| s.has_commands()).map(|(key, _)| Key(key)).collect()
-    }
-
     /// Returns the number of commanded attempts that have not ended.
     pub fn running(&self) -> usize {
         self.attempts.len()
--- a/src/coordination/transient/server.rs
+++ b/src/coordination/transient/server.rs
@@ -130,7 +130,8 @@
         }
         let mut used = self.used();
         let mut limit = capacity;
-        limit.cpu_milli += (capacity.cpu_milli as f64 * EXCESS_CPU_SHARE) as u64;
+        let excess = (capacity.cpu_milli as f64 * EXCESS_CPU_SHARE) as u64;
+        limit.cpu_milli = limit.cpu_milli.saturating_add(excess);
         used.add(needs);
         limit.fits(&used)
     }
--- a/src/protocol/queue.rs
+++ b/src/protocol/queue.rs
@@ -5,6 +5,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Most tasks of a job. Each takes some bytes at every control instance, and one job must not take
+/// all memory there.
+pub const TASKS_MAX: usize = 10_000;
+
 /// Identifies a job by the number that its caller chose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -153,10 +157,11 @@
             && needs.accelerators <= self.accelerators
     }
 
+    /// Adds `other`; no resource exceeds the largest number.
     pub fn add(&mut self, other: &Resources) {
-        self.cpu_milli += other.cpu_milli;
-        self.memory_mb += other.memory_mb;
-        self.accelerators += other.accelerators;
+        self.cpu_milli = self.cpu_milli.saturating_add(other.cpu_milli);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
     /// Subtracts `other`; no resource goes below 0.
@@ -200,7 +205,8 @@
 impl Queue {
     /// Returns the time after submission within which a job is on time, in ms.
     pub fn target_ms(&self, job: &Job) -> u64 {
-        job.chain_ms() * u64::from(self.slo_factor_milli) / 1_000 + u64::from(self.slo_ms)
+        let grown = job.chain_ms().saturating_mul(self.slo_factor_milli.into()) / 1_000;
+        grown + u64::from(self.slo_ms)
     }
 }
 
@@ -218,6 +224,9 @@
                 return Err(format!("step {number} waits for a step that is not before it"));
             }
         }
+        if self.tasks() > TASKS_MAX {
+            return Err(format!("a job has at most {TASKS_MAX} tasks"));
+        }
         Ok(())
     }
 
