One faulty disk in the tests of the replica

Cause: the test of a panicking storage thread brought a copy of the stand-in disk with a full file system.

Change: one stand-in with the fault as a parameter.

--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -92,8 +92,16 @@
 
 /// Starts a replica whose disk is full while `full` is set.
 async fn start_on(full: &Arc<AtomicBool>, settings: Settings) -> Replica {
+    start_with_fault(WriteFault::Full, full, settings).await
+}
+
+async fn start_with_fault(
+    fault: WriteFault,
+    faulty: &Arc<AtomicBool>,
+    settings: Settings,
+) -> Replica {
     let directory = Directory::open(&settings.data_directory).unwrap();
-    let files = FullDisk { directory, full: full.clone() };
+    let files = FaultyDisk { directory, fault, faulty: faulty.clone() };
     Replica::start_on(Box::new(files), settings).await.unwrap()
 }
 
@@ -287,30 +295,43 @@
     cluster.stop().await;
 }
 
-/// A data directory whose disk can be made full: a write then stores half of its bytes and fails.
-struct FullDisk {
+/// What happens on a write once the fault is switched on.
+#[derive(Debug, Clone, Copy)]
+enum WriteFault {
+    /// Half of the bytes are stored, then the disk is full.
+    Full,
+    Panic,
+}
+
+/// A data directory on a disk whose fault can be switched on.
+struct FaultyDisk {
     directory: Directory,
-    full: Arc<AtomicBool>,
+    fault: WriteFault,
+    faulty: Arc<AtomicBool>,
 }
 
-struct FullDiskHandle {
+struct FaultyHandle {
     handle: Box<dyn Handle>,
-    full: Arc<AtomicBool>,
+    fault: WriteFault,
+    faulty: Arc<AtomicBool>,
 }
 
-impl FullDisk {
+impl FaultyDisk {
     fn handle(&self, handle: Box<dyn Handle>) -> Box<dyn Handle> {
-        Box::new(FullDiskHandle { handle, full: self.full.clone() })
+        Box::new(FaultyHandle { handle, fault: self.fault, faulty: self.faulty.clone() })
     }
 }
 
-impl Handle for FullDiskHandle {
+impl Handle for FaultyHandle {
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        if self.full.load(Ordering::Relaxed) {
-            self.handle.write(&bytes[..bytes.len() / 2])?;
-            return Err(io::ErrorKind::StorageFull.into());
+        match self.fault {
+            _ if !self.faulty.load(Ordering::Relaxed) => self.handle.write(bytes),
+            WriteFault::Full => {
+                self.handle.write(&bytes[..bytes.len() / 2])?;
+                Err(io::ErrorKind::StorageFull.into())
+            }
+            WriteFault::Panic => panic!("the disk is broken"),
         }
-        self.handle.write(bytes)
     }
 
     fn sync(&mut self) -> io::Result<()> {
@@ -318,7 +339,7 @@
     }
 }
 
-impl Files for FullDisk {
+impl Files for FaultyDisk {
     fn list(&self) -> io::Result<Vec<String>> {
         self.directory.list()
     }
@@ -399,76 +420,14 @@
     cluster.stop().await;
 }
 
-/// A disk whose driver panics on each write once `broken` is set.
-struct BrokenDisk {
-    directory: Directory,
-    broken: Arc<AtomicBool>,
-}
-
-struct BrokenHandle {
-    handle: Box<dyn Handle>,
-    broken: Arc<AtomicBool>,
-}
-
-impl Handle for BrokenHandle {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        assert!(!self.broken.load(Ordering::Relaxed), "the disk is broken");
-        self.handle.write(bytes)
-    }
-
-    fn sync(&mut self) -> io::Result<()> {
-        self.handle.sync()
-    }
-}
-
-impl Files for BrokenDisk {
-    fn list(&self) -> io::Result<Vec<String>> {
-        self.directory.list()
-    }
-
-    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        self.directory.read(name)
-    }
-
-    fn create(&self, name: &str) -> io::Result<Box<dyn Handle>> {
-        let handle = self.directory.create(name)?;
-        Ok(Box::new(BrokenHandle { handle, broken: self.broken.clone() }))
-    }
-
-    fn open(&self, name: &str, len: u64) -> io::Result<Box<dyn Handle>> {
-        let handle = self.directory.open(name, len)?;
-        Ok(Box::new(BrokenHandle { handle, broken: self.broken.clone() }))
-    }
-
-    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        self.directory.rename(from, to)
-    }
-
-    fn remove(&self, name: &str) -> io::Result<()> {
-        self.directory.remove(name)
-    }
-
-    fn sync(&self) -> io::Result<()> {
-        self.directory.sync()
-    }
-
-    fn path(&self, name: &str) -> PathBuf {
-        self.directory.path(name)
-    }
-}
-
 /// Guards against a control instance that stays, without a replica, after a panic in its storage
 /// thread: it must say that it has failed, and its records must be readable again afterwards.
 #[actix_rt::test]
 async fn a_panic_ends_the_replica_and_keeps_its_records() {
     let directory = TempDir::new().unwrap();
     let broken = Arc::new(AtomicBool::new(false));
-    let files = BrokenDisk {
-        directory: Directory::open(directory.path()).unwrap(),
-        broken: broken.clone(),
-    };
     let settings = settings(1, directory.path(), &[]);
-    let replica = Replica::start_on(Box::new(files), settings.clone()).await.unwrap();
+    let replica = start_with_fault(WriteFault::Panic, &broken, settings.clone()).await;
     replica.init().await.unwrap();
     let Ok(Reply::Registered(epoch)) = replica.propose(register(1)).await else { panic!() };
     broken.store(true, Ordering::Relaxed);
