--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -52,9 +52,8 @@
         let http_core = core.clone();
         let http = http::serve(http, move |request| answer(http_core.clone(), request)).await?;
         let (stop, stopped) = watch::channel(());
-        let ticked = core.clone();
-        let ticks = move || tick(ticked.clone(), stopped.clone());
-        actix_rt::spawn(supervisor::restart("control_tick", ticks));
+        let ticking = (core.clone(), stopped);
+        supervisor::spawn("control_tick", &ticking, |(core, stopped)| tick(core, stopped));
         Ok(Control { core, rpc, http, _stop: stop })
     }
 
--- a/src/control/replica/core.rs
+++ b/src/control/replica/core.rs
@@ -64,6 +64,34 @@
 }
 
 impl Core {
+    /// The state after recovery: nothing waits, and no peer is known.
+    pub fn new(
+        instance: Instance,
+        storage: Storage,
+        snapshot: Option<Snapshot>,
+        log_bytes: u64,
+    ) -> Core {
+        Core {
+            instance,
+            storage: Some(storage),
+            saving: false,
+            renewing: false,
+            snapshotting: false,
+            storage_error: None,
+            proposals: BTreeMap::new(),
+            barriers: BTreeMap::new(),
+            unapplied: VecDeque::new(),
+            confirmed_barriers: Vec::new(),
+            last_barrier: 0,
+            snapshot,
+            log_bytes,
+            routes: BTreeMap::new(),
+            incoming: BTreeMap::new(),
+            hello_at: 0,
+            role: Role::Follower,
+        }
+    }
+
     pub fn submit(&self, job: Job) {
         if let Some(storage) = &self.storage {
             storage.submit(job);
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -3,9 +3,8 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
-    rc::{Rc, Weak},
+    rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -20,7 +19,7 @@
     GroupStatus, Inner, POLL_INTERVAL, Settings, control_member,
     core::{Core, Reply, decode, log_bytes_of},
     peers::Peers,
-    role,
+    role, service,
     storage::{self, Job, JobResult},
 };
 use crate::{
@@ -101,25 +100,7 @@
     };
     let log_bytes = log.bytes();
     let (storage, results) = storage::start(log);
-    let core = Core {
-        instance: Instance::new(start, 0),
-        storage: Some(storage),
-        saving: false,
-        renewing: false,
-        snapshotting: false,
-        storage_error: None,
-        proposals: BTreeMap::new(),
-        barriers: BTreeMap::new(),
-        unapplied: VecDeque::new(),
-        confirmed_barriers: Vec::new(),
-        last_barrier: 0,
-        snapshot: recovered.snapshot,
-        log_bytes,
-        routes: BTreeMap::new(),
-        incoming: BTreeMap::new(),
-        hello_at: 0,
-        role: Role::Follower,
-    };
+    let core = Core::new(Instance::new(start, 0), storage, recovered.snapshot, log_bytes);
     let addr = settings.peer_addr;
     let driver = Driver {
         core: RefCell::new(core),
@@ -140,7 +121,7 @@
         applied: Cell::new(applied),
         driver: Some(driver),
     });
-    let service = peer::Service::serve(Server(Rc::downgrade(&inner)));
+    let service = peer::Service::serve(service::Server::new(&inner));
     let server = rpc::serve(addr, service).await?;
     let driver = inner.driver.as_ref().expect("just set");
     driver.peer_addr.set(server.addr());
@@ -149,95 +130,47 @@
     Ok(inner)
 }
 
-/// Peer service for the other instances.
-#[derive(Clone)]
-struct Server(Weak<Inner>);
-
-impl peer::Service for Server {
-    async fn step(self, _: tarpc::context::Context, sender: SocketAddr, message: Message) {
-        if let Some(inner) = self.0.upgrade()
-            && let Some(driver) = &inner.driver
-        {
-            driver.guard("peer_message", || driver.step(sender, message));
-        }
-    }
-
-    async fn hello(self, _: tarpc::context::Context, hello: Hello) {
-        if let Some(inner) = self.0.upgrade()
-            && let Some(driver) = &inner.driver
-        {
-            driver.guard("peer_hello", || {
-                let mut core = driver.core.borrow_mut();
-                core.routes.insert(hello.id, hello.peer);
-                core.instance.hello(hello);
-            });
-        }
-    }
-
-    async fn snapshot_chunk(self, _: tarpc::context::Context, chunk: SnapshotChunk) -> bool {
-        let Some(inner) = self.0.upgrade() else { return false };
-        let Some(driver) = &inner.driver else { return false };
-        let (from, sender) = (chunk.head.from, chunk.sender);
-        let added = driver.guard("snapshot_chunk", || {
-            let added = driver.core.borrow_mut().incoming.entry(from).or_default().add(chunk);
-            added.map(|message| {
-                message.into_iter().for_each(|message| driver.step(sender, message));
-            })
-        });
-        matches!(added, Some(Ok(())))
-    }
-}
-
 /// Runs the replica until it is stopped or fails, then waits until the data directory is closed.
 async fn run(inner: Rc<Inner>, mut results: UnboundedReceiver<JobResult>) {
     let driver = inner.driver.as_ref().expect("only replicas with a disk run");
     let ended = supervisor::catch("replica", run_until_end(&inner, driver, &mut results)).await;
+    let ended = ended.unwrap_or_else(|| Err("panic".to_owned()));
+    if let Err(reason) = &ended {
+        log::error!("event=replica_failed reason={reason:?}");
+    }
     driver.close();
     while results.recv().await.is_some() {}
     driver.closed.set(true);
-    if ended != Some(End::Stopped) {
+    if ended.is_err() {
         driver.failed.notify_one();
     }
 }
 
-/// Why a replica has ended.
-#[derive(Debug, PartialEq)]
-enum End {
-    Stopped,
-    Failed,
-}
-
+/// Runs the replica until it is stopped. Returns the reason if it cannot go on.
 async fn run_until_end(
     inner: &Rc<Inner>,
     driver: &Driver,
     results: &mut UnboundedReceiver<JobResult>,
-) -> End {
+) -> Result<(), String> {
     let tick =
         Duration::from_millis((driver.settings.timing.heartbeat_ms / TICKS_PER_HEARTBEAT).max(1));
     let mut ticks = time::interval(tick);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     while !driver.stopping.get() {
         if driver.panicked.get() {
-            log::error!("event=replica_failed reason=panic");
-            return End::Failed;
+            return Err("panic".to_owned());
         }
         tokio::select! {
             () = driver.wake.notified() => {}
             _ = ticks.tick() => driver.tick(),
             result = results.recv() => match result {
                 Some(result) => driver.handle_result(inner, result),
-                None => {
-                    log::error!("event=replica_failed reason=\"storage thread ended\"");
-                    return End::Failed;
-                }
+                None => return Err("storage thread ended".to_owned()),
             },
         }
-        if let Err(reason) = driver.process_output(inner) {
-            log::error!("event=replica_failed reason={reason:?}");
-            return End::Failed;
-        }
+        driver.process_output(inner)?;
     }
-    End::Stopped
+    Ok(())
 }
 
 impl Driver {
@@ -245,10 +178,36 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// Handles a message of a peer. If that panics, the consensus state may be half changed, and the
+    /// Handles a message of another instance.
+    pub fn receive(&self, sender: SocketAddr, message: Message) {
+        self.guard("peer_message", || self.step(sender, message));
+    }
+
+    /// Handles an introduction of another instance.
+    pub fn receive_hello(&self, hello: Hello) {
+        self.guard("peer_hello", || {
+            let mut core = self.core.borrow_mut();
+            core.routes.insert(hello.id, hello.peer);
+            core.instance.hello(hello);
+        });
+    }
+
+    /// Handles a chunk of a snapshot. Returns whether the sender shall continue.
+    pub fn receive_chunk(&self, chunk: SnapshotChunk) -> bool {
+        let (from, sender) = (chunk.head.from, chunk.sender);
+        let added = self.guard("snapshot_chunk", || {
+            let added = self.core.borrow_mut().incoming.entry(from).or_default().add(chunk);
+            added.map(|message| {
+                message.into_iter().for_each(|message| self.step(sender, message));
+            })
+        });
+        matches!(added, Some(Ok(())))
+    }
+
+    /// Calls a function that changes `core`. If it panics, `core` may be half changed, and the
     /// replica ends.
-    fn guard<T>(&self, step: &str, handle: impl FnOnce() -> T) -> Option<T> {
-        let result = supervisor::catch_in(step, handle);
+    fn guard<T>(&self, step: &str, change: impl FnOnce() -> T) -> Option<T> {
+        let result = supervisor::catch_in(step, change);
         if result.is_none() {
             self.panicked.set(true);
             self.wake.notify_one();
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -4,6 +4,7 @@
 mod core;
 mod driver;
 mod peers;
+mod service;
 mod storage;
 
 use std::{
--- a/src/coordination/pace.rs
+++ b/src/coordination/pace.rs
@@ -1,5 +1,9 @@
 //! Speed and health of a backend server, estimated from the attempts that end there.
 
+use crate::protocol::queue::Step;
+
+/// Assumed slowdown of a task on a server outside the rack that holds its data.
+const REMOTE_RACK_FACTOR: f64 = 1.5;
 /// Weight of the newest attempt in the moving average of the run time ratio.
 const WEIGHT: f64 = 0.15;
 /// Upper bound of the ratio of a single attempt, so that an outlier does not dominate the average.
@@ -12,6 +16,14 @@
 /// Longest such pause, in ms.
 const PAUSE_MAX_MS: u64 = 8_000;
 
+/// Slowdown of a task of `step` on a server with `labels`, because of where its data is.
+pub fn rack_factor(step: &Step, labels: &[String]) -> f64 {
+    match &step.data_rack {
+        Some(rack) if !labels.contains(rack) => REMOTE_RACK_FACTOR,
+        _ => 1.0,
+    }
+}
+
 /// Speed and health of a backend server. Times are ms on one monotonic clock.
 #[derive(Debug, Clone)]
 pub struct Pace {
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -177,13 +177,9 @@
     /// were commanded before and are not in `running` cannot start any more; their tasks become
     /// ready again.
     pub fn sync(&mut self, now_ms: u64, key: Key, running: &[Attempt], queues: &Queues) {
-        let here: Vec<Attempt> = self
-            .attempts
-            .iter()
-            .filter(|(_, p)| p.server == key)
-            .map(|(attempt, _)| *attempt)
-            .collect();
-        for attempt in here.into_iter().filter(|attempt| !running.contains(attempt)) {
+        for attempt in
+            self.attempts_at(key).into_iter().filter(|attempt| !running.contains(attempt))
+        {
             self.drop_attempt(attempt);
             self.retry(attempt.task, queues);
         }
@@ -263,15 +259,15 @@
         self.attempts.range(first..=last).map(|(attempt, _)| *attempt)
     }
 
+    /// Attempts commanded at a server that have not ended.
+    fn attempts_at(&self, key: Key) -> Vec<Attempt> {
+        let here = self.attempts.iter().filter(|(_, placed)| placed.server == key);
+        here.map(|(attempt, _)| *attempt).collect()
+    }
+
     /// Removes a backend server whose attempts are all lost; their tasks become ready again.
     pub fn remove_server(&mut self, key: Key, queues: &Queues) {
-        let lost: Vec<Attempt> = self
-            .attempts
-            .iter()
-            .filter(|(_, p)| p.server == key)
-            .map(|(attempt, _)| *attempt)
-            .collect();
-        for attempt in lost {
+        for attempt in self.attempts_at(key) {
             self.attempts.remove(&attempt);
             self.retry(attempt.task, queues);
         }
--- a/src/coordination/schedule/server.rs
+++ b/src/coordination/schedule/server.rs
@@ -4,16 +4,13 @@
 
 use super::pause_ms;
 use crate::{
-    coordination::pace::Pace,
+    coordination::pace::{self, Pace},
     protocol::{
         queue::{Attempt, Id, Outcome, Resources, Step},
         wire::queue::{self, Batch, Reason, Start},
     },
 };
 
-/// Assumed slowdown of a task on a server outside the rack that holds its data.
-const REMOTE_RACK_FACTOR: f64 = 1.5;
-
 /// A backend server and the attempts commanded there.
 #[derive(Debug)]
 pub struct Server {
@@ -79,12 +76,7 @@
 
     /// Returns the expected run time of a task of `step` here, divided by the declared one.
     pub(super) fn cost(&self, step: &Step) -> f64 {
-        match &step.data_rack {
-            Some(rack) if !self.info.labels.contains(rack) => {
-                self.pace.ratio() * REMOTE_RACK_FACTOR
-            }
-            _ => self.pace.ratio(),
-        }
+        self.pace.ratio() * pace::rack_factor(step, &self.info.labels)
     }
 
     /// Number of attempts of a job's step here.
--- a/src/coordination/transient/server.rs
+++ b/src/coordination/transient/server.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use crate::{
-    coordination::pace::Pace,
+    coordination::pace::{self, Pace},
     protocol::{
         queue::{Attempt, Resources, Step, Task},
         wire::{
@@ -18,8 +18,6 @@
 /// Factor by which the highest run time ratio of the running attempts is multiplied before it
 /// counts as the slowdown of a server.
 const RUNNING_RATIO_WEIGHT: f64 = 0.7;
-/// Assumed slowdown of a task on a server outside the rack that holds its data.
-const REMOTE_RACK_FACTOR: f64 = 1.5;
 /// Share by which the cost of a fully used server is higher than that of an unused one.
 const LOAD_WEIGHT: f64 = 0.1;
 /// Attempts may be commanded for more cores than a server has, by this share of its cores. The
@@ -138,10 +136,7 @@
 
     /// Returns the expected run time of a task of `step` here, divided by the declared one.
     fn slowdown(&self, step: &Step) -> f64 {
-        let rack_factor = match &step.data_rack {
-            Some(rack) if !self.sidecar.server.labels.contains(rack) => REMOTE_RACK_FACTOR,
-            _ => 1.0,
-        };
+        let rack_factor = pace::rack_factor(step, &self.sidecar.server.labels);
         self.pace.ratio().max(RUNNING_RATIO_WEIGHT * self.running_ratio) * rack_factor
     }
 
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -186,6 +186,8 @@
             wait_ms: command.wait_ms,
         };
         let call = channel.client.run(rpc::context(ATTEMPT_TIMEOUT), request);
+        let terminated = channel.wait_for_termination();
+        tokio::pin!(terminated);
         tokio::select! {
             answer = call => match answer {
                 Ok(reply) => return Some(reply),
@@ -197,9 +199,9 @@
                     connection.inner.broken.notify_one();
                 }
             },
-            () = channel.wait_for_termination() => return None,
+            () = &mut terminated => return None,
         }
-        channel.wait_for_termination().await;
+        terminated.await;
         None
     }
 
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -69,10 +69,8 @@
             meter: Meter::new(),
         };
         let entry = Entry { inner: Rc::new(inner) };
-        let watching = entry.clone();
-        actix_rt::spawn(supervisor::restart("watch", move || watching.clone().watch()));
-        let ticking = entry.clone();
-        actix_rt::spawn(supervisor::restart("entry_tick", move || ticking.clone().tick()));
+        supervisor::spawn("watch", &entry, Entry::watch);
+        supervisor::spawn("entry_tick", &entry, Entry::tick);
         entry
     }
 
@@ -129,9 +127,10 @@
             if !known {
                 let connection = Connection::new(addr, key);
                 self.inner.connections.borrow_mut().insert(key, connection.clone());
-                let entry = self.clone();
-                let maintain = move || entry.clone().maintain_connection(connection.clone());
-                actix_rt::spawn(supervisor::restart("maintain_connection", maintain));
+                let maintained = (self.clone(), connection);
+                supervisor::spawn("maintain_connection", &maintained, |(entry, connection)| {
+                    entry.maintain_connection(connection)
+                });
             }
         }
         self.carry_out();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -237,10 +237,8 @@
         let handler = core.clone();
         let http = http::serve(settings.http, move |request| api::handle(handler.clone(), request))
             .await?;
-        let engine = core.engine.clone();
-        actix_rt::spawn(supervisor::restart("drive", move || engine.clone().drive()));
-        let synced = core.clone();
-        actix_rt::spawn(supervisor::restart("sync", move || sync::run(synced.clone())));
+        supervisor::spawn("drive", &core.engine, Engine::drive);
+        supervisor::spawn("sync", &core, sync::run);
         Ok(Entry { core, http, rpc })
     }
 
--- a/src/sidecar/attempt.rs
+++ b/src/sidecar/attempt.rs
@@ -18,6 +18,7 @@
         platform::{Outcome, Platform, TaskSpec},
         settings,
     },
+    supervisor,
 };
 
 /// An attempt that was given a slot.
@@ -77,7 +78,7 @@
                 never = &mut supervise => match never {},
             }
         };
-        let outcome = crate::supervisor::catch("run_attempt", run).await;
+        let outcome = supervisor::catch("run_attempt", run).await;
         outcome.unwrap_or_else(|| Outcome::Unknown("internal error during the run".into()))
     };
     let ran = started_at.elapsed();
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -151,13 +151,9 @@
         let sidecar = Sidecar { inner: Rc::new(inner) };
         let served = rpc::serve(addr, service::Handler::new(sidecar.clone()).serve()).await?;
         sidecar.inner.server.replace(Some(served));
-        let reporting = sidecar.clone();
-        let reports = move || reporting.clone().run_reports();
-        actix_rt::spawn(supervisor::restart("reports", reports));
-        let polling = sidecar.clone();
-        actix_rt::spawn(supervisor::restart("polls", move || polling.clone().run_polls()));
-        let ticking = sidecar.clone();
-        actix_rt::spawn(supervisor::restart("sidecar_tick", move || ticking.clone().run_ticks()));
+        supervisor::spawn("reports", &sidecar, Sidecar::run_reports);
+        supervisor::spawn("polls", &sidecar, Sidecar::run_polls);
+        supervisor::spawn("sidecar_tick", &sidecar, Sidecar::run_ticks);
         Ok(sidecar)
     }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -50,12 +50,8 @@
         let http_addr = core.settings.http;
         let web = core.clone();
         let http = http::serve(http_addr, move |request| web::answer(web.clone(), request)).await?;
-        let ticked = core.clone();
-        let ticker = move || ticked.clone().run_ticker();
-        actix_rt::spawn(supervisor::restart("sidecar_tick", ticker));
-        let synced = core.clone();
-        let sync = supervisor::restart("sync", move || sync::run(synced.clone()));
-        let sync = actix_rt::spawn(sync);
+        supervisor::spawn("sidecar_tick", &core, core::Core::run_ticker);
+        let sync = supervisor::spawn("sync", &core, sync::run);
         Ok(Sidecar { core, http, rpc, sync })
     }
 
--- a/src/supervisor.rs
+++ b/src/supervisor.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use actix_rt::task::JoinHandle;
 use futures::FutureExt;
 use tokio::time::{self, Instant};
 
@@ -26,8 +27,19 @@
     }));
 }
 
+/// Spawns a loop that runs on a clone of `owner` until it returns. If it panics, it is started again
+/// after a pause.
+pub fn spawn<T, F>(step: &'static str, owner: &T, run: impl Fn(T) -> F + 'static) -> JoinHandle<()>
+where
+    T: Clone + 'static,
+    F: Future<Output = ()> + 'static,
+{
+    let owner = owner.clone();
+    actix_rt::spawn(restart(step, move || run(owner.clone())))
+}
+
 /// Runs a loop until it returns. If it panics, `start` creates it again after a pause.
-pub async fn restart<F: Future<Output = ()>>(step: &str, start: impl Fn() -> F) {
+pub async fn restart<F: Future<Output = ()>>(step: &'static str, start: impl Fn() -> F) {
     let mut pause = PAUSE_MIN;
     loop {
         let started = Instant::now();
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -190,17 +190,16 @@
     let listener =
         TcpListener::bind(addr).await.context(error::NetSnafu { step: "listen", peer: addr })?;
     let addr = listener.local_addr().context(error::NetSnafu { step: "listen", peer: addr })?;
-    let listener = Rc::new(listener);
     let (stop, stopped) = watch::channel(());
     let shared = Rc::new(Shared {
         closing: Cell::new(false),
         in_flight: Cell::new(0),
         connections: Cell::new(0),
     });
-    let accepting = shared.clone();
-    actix_rt::spawn(supervisor::restart("accept", move || {
-        accept(listener.clone(), handler.clone(), accepting.clone(), stopped.clone())
-    }));
+    let accepting = (Rc::new(listener), handler, shared.clone(), stopped);
+    supervisor::spawn("accept", &accepting, |(listener, handler, shared, stopped)| {
+        accept(listener, handler, shared, stopped)
+    });
     Ok(Server { addr, shared, stop })
 }
 
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -236,11 +236,11 @@
     let listener =
         TcpListener::bind(addr).await.context(error::NetSnafu { step: "listen", peer: addr })?;
     let addr = listener.local_addr().context(error::NetSnafu { step: "listen", peer: addr })?;
-    let listener = Rc::new(listener);
     let (stop, stopped) = watch::channel(());
-    actix_rt::spawn(supervisor::restart("accept", move || {
-        accept(listener.clone(), service.clone(), stopped.clone())
-    }));
+    let accepting = (Rc::new(listener), service, stopped);
+    supervisor::spawn("accept", &accepting, |(listener, service, stopped)| {
+        accept(listener, service, stopped)
+    });
     Ok(Server { addr, _stop: stop })
 }
 
