Log why the leader starts a task again

Ends as done are now logged at debug level, and each task that is made ready again has a line with the attempt before and the cause.

--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -8,7 +8,10 @@
 use super::{CONFIRM_MAX_AGE_MS, Coordinator, LEASE_MS, LEASE_SLACK_MS, Leadership, Sidecar};
 use crate::{
     coordination::schedule::Server,
-    protocol::wire::queue::{Backend, Commands, Completion, Refusal, Report},
+    protocol::{
+        queue::Outcome,
+        wire::queue::{Backend, Commands, Completion, Refusal, Report},
+    },
     state::machine::queue::{Change, Completion as StoredCompletion, Queues},
     util,
 };
@@ -166,7 +169,13 @@
             }
             let state = self.inner.replica.state();
             for (number, completion) in &completions {
-                log::info!(
+                // Ends of tasks that are done alone would exceed the limit on log lines.
+                let level = match completion.outcome {
+                    Outcome::Done => log::Level::Debug,
+                    Outcome::Failed | Outcome::Stopped => log::Level::Info,
+                };
+                log::log!(
+                    level,
                     "event=end run={} how={:?} sidecar={name}",
                     completion.attempt,
                     completion.outcome
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -61,6 +61,19 @@
     stopping: bool,
 }
 
+/// Why a task is to start again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RetryCause {
+    Failed,
+    Stopped,
+    /// The attempt did not start.
+    NotStarted,
+    /// The backend server is gone.
+    ServerLost,
+    /// The sidecar, registered anew, does not list the attempt.
+    NotListed,
+}
+
 /// Scheduler of durable jobs. Times are ms on one monotonic clock.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -181,7 +194,7 @@
             self.attempts_at(key).into_iter().filter(|attempt| !running.contains(attempt))
         {
             self.drop_attempt(attempt);
-            self.retry(attempt.task, queues);
+            self.retry(attempt, RetryCause::NotListed, queues);
         }
         for attempt in running {
             match self.attempts.get_mut(attempt) {
@@ -244,11 +257,14 @@
         Some(placement)
     }
 
-    /// Makes a task ready again, unless it or its job has ended, or another attempt of it runs.
-    fn retry(&mut self, task: Task, queues: &Queues) {
+    /// Makes the task of an attempt ready again, unless it or its job has ended, or another attempt
+    /// of it runs.
+    fn retry(&mut self, attempt: Attempt, cause: RetryCause, queues: &Queues) {
+        let task = attempt.task;
         let Some(record) = queues.job(task.job) else { return };
         let pending = !record.phase.is_terminal() && record.progress(task).is_some_and(|p| !p.done);
         if pending && !self.attempts_of(task).any(|_| true) {
+            log::info!("event=retry run={attempt} cause={cause:?}");
             self.make_ready(task);
         }
     }
@@ -269,7 +285,7 @@
     pub fn remove_server(&mut self, key: Key, queues: &Queues) {
         for attempt in self.attempts_at(key) {
             self.attempts.remove(&attempt);
-            self.retry(attempt.task, queues);
+            self.retry(attempt, RetryCause::ServerLost, queues);
         }
         self.servers.try_remove(key.0);
     }
@@ -313,7 +329,8 @@
                     self.make_ready(task);
                 }
             }
-            Outcome::Failed | Outcome::Stopped => self.retry(completion.attempt.task, queues),
+            Outcome::Failed => self.retry(completion.attempt, RetryCause::Failed, queues),
+            Outcome::Stopped => self.retry(completion.attempt, RetryCause::Stopped, queues),
         }
     }
 
@@ -347,7 +364,7 @@
         if let Some(server) = self.servers.get_mut(key.0) {
             server.refused(now_ms, refused.reason);
         }
-        self.retry(refused.attempt.task, queues);
+        self.retry(refused.attempt, RetryCause::NotStarted, queues);
     }
 
     /// Whether the start of a task of a job has been commanded. A job that is not known here counts
