Run the leader's handlers to their end when the caller is gone

What callers saw: jobs that had been accepted never ran (LOST), and their queue said that none waited (MIXED: 0 said to wait, 12 to 22 had waited).

Cause: tarpc aborts the handler of a call when its connection closes, and also when the call's deadline passes. The leader's handler for a submission proposes the job, waits for the commit, and then tells the scheduler of it. Dropped in between, the job was stored and the scheduler never knew it: it counted as started and was never assigned. The same happened to a cancel (its attempts were not stopped), to a configuration (waiting entries were not woken), and to the registration of an entry (no quota share, briargauge-control).

Ruled out: a job lost by a new leader (there was none), a scheduler that does not try the task (the job is not in it).

Change: the services of the control instances are served so that each handler runs in a further task; an aborted call only stops waiting for it.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -47,7 +47,7 @@
         let replica = Replica::start(settings.replica()).await?;
         let advertise = settings.advertise;
         let core = Core::new(settings, replica);
-        let rpc = rpc::serve(rpc, Handler { core: core.clone() }.serve()).await?;
+        let rpc = rpc::serve_to_end(rpc, Handler { core: core.clone() }.serve()).await?;
         core.replica.advertise(advertise.unwrap_or(rpc.addr()));
         let http_core = core.clone();
         let http = http::serve(http, move |request| answer(http_core.clone(), request)).await?;
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -12,7 +12,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::ResultExt;
 use tarpc::{
-    ClientMessage, RequestName, Response, client, context,
+    ClientMessage, RequestName, Response, ServerError, client, context,
     serde_transport::{self, Transport as SerdeTransport},
     server::{self, Channel, Serve},
     tokio_serde::formats::Bincode,
@@ -224,9 +224,9 @@
 
 /// Serves `service` (the result of a generated `serve()`) at `addr` on the current thread.
 ///
-/// When a connection closes, `tarpc` aborts the handlers of its requests, although each runs in a
-/// task of its own. A handler must therefore leave work that has to be finished to another task and
-/// only wait for the result.
+/// `tarpc` drops a handler when its connection closes or its deadline passes, although each runs in a
+/// task of its own. This tells a handler that nobody waits for it any more. A service whose handlers
+/// must not be dropped in the middle is served by [`serve_to_end`].
 pub async fn serve<S>(addr: SocketAddr, service: S) -> Result<Server>
 where
     S: Serve + Clone + 'static,
@@ -244,6 +244,39 @@
     Ok(Server { addr, _stop: stop })
 }
 
+/// Serves `service` as [`serve`] does, but each handler that has begun runs to its end. This is for
+/// services that propose changes: dropped between the commit and what has to follow it, a handler
+/// would leave a change of which the process has taken no note.
+pub async fn serve_to_end<S>(addr: SocketAddr, service: S) -> Result<Server>
+where
+    S: Serve + Clone + 'static,
+    S::Req: DeserializeOwned + RequestName + 'static,
+    S::Resp: Serialize + 'static,
+{
+    serve(addr, ToEnd(service)).await
+}
+
+/// Runs each handler of a service in a further task, which is not dropped with the caller's.
+#[derive(Clone)]
+struct ToEnd<S>(S);
+
+impl<S> Serve for ToEnd<S>
+where
+    S: Serve + 'static,
+    S::Req: 'static,
+    S::Resp: 'static,
+{
+    type Req = S::Req;
+    type Resp = S::Resp;
+
+    async fn serve(self, context: context::Context, req: S::Req) -> Result<S::Resp, ServerError> {
+        let handler = actix_rt::spawn(self.0.serve(context, req));
+        handler.await.unwrap_or_else(|e| {
+            Err(ServerError::new(std::io::ErrorKind::Other, format!("handler failed: {e}")))
+        })
+    }
+}
+
 async fn accept<S>(listener: Rc<TcpListener>, service: S, mut stopped: watch::Receiver<()>)
 where
     S: Serve + Clone + 'static,
--- /dev/null
+++ b/tests/coordinator.rs
@@ -0,0 +1,130 @@
+//! Tests of the leader of the durable jobs, with a replica that stores its log on disk.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use briargauge::{
+    control::{
+        jobs::{self, Coordinator, Handler},
+        replica::{self, Replica},
+    },
+    protocol::{
+        id,
+        queue::{Config, Id, Job, Phase, Queue, Resources, Service, Step},
+        wire::queue::{Answer, Call, Refusal, Service as _, ServiceClient},
+    },
+    transport::rpc,
+};
+use tempfile::TempDir;
+use tokio::time;
+
+/// Time limit for a condition; only reached by a failing test.
+const LIMIT: Duration = Duration::from_secs(10);
+const HOST: &str = "co-op.example";
+
+/// A control instance that is a cluster of its own, with a configuration and without sidecars.
+struct Instance {
+    replica: Replica,
+    coordinator: Coordinator,
+    server: rpc::Server,
+    _folder: TempDir,
+}
+
+impl Instance {
+    async fn start() -> Instance {
+        let folder = TempDir::new().unwrap();
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = replica::Settings::new(id::Node(1), any_port, folder.path().to_path_buf());
+        let replica = Replica::start(settings).await.unwrap();
+        replica.init().await.unwrap();
+        let settings = jobs::Settings { voters: 1, keep_ms: 60_000 };
+        let coordinator = Coordinator::new(replica.clone(), settings);
+        actix_rt::spawn(coordinator.clone().run());
+        let handler = Handler::new(coordinator.clone());
+        let server = rpc::serve_to_end(any_port, handler.serve()).await.unwrap();
+        let instance = Instance { replica, coordinator, server, _folder: folder };
+        instance.answer(Call::Configure(Arc::new(config()))).await;
+        instance
+    }
+
+    /// Makes a call again and again until it is answered.
+    async fn answer(&self, call: Call) -> Answer {
+        let answered = async {
+            loop {
+                match self.coordinator.call(call.clone()).await {
+                    Ok(answer) => return answer,
+                    Err(Refusal::NotReady { .. } | Refusal::NotLeader { .. }) => {
+                        time::sleep(Duration::from_millis(10)).await;
+                    }
+                    Err(refusal) => panic!("{refusal:?}"),
+                }
+            }
+        };
+        time::timeout(LIMIT, answered).await.expect("the call is answered")
+    }
+
+    /// Makes a call on a connection that closes after `open`, whether it is answered or not.
+    async fn call_briefly(&self, call: Call, open: Duration) {
+        let client: ServiceClient = rpc::connect(self.server.addr()).await.unwrap();
+        let answer = client.call(rpc::context(LIMIT), call);
+        // Most calls are not answered in time.
+        let _ = time::timeout(open, answer).await;
+    }
+}
+
+fn config() -> Config {
+    let queue = Queue {
+        host: HOST.to_owned(),
+        prefix: "/q/".to_owned(),
+        service: "quotes".to_owned(),
+        max_attempts: 2,
+        timeout_ms: 100,
+        ..Queue::default()
+    };
+    Config {
+        version: 1,
+        queues: vec![queue],
+        services: vec![Service { name: "quotes".to_owned(), enforces_capacity: false }],
+        document: String::new(),
+    }
+}
+
+fn path(id: Id) -> String {
+    format!("/q/{id}")
+}
+
+fn submit(id: Id) -> Call {
+    let needs = Resources { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 };
+    let step = Step { tasks: 1, needs, estimate_ms: 10, ..Step::default() };
+    let job = Job { spec: "spec".to_owned(), steps: vec![step] };
+    Call::Submit { host: HOST.to_owned(), path: path(id), job }
+}
+
+fn query(path: &str) -> Call {
+    Call::Query { host: HOST.to_owned(), path: path.to_owned() }
+}
+
+/// Guards against a stored job that never runs, as the scheduler is not told of it when the
+/// caller's connection closes before the answer.
+#[actix_rt::test]
+async fn jobs_are_scheduled_though_their_callers_have_disconnected() {
+    let instance = Instance::start().await;
+    let ids: Vec<Id> = (1..=40).map(Id).collect();
+    for id in &ids {
+        instance.call_briefly(submit(*id), Duration::from_micros(100 * id.0)).await;
+    }
+    // This job is committed after all others.
+    instance.answer(submit(Id(0))).await;
+    let mut scheduled = 1;
+    for id in &ids {
+        match instance.answer(query(&path(*id))).await {
+            Answer::NoJob => {}
+            answer => {
+                assert_eq!(answer, Answer::State(Phase::Queued), "job {id}");
+                scheduled += 1;
+            }
+        }
+    }
+    assert_eq!(instance.answer(query("/q/")).await, Answer::Pending(scheduled));
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
