Start no task again while the end of an attempt is being stored

What callers saw: a kept task that had ended as done ran once more (TWICE).

Cause: the leader drops an attempt from its view when its end is reported, and learns that the task is done when that end is committed. In between the task has neither an attempt nor is it done, so any other event about it makes it ready. The same window was open to a refused start, a server that is lost, and to the release of the tasks of an earlier leader.

Ruled out: an end forgotten by the server before it was committed (the next leader stored it), and a new leader's start (the term was the same).

Change: the scheduler keeps the attempts whose ends are being stored; their tasks become ready only once the end is stored.

queues::a_task_does_not_start_again_while_its_end_is_being_stored failed before: attempt 3 was commanded.

--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    ops::RangeInclusive,
     sync::Arc,
 };
 
@@ -81,6 +82,9 @@
     servers: Slab<Server>,
     jobs: IndexMap<Id, Job>,
     attempts: BTreeMap<Attempt, Placement>,
+    /// Attempts that have ended and whose ends are being stored. Until then the replicated state
+    /// does not show whether their tasks are done.
+    unstored: BTreeSet<Attempt>,
     /// Tasks that may start, by service.
     ready: IndexMap<String, BTreeSet<Rank>>,
     /// Tasks that an earlier leader may have started and that may still run somewhere.
@@ -96,6 +100,7 @@
             servers: Slab::new(),
             jobs: IndexMap::new(),
             attempts: BTreeMap::new(),
+            unstored: BTreeSet::new(),
             ready: IndexMap::new(),
             inherited: IndexSet::new(),
         };
@@ -163,7 +168,9 @@
     /// that may still run is known to this scheduler.
     pub fn release_inherited(&mut self) {
         for task in std::mem::take(&mut self.inherited) {
-            self.make_ready(task);
+            if !self.is_unstored(task) {
+                self.make_ready(task);
+            }
         }
     }
 
@@ -257,22 +264,26 @@
         Some(placement)
     }
 
-    /// Makes the task of an attempt ready again, unless it or its job has ended, or another attempt
-    /// of it runs.
+    /// Makes the task of an attempt ready again, unless it or its job has ended, another attempt of
+    /// it runs, or the end of one is being stored.
     fn retry(&mut self, attempt: Attempt, cause: RetryCause, queues: &Queues) {
         let task = attempt.task;
         let Some(record) = queues.job(task.job) else { return };
         let pending = !record.phase.is_terminal() && record.progress(task).is_some_and(|p| !p.done);
-        if pending && !self.attempts_of(task).any(|_| true) {
+        let waits = self.attempts_of(task).any(|_| true) || self.is_unstored(task);
+        if pending && !waits {
             log::info!("event=retry run={attempt} cause={cause:?}");
             self.make_ready(task);
         }
     }
 
     fn attempts_of(&self, task: Task) -> impl Iterator<Item = Attempt> {
-        let first = Attempt { task, number: 0 };
-        let last = Attempt { task, number: u32::MAX };
-        self.attempts.range(first..=last).map(|(attempt, _)| *attempt)
+        self.attempts.range(attempts_range(task)).map(|(attempt, _)| *attempt)
+    }
+
+    /// Whether the end of an attempt of a task is being stored.
+    fn is_unstored(&self, task: Task) -> bool {
+        self.unstored.range(attempts_range(task)).next().is_some()
     }
 
     /// Attempts commanded at a server that have not ended.
@@ -307,11 +318,16 @@
             }
         }
         self.inherited.swap_remove(&attempt.task);
-        self.jobs.contains_key(&attempt.task.job).then_some(Completion { attempt, outcome })
+        if !self.jobs.contains_key(&attempt.task.job) {
+            return None;
+        }
+        self.unstored.insert(attempt);
+        Some(Completion { attempt, outcome })
     }
 
     /// Handles a completion that has been stored in the replicated queues.
     pub fn outcome_stored(&mut self, completion: &Completion, queues: &Queues) {
+        self.unstored.remove(&completion.attempt);
         let id = completion.attempt.task.job;
         let Some(record) = queues.job(id) else { return };
         if record.phase.is_terminal() {
@@ -457,6 +473,11 @@
     }
 }
 
+/// Returns the range of all attempts of a task.
+fn attempts_range(task: Task) -> RangeInclusive<Attempt> {
+    Attempt { task, number: 0 }..=Attempt { task, number: u32::MAX }
+}
+
 /// Returns the length of the pause in starts on a server that refused one, in ms.
 fn pause_ms(reason: Reason) -> u64 {
     match reason {
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -267,3 +267,35 @@
     scheduler.assign(200, fixture.state.queues());
     assert_eq!(starts(scheduler.commands(other))[0].number, 3);
 }
+
+/// Guards against a second start of a task whose end has been reported and is being stored: the
+/// late end of an older attempt must not make the task ready.
+#[test]
+fn a_task_does_not_start_again_while_its_end_is_being_stored() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1, "/q/x", job(1));
+    let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
+    scheduler.release_inherited();
+    let lost = scheduler.add_server(server(1));
+    scheduler.sync(0, lost, &[], fixture.state.queues());
+    scheduler.assign(0, fixture.state.queues());
+    let first = starts(scheduler.commands(lost))[0];
+    scheduler.remove_server(lost, fixture.state.queues());
+
+    let other = scheduler.add_server(server(1));
+    scheduler.sync(0, other, &[], fixture.state.queues());
+    scheduler.assign(0, fixture.state.queues());
+    let second = starts(scheduler.commands(other))[0];
+    let done = scheduler.ended(0, other, second, Outcome::Done).unwrap();
+
+    let back = scheduler.add_server(server(1));
+    fixture.complete(&mut scheduler, back, first, Outcome::Stopped);
+    scheduler.sync(0, back, &[], fixture.state.queues());
+    scheduler.assign(0, fixture.state.queues());
+    assert_eq!(starts(scheduler.commands(other)), []);
+    assert_eq!(starts(scheduler.commands(back)), []);
+
+    fixture.apply(Change::Complete(vec![done]));
+    scheduler.outcome_stored(&done, fixture.state.queues());
+    assert_eq!(fixture.phase(1), Some(Phase::Completed));
+}
