Count a failed attempt once though its end is reported again

What callers would see: a job shown as failed although its task has failures left (LOST), after a change of leader. Found by reading; no play has shown it.

Cause: a sidecar repeats the ends that were not acknowledged. A later leader, or the same one after the server was registered anew, stored a failure again, and each record of it counted.

Change: the replicated state keeps the numbers of a task's failed attempts in place of their count. A later report of an older attempt still counts, as rule BUDGET demands.

queues::a_failure_that_is_reported_again_counts_once failed before: the job was Failed after one failure of two allowed.

--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -125,7 +125,7 @@
         let job = Job {
             service: record.service.clone(),
             due_ms: now_ms + slack,
-            started: inherited && record.tasks.iter().any(|t| t.done || t.failed > 0),
+            started: inherited && record.tasks.iter().any(|t| t.done || !t.failed.is_empty()),
             steps_ready: vec![false; record.job.steps.len()],
             starts: vec![0; record.tasks.len()],
         };
--- a/src/state/machine/queue.rs
+++ b/src/state/machine/queue.rs
@@ -78,11 +78,12 @@
 }
 
 /// State of a task.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     pub done: bool,
-    /// Number of failed attempts.
-    pub failed: u32,
+    /// Numbers of the failed attempts. A failure that is reported again, also to a later leader,
+    /// counts once.
+    pub failed: Vec<u32>,
 }
 
 /// The replicated queues.
@@ -101,8 +102,8 @@
     }
 
     /// State of a task, if the job has it.
-    pub fn progress(&self, task: Task) -> Option<Progress> {
-        self.tasks.get(self.job.position(task)?).copied()
+    pub fn progress(&self, task: Task) -> Option<&Progress> {
+        self.tasks.get(self.job.position(task)?)
     }
 }
 
@@ -188,8 +189,11 @@
                 }
             }
             Outcome::Failed => {
-                task.failed += 1;
-                if task.failed >= record.max_attempts {
+                if task.failed.contains(&completion.attempt.number) {
+                    return;
+                }
+                task.failed.push(completion.attempt.number);
+                if task.failed.len() >= record.max_attempts as usize {
                     self.finish(now_ms, id, Phase::Failed);
                 }
             }
--- a/src/state/snapshot.rs
+++ b/src/state/snapshot.rs
@@ -11,7 +11,8 @@
 };
 
 const PREFIX: &str = "snapshot-";
-const MAGIC: &[u8; 8] = b"bgsnap01";
+/// Names the format of the state, too: the data of another format is refused, not misread.
+const MAGIC: &[u8; 8] = b"bgsnap02";
 
 /// Replicated state that replaces all entries up to `meta.index`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -199,6 +199,23 @@
     assert_eq!(numbers, [1, 2, 3]);
 }
 
+/// Guards against a job that fails too early: a sidecar repeats an end that was not acknowledged, also
+/// to a later leader.
+#[test]
+fn a_failure_that_is_reported_again_counts_once() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1, "/q/x", job(1));
+    let failed = |number| {
+        let attempt = Attempt { task: task(1, 0), number };
+        Change::Complete(vec![Completion { attempt, outcome: Outcome::Failed }])
+    };
+    fixture.apply(failed(1));
+    fixture.apply(failed(1));
+    assert_eq!(fixture.phase(1), Some(Phase::Running));
+    fixture.apply(failed(1_001));
+    assert_eq!(fixture.phase(1), Some(Phase::Failed));
+}
+
 /// Guards against a second attempt of a task that an earlier leader started. A new leader starts no
 /// inherited task before the leases that the earlier leader gave have expired; then it starts those
 /// that no server has reported as running or ended.
