Do not count a server as lost because its sidecar was suspended

What callers saw: tasks that had ended, as done or not, were started again when a frozen sidecar thawed.

Cause: the polls that were in flight when the sidecar was suspended fail on their time limits as soon as it goes on, before the answers that wait in the sockets are read. By then the lease has expired, so the first failure counted as proof that the server is lost.

Change: a poll that fails later than 700 ms after it was sent (the longest time limit is 450 ms) says nothing about the server. The polls that follow decide. A server that really is gone is found as fast as before.

sidecar_jobs::a_server_is_not_lost_while_its_sidecar_is_suspended failed before (the attempt was reported as lost).

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -25,6 +25,9 @@
 
 /// Remaining time of a source's lease below which its start commands are refused, in ms.
 const START_MARGIN_MS: u64 = 50;
+/// Longest time from a poll to its failure, in ms. A poll that fails later was not waited for: this
+/// process was suspended, and the server's answer may wait to be read.
+const POLL_AGE_MAX_MS: u64 = 700;
 /// Maximum number of attempts that wait for free capacity.
 const WAITING_MAX: usize = 64;
 
@@ -361,6 +364,10 @@
     /// expired or its process is gone.
     pub fn poll_failed(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
         let Some(backend) = &mut self.backend else { return };
+        if sent_ms + POLL_AGE_MAX_MS < now_ms {
+            log::info!("event=suspended for_ms={}", now_ms - sent_ms);
+            return;
+        }
         if backend.answered_since(sent_ms) || !backend.poll_failed(now_ms, refused) {
             return;
         }
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -204,6 +204,25 @@
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), work::Outcome::Lost, 0)]);
 }
 
+/// Guards against tasks that start again although they have ended as done: a sidecar that was
+/// suspended for longer than the lease has not read the answers that wait for it.
+#[test]
+fn a_server_is_not_lost_while_its_sidecar_is_suspended() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    sidecar.start_answered(1, attempt(1, 1), StartResult::Started);
+    for sent_ms in [2_000, 2_140] {
+        sidecar.poll(sent_ms).unwrap();
+    }
+    for sent_ms in [2_000, 2_140] {
+        sidecar.poll_failed(sent_ms, 4_000, false);
+    }
+    assert_eq!(sidecar.take_actions(), Actions::default());
+    sidecar.polled(4_001, 4_002, poll_reply(&[], &[(1, attempt(1, 1), queue::Outcome::Done)]));
+    let done = (Entry(7), attempt(1, 1), work::Outcome::Done, 4_002);
+    assert_eq!(sidecar.take_actions().replies, [done]);
+}
+
 /// Guards against a server that counts as unresponsive because of one lost answer while later ones
 /// arrive, and against an outdated list of running attempts: an attempt in it that has ended
 /// meanwhile must not be taken for one of an earlier incarnation.
