Tell the leader that a server was lost, even if it is present again

What callers would see: a kept task that waits for ever (LOST), although there is room.

Cause: a sidecar that takes its server for lost drops the attempts there, also those whose start was never carried out. The leader learned of it only from a report made while the server was lost. The leader then waited for the end of an attempt that nobody has.

Change: reports carry how often the process has taken a server for lost. A higher count than at the registration leads to a new one, under which the sidecar lists what runs; what it does not list starts again. A lower count is that of a delayed report.

coordinator::a_task_starts_again_though_the_loss_of_its_server_was_not_reported failed before: there was no new registration.

--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -103,9 +103,8 @@
         let sidecar = leadership
             .sidecars
             .entry(report.sidecar.clone())
-            .or_insert_with(|| Sidecar::new(report.incarnation, report.addr, generation));
-        sidecar.reset(report.incarnation, generation);
-        sidecar.addr = report.addr;
+            .or_insert_with(|| Sidecar::new(report, generation));
+        sidecar.reset(report, generation);
         leadership.list_changes += 1;
         self.inner.view_changed.notify_waiters();
         // A sidecar whose process has just started does not know its server yet. The server that
--- a/src/control/jobs/sidecar.rs
+++ b/src/control/jobs/sidecar.rs
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub struct Sidecar {
     pub incarnation: u64,
+    /// How often the process has taken a backend server for lost.
+    pub losses: u64,
     /// Address at which entries reach the sidecar.
     pub addr: SocketAddr,
     /// Fencing generation of the registration.
@@ -51,10 +53,11 @@
 }
 
 impl Sidecar {
-    pub fn new(incarnation: u64, addr: SocketAddr, generation: u64) -> Sidecar {
+    pub fn new(report: &Report, generation: u64) -> Sidecar {
         Sidecar {
-            incarnation,
-            addr,
+            incarnation: report.incarnation,
+            losses: report.losses,
+            addr: report.addr,
             generation,
             synced: false,
             server: None,
@@ -69,8 +72,10 @@
     }
 
     /// Starts a new registration under a higher generation.
-    pub fn reset(&mut self, incarnation: u64, generation: u64) {
-        self.incarnation = incarnation;
+    pub fn reset(&mut self, report: &Report, generation: u64) {
+        self.incarnation = report.incarnation;
+        self.losses = report.losses;
+        self.addr = report.addr;
         self.generation = generation;
         self.synced = false;
         self.batches.clear();
@@ -82,8 +87,8 @@
         self.completions = Completions::default();
     }
 
-    /// Whether a report belongs to the present incarnation and server. A report of a sidecar that
-    /// does not know its server belongs to any.
+    /// Whether a report belongs to the present incarnation and server, and the server was not lost
+    /// since the registration. A report of a sidecar that does not know its server belongs to any.
     pub fn matches(&self, report: &Report) -> bool {
         let server = self.server.as_ref().map(|(id, _)| id);
         let may_be_same_server = match &report.backend {
@@ -91,7 +96,7 @@
             Backend::Lost => server.is_none(),
             Backend::Present(present) => server == Some(&present.id),
         };
-        self.incarnation == report.incarnation && may_be_same_server
+        self.incarnation == report.incarnation && report.losses <= self.losses && may_be_same_server
     }
 
     /// Records that a completion is being stored. Returns false if it was received before.
--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -89,6 +89,8 @@
     /// Length of each lease granted to the backend server.
     backend_lease_ms: u64,
     backend: Option<BackendServer>,
+    /// How often a backend server has counted as lost.
+    losses: u64,
     /// Whether any backend server has announced itself since this process started.
     announced: bool,
     /// Fencing token of this process of the sidecar; 0 until a leader has assigned one.
@@ -127,6 +129,7 @@
             incarnation,
             backend_lease_ms,
             backend: None,
+            losses: 0,
             announced: false,
             token: 0,
             term: 0,
@@ -373,6 +376,7 @@
         }
         log::warn!("event=server_unreachable server={} refused={refused}", backend.server.id);
         let assignments = backend.mark_lost();
+        self.losses += 1;
         for (attempt, assignment) in assignments {
             self.record_outcome(attempt, &assignment, work::Outcome::Lost, 0);
         }
@@ -592,6 +596,7 @@
                 None if self.announced => Backend::Lost,
                 None => Backend::Unknown,
             },
+            losses: self.losses,
             generation: self.generation,
             running: clean
                 .filter(|backend| backend.reported_generation != self.generation)
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -152,6 +152,9 @@
     /// Random number drawn when the sidecar's process started.
     pub incarnation: u64,
     pub backend: Backend,
+    /// How often the sidecar's process has taken a backend server for lost, and dropped the attempts
+    /// there. The server may have been present again before a report could say that it was lost.
+    pub losses: u64,
     /// Newest generation of its registration with the leader that the sidecar received.
     pub generation: u64,
     /// All attempts that the leader commanded and that run, or may be running. `None` once the
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -9,8 +9,11 @@
     },
     protocol::{
         id,
-        queue::{Config, Id, Job, Phase, Queue, Resources, Service, Step},
-        wire::queue::{Answer, Call, Refusal, Service as _, ServiceClient},
+        queue::{Attempt, Config, Id, Job, Phase, Queue, Resources, Service, Step},
+        wire::queue::{
+            Answer, Backend, Call, Commands, Refusal, Report, Server, ServerId, Service as _,
+            ServiceClient,
+        },
     },
     transport::rpc,
 };
@@ -99,6 +102,37 @@
     Call::Submit { host: HOST.to_owned(), path: path(id), job }
 }
 
+/// Report of a sidecar whose server has capacity for one task.
+fn report(losses: u64, generation: u64, running: Option<Vec<Attempt>>) -> Report {
+    let server = Server {
+        id: ServerId { id: "b".to_owned(), started_at_ms: 1 },
+        service: "quotes".to_owned(),
+        data_centre: "saga".to_owned(),
+        capacity: Resources { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 },
+        labels: Vec::new(),
+        draining: false,
+    };
+    Report {
+        sidecar: "s".to_owned(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 1,
+        backend: Backend::Present(server),
+        losses,
+        generation,
+        running,
+        completions: Vec::new(),
+        not_started: Vec::new(),
+        batch: 0,
+        wait_ms: 0,
+    }
+}
+
+/// The attempts that an answer commands.
+fn starts(commands: &Commands) -> Vec<u32> {
+    let starts = commands.batches.iter().flat_map(|batch| &batch.starts);
+    starts.map(|start| start.attempt.number).collect()
+}
+
 fn query(path: &str) -> Call {
     Call::Query { host: HOST.to_owned(), path: path.to_owned() }
 }
@@ -128,3 +162,25 @@
     instance.coordinator.stop();
     instance.replica.stop().await;
 }
+
+/// Guards against a task that is left behind: the server was lost with it, and was present again
+/// before a report could say so.
+#[actix_rt::test]
+async fn a_task_starts_again_though_the_loss_of_its_server_was_not_reported() {
+    let instance = Instance::start().await;
+    let report = async |losses, generation, running| {
+        instance.coordinator.report(report(losses, generation, running)).await.unwrap()
+    };
+    let generation = report(0, 0, None).await.generation;
+    report(0, generation, Some(Vec::new())).await;
+    instance.answer(submit(Id(1))).await;
+    assert_eq!(starts(&report(0, generation, None).await), [1]);
+
+    let renewed = report(1, generation, None).await.generation;
+    assert!(renewed > generation, "the loss is known: {renewed}");
+    // A delayed report from before the loss changes nothing.
+    assert_eq!(report(0, generation, None).await.generation, renewed);
+    assert_eq!(starts(&report(1, renewed, Some(Vec::new())).await), [2]);
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
