Acknowledge an end only at the server that listed it

What callers would see: a task that runs again after its end as done (TWICE), when a leader is lost in the ms in question. Found by reading; no play or test shows it.

Cause: ends are numbered by each server. When the store of an end of one server finished after another server had taken its place beside the same sidecar, the leader marked that number as stored for the new server, and acknowledged an end of its before it was committed.

Change: the store remembers the server, and marks nothing for another one.

--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -10,7 +10,7 @@
     coordination::schedule::Server,
     protocol::{
         queue::Outcome,
-        wire::queue::{Backend, Commands, Completion, Refusal, Report},
+        wire::queue::{Backend, Commands, Completion, Refusal, Report, ServerId},
     },
     state::machine::queue::{Change, Completion as StoredCompletion, Queues},
     util,
@@ -19,6 +19,14 @@
 /// Longest time that a report waits for commands.
 const REPORT_WAIT_MAX: Duration = Duration::from_millis(1_000);
 
+/// Completions that a report has brought and that have to be stored.
+struct Unstored {
+    sidecar: String,
+    server: ServerId,
+    /// The completions with their numbers.
+    completions: Vec<(u64, StoredCompletion)>,
+}
+
 impl Coordinator {
     /// Handles a report and returns the commands for its sidecar.
     pub async fn report(&self, report: Report) -> Result<Commands, Refusal> {
@@ -26,17 +34,16 @@
         let wait = Duration::from_millis(report.wait_ms).min(REPORT_WAIT_MAX);
         let generation = report.generation;
         self.wait_for_leader().await;
-        let completions = self.handle_report(report)?;
-        if !completions.is_empty() {
-            actix_rt::spawn(self.clone().store_completions(name.clone(), completions));
+        if let Some(unstored) = self.handle_report(report)? {
+            actix_rt::spawn(self.clone().store_completions(unstored));
         }
         self.assign(util::boot_ms());
         self.wait_for_commands(&name, generation, wait).await;
         self.commands(&name)
     }
 
-    /// Handles a report. Returns the completions that have to be stored, with their numbers.
-    fn handle_report(&self, report: Report) -> Result<Vec<(u64, StoredCompletion)>, Refusal> {
+    /// Handles a report. Returns the completions that have to be stored, if there are any.
+    fn handle_report(&self, report: Report) -> Result<Option<Unstored>, Refusal> {
         let now_ms = util::boot_ms();
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return Err(self.not_leader()) };
@@ -44,10 +51,10 @@
         let queues = state.queues();
         self.register(leadership, &report, queues);
         let Leadership { scheduler, sidecars, list_changes, .. } = leadership;
-        let Some(sidecar) = sidecars.get_mut(&report.sidecar) else { return Ok(Vec::new()) };
+        let Some(sidecar) = sidecars.get_mut(&report.sidecar) else { return Ok(None) };
         sidecar.report_count.set(sidecar.report_count.get() + 1);
         sidecar.wake.notify_waiters();
-        let Some((_, key)) = sidecar.server.clone() else { return Ok(Vec::new()) };
+        let Some((server, key)) = sidecar.server.clone() else { return Ok(None) };
         if let Backend::Present(info) = report.backend {
             // The present process of the sidecar knows the server, and stops what an earlier
             // process left running there.
@@ -61,10 +68,10 @@
             }
         }
         if report.generation != sidecar.generation {
-            return Ok(Vec::new());
+            return Ok(None);
         }
         sidecar.acknowledge_batches(report.batch);
-        let mut to_store = Vec::new();
+        let mut completions = Vec::new();
         for Completion { number, attempt, outcome } in report.completions {
             if !sidecar.begin_storing(number) {
                 continue;
@@ -72,7 +79,7 @@
             let completion =
                 attempt.and_then(|attempt| scheduler.ended(now_ms, key, attempt, outcome));
             match completion {
-                Some(completion) => to_store.push((number, completion)),
+                Some(completion) => completions.push((number, completion)),
                 None => sidecar.mark_stored(number),
             }
         }
@@ -90,7 +97,8 @@
             scheduler.sync(now_ms, key, &running, queues);
             sidecar.synced = true;
         }
-        Ok(to_store)
+        let unstored = Unstored { sidecar: report.sidecar, server, completions };
+        Ok((!unstored.completions.is_empty()).then_some(unstored))
     }
 
     /// Registers a sidecar under a new generation if its process or its backend server is new to
@@ -148,7 +156,8 @@
     }
 
     /// Stores completions, then updates the scheduler and assigns the tasks that have become ready.
-    async fn store_completions(self, name: String, completions: Vec<(u64, StoredCompletion)>) {
+    async fn store_completions(self, unstored: Unstored) {
+        let Unstored { sidecar: name, server, completions } = unstored;
         let to_store: Vec<StoredCompletion> =
             completions.iter().map(|(_, completion)| *completion).collect();
         let term = self.inner.replica.leading();
@@ -167,24 +176,14 @@
                 return;
             }
             let state = self.inner.replica.state();
-            for (number, completion) in &completions {
-                // Ends of tasks that are done alone would exceed the limit on log lines.
-                let level = match completion.outcome {
-                    Outcome::Done => log::Level::Debug,
-                    Outcome::Failed | Outcome::Stopped => log::Level::Info,
-                };
-                log::log!(
-                    level,
-                    "event=end run={} how={:?} sidecar={name}",
-                    completion.attempt,
-                    completion.outcome
-                );
+            for (_, completion) in &completions {
+                log_end(&name, completion);
                 leadership.scheduler.outcome_stored(completion, state.queues());
-                if let Some(sidecar) = leadership.sidecars.get_mut(&name) {
-                    sidecar.mark_stored(*number);
-                }
             }
-            if let Some(sidecar) = leadership.sidecars.get(&name) {
+            let sidecar = leadership.sidecars.get_mut(&name);
+            // Another server, which has replaced this one, numbers its own completions.
+            if let Some(sidecar) = sidecar.filter(|sidecar| sidecar.server_id() == Some(&server)) {
+                completions.iter().for_each(|(number, _)| sidecar.mark_stored(*number));
                 sidecar.wake.notify_waiters();
             }
         }
@@ -255,3 +254,13 @@
         })
     }
 }
+
+/// Logs a stored completion. Those of tasks that are done alone would exceed the limit on log lines.
+fn log_end(sidecar: &str, completion: &StoredCompletion) {
+    let level = match completion.outcome {
+        Outcome::Done => log::Level::Debug,
+        Outcome::Failed | Outcome::Stopped => log::Level::Info,
+    };
+    let StoredCompletion { attempt, outcome } = completion;
+    log::log!(level, "event=end run={attempt} how={outcome:?} sidecar={sidecar}");
+}
--- a/src/control/jobs/sidecar.rs
+++ b/src/control/jobs/sidecar.rs
@@ -82,6 +82,10 @@
         self.last_batch = 0;
     }
 
+    pub fn server_id(&self) -> Option<&ServerId> {
+        self.server.as_ref().map(|(id, _)| id)
+    }
+
     /// Forgets the completions of an earlier server: each server numbers its own.
     pub fn reset_completions(&mut self) {
         self.completions = Completions::default();
