Store reported ends once an aborted leadership transfer is over

What callers would see: a kept task that waits until the next change of leader (LOST), after a leader that was asked to hand over went on leading.

Cause: during a transfer the leader refuses proposals as if it did not lead. The ends that a report brought meanwhile were dropped with a warning, and their repeats ignored, since they had been received before.

Change: the leader proposes reported ends again while it leads the same term. No test failed before: an aborted transfer needs a successor that stops answering between two messages, for which there is no stand-in at this level.

--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -18,6 +18,8 @@
 
 /// Longest time that a report waits for commands.
 const REPORT_WAIT_MAX: Duration = Duration::from_millis(1_000);
+/// Pause before a refused change is proposed again.
+const STORE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Completions that a report has brought and that have to be stored.
 struct Unstored {
@@ -161,7 +163,12 @@
         let to_store: Vec<StoredCompletion> =
             completions.iter().map(|(_, completion)| *completion).collect();
         let term = self.inner.replica.leading();
-        let stored = self.inner.batcher.propose(Change::Complete(to_store)).await;
+        if !self.store(term, Change::Complete(to_store)).await {
+            // The completions are not acknowledged, so the sidecar keeps reporting them, and a
+            // leader of a later term stores them.
+            log::warn!("event=ends_not_stored sidecar={name} ends={}", completions.len());
+            return;
+        }
         {
             let mut leadership = self.inner.leadership.borrow_mut();
             let Some(leadership) =
@@ -169,12 +176,6 @@
             else {
                 return;
             };
-            if let Err(refusal) = stored {
-                // The completions are not acknowledged, so the sidecar keeps reporting them. This
-                // leader ignores the repeats; a leader of a later term stores them.
-                log::warn!("event=ends_not_stored sidecar={name} refusal={refusal:?}");
-                return;
-            }
             let state = self.inner.replica.state();
             for (_, completion) in &completions {
                 log_end(&name, completion);
@@ -190,6 +191,20 @@
         self.assign(util::boot_ms());
     }
 
+    /// Proposes a change until it is stored, since a leader whose leadership transfer is aborted
+    /// refuses changes for a while and goes on leading. Returns false if the instance does not lead
+    /// `term` any more; the change may then be stored or not.
+    async fn store(&self, term: Option<u64>, change: Change) -> bool {
+        while term.is_some() && self.inner.replica.leading() == term {
+            match self.inner.batcher.propose(change.clone()).await {
+                Ok(_) => return true,
+                Err(refusal) => log::info!("event=store_refused refusal={refusal:?}"),
+            }
+            time::sleep(STORE_RETRY_DELAY).await;
+        }
+        false
+    }
+
     /// Returns when commands are due, completions were stored, a newer report has arrived, or
     /// `wait` is over.
     async fn wait_for_commands(&self, name: &str, generation: u64, wait: Duration) {
