--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -195,6 +195,9 @@
     /// Handles a chunk of a snapshot. Returns whether the sender shall continue.
     pub fn receive_chunk(&self, chunk: SnapshotChunk) -> bool {
         let (from, sender) = (chunk.head.from, chunk.sender);
+        if !self.takes_part(&self.core.borrow()) {
+            return false;
+        }
         let added = self.guard("snapshot_chunk", || {
             let added = self.core.borrow_mut().incoming.entry(from).or_default().add(chunk);
             added.map(|message| {
@@ -215,11 +218,15 @@
         result
     }
 
+    /// Whether this instance takes part in the protocol. It must not while it cannot store anything.
+    fn takes_part(&self, core: &Core) -> bool {
+        core.storage_error.is_none() && !core.renewing && !self.stopping.get()
+    }
+
     fn step(&self, sender: SocketAddr, message: Message) {
         let mut core = self.core.borrow_mut();
         core.routes.insert(message.from, sender);
-        // An instance that cannot store anything must not take part in the protocol.
-        if core.storage_error.is_none() && !core.renewing && !self.stopping.get() {
+        if self.takes_part(&core) {
             core.instance.step(self.now(), message);
             self.wake.notify_one();
         }
@@ -228,7 +235,7 @@
     fn tick(&self) {
         let now = self.now();
         let mut core = self.core.borrow_mut();
-        if core.storage_error.is_some() || core.renewing {
+        if !self.takes_part(&core) {
             return;
         }
         core.instance.tick(now);
--- a/src/coordination/consensus/leader.rs
+++ b/src/coordination/consensus/leader.rs
@@ -40,8 +40,8 @@
     Probe { awaiting_reply: bool },
     /// Entries are sent without waiting for replies.
     Replicate,
-    /// A snapshot was requested from the caller at `since`.
-    Snapshot { since: u64 },
+    /// A snapshot was requested from the caller at `since`, in the message with number `seq`.
+    Snapshot { since: u64, seq: u64 },
 }
 
 impl Progress {
@@ -139,12 +139,12 @@
         }
         let limit = SNAPSHOT_TIMEOUTS * self.timing.election_max_ms;
         match progress.stage {
-            Stage::Snapshot { since } if self.now < since + limit => {
-                if force {
-                    // A heartbeat that follows index 0 is accepted by every log.
-                    self.send_append(id, 0, 0, Vec::new());
-                }
-                return;
+            Stage::Snapshot { since, .. } if self.now < since + limit => {
+                return self.send_bare_heartbeat(id, force);
+            }
+            // A member that does not reply, as while its disk is full, cannot store a snapshot.
+            Stage::Probe { awaiting_reply: true } if progress.next_index <= self.log.base() => {
+                return self.send_bare_heartbeat(id, force);
             }
             _ if progress.next_index <= self.log.base() => return self.send_snapshot(id, progress),
             Stage::Snapshot { .. } => progress.stage = Stage::Probe { awaiting_reply: false },
@@ -172,6 +172,13 @@
         }
     }
 
+    /// Sends a heartbeat that follows index 0, which every log accepts, if `due`.
+    fn send_bare_heartbeat(&mut self, to: Id, due: bool) {
+        if due {
+            self.send_append(to, 0, 0, Vec::new());
+        }
+    }
+
     fn term_at(&self, index: u64) -> u64 {
         self.log.term(index).unwrap_or_default()
     }
@@ -196,8 +203,8 @@
     }
 
     fn send_snapshot(&mut self, to: Id, progress: &mut Progress) {
-        progress.stage = Stage::Snapshot { since: self.now };
         self.seq += 1;
+        progress.stage = Stage::Snapshot { since: self.now, seq: self.seq };
         let body = Body::Snapshot {
             seq: self.seq,
             meta: SnapshotMeta::default(),
@@ -212,8 +219,8 @@
         if let Some(progress) = self.progress.get_mut(&id)
             && matches!(progress.stage, Stage::Snapshot { .. })
         {
-            // A member that still needs a snapshot is sent one again. For any other, the next
-            // heartbeat serves as the probe, although none has been sent yet.
+            // The next heartbeat serves as the probe, although none has been sent yet. A member that
+            // replies and still needs a snapshot is sent one again.
             progress.stage = Stage::Probe { awaiting_reply: true };
         }
     }
@@ -242,7 +249,8 @@
         progress.next_index = progress.next_index.max(match_index + 1);
         let agrees = match progress.stage {
             Stage::Probe { .. } => seq >= progress.min_probe_seq,
-            Stage::Snapshot { .. } => match_index >= base,
+            // If entries after the stored snapshot are no longer in memory, the next one is sent.
+            Stage::Snapshot { seq: sent, .. } => match_index >= base || seq == sent,
             Stage::Replicate => true,
         };
         if agrees {
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -337,3 +337,102 @@
     }
     assert!(terms[&1] >= 190, "elections by number of terms: {terms:?}");
 }
+
+/// Target: longest time without an acknowledgement after a failure.
+const FAILOVER_MAX_MS: u64 = 2_000;
+
+/// A time for which a disk is full.
+#[derive(Debug, Clone, Copy)]
+struct Fill {
+    /// Instance, modulo their number; `None` for the leader.
+    at: Option<u8>,
+    full_ms: u64,
+    /// Time after which the next disk can be full.
+    pause_ms: u64,
+    /// Whether all instances with room make snapshots as soon as the disk is full.
+    compacted: bool,
+}
+
+impl Arbitrary for Fill {
+    fn arbitrary(g: &mut Gen) -> Fill {
+        Fill {
+            at: Option::arbitrary(g),
+            full_ms: u64::from(u16::arbitrary(g)) % 4_000,
+            pause_ms: if bool::arbitrary(g) { 0 } else { u64::from(u8::arbitrary(g)) * 3 },
+            compacted: bool::arbitrary(g),
+        }
+    }
+}
+
+/// Runs with a proposal at the leader in every step of the clock, and a snapshot of one instance
+/// after the other.
+fn run_under_load(sim: &mut Simulation, ms: u64) {
+    let end = sim.now + ms;
+    while sim.now < end {
+        if let Some(leader) = sim.leader() {
+            sim.propose(leader);
+        }
+        sim.run(15);
+        let instances = sim.slots.len();
+        sim.compact((sim.now / 15) as usize % instances);
+    }
+}
+
+/// Fills one disk after the other, then checks that changes are acknowledged, and that all
+/// instances have applied them, within [`FAILOVER_MAX_MS`] after the last disk has room again.
+fn fill_disks(instances: usize, seed: u64, fills: &[Fill]) {
+    let mut sim = Simulation::new(instances, seed);
+    sim.wait_for_leader();
+    for fill in fills {
+        let at = fill.at.map(|at| at as usize % instances).or(sim.leader()).unwrap_or(0);
+        let before = sim.acknowledged;
+        sim.set_full(at, true);
+        if fill.compacted {
+            (0..instances).for_each(|at| sim.compact(at));
+        }
+        run_under_load(&mut sim, fill.full_ms);
+        let served = sim.acknowledged > before || fill.full_ms < FAILOVER_MAX_MS;
+        assert!(served, "nothing acknowledged while one disk was full\n{}", sim.describe());
+        sim.set_full(at, false);
+        run_under_load(&mut sim, fill.pause_ms);
+    }
+    let (end, before) = (sim.now + FAILOVER_MAX_MS, sim.acknowledged);
+    let mut needed = None;
+    while needed.is_none_or(|index| sim.slots.iter().any(|slot| slot.applied.0 < index)) {
+        assert!(sim.now < end, "acknowledged before: {before}\n{}", sim.describe());
+        run_under_load(&mut sim, 15);
+        needed = needed.or(Some(sim.acknowledged).filter(|index| *index > before));
+    }
+    sim.check_recovery();
+}
+
+/// Guards against changes that stay unacknowledged, and instances that stay behind, after the disks
+/// of all instances were full one after the other, several times and without a pause.
+#[test]
+fn disks_that_are_full_one_after_the_other_stop_nothing_for_long() {
+    for (instances, seed) in [3, 5].into_iter().flat_map(|n| (0..20).map(move |s| (n, s))) {
+        for leader in [false, true] {
+            let fill = |n: u8| Fill {
+                at: (!leader).then_some(n),
+                full_ms: 3_000,
+                pause_ms: 0,
+                compacted: true,
+            };
+            let fills: Vec<Fill> = (0..3 * instances as u8).map(fill).collect();
+            fill_disks(instances, seed, &fills);
+        }
+    }
+}
+
+/// Guards against the same failures under drawn times, with snapshots at drawn moments.
+#[test]
+fn drawn_full_disks_stop_nothing_for_long() {
+    fn holds(seed: u8, five: bool, fills: Vec<Fill>) -> bool {
+        fill_disks(if five { 5 } else { 3 }, seed.into(), &fills);
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(20, 7))
+        .tests(300)
+        .quickcheck(holds as fn(u8, bool, Vec<Fill>) -> bool);
+}
--- a/tests/consensus/simulation.rs
+++ b/tests/consensus/simulation.rs
@@ -64,10 +64,15 @@
     /// `None` while crashed.
     pub instance: Option<Instance>,
     frozen: bool,
+    /// Whether the disk refuses writes.
+    full: bool,
+    /// Whether a save has failed and has not succeeded since. The instance then takes no part in
+    /// the protocol.
+    failing: bool,
     /// Save that is not finished yet.
     saving: Option<Save>,
     /// Index of the last applied entry, and a digest of all applied entries.
-    applied: (u64, u64),
+    pub applied: (u64, u64),
     /// Uncommitted proposals by index and term.
     proposals: BTreeSet<(u64, u64)>,
     /// Unconfirmed barriers, each with the highest index acknowledged when it was requested.
@@ -103,6 +108,8 @@
             disk: Disk::new(Id { node: id::Node(node as u64), disk: id::Disk(1 + node as u64) }),
             instance: None,
             frozen: false,
+            full: false,
+            failing: false,
             saving: None,
             applied: (0, 0),
             proposals: BTreeSet::new(),
@@ -181,6 +188,7 @@
             slot.disk.store(&save);
         }
         slot.instance = None;
+        slot.failing = false;
         slot.proposals.clear();
         slot.barriers.clear();
     }
@@ -249,10 +257,16 @@
         self.heal();
         for at in 0..self.slots.len() {
             self.slots[at].frozen = false;
+            self.slots[at].full = false;
             self.restart(at);
         }
     }
 
+    /// Makes the disk of an instance full, or gives it room again.
+    pub fn set_full(&mut self, at: usize, full: bool) {
+        self.slots[at].full = full;
+    }
+
     /// Proposes a unique command at an instance. Returns whether the instance accepted it.
     pub fn propose(&mut self, at: usize) -> bool {
         let value = self.next_number();
@@ -305,7 +319,7 @@
         let (index, digest) = slot.applied;
         let old = slot.disk.snapshot.as_ref().map_or(0, |s| s.meta.index);
         // The snapshot must not cover entries of an unfinished save.
-        if index <= old || slot.saving.is_some() {
+        if index <= old || slot.saving.is_some() || slot.full {
             return;
         }
         let Some(meta) = instance.meta(index) else { return };
@@ -317,16 +331,23 @@
 
     fn running(&mut self, at: usize) -> Option<&mut Instance> {
         let slot = &mut self.slots[at];
-        slot.instance.as_mut().filter(|_| !slot.frozen)
+        slot.instance.as_mut().filter(|_| !slot.frozen && !slot.failing)
     }
 
-    /// Finishes the current save of an instance.
+    /// Finishes the current save of an instance, or fails it if the disk is full.
     pub fn sync(&mut self, at: usize) {
         let now = self.now;
         let slot = &mut self.slots[at];
         if slot.frozen {
             return;
         }
+        if slot.full {
+            self.fail_save(at);
+            let slot = &mut self.slots[at];
+            slot.failing = slot.saving.is_some();
+            return;
+        }
+        slot.failing = false;
         if let Some(save) = slot.saving.take() {
             slot.disk.store(&save);
             if let Some(snapshot) = &save.install {
@@ -381,12 +402,25 @@
         if self.slots[at].frozen {
             return self.network.push_back(message);
         }
+        if self.slots[at].failing {
+            return self.refuse(&message);
+        }
         if let Some(instance) = self.running(at) {
             instance.step(now, message);
             self.process_output(at);
         }
     }
 
+    /// Drops a message to an instance that cannot store anything. The sender of a snapshot is told.
+    fn refuse(&mut self, message: &Message) {
+        let from = message.from.node.0 as usize;
+        if matches!(message.body, Body::Snapshot { .. })
+            && let Some(sender) = &mut self.slots[from].instance
+        {
+            sender.snapshot_transfer_failed(message.to);
+        }
+    }
+
     /// Advances the clock by `ms` with a working network, except for cuts, and working disks.
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms;
--- a/tests/consensus/single_instance.rs
+++ b/tests/consensus/single_instance.rs
@@ -156,6 +156,40 @@
     assert_eq!(single.save(), [Body::Appended { seq: 2, match_index: 2 }]);
 }
 
+/// Guards against snapshots that are sent without a pause to a member that cannot store them, as
+/// while its disk is full, and against a member that never gets one after that.
+#[test]
+fn a_member_gets_a_snapshot_only_after_a_reply() {
+    let mut single = SingleInstance::new(&[1, 1, 1, 1]);
+    let term = single.lead();
+    single.save();
+    let seq = single.highest_seq();
+    single.step(1, term, Body::Appended { seq, match_index: 5 });
+    single.sent();
+    single.instance.compact(5);
+    let reply = |single: &mut SingleInstance, seq| {
+        single.step(2, term, Body::Appended { seq, match_index: 0 });
+        single.instance.take_output().snapshots.len()
+    };
+    let heartbeat = |single: &mut SingleInstance| {
+        single.now += Timing::default().heartbeat_ms;
+        single.instance.tick(single.now);
+        let output = single.instance.take_output();
+        assert_eq!(output.snapshots, [], "sent without a reply");
+        let to_member = output.messages.into_iter().filter(|message| message.to == id(2));
+        let seqs = to_member.filter_map(|message| match message.body {
+            Body::Append { seq, prev_index: 0, .. } => Some(seq),
+            _ => None,
+        });
+        seqs.max().expect("a heartbeat is sent")
+    };
+    for _ in 0..3 {
+        let seq = heartbeat(&mut single);
+        assert_eq!(reply(&mut single, seq), 1);
+        single.instance.snapshot_transfer_failed(id(2));
+    }
+}
+
 /// A number around those that the instance has, or an extreme one.
 fn number(g: &mut Gen) -> u64 {
     match u8::arbitrary(g) % 8 {
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -1,6 +1,7 @@
 //! Replicas that talk over loopback and store their data in real directories.
 
 use std::{
+    cell::Cell,
     io,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -8,7 +9,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use briargauge::{
@@ -29,6 +30,9 @@
 /// Time limit for a condition. It is generous because the machine may be busy; conditions are
 /// usually met much earlier.
 const LIMIT: Duration = Duration::from_secs(30);
+/// Target: longest time until changes are acknowledged and all instances have applied them after the
+/// last fault: a failover (2 s), and a restart's time (1 s) to catch up.
+const RECOVERY_MAX: Duration = Duration::from_secs(3);
 
 fn any_port() -> SocketAddr {
     "127.0.0.1:0".parse().unwrap()
@@ -420,6 +424,77 @@
     cluster.stop().await;
 }
 
+/// Guards against an instance that stays behind after its disk was full, because it accepted a
+/// snapshot that it could not store and the leader waited for it to be stored.
+#[actix_rt::test]
+async fn a_snapshot_that_a_full_disk_cannot_store_is_sent_again() {
+    const RECORDS: u64 = 3_000;
+    let cluster = Cluster::form().await;
+    let (old, leader) = cluster.leader(&[0, 1, 2]).await;
+    cluster.full[old].store(true, Ordering::Relaxed);
+    // The result does not matter: the write ends the leadership.
+    let _ = leader.propose(admit(cluster.epoch, 0)).await;
+    let rest = [(old + 1) % 3, (old + 2) % 3];
+    // More records than the new leader keeps in memory after a snapshot.
+    let all = (1..RECORDS).map(|number| cluster.commit(admit(cluster.epoch, number), &rest));
+    future::join_all(all).await;
+    time::sleep(Duration::from_millis(300)).await;
+    cluster.full[old].store(false, Ordering::Relaxed);
+    let free = Instant::now();
+    cluster.wait_until_caught_up().await;
+    assert!(free.elapsed() < RECOVERY_MAX, "caught up after {:?}", free.elapsed());
+    cluster.stop().await;
+}
+
+/// Guards against changes that are refused or not answered for long after the disks of all instances
+/// were full one after the other without a pause, and against the loss of acknowledged records.
+#[actix_rt::test]
+async fn changes_go_on_after_disks_were_full_one_after_the_other() {
+    const ROUNDS: usize = 4;
+    const FULL: Duration = Duration::from_millis(700);
+    const WRITERS: u64 = 8;
+    let cluster = Cluster::form().await;
+    let ended = Cell::new(false);
+    let fill = async {
+        for (round, turn) in (0..ROUNDS).flat_map(|round| (0..3).map(move |turn| (round, turn))) {
+            let at = match round % 2 {
+                0 => turn,
+                _ => cluster.leader(&[0, 1, 2]).await.0,
+            };
+            cluster.full[at].store(true, Ordering::Relaxed);
+            time::sleep(FULL).await;
+            cluster.full[at].store(false, Ordering::Relaxed);
+        }
+        ended.set(true);
+        let free = Instant::now();
+        cluster.commit(admit(cluster.epoch, u64::MAX), &[0, 1, 2]).await;
+        assert!(free.elapsed() < RECOVERY_MAX, "acknowledged after {:?}", free.elapsed());
+        cluster.wait_until_caught_up().await;
+        assert!(free.elapsed() < RECOVERY_MAX, "caught up after {:?}", free.elapsed());
+    };
+    let write = async |writer| {
+        let mut replies = Vec::new();
+        for number in (writer..).step_by(WRITERS as usize) {
+            if ended.get() {
+                break;
+            }
+            let reply = cluster.commit(admit(cluster.epoch, number), &[0, 1, 2]).await;
+            replies.push((number, reply));
+        }
+        replies
+    };
+    let (_, replies) = future::join(fill, future::join_all((0..WRITERS).map(write))).await;
+    for (number, reply) in replies.concat().iter().step_by(20) {
+        let again = cluster.commit(admit(cluster.epoch, *number), &[0, 1, 2]).await;
+        assert_eq!(&again, reply, "record {number}");
+    }
+    cluster.wait_until_caught_up().await;
+    let state = |replica: &Replica| postcard::to_stdvec(&*replica.state()).unwrap();
+    let first = state(&cluster.replicas[0]);
+    assert!(cluster.replicas.iter().all(|replica| state(replica) == first));
+    cluster.stop().await;
+}
+
 /// Guards against a control instance that stays, without a replica, after a panic in its storage
 /// thread: it must say that it has failed, and its records must be readable again afterwards.
 #[actix_rt::test]
