--- a/src/control/replica/core.rs
+++ b/src/control/replica/core.rs
@@ -34,8 +34,10 @@
     pub saving: bool,
     /// Whether the data directory is getting a new disk id.
     pub renewing: bool,
-    /// Whether a thread is making a snapshot.
-    pub snapshotting: bool,
+    /// While a thread is making a snapshot, the value of `log_bytes` at its start.
+    pub snapshotting: Option<u64>,
+    /// When the next snapshot may be started, in ms since the replica started.
+    pub snapshot_at: u64,
     /// Error of the last write, while writes fail.
     pub storage_error: Option<String>,
     /// Calls that wait for an entry, by the entry's index and with its term.
@@ -50,7 +52,8 @@
     pub last_barrier: u64,
     /// The newest stored snapshot.
     pub snapshot: Option<Snapshot>,
-    /// Log bytes since the last snapshot was started or installed; at first, the size of the log.
+    /// Log bytes since the start of the last stored snapshot, or since the last one was installed; at
+    /// first, the size of the log.
     pub log_bytes: u64,
     /// Peer addresses that the instances themselves have sent.
     pub routes: BTreeMap<Id, SocketAddr>,
@@ -76,7 +79,8 @@
             storage: Some(storage),
             saving: false,
             renewing: false,
-            snapshotting: false,
+            snapshotting: None,
+            snapshot_at: 0,
             storage_error: None,
             proposals: BTreeMap::new(),
             barriers: BTreeMap::new(),
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -41,6 +41,8 @@
 /// Entries kept in memory after a snapshot, so that followers that are slightly behind need no
 /// snapshot.
 const RETAINED_ENTRIES: u64 = 1_000;
+/// Time after which a snapshot that could not be stored is made again, in ms.
+const SNAPSHOT_RETRY_MS: u64 = 1_000;
 /// Number of clock ticks per heartbeat interval.
 const TICKS_PER_HEARTBEAT: u64 = 5;
 /// Number of heartbeat intervals between two introductions.
@@ -308,18 +310,21 @@
             JobResult::StateReleased => {}
             JobResult::Trimmed => {}
             JobResult::SnapshotStored(snapshot) => {
-                core.snapshotting = false;
+                let covered_bytes = core.snapshotting.take().unwrap_or_default();
+                core.log_bytes = core.log_bytes.saturating_sub(covered_bytes);
                 core.submit(Job::Trim(snapshot.meta.index));
                 core.instance.compact(snapshot.meta.index.saturating_sub(RETAINED_ENTRIES));
                 if core.snapshot.as_ref().is_none_or(|s| s.meta.index < snapshot.meta.index) {
                     core.snapshot = Some(snapshot);
                 }
             }
-            // A failure to trim the log is logged under the same event.
-            JobResult::CompactionFailed(detail) => {
-                core.snapshotting = false;
+            JobResult::SnapshotFailed(detail) => {
+                core.snapshotting = None;
+                core.snapshot_at = now + SNAPSHOT_RETRY_MS;
                 log::error!("event=snapshot_failed {detail}");
             }
+            // The next snapshot trims these segments too.
+            JobResult::TrimFailed(detail) => log::error!("event=trim_failed {detail}"),
             JobResult::Failed(detail) => {
                 if core.storage_error.is_none() {
                     log::error!("event=storage_failed {detail}");
@@ -416,12 +421,12 @@
     /// the last snapshot, so that the cost of snapshots stays proportional to that of the log.
     fn start_snapshot(&self, inner: &Inner, core: &mut Core) {
         let last_bytes = core.snapshot.as_ref().map_or(0, |s| s.data.len() as u64);
-        if core.snapshotting || core.log_bytes < self.settings.snapshot_bytes.max(2 * last_bytes) {
+        let due = core.log_bytes >= self.settings.snapshot_bytes.max(2 * last_bytes);
+        if !due || core.snapshotting.is_some() || self.now() < core.snapshot_at {
             return;
         }
         let Some(meta) = core.instance.meta(inner.applied.get()) else { return };
-        core.snapshotting = true;
-        core.log_bytes = 0;
+        core.snapshotting = Some(core.log_bytes);
         if let Some(storage) = &core.storage {
             storage.snapshot(meta, inner.state.borrow().clone());
         }
--- a/src/control/replica/storage.rs
+++ b/src/control/replica/storage.rs
@@ -46,8 +46,10 @@
     DiskIdRenewed(Id),
     /// A write failed; it is repeated until it succeeds.
     Failed(String),
-    /// A snapshot could not be stored, or the log not trimmed. Neither is repeated.
-    CompactionFailed(String),
+    /// A snapshot could not be stored. The replica makes another one later.
+    SnapshotFailed(String),
+    /// The log could not be trimmed. This is not repeated.
+    TrimFailed(String),
 }
 
 /// Handle of the storage thread. Dropping it ends the thread, which closes the log.
@@ -75,7 +77,7 @@
             drop(files);
             let _ = results.send(match stored {
                 Ok(()) => JobResult::SnapshotStored(snapshot),
-                Err(e) => JobResult::CompactionFailed(e.to_string()),
+                Err(e) => JobResult::SnapshotFailed(e.to_string()),
             });
         });
     }
@@ -127,7 +129,7 @@
                 Job::RenewDiskId => self.persist(Log::renew_disk_id).map(JobResult::DiskIdRenewed),
                 Job::Trim(index) => Some(match self.log.trim(index) {
                     Ok(()) => JobResult::Trimmed,
-                    Err(e) => JobResult::CompactionFailed(e.to_string()),
+                    Err(e) => JobResult::TrimFailed(e.to_string()),
                 }),
             };
             if result.and_then(|result| self.results.send(result).ok()).is_none() {
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::Cell,
-    io,
+    fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::{
@@ -63,6 +63,13 @@
     Command { now_ms: 1, op: Op::Admit(admit) }
 }
 
+fn has_snapshot(directory: &Path) -> bool {
+    let names = fs::read_dir(directory).unwrap().map(|entry| entry.unwrap().file_name());
+    names
+        .map(|name| name.to_string_lossy().into_owned())
+        .any(|name| name.starts_with("snapshot-") && !name.ends_with(".tmp"))
+}
+
 /// Waits until `condition` holds; panics after [`LIMIT`].
 async fn until(what: &str, condition: impl Fn() -> bool) {
     let holds = async {
@@ -285,10 +292,7 @@
     for lost in 0..3 {
         cluster.lose_directory(lost).await;
         cluster.wait_for_voters().await;
-        let snapshot = |entry: std::io::Result<std::fs::DirEntry>| {
-            entry.unwrap().file_name().to_string_lossy().starts_with("snapshot-")
-        };
-        let made = || std::fs::read_dir(cluster.directories[lost].path()).unwrap().any(snapshot);
+        let made = || has_snapshot(cluster.directories[lost].path());
         until("the new directory has a snapshot", made).await;
     }
     cluster.wait_until_caught_up().await;
@@ -424,6 +428,27 @@
     cluster.stop().await;
 }
 
+/// Guards against a log that is not compacted after a full disk refused a snapshot: on a disk that is
+/// nearly full, the log itself then uses up the room.
+#[actix_rt::test]
+async fn a_snapshot_that_a_full_disk_refused_is_made_again() {
+    let directory = TempDir::new().unwrap();
+    let full = Arc::new(AtomicBool::new(false));
+    let replica = start_on(&full, settings(1, directory.path(), &[])).await;
+    replica.init().await.unwrap();
+    let Ok(Reply::Registered(epoch)) = replica.propose(register(1)).await else { panic!() };
+    full.store(true, Ordering::Relaxed);
+    // One write of more bytes than the log may have before a snapshot.
+    let refused = future::join_all((0..1_000).map(|n| replica.propose(admit(epoch, n)))).await;
+    assert!(refused.iter().all(Result::is_err));
+    time::sleep(Duration::from_millis(300)).await;
+    let made = || has_snapshot(directory.path());
+    assert!(!made());
+    full.store(false, Ordering::Relaxed);
+    until("the replica has made a snapshot", made).await;
+    replica.stop().await;
+}
+
 /// Guards against an instance that stays behind after its disk was full, because it accepted a
 /// snapshot that it could not store and the leader waited for it to be stored.
 #[actix_rt::test]
