Count an attempt of a restarted backend server as lost only once it does not run

Cause: a call to start an attempt names the intended server by its id only. A server that was started again under its id carries it out if it arrives before the sidecar has handled the new announcement. The sidecar then counted all attempts of the earlier incarnation as lost, the entry started the task on another server, and the sidecar found and stopped the run at its next poll. Calls that are carried out late could also start an attempt at the new incarnation, as its fencing token was that of the earlier one.

Ruled out: polls, whose answers name the incarnation; a server that returns under another id, which refuses the call (421).

Change: attempts whose calls may have reached the new incarnation are reported as lost after a poll that lists nothing unassigned there; listed ones are stopped as foreign. The fencing token rises with each incarnation, so that the new one refuses delayed calls to the earlier one after the first poll. A lease that was requested before the change still counts. A release waits for these attempts, too.

Tests: an_attempt_that_reached_a_new_incarnation_is_lost_only_once_it_has_stopped.

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -25,6 +25,8 @@
 
 /// Remaining time of a source's lease below which its start commands are refused, in ms.
 const START_MARGIN_MS: u64 = 50;
+/// Incarnations of the backend server that get fencing tokens of their own under one generation.
+const INCARNATIONS_MAX: u64 = 1 << 10;
 /// Maximum number of attempts that wait for free capacity.
 const WAITING_MAX: usize = 64;
 
@@ -90,6 +92,9 @@
     announced: bool,
     /// Fencing token of this process of the sidecar; 0 until a leader has assigned one.
     token: u64,
+    /// Number of incarnations of the backend server seen by this process. The fencing token rises
+    /// with it, so that an incarnation under a known id refuses delayed calls to the earlier one.
+    incarnations: u64,
     /// Highest term of a leader whose commands were received.
     term: u64,
     /// Generation of the registration with the leader. Under a new one, the sidecar reports the
@@ -126,6 +131,7 @@
             backend: None,
             announced: false,
             token: 0,
+            incarnations: 0,
             term: 0,
             generation: 0,
             lease_until_ms: 0,
@@ -149,7 +155,9 @@
     }
 
     /// Handles an announcement of the backend server. A new incarnation of the server replaces the
-    /// known one, and the attempts of the replaced one are lost.
+    /// known one, and the attempts of the replaced one are lost. If it has the same id, it may have
+    /// received calls to start them before it announced itself, so they are reported as lost only
+    /// once it is known that none of them runs.
     pub fn announce(&mut self, now_ms: u64, server: Server, addr: SocketAddr, seq: u64) {
         match &mut self.backend {
             Some(backend) if backend.server.id == server.id => {
@@ -163,9 +171,13 @@
             }
             _ => {
                 log::info!("event=server server={} service={}", server.id, server.service);
-                self.discard_backend();
-                self.backend = Some(BackendServer::new(server, addr, seq));
+                let earlier = self.backend.take();
+                let mut backend = BackendServer::new(server, addr, seq);
+                let lost = earlier.map(|earlier| backend.inherit(earlier)).unwrap_or_default();
+                self.backend = Some(backend);
+                self.report_lost(lost);
                 self.announced = true;
+                self.incarnations = INCARNATIONS_MAX.min(self.incarnations + 1);
                 self.actions.report_due = true;
             }
         }
@@ -188,8 +200,13 @@
 
     /// Drops the present incarnation of the backend server: nothing runs there any more.
     fn discard_backend(&mut self) {
-        let Some(backend) = self.backend.take() else { return };
-        for (attempt, assignment) in backend.assignments {
+        let Some(mut backend) = self.backend.take() else { return };
+        let lost = backend.mark_lost();
+        self.report_lost(lost);
+    }
+
+    fn report_lost(&mut self, lost: IndexMap<Attempt, Assignment>) {
+        for (attempt, assignment) in lost {
             self.record_outcome(attempt, &assignment, work::Outcome::Lost, 0);
         }
     }
@@ -254,7 +271,7 @@
     pub fn poll(&mut self, now_ms: u64) -> Option<Poll> {
         let backend = self.backend.as_mut().filter(|_| self.token > 0)?;
         Some(Poll {
-            fence: self.token,
+            fence: self.token * (INCARNATIONS_MAX + 1) + self.incarnations,
             acknowledged: backend.acknowledged(),
             lease_until_ms: backend.lease(now_ms, self.backend_lease_ms),
         })
@@ -337,10 +354,16 @@
                 }
             }
         }
-        if foreign == 0 && !backend.found_clean {
-            backend.found_clean = true;
-            self.actions.report_due = true;
-        }
+        let absent_earlier = match foreign == 0 && !backend.found_clean {
+            true => {
+                backend.found_clean = true;
+                self.actions.report_due = true;
+                std::mem::take(&mut backend.inherited)
+            }
+            false => IndexMap::new(),
+        };
+        self.report_lost(absent_earlier);
+        let Some(backend) = &mut self.backend else { return };
         let absent: Vec<Attempt> = backend.absent_after_stop(sent_ms, running);
         for attempt in absent {
             if let Some(assignment) =
@@ -365,10 +388,8 @@
             return;
         }
         log::warn!("event=server_unreachable server={} refused={refused}", backend.server.id);
-        let assignments = backend.mark_lost();
-        for (attempt, assignment) in assignments {
-            self.record_outcome(attempt, &assignment, work::Outcome::Lost, 0);
-        }
+        let lost = backend.mark_lost();
+        self.report_lost(lost);
         self.actions.report_due = true;
     }
 
@@ -524,7 +545,9 @@
         for attempt in &attempts {
             self.stop(*attempt);
         }
-        self.attempts(|_, assignment| assignment.source == Source::Entry(entry)).is_empty()
+        let inherited = self.backend.iter().flat_map(|backend| backend.inherited.values());
+        let mut left = inherited.chain(self.backend.iter().flat_map(|b| b.assignments.values()));
+        !left.any(|assignment| assignment.source == Source::Entry(entry))
     }
 
     /// Cancels a transient job: stops its attempts, whichever entry commanded them. Returns whether
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -108,6 +108,9 @@
     /// Generation of the registration for which the running attempts have been reported.
     pub reported_generation: u64,
     pub assignments: IndexMap<Attempt, Assignment>,
+    /// Attempts that were called for at an earlier incarnation with the same id, and that this one
+    /// may have started. Those that it lists are foreign.
+    pub inherited: IndexMap<Attempt, Assignment>,
     /// Resources of the attempts that run, or may be running.
     pub used: Resources,
     /// Foreign attempts, each with the time of the last call to stop it.
@@ -131,6 +134,7 @@
             found_clean: false,
             reported_generation: 0,
             assignments: IndexMap::new(),
+            inherited: IndexMap::new(),
             used: Resources::default(),
             foreign: IndexMap::new(),
             completions: BTreeMap::new(),
@@ -204,7 +208,24 @@
         self.found_clean = false;
         self.reported_generation = 0;
         self.used = Resources::default();
-        std::mem::take(&mut self.assignments)
+        let mut lost = std::mem::take(&mut self.inherited);
+        lost.append(&mut self.assignments);
+        lost
+    }
+
+    /// Takes over the attempts of the incarnation before if it had the same id. Returns those that
+    /// are certainly lost.
+    pub fn inherit(&mut self, mut earlier: BackendServer) -> IndexMap<Attempt, Assignment> {
+        let lost = earlier.mark_lost();
+        if earlier.server.id.id != self.server.id.id {
+            return lost;
+        }
+        let may_run = |(_, assignment): &(Attempt, Assignment)| assignment.state != State::Waiting;
+        let (inherited, lost) = lost.into_iter().partition(may_run);
+        self.inherited = inherited;
+        // The calls that started them also carried a lease.
+        self.lease_until_ms = earlier.lease_until_ms;
+        lost
     }
 
     pub fn has_capacity(&self, needs: &Resources) -> bool {
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -251,12 +251,26 @@
     assert_eq!(command(&mut sidecar, 5, attempt(1, 1)).starts.len(), 1);
 }
 
-/// Guards against waiting for attempts of a server that has crashed and been started again.
+/// Guards against waiting for attempts of a server that has crashed and been replaced by another,
+/// which refuses calls for the earlier one.
 #[test]
-fn attempts_are_lost_when_a_new_incarnation_of_the_server_announces_itself() {
+fn attempts_are_lost_when_a_server_with_another_id_announces_itself() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    let mut other = server(2, 1_000);
+    other.id.id = "c".to_owned();
+    sidecar.announce(10, other, addr(), 1);
+    assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), work::Outcome::Lost, 0)]);
+}
+
+/// Guards against waiting for attempts of a server that has crashed and been started again under
+/// its id.
+#[test]
+fn attempts_are_lost_when_a_new_incarnation_of_the_server_runs_nothing() {
     let mut sidecar = sidecar();
     command(&mut sidecar, 0, attempt(1, 1));
     sidecar.announce(10, server(2, 1_000), addr(), 1);
+    sidecar.polled(10, 11, poll_reply(&[], &[]));
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), work::Outcome::Lost, 0)]);
     sidecar.announce(11, server(1, 1_000), addr(), 99);
     let (known, _) = sidecar.server().unwrap();
@@ -266,6 +280,26 @@
     );
 }
 
+/// Guards against two runs of a task at the same time: a call to start an attempt was received by a
+/// server that had just been started again under its id. The attempt counted as lost when the server
+/// announced itself, while it ran there.
+#[test]
+fn an_attempt_that_reached_a_new_incarnation_is_lost_only_once_it_has_stopped() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    let before = sidecar.poll(9).unwrap();
+    sidecar.announce(10, server(2, 1_000), addr(), 1);
+    assert!(sidecar.poll(10).unwrap().fence > before.fence, "later calls for the earlier one fail");
+    assert!(!sidecar.release(10, Entry(7)));
+    sidecar.polled(10, 11, poll_reply(&[attempt(1, 1)], &[]));
+    let actions = sidecar.take_actions();
+    assert_eq!((actions.replies, actions.stops), (vec![], vec![attempt(1, 1)]));
+    let stopped = [(1, attempt(1, 1), queue::Outcome::Stopped)];
+    sidecar.polled(12, 13, poll_reply(&[], &stopped));
+    assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), work::Outcome::Lost, 0)]);
+    assert!(sidecar.release(14, Entry(7)));
+}
+
 /// Guards against the loss of an outcome: completions are acknowledged in order. One for the leader
 /// is acknowledged only once it is stored; one for an entry needs no storing, but waits for those
 /// before it.
