--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -845,7 +845,7 @@
 /// Guards against two runs of a transient task at the same time on servers that are up, when
 /// disruptions come together.
 #[test]
-#[ignore = "known red: an entry ends and a sidecar is paused until after the job is sent again"]
+#[ignore = "known_red"]
 fn no_history_runs_a_transient_task_twice_at_the_same_time() {
     fn holds(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
         played(seed, &faults, 8)
@@ -859,7 +859,7 @@
 /// the lease expires: the backend server's lease ends up to 1,020 ms after the pause began, which can
 /// be after callers have sent the job to another entry.
 #[test]
-#[ignore = "known red"]
+#[ignore = "known_red"]
 fn a_paused_sidecar_does_not_keep_the_attempts_of_an_entry_that_ended() {
     let faults = [(1, 13_618, 112, 944), (59, 33_302, 130, 0)];
     if let Err(trace) = World::new(0).play(&faults) {
