A new leader serves at once while a voter is being replaced

A new leader of a group with fewer voters than configured refused all calls (NotReady, "the group is being formed") for 6 s, and again after each change of the leader.

Cause: each instance waits for the configured number of voters, or for 6 s in office, before it accepts calls. That holds calls back while a new group forms, but it also applied to a group that had served calls and was replacing a voter.

Change: the group also counts as formed once a configuration is stored, as calls were accepted then.

--- a/src/control/jobs/members.rs
+++ b/src/control/jobs/members.rs
@@ -68,14 +68,16 @@
 
 impl Coordinator {
     /// Adds or removes one member if that is due, and marks the group as formed once it has enough
-    /// voters or this instance has led for [`FORM_LIMIT_MS`].
+    /// voters, this instance has led for [`FORM_LIMIT_MS`], or a configuration is stored: calls were
+    /// then accepted before, and a voter is being replaced.
     pub(super) fn maintain_members(&self, now_ms: u64) {
         let wanted_voters = self.inner.settings.voters;
         let status = self.inner.replica.group_status();
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return };
         let overdue = leadership.member_monitor.started_ms + FORM_LIMIT_MS <= now_ms;
-        if !self.inner.formed.get() && (status.voters >= wanted_voters || overdue) {
+        let served = self.inner.replica.state().queues().config().is_some();
+        if !self.inner.formed.get() && (status.voters >= wanted_voters || overdue || served) {
             log::info!("event=group_formed voters={} wanted={wanted_voters}", status.voters);
             self.inner.formed.set(true);
         }
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -13,10 +13,17 @@
 };
 
 use briargauge::{
-    control::replica::{Replica, Settings},
+    control::{
+        jobs::{self, Coordinator},
+        replica::{Replica, Settings},
+    },
     protocol::{
         id,
-        wire::control::{self, MemberChange, Refusal},
+        queue::Config,
+        wire::{
+            control::{self, MemberChange, Refusal},
+            queue::{Answer, Call},
+        },
     },
     state::{
         log::files::{Directory, Files, Handle},
@@ -540,3 +547,36 @@
     replica.barrier().await.unwrap();
     assert!(replica.state().is_live(epoch));
 }
+
+/// Guards against a new leader that refuses all calls for seconds in a group that has served calls,
+/// because a voter is being replaced.
+#[actix_rt::test]
+async fn a_new_leader_of_a_group_that_lacks_voters_serves_at_once() {
+    let cluster = Cluster::form().await;
+    let settings = jobs::Settings { voters: 5, keep_ms: 60_000 };
+    let coordinators: Vec<Coordinator> = cluster
+        .replicas
+        .iter()
+        .map(|replica| Coordinator::new(replica.clone(), settings.clone()))
+        .collect();
+    for coordinator in &coordinators {
+        actix_rt::spawn(coordinator.clone().run());
+    }
+    let configure = async |version| loop {
+        let config = Arc::new(Config { version, ..Config::default() });
+        for coordinator in &coordinators {
+            if let Ok(Answer::Accepted) = coordinator.call(Call::Configure(config.clone())).await {
+                return;
+            }
+        }
+        time::sleep(Duration::from_millis(20)).await;
+    };
+    configure(1).await;
+    let (_, leader) = cluster.leader(&[0, 1, 2]).await;
+    leader.transfer_leadership().await;
+    let began = Instant::now();
+    configure(2).await;
+    assert!(began.elapsed() < RECOVERY_MAX, "served after {:?}", began.elapsed());
+    coordinators.iter().for_each(Coordinator::stop);
+    cluster.stop().await;
+}
