--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -120,15 +120,20 @@
     }
 }
 
+/// Id of a connection that is being opened, and when that began.
+type Opening = (work::Entry, u64);
+
+/// A broken connection, the connection that is to release it, and when another is to be opened for
+/// that.
+type Broken = (Channel, Option<Opening>, u64);
+
 /// An entry's connection to a sidecar.
 #[derive(Default)]
 struct Link {
     channel: Option<Channel>,
-    /// Id of the connection that is being opened, and when that began.
-    opening: Option<(work::Entry, u64)>,
+    opening: Option<Opening>,
     retry_ms: u64,
-    /// Broken connections, and the id and start of the connection that is to release each.
-    broken: Vec<(Channel, Option<(work::Entry, u64)>, u64)>,
+    broken: Vec<Broken>,
 }
 
 #[derive(Default)]
@@ -530,9 +535,7 @@
             scheduler.update_load(now_ms, key, &status.load);
             return;
         }
-        let by = |(_, release, _): &&(Channel, Option<(work::Entry, u64)>, u64)| {
-            release.is_some_and(|(release, _)| release == id)
-        };
+        let by = |(_, release, _): &&Broken| release.is_some_and(|(release, _)| release == id);
         let Some((broken, ..)) = link.broken.iter().find(by) else { return };
         let (broken_id, same) = (broken.id, broken.incarnation == status.incarnation);
         if same {
@@ -566,9 +569,9 @@
             }
             Message::Stop { channel, attempt } => state.stop_for(Source::Entry(channel), attempt),
             Message::Release { channel } => {
-                if state.release(now_ms, channel) {
-                    self.send_to_entry(entry, sidecar, Message::Released { channel });
-                }
+                let released = state.release(now_ms, channel);
+                let message = Message::Released { channel };
+                released.then(|| self.send_to_entry(entry, sidecar, message));
             }
             _ => {}
         }
