Transient jobs: give up a task under which two servers crashed

Cause: nothing counted the servers that were lost with an attempt, so a task that crashes its server went to the next server some 50 ms later and walked through all of them.

Ruled out: counting by job. Other tasks of an innocent job may be on two servers that crash.

Change: an entry counts for each task the servers that crashed with an attempt of it. At two, the job ends as failed; at three if two other servers were lost within the same 200 ms, as when a rack loses power. A sidecar reports Lost only when the server's process is gone or replaced. Attempts that waited for capacity are reported as not started. Those of a server that has left, or whose lease expired without an answer, are reported as stopped.

The new tests were not run on the code before the change.

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -163,7 +163,7 @@
             }
             _ => {
                 log::info!("event=server server={} service={}", server.id, server.service);
-                self.discard_backend();
+                self.discard_backend(work::Outcome::Lost);
                 self.backend = Some(BackendServer::new(server, addr, seq));
                 self.announced = true;
                 self.actions.report_due = true;
@@ -175,7 +175,7 @@
     pub fn leave(&mut self, id: &str) {
         if self.backend.as_ref().is_some_and(|backend| backend.server.id.id == id) {
             log::info!("event=server_left server={id}");
-            self.discard_backend();
+            self.discard_backend(work::Outcome::Stopped);
             self.actions.report_due = true;
         }
     }
@@ -186,11 +186,22 @@
         self.actions.report_due = true;
     }
 
-    /// Drops the present incarnation of the backend server: nothing runs there any more.
-    fn discard_backend(&mut self) {
+    /// Drops the present incarnation of the backend server: nothing runs there any more. `outcome`
+    /// is that of the attempts that were running.
+    fn discard_backend(&mut self, outcome: work::Outcome) {
         let Some(backend) = self.backend.take() else { return };
-        for (attempt, assignment) in backend.assignments {
-            self.record_outcome(attempt, &assignment, work::Outcome::Lost, 0);
+        self.end_all(backend.assignments, outcome);
+    }
+
+    /// Records `outcome` for attempts that the backend server was called to start. Those that were
+    /// waiting for free capacity have not started.
+    fn end_all(&mut self, assignments: IndexMap<Attempt, Assignment>, outcome: work::Outcome) {
+        for (attempt, assignment) in assignments {
+            let outcome = match assignment.state {
+                State::Waiting => work::Outcome::NotStarted(Reason::Unavailable),
+                _ => outcome,
+            };
+            self.record_outcome(attempt, &assignment, outcome, 0);
         }
     }
 
@@ -357,8 +368,8 @@
     }
 
     /// Handles a poll, sent at `sent_ms`, that the backend server did not answer; `refused` if
-    /// nothing listens at its address. The server and its attempts count as lost once its lease has
-    /// expired or its process is gone.
+    /// nothing listens at its address. The server counts as lost once its lease has expired or its
+    /// process is gone. Only in the second case has it crashed under its attempts.
     pub fn poll_failed(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
         let Some(backend) = &mut self.backend else { return };
         if backend.answered_since(sent_ms) || !backend.poll_failed(now_ms, refused) {
@@ -366,9 +377,8 @@
         }
         log::warn!("event=server_unreachable server={} refused={refused}", backend.server.id);
         let assignments = backend.mark_lost();
-        for (attempt, assignment) in assignments {
-            self.record_outcome(attempt, &assignment, work::Outcome::Lost, 0);
-        }
+        let outcome = if refused { work::Outcome::Lost } else { work::Outcome::Stopped };
+        self.end_all(assignments, outcome);
         self.actions.report_due = true;
     }
 
--- a/src/coordination/transient.rs
+++ b/src/coordination/transient.rs
@@ -48,6 +48,16 @@
 /// Factor by which a server counts as slower for a task that failed there last.
 const SAME_SERVER_FACTOR: f64 = 20.0;
 
+/// A task under which this many backend servers were lost is given up. It may be what crashes them.
+const LOST_SERVERS_MAX: u32 = 2;
+/// The same limit if `COINCIDING_MIN` other servers were lost at about the same time, as when a
+/// rack loses power. Such a loss says less about the task.
+const COINCIDING_LOST_SERVERS_MAX: u32 = 3;
+/// Number of other servers lost at about the same time from which a loss has a common cause.
+const COINCIDING_MIN: usize = 2;
+/// Time within which losses of servers coincide, in ms.
+const COINCIDING_MS: u64 = 200;
+
 /// Identifies a backend server within a scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key(usize);
@@ -91,6 +101,8 @@
     jobs: IndexMap<Id, Job>,
     /// Jobs with ready tasks, by service. Each service has servers of its own.
     ready: IndexMap<String, Ready>,
+    /// When servers were last lost with attempts of this entry, within `COINCIDING_MS`.
+    losses: IndexMap<Key, u64>,
     actions: Actions,
 }
 
@@ -211,10 +223,38 @@
                 server.record_outcome(now_ms, outcome, reply.took_ms, estimate_ms);
             }
         }
-        self.apply_outcome(key, attempt, outcome);
+        let given_up = reply.is_some_and(|reply| reply.outcome == Outcome::Lost)
+            && self.record_loss(now_ms, key, attempt);
+        if !given_up {
+            self.apply_outcome(key, attempt, outcome);
+        }
         self.assign(now_ms);
     }
 
+    /// Records that a server was lost with an attempt. Ends the job if the task may be what crashes
+    /// the servers, and returns whether it has.
+    fn record_loss(&mut self, now_ms: u64, key: Key, attempt: Attempt) -> bool {
+        self.losses.retain(|_, at_ms| *at_ms + COINCIDING_MS >= now_ms);
+        self.losses.insert(key, now_ms);
+        let limit = match self.losses.len() > COINCIDING_MIN {
+            true => COINCIDING_LOST_SERVERS_MAX,
+            false => LOST_SERVERS_MAX,
+        };
+        let id = attempt.task.job;
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        let Some(position) = job.submitted.position(attempt.task) else { return false };
+        let task = &mut job.tasks[position];
+        task.placement = None;
+        task.servers_lost += 1;
+        if task.servers_lost < limit {
+            return false;
+        }
+        log::warn!("event=given_up run={attempt} servers_lost={}", task.servers_lost);
+        self.remove_job(id);
+        self.actions.finished.push((id, JobOutcome::Failed));
+        true
+    }
+
     /// Records that an attempt of a job failed. Returns whether this is the job's first failure,
     /// which is the only one that counts against its server: the job may be one that fails on every
     /// server.
--- a/src/coordination/transient/job.rs
+++ b/src/coordination/transient/job.rs
@@ -17,6 +17,8 @@
     pub done: bool,
     /// Number of failed attempts.
     pub failed: u32,
+    /// Number of times that a backend server was lost while an attempt ran there.
+    pub servers_lost: u32,
     /// Number of the newest attempt.
     pub number: u32,
     pub placement: Option<Placement>,
--- a/src/protocol/wire/work.rs
+++ b/src/protocol/wire/work.rs
@@ -94,12 +94,13 @@
 pub enum Outcome {
     Done,
     Failed,
-    /// The attempt was stopped by command, or because a lease expired.
+    /// The attempt was stopped by command, because a lease expired, or because the backend server
+    /// has left.
     Stopped,
     /// The job was cancelled by a call to the sidecar. Entries make that call for jobs of other
     /// entries.
     Canceled,
-    /// The backend server is gone.
+    /// The backend server has crashed: its process is gone, or another one has replaced it.
     Lost,
     /// The attempt did not start.
     NotStarted(Reason),
--- a/tests/transient.rs
+++ b/tests/transient.rs
@@ -320,3 +320,64 @@
     let again = scheduler.take_actions().commands;
     assert_eq!(places(&again), [(1, keys[1])]);
 }
+
+/// Pattern: a task that crashes its backend server. Guards against one task that takes down server
+/// after server until its caller leaves.
+#[test]
+fn a_job_is_given_up_once_two_servers_were_lost_with_an_attempt_of_a_task() {
+    let (mut scheduler, keys) = scheduler(&[("a", 1), ("b", 1), ("c", 1)]);
+    let first = submit(&mut scheduler, 0, 1, job(1, 100));
+    assert_eq!(places(&first), [(1, keys[0])]);
+    let second = end(&mut scheduler, 50, &first[0], Outcome::Lost, 0);
+    assert_eq!(places(&second), [(1, keys[1])]);
+    scheduler.ended(100, keys[1], second[0].start.attempt, Some(&reply(Outcome::Lost, 0)));
+    let actions = scheduler.take_actions();
+    assert_eq!(actions.commands, []);
+    assert_eq!(actions.finished, [(Id(1), JobOutcome::Failed)]);
+    assert!(!scheduler.knows(Id(1)));
+}
+
+/// Pattern: a rack loses power. Guards against giving up a job because two of its servers failed
+/// for a reason that has nothing to do with it, and against a task that has no limit then.
+#[test]
+fn a_server_lost_at_the_same_time_as_others_allows_a_task_one_more_attempt() {
+    let (mut scheduler, _) = scheduler(&[("a", 1), ("b", 1), ("c", 1), ("d", 1)]);
+    let first = submit(&mut scheduler, 0, 1, job(1, 100));
+    let others = submit(&mut scheduler, 0, 2, job(2, 100));
+    let second = end(&mut scheduler, 50, &first[0], Outcome::Lost, 0);
+    assert_eq!(places(&second).len(), 1);
+    let lost = Some(reply(Outcome::Lost, 0));
+    for (command, at_ms) in others.iter().zip([400, 450]) {
+        scheduler.ended(at_ms, command.server, command.start.attempt, lost.as_ref());
+    }
+    scheduler.cancel(Id(2));
+    scheduler.take_actions();
+    scheduler.ended(500, second[0].server, second[0].start.attempt, lost.as_ref());
+    scheduler.tick(1_000);
+    let third = scheduler.take_actions();
+    assert_eq!((third.finished, third.commands.len()), (Vec::new(), 1));
+    let third = &third.commands[0];
+    scheduler.ended(1_050, third.server, third.start.attempt, lost.as_ref());
+    assert_eq!(scheduler.take_actions().finished, [(Id(1), JobOutcome::Failed)]);
+}
+
+/// Guards against giving up a job for events that say nothing about its tasks: broken connections,
+/// refusals and stops.
+#[test]
+fn broken_connections_refusals_and_stops_do_not_count_as_lost_servers() {
+    let (mut scheduler, _) = scheduler(&[("a", 1), ("b", 1)]);
+    let mut commands = submit(&mut scheduler, 0, 1, job(1, 100));
+    let unavailable = reply(Outcome::NotStarted(Reason::Unavailable), 0);
+    let no_answer = reply(Outcome::NotStarted(Reason::NoAnswer), 0);
+    let stopped = reply(Outcome::Stopped, 0);
+    let outcomes = [None, Some(unavailable), Some(no_answer), Some(stopped)];
+    for (number, outcome) in outcomes.iter().cycle().take(12).enumerate() {
+        let now_ms = number as u64 * 300;
+        let command = commands.pop().unwrap();
+        scheduler.ended(now_ms, command.server, command.start.attempt, outcome.as_ref());
+        scheduler.assign(now_ms + 250);
+        let actions = scheduler.take_actions();
+        assert_eq!(actions.finished, [], "after {outcome:?}");
+        commands = actions.commands;
+    }
+}
