--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -188,7 +188,7 @@
                 let mut backend = BackendServer::new(server, addr, seq);
                 let lost = earlier.map(|earlier| backend.inherit(earlier)).unwrap_or_default();
                 self.backend = Some(backend);
-                self.report_lost(lost);
+                self.end_all(lost, work::Outcome::Lost);
                 self.announced = true;
                 self.incarnations = INCARNATIONS_MAX.min(self.incarnations + 1);
                 self.actions.report_due = true;
@@ -200,7 +200,7 @@
     pub fn leave(&mut self, id: &str) {
         if self.backend.as_ref().is_some_and(|backend| backend.server.id.id == id) {
             log::info!("event=server_left server={id}");
-            self.discard_backend();
+            self.discard_backend(work::Outcome::Stopped);
             self.actions.report_due = true;
         }
     }
@@ -211,16 +211,23 @@
         self.actions.report_due = true;
     }
 
-    /// Drops the present incarnation of the backend server: nothing runs there any more.
-    fn discard_backend(&mut self) {
+    /// Drops the present incarnation of the backend server: nothing runs there any more. `outcome`
+    /// is that of the attempts that were running.
+    fn discard_backend(&mut self, outcome: work::Outcome) {
         let Some(mut backend) = self.backend.take() else { return };
-        let lost = backend.mark_lost();
-        self.report_lost(lost);
+        let ended = backend.mark_lost();
+        self.end_all(ended, outcome);
     }
 
-    fn report_lost(&mut self, lost: IndexMap<Attempt, Assignment>) {
-        for (attempt, assignment) in lost {
-            self.record_outcome(attempt, &assignment, work::Outcome::Lost, 0);
+    /// Records `outcome` for attempts that the backend server was called to start. Those that were
+    /// waiting for free capacity have not started.
+    fn end_all(&mut self, assignments: IndexMap<Attempt, Assignment>, outcome: work::Outcome) {
+        for (attempt, assignment) in assignments {
+            let outcome = match assignment.state {
+                State::Waiting => work::Outcome::NotStarted(Reason::Unavailable),
+                _ => outcome,
+            };
+            self.record_outcome(attempt, &assignment, outcome, 0);
         }
     }
 
@@ -389,7 +396,7 @@
             }
             false => IndexMap::new(),
         };
-        self.report_lost(absent_earlier);
+        self.end_all(absent_earlier, work::Outcome::Lost);
         let Some(backend) = &mut self.backend else { return };
         let absent: Vec<Attempt> = backend.absent_after_stop(sent_ms, running);
         for attempt in absent {
@@ -407,8 +414,8 @@
     }
 
     /// Handles a poll, sent at `sent_ms`, that the backend server did not answer; `refused` if
-    /// nothing listens at its address. The server and its attempts count as lost once its lease has
-    /// expired or its process is gone.
+    /// nothing listens at its address. The server counts as lost once its lease has expired or its
+    /// process is gone. Only in the second case has it crashed under its attempts.
     pub fn poll_failed(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
         let Some(backend) = &mut self.backend else { return };
         if sent_ms + POLL_AGE_MAX_MS < now_ms {
@@ -419,9 +426,10 @@
             return;
         }
         log::warn!("event=server_unreachable server={} refused={refused}", backend.server.id);
-        let lost = backend.mark_lost();
+        let ended = backend.mark_lost();
         self.losses += 1;
-        self.report_lost(lost);
+        let outcome = if refused { work::Outcome::Lost } else { work::Outcome::Stopped };
+        self.end_all(ended, outcome);
         self.actions.report_due = true;
     }
 
--- a/src/coordination/transient.rs
+++ b/src/coordination/transient.rs
@@ -9,6 +9,7 @@
 mod job;
 mod ready;
 mod server;
+mod suspect;
 
 use std::net::SocketAddr;
 
@@ -54,6 +55,16 @@
 /// Factor by which a server counts as slower for a task that failed there last.
 const SAME_SERVER_FACTOR: f64 = 20.0;
 
+/// A task under which this many backend servers were lost is given up. It may be what crashes them.
+const LOST_SERVERS_MAX: u32 = 2;
+/// The same limit if `COINCIDING_MIN` other servers were lost at about the same time, as when a
+/// rack loses power. Such a loss says less about the task.
+const COINCIDING_LOST_SERVERS_MAX: u32 = 3;
+/// Number of other servers lost at about the same time from which a loss has a common cause.
+const COINCIDING_MIN: usize = 2;
+/// Time within which losses of servers coincide, in ms.
+const COINCIDING_MS: u64 = 200;
+
 /// Identifies a backend server within a scheduler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key(usize);
@@ -103,6 +114,8 @@
     observed_ms: Option<u64>,
     /// Until when no start is commanded.
     held_until_ms: u64,
+    /// When servers were last lost with attempts of this entry, within `COINCIDING_MS`.
+    losses: IndexMap<Key, u64>,
     actions: Actions,
 }
 
@@ -213,7 +226,9 @@
     /// whether the job was known.
     fn remove_job(&mut self, id: Id) -> bool {
         let Some(job) = self.jobs.swap_remove(&id) else { return false };
-        ready_of(&mut self.ready, &job).remove(id, &job);
+        let ready = ready_of(&mut self.ready, &job);
+        ready.remove(id, &job);
+        ready.suspects.retain(|task| task.job != id);
         for task in &job.tasks {
             if let Some(placement) = task.placement {
                 self.actions.stops.push((placement.server, placement.attempt));
@@ -238,10 +253,47 @@
                 server.record_outcome(now_ms, outcome, reply.took_ms, estimate_ms);
             }
         }
-        self.apply_outcome(key, attempt, outcome);
+        let given_up = reply.is_some_and(|reply| reply.outcome == Outcome::Lost)
+            && self.record_loss(now_ms, key, attempt);
+        if !given_up {
+            self.apply_outcome(key, attempt, outcome);
+        }
         self.assign(now_ms);
     }
 
+    /// Records that a server was lost with an attempt. Ends the job if the task may be what crashes
+    /// the servers, and returns whether it has.
+    fn record_loss(&mut self, now_ms: u64, key: Key, attempt: Attempt) -> bool {
+        self.losses.retain(|_, at_ms| *at_ms + COINCIDING_MS >= now_ms);
+        self.losses.insert(key, now_ms);
+        let limit = match self.losses.len() > COINCIDING_MIN {
+            true => COINCIDING_LOST_SERVERS_MAX,
+            false => LOST_SERVERS_MAX,
+        };
+        let server = &mut self.servers[key.0];
+        if server.held_for == Some(attempt.task) {
+            server.lost_held_ms = Some(now_ms);
+        }
+        let id = attempt.task.job;
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        let Some(position) = job.submitted.position(attempt.task) else { return false };
+        let task = &mut job.tasks[position];
+        if task.placement.is_none_or(|placement| placement.attempt != attempt) {
+            // It is an attempt of an earlier submission.
+            return false;
+        }
+        task.servers_lost += 1;
+        if task.servers_lost < limit {
+            ready_of(&mut self.ready, job).suspects.insert(attempt.task);
+            return false;
+        }
+        task.placement = None;
+        log::warn!("event=given_up run={attempt} servers_lost={}", task.servers_lost);
+        self.remove_job(id);
+        self.actions.finished.push((id, JobOutcome::Failed));
+        true
+    }
+
     /// Records that an attempt of a job failed. Returns whether this is the job's first failure,
     /// which is the only one that counts against its server: the job may be one that fails on every
     /// server.
@@ -268,6 +320,7 @@
             Outcome::Done => {
                 task.done = true;
                 job.remaining -= 1;
+                ready_of(&mut self.ready, job).suspects.shift_remove(&attempt.task);
                 if job.remaining == 0 {
                     self.jobs.swap_remove(&id);
                     self.actions.finished.push((id, JobOutcome::Completed));
@@ -293,8 +346,11 @@
             Outcome::NotStarted(Reason::Expired) => task.number += NUMBER_STEP,
             Outcome::Stopped | Outcome::Lost | Outcome::NotStarted(_) => {}
         }
-        job.make_ready(attempt.task);
-        ready_of(&mut self.ready, job).update(id, job);
+        let ready = ready_of(&mut self.ready, job);
+        if !ready.suspects.contains(&attempt.task) {
+            job.make_ready(attempt.task);
+            ready.update(id, job);
+        }
     }
 
     /// Stops stalled attempts, refuses jobs that have waited too long, and assigns ready tasks.
@@ -359,6 +415,7 @@
 
     /// Commands starts of ready tasks of the service at `service_index` in `ready`.
     fn assign_service(&mut self, now_ms: u64, service_index: usize) {
+        self.assign_suspects(now_ms, service_index);
         let mut misses = 0;
         for pass in Pass::ALL {
             for id in self.ready[service_index].first(now_ms, pass) {
@@ -403,14 +460,24 @@
     /// Commands the start of a ready task. Returns `false` if no suitable server has free
     /// capacity.
     fn place(&mut self, now_ms: u64, task: Task) -> bool {
-        let Some(job) = self.jobs.get_mut(&task.job) else { return true };
-        let submitted = job.submitted.clone();
-        let step = &submitted.steps[usize::from(task.step)];
-        let Some(position) = submitted.position(task) else { return true };
-        let avoid = job.tasks[position].avoid;
+        let Some(job) = self.jobs.get(&task.job) else { return true };
+        let (Some(step), Some(progress)) = (job.step(task), job.progress(task)) else {
+            return true;
+        };
         let remaining_ms = job.latest_end_ms.saturating_sub(now_ms);
+        let avoid = progress.avoid;
         let criteria = Criteria { service: &job.service, task, step, avoid, remaining_ms };
         let Some(key) = choose(&self.servers, now_ms, &criteria) else { return false };
+        self.start(now_ms, task, key);
+        true
+    }
+
+    /// Commands the start of a task on a server.
+    fn start(&mut self, now_ms: u64, task: Task, key: Key) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let submitted = job.submitted.clone();
+        let Some(position) = submitted.position(task) else { return };
+        let step = &submitted.steps[usize::from(task.step)];
         job.ready.remove(&task);
         let progress = &mut job.tasks[position];
         progress.number += 1;
@@ -427,7 +494,6 @@
             due_ms,
             wait_ms: CAPACITY_WAIT_MS,
         });
-        true
     }
 }
 
@@ -456,7 +522,9 @@
 /// suitable server is fast enough, even if the fast one has no free capacity.
 fn choose(servers: &Slab<Server>, now_ms: u64, criteria: &Criteria) -> Option<Key> {
     let Criteria { service, task, step, avoid, remaining_ms } = *criteria;
-    let suitable = || servers.iter().filter(|(_, s)| s.suits(now_ms, service, task, step));
+    let suits =
+        |server: &Server| server.held_for.is_none() && server.suits(now_ms, service, task, step);
+    let suitable = || servers.iter().filter(|(_, server)| suits(server));
     let in_time = |server: &Server| server.expected_ms(step) <= remaining_ms as f64;
     let any_in_time = suitable().any(|(_, server)| in_time(server));
     let cost = |key: usize, server: &Server| {
