--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -233,6 +233,7 @@
         }
         self.expire_leases(now_ms);
         self.maintain_members(now_ms);
+        self.store_crashes(now_ms);
         self.assign(now_ms);
     }
 
@@ -271,7 +272,7 @@
             if let Some((id, key)) = sidecar.server.take() {
                 log::warn!("event=server_lost sidecar={name} server={id} reason=silent");
                 leadership.list_changes += 1;
-                leadership.scheduler.remove_server(key, state.queues());
+                leadership.scheduler.remove_server(now_ms, key, state.queues());
             }
         }
         if leadership.scheduler.inherited() > 0
--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -8,8 +8,11 @@
 use super::{CONFIRM_MAX_AGE_MS, Coordinator, LEASE_MS, LEASE_SLACK_MS, Leadership, Sidecar};
 use crate::{
     coordination::schedule::Server,
-    protocol::wire::queue::{Backend, Commands, Completion, Refusal, Report},
-    state::machine::queue::{Change, Completion as StoredCompletion, Queues},
+    protocol::{
+        queue::{Attempt, Phase},
+        wire::queue::{Backend, Commands, Completion, Crash, Refusal, Report},
+    },
+    state::machine::queue::{Change, Completion as StoredCompletion, Crash as StoredCrash, Queues},
     util,
 };
 
@@ -22,6 +25,7 @@
         let name = report.sidecar.clone();
         let wait = Duration::from_millis(report.wait_ms).min(REPORT_WAIT_MAX);
         let generation = report.generation;
+        let crashes = report.crashes.clone();
         self.wait_for_leader().await;
         let completions = self.handle_report(report)?;
         if !completions.is_empty() {
@@ -29,7 +33,7 @@
         }
         self.assign(util::boot_ms());
         self.wait_for_commands(&name, generation, wait).await;
-        self.commands(&name)
+        self.commands(&name, &crashes)
     }
 
     /// Handles a report. Returns the completions that have to be stored, with their numbers.
@@ -39,6 +43,10 @@
         let Some(leadership) = leadership.as_mut() else { return Err(self.not_leader()) };
         let state = self.inner.replica.state();
         let queues = state.queues();
+        // Before the server is removed, so that none of these tasks starts in between.
+        for crash in &report.crashes {
+            leadership.scheduler.crashed(now_ms, &report.sidecar, crash, queues);
+        }
         self.register(leadership, &report, queues);
         let Leadership { scheduler, sidecars, list_changes, .. } = leadership;
         let Some(sidecar) = sidecars.get_mut(&report.sidecar) else { return Ok(Vec::new()) };
@@ -85,6 +93,7 @@
         if let Some(running) = report.running.filter(|_| !sidecar.synced) {
             log::info!("event=synced sidecar={} running={}", report.sidecar, running.len());
             scheduler.sync(now_ms, key, &running, queues);
+            scheduler.recovered(&report.sidecar);
             sidecar.synced = true;
         }
         Ok(to_store)
@@ -121,7 +130,7 @@
         };
         if !may_be_same_server && let Some((id, key)) = sidecar.server.take() {
             log::warn!("event=server_lost sidecar={} server={id} reason=replaced", report.sidecar);
-            leadership.scheduler.remove_server(key, queues);
+            leadership.scheduler.remove_server(util::boot_ms(), key, queues);
         }
         if let Some((_, key)) = &sidecar.server
             && let Some(server) = leadership.scheduler.server_mut(*key)
@@ -183,6 +192,50 @@
         self.assign(util::boot_ms());
     }
 
+    /// Stores the reported crashes that are due, then updates the scheduler.
+    pub(super) fn store_crashes(&self, now_ms: u64) {
+        let mut leadership = self.inner.leadership.borrow_mut();
+        let Some(leadership) = leadership.as_mut() else { return };
+        let crashes = leadership.scheduler.crashes_due(now_ms);
+        if !crashes.is_empty() {
+            let (coordinator, term) = (self.clone(), leadership.term);
+            actix_rt::spawn(async move {
+                let stored =
+                    coordinator.inner.batcher.propose(Change::Crash(crashes.clone())).await;
+                coordinator.crashes_proposed(term, &crashes, stored.is_ok());
+            });
+        }
+    }
+
+    fn crashes_proposed(&self, term: u64, crashes: &[StoredCrash], stored: bool) {
+        let now_ms = util::boot_ms();
+        let mut leadership = self.inner.leadership.borrow_mut();
+        let Some(leadership) = leadership.as_mut().filter(|leadership| leadership.term == term)
+        else {
+            return;
+        };
+        let state = self.inner.replica.state();
+        for crash in crashes {
+            if !stored {
+                log::warn!("event=crash_not_stored run={}", crash.attempt);
+                leadership.scheduler.crash_not_stored(now_ms, crash);
+                continue;
+            }
+            let record = state.queues().job(crash.attempt.task.job);
+            let progress = record.and_then(|record| record.progress(crash.attempt.task));
+            log::warn!(
+                "event=crash_counted run={} crashes={} isolated={}",
+                crash.attempt,
+                progress.map_or(0, |progress| progress.crashes.len()),
+                crash.isolated
+            );
+            if record.is_some_and(|record| record.phase == Phase::Failed) {
+                log::warn!("event=job_given_up job={} reason=crashes", crash.attempt.task.job);
+            }
+            leadership.scheduler.crash_stored(crash, state.queues());
+        }
+    }
+
     /// Returns when commands are due, completions were stored, a newer report has arrived, or
     /// `wait` is over.
     async fn wait_for_commands(&self, name: &str, generation: u64, wait: Duration) {
@@ -221,7 +274,7 @@
     }
 
     /// The commands that are due for a sidecar, with a new lease.
-    fn commands(&self, name: &str) -> Result<Commands, Refusal> {
+    fn commands(&self, name: &str, crashes: &[Crash]) -> Result<Commands, Refusal> {
         let now_ms = util::boot_ms();
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return Err(self.not_leader()) };
@@ -230,6 +283,15 @@
             return Err(Refusal::NotLeader { leader: None });
         }
         let control_addrs = self.control_addrs();
+        let state = self.inner.replica.state();
+        let counts = |attempt: &Attempt| {
+            state.queues().job(attempt.task.job).is_some_and(|record| record.crash_counts(*attempt))
+        };
+        let crashes_stored = crashes
+            .iter()
+            .filter(|crash| !crash.attempts.iter().any(counts))
+            .map(|crash| crash.number)
+            .collect();
         let (term, until_ms) = (leadership.term, leadership.confirmed_ms + LEASE_MS);
         let Some(sidecar) = leadership.sidecars.get_mut(name) else {
             // This instance has lost the leadership and regained it since the report arrived, and
@@ -242,6 +304,7 @@
             generation: sidecar.generation,
             lease_ms: until_ms.saturating_sub(now_ms),
             completions_stored: sidecar.completions_stored(),
+            crashes_stored,
             batches: if sidecar.synced { sidecar.take_due(now_ms) } else { Vec::new() },
             control_addrs,
         })
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -5,8 +5,10 @@
 //! receives it from the sidecars' reports.
 
 mod server;
+mod suspect;
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
@@ -16,16 +18,21 @@
 
 use crate::{
     protocol::{
-        queue::{Attempt, Id, Outcome, Resources, Step, Task},
-        wire::queue::{Batch, NotStarted, Reason, Start},
+        queue::{Attempt, Id, Outcome, Phase, Resources, Step, Task},
+        wire::queue::{self, Batch, NotStarted, Reason, Start},
     },
-    state::machine::queue::{Completion, Queues, Record},
+    state::machine::queue::{Completion, Crash, Queues, Record},
 };
 pub use server::Server;
+use suspect::Suspects;
+pub use suspect::servers_max as suspect_servers_max;
 
 /// Number of attempts of a task that one leader may start before its attempt numbers reach those of
 /// the next leader.
 const ATTEMPTS_PER_TERM: u64 = 1_000;
+/// Number of declared run times by which a suspect yields to those that are due later: short ones
+/// explain crashes sooner, and those whose crashes are explained need not run apart.
+const SUSPECT_WAIT_FACTOR: u64 = 10;
 /// Once more ready tasks of a service than this have found no server, the rest are not tried.
 const MISSES_MAX: usize = 32;
 
@@ -70,6 +77,9 @@
     attempts: BTreeMap<Attempt, Placement>,
     /// Tasks that may start, by service.
     ready: IndexMap<String, BTreeSet<Rank>>,
+    /// Suspects that may start, by service. They run apart from all other tasks.
+    ready_suspects: IndexMap<String, BTreeSet<Rank>>,
+    suspects: Suspects,
     /// Tasks that an earlier leader may have started and that may still run somewhere.
     inherited: IndexSet<Task>,
 }
@@ -84,6 +94,8 @@
             jobs: IndexMap::new(),
             attempts: BTreeMap::new(),
             ready: IndexMap::new(),
+            ready_suspects: IndexMap::new(),
+            suspects: Suspects::default(),
             inherited: IndexSet::new(),
         };
         for (id, record) in queues.open() {
@@ -107,11 +119,17 @@
         let job = Job {
             service: record.service.clone(),
             due_ms: now_ms + slack,
-            started: inherited && record.tasks.iter().any(|t| t.done || t.failed > 0),
+            started: inherited
+                && record.tasks.iter().any(|t| t.done || t.failed > 0 || !t.crashes.is_empty()),
             steps_ready: vec![false; record.job.steps.len()],
             starts: vec![0; record.tasks.len()],
         };
         self.jobs.insert(id, job);
+        for task in record.job.all_tasks(id).filter(|_| inherited) {
+            if record.progress(task).is_some_and(|p| !p.done && !p.crashes.is_empty()) {
+                self.suspects.inherit(task);
+            }
+        }
         for task in self.newly_ready_tasks(id, record) {
             if inherited {
                 self.inherited.insert(task);
@@ -141,9 +159,17 @@
         tasks
     }
 
+    /// Lets a task start, unless a crash under an attempt of it is still to be stored.
     fn make_ready(&mut self, task: Task) {
         let Some(job) = self.jobs.get(&task.job) else { return };
-        self.ready.entry(job.service.clone()).or_default().insert((job.due_ms, task));
+        if self.suspects.awaits_storage(task) {
+            return;
+        }
+        let ready = match self.suspects.contains(task) {
+            true => &mut self.ready_suspects,
+            false => &mut self.ready,
+        };
+        ready.entry(job.service.clone()).or_default().insert((job.due_ms, task));
     }
 
     /// Makes the remaining inherited tasks ready. Call this when every attempt of an earlier leader
@@ -165,6 +191,11 @@
         Key(self.servers.insert(server))
     }
 
+    /// Records that the server of a sidecar is up and gets attempts, so that it does not count as crashed any more.
+    pub fn recovered(&mut self, sidecar: &str) {
+        self.suspects.up(sidecar);
+    }
+
     pub fn server(&self, key: Key) -> Option<&Server> {
         self.servers.get(key.0)
     }
@@ -204,7 +235,8 @@
         let record = queues.job(attempt.task.job);
         let step = record.and_then(|r| r.job.steps.get(usize::from(attempt.task.step)));
         let wanted = self.inherited.swap_remove(&attempt.task);
-        let placement = Placement {
+        let suspect = self.suspects.contains(attempt.task);
+        let mut placement = Placement {
             server: key,
             needs: step.map_or_else(Resources::default, |step| step.needs),
             estimate_ms: step.map_or(0, |step| step.estimate_ms),
@@ -212,6 +244,10 @@
             stopping: false,
         };
         if let Some(server) = self.servers.get_mut(key.0) {
+            if suspect {
+                server.set_apart(true);
+                placement.needs = server.info.capacity;
+            }
             server.add_attempt(&attempt, &placement.needs);
         }
         self.attempts.insert(attempt, placement);
@@ -266,7 +302,10 @@
     }
 
     /// Removes a backend server whose attempts are all lost; their tasks become ready again.
-    pub fn remove_server(&mut self, key: Key, queues: &Queues) {
+    pub fn remove_server(&mut self, now_ms: u64, key: Key, queues: &Queues) {
+        if let Some(server) = self.servers.get(key.0) {
+            self.suspects.lost(now_ms, server.info.id.clone());
+        }
         for attempt in self.attempts_at(key) {
             self.attempts.remove(&attempt);
             self.retry(attempt.task, queues);
@@ -274,6 +313,72 @@
         self.servers.try_remove(key.0);
     }
 
+    /// Handles a report that the server of a sidecar crashed. The tasks of its attempts start again only
+    /// after [`Scheduler::crash_stored`].
+    pub fn crashed(&mut self, now_ms: u64, sidecar: &str, crash: &queue::Crash, queues: &Queues) {
+        let alone = crash.attempts.len() == 1 && crash.others == 0;
+        for attempt in &crash.attempts {
+            if !queues.job(attempt.task.job).is_some_and(|record| record.crash_counts(*attempt))
+                || !self.suspects.report(now_ms, *attempt, &crash.server, alone)
+            {
+                continue;
+            }
+            self.suspects.lost(now_ms, crash.server.clone());
+            self.remove_ready(attempt.task);
+            let server = self.attempts.get(attempt).map(|placed| placed.server);
+            if let Some(server) = server.and_then(|key| self.servers.get(key.0))
+                && server.apart()
+            {
+                self.suspects.took_down(now_ms, sidecar, &server.info.service);
+            }
+        }
+    }
+
+    /// Returns the reported crashes that are to be stored now.
+    pub fn crashes_due(&mut self, now_ms: u64) -> Vec<Crash> {
+        self.suspects.due(now_ms)
+    }
+
+    /// Handles a crash that could not be stored. It becomes due again.
+    pub fn crash_not_stored(&mut self, now_ms: u64, crash: &Crash) {
+        self.suspects.not_stored(now_ms, crash.attempt);
+    }
+
+    /// Handles a crash that has been stored in the replicated queues.
+    pub fn crash_stored(&mut self, crash: &Crash, queues: &Queues) {
+        let task = crash.attempt.task;
+        self.suspects.stored(crash.attempt);
+        let Some(record) = queues.job(task.job) else { return self.suspects.remove(task) };
+        if record.phase.is_terminal() {
+            if record.phase == Phase::Failed && crash.isolated {
+                // After a second crash, one more beside other tasks would end the job.
+                let keep = |task: Task| crashes(task, queues) > 1;
+                for cleared in self.suspects.explain(task, keep) {
+                    self.clear(cleared);
+                }
+            }
+            return self.close(task.job, record);
+        }
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            job.started = true;
+        }
+        if !self.inherited.contains(&task) {
+            self.retry(task, queues);
+        }
+    }
+
+    /// Lets a task that is no suspect any more start beside others, if it may start.
+    fn clear(&mut self, task: Task) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let removed = self
+            .ready_suspects
+            .get_mut(&job.service)
+            .is_some_and(|ready| ready.remove(&(job.due_ms, task)));
+        if removed {
+            self.make_ready(task);
+        }
+    }
+
     /// Handles the end of an attempt. Returns the completion that must be stored before the
     /// sidecar's report of it may be acknowledged; `None` if nothing needs to be stored.
     pub fn ended(
@@ -309,6 +414,7 @@
                 let others: Vec<Attempt> = self.attempts_of(completion.attempt.task).collect();
                 others.into_iter().for_each(|attempt| self.stop(attempt));
                 self.remove_ready(completion.attempt.task);
+                self.suspects.remove(completion.attempt.task);
                 for task in self.newly_ready_tasks(id, record) {
                     self.make_ready(task);
                 }
@@ -319,21 +425,21 @@
 
     fn remove_ready(&mut self, task: Task) {
         let Some(job) = self.jobs.get(&task.job) else { return };
-        if let Some(ready) = self.ready.get_mut(&job.service) {
-            ready.remove(&(job.due_ms, task));
+        for ready in [&mut self.ready, &mut self.ready_suspects] {
+            if let Some(ready) = ready.get_mut(&job.service) {
+                ready.remove(&(job.due_ms, task));
+            }
         }
     }
 
     /// Removes a job that has ended, and stops those of its attempts that still run.
     pub fn close(&mut self, id: Id, record: &Record) {
-        for (number, step) in record.job.steps.iter().enumerate() {
-            for index in 0..step.tasks {
-                let task = Task { job: id, step: number as u16, index };
-                self.remove_ready(task);
-                self.inherited.swap_remove(&task);
-                let attempts: Vec<Attempt> = self.attempts_of(task).collect();
-                attempts.into_iter().for_each(|attempt| self.stop(attempt));
-            }
+        for task in record.job.all_tasks(id) {
+            self.remove_ready(task);
+            self.suspects.remove(task);
+            self.inherited.swap_remove(&task);
+            let attempts: Vec<Attempt> = self.attempts_of(task).collect();
+            attempts.into_iter().for_each(|attempt| self.stop(attempt));
         }
         self.jobs.swap_remove(&id);
     }
@@ -358,6 +464,7 @@
 
     /// Commands starts of ready tasks on servers with free capacity.
     pub fn assign(&mut self, now_ms: u64, queues: &Queues) {
+        self.assign_suspects(now_ms, queues);
         let services: Vec<String> = self.ready.keys().cloned().collect();
         for service in services {
             let ranks: Vec<Rank> = self.ready[&service].iter().copied().collect();
@@ -373,6 +480,110 @@
         }
     }
 
+    /// Commands starts of suspects, each on a server where nothing else runs, those under which
+    /// most servers crashed first. If no server is free, some are kept from starting other tasks
+    /// until they are.
+    fn assign_suspects(&mut self, now_ms: u64, queues: &Queues) {
+        let services: Vec<String> = self.ready_suspects.keys().cloned().collect();
+        for service in services {
+            let mut ranks: Vec<Rank> = self.ready_suspects[&service].iter().copied().collect();
+            ranks.sort_by_key(|(due_ms, task)| {
+                let wait_ms = SUSPECT_WAIT_FACTOR * estimate_ms(*task, queues);
+                (Reverse(crashes(*task, queues)), due_ms + wait_ms)
+            });
+            let down = self.suspects.down(now_ms, &service);
+            let servers = self.servers.iter().filter(|(_, s)| s.info.service == service).count();
+            let apart = self.servers_apart(&service).count();
+            let others_wait = self.others_wait(&service);
+            let (most, most_idle) = suspect::servers_max(servers + down);
+            let mut taken = apart + down;
+            let mut waiting = Vec::new();
+            for (due_ms, task) in ranks {
+                let record = queues.job(task.job).filter(|record| !record.phase.is_terminal());
+                let Some(record) = record else {
+                    self.remove_ready(task);
+                    continue;
+                };
+                let step = &record.job.steps[usize::from(task.step)];
+                let mut key = self.free_apart(now_ms, &service, step);
+                let may_take = taken < most || taken < most_idle && !others_wait;
+                if key.is_none() && may_take && self.drained_apart(&service) <= waiting.len() {
+                    let next = self.least_busy(&service, step);
+                    let idle = |key: &Key| self.servers[key.0].attempts() == 0;
+                    if let Some(next) = next.filter(|key| taken < most || idle(key)) {
+                        self.servers[next.0].set_apart(true);
+                        taken += 1;
+                        key = Some(next).filter(|key| self.servers[key.0].free_for_suspect(now_ms));
+                    }
+                }
+                match key {
+                    Some(key) => {
+                        self.ready_suspects[&service].remove(&(due_ms, task));
+                        let needs = self.servers[key.0].info.capacity;
+                        self.start(now_ms, key, task, record, needs);
+                    }
+                    None => waiting.push(step),
+                }
+            }
+            self.end_apart(&service, &waiting);
+        }
+    }
+
+    /// Whether tasks of the service that are no suspects wait for a server.
+    fn others_wait(&self, service: &str) -> bool {
+        let mut ready = self.ready.get(service).into_iter().flatten();
+        ready.any(|(_, task)| !self.suspects.concerns(task.job))
+    }
+
+    /// The service's servers on which only suspects start.
+    fn servers_apart(&self, service: &str) -> impl Iterator<Item = (usize, &Server)> {
+        self.servers.iter().filter(move |(_, s)| s.apart() && s.info.service == service)
+    }
+
+    /// Number of the service's servers that are to run suspects and run none yet.
+    fn drained_apart(&self, service: &str) -> usize {
+        self.servers_apart(service).filter(|(key, _)| !self.runs_suspect(Key(*key))).count()
+    }
+
+    fn runs_suspect(&self, key: Key) -> bool {
+        self.attempts
+            .iter()
+            .any(|(attempt, placed)| placed.server == key && self.suspects.contains(attempt.task))
+    }
+
+    /// Returns the server with the lowest cost on which a suspect can start now.
+    fn free_apart(&self, now_ms: u64, service: &str, step: &Step) -> Option<Key> {
+        self.servers_apart(service)
+            .filter(|(_, server)| server.free_for_suspect(now_ms) && server.suits(service, step))
+            .min_by(|(_, a), (_, b)| a.cost(step).total_cmp(&b.cost(step)))
+            .map(|(key, _)| Key(key))
+    }
+
+    /// Returns the server with the fewest attempts that can run a suspect of `step` once it is free.
+    fn least_busy(&self, service: &str, step: &Step) -> Option<Key> {
+        self.servers
+            .iter()
+            .filter(|(_, server)| !server.apart() && server.suits(service, step))
+            .min_by_key(|(_, server)| server.attempts())
+            .map(|(key, _)| Key(key))
+    }
+
+    /// Lets other tasks start again on servers that run no suspect and can run none of those that
+    /// wait, whose steps are given.
+    fn end_apart(&mut self, service: &str, waiting: &[&Step]) {
+        let unused: Vec<usize> = self
+            .servers_apart(service)
+            .filter(|(key, server)| {
+                !self.runs_suspect(Key(*key))
+                    && !waiting.iter().any(|step| server.suits(service, step))
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in unused {
+            self.servers[key].set_apart(false);
+        }
+    }
+
     /// Commands the start of a ready task. Returns `false` if no server is suitable.
     fn place(&mut self, now_ms: u64, service: &str, rank: Rank, queues: &Queues) -> bool {
         let (_, task) = rank;
@@ -382,25 +593,34 @@
             return true;
         };
         let step = &record.job.steps[usize::from(task.step)];
+        if self.suspects.concerns(task.job) {
+            // Tasks of a job share its spec, so what crashed a server under one may do so under
+            // others.
+            return true;
+        }
         let Some(key) = self.choose(now_ms, service, task, step) else { return false };
         self.ready[service].remove(&rank);
+        self.start(now_ms, key, task, record, step.needs);
+        true
+    }
+
+    /// Commands the start of a task on a server, where it uses `needs`. A suspect uses all of the
+    /// server, so that its sidecar starts nothing beside it.
+    fn start(&mut self, now_ms: u64, key: Key, task: Task, record: &Record, needs: Resources) {
+        let step = &record.job.steps[usize::from(task.step)];
         let attempt = Attempt { task, number: self.next_number(task, record) };
         let placement = Placement {
             server: key,
-            needs: step.needs,
+            needs,
             estimate_ms: step.estimate_ms,
             commanded_ms: now_ms,
             stopping: false,
         };
         self.attempts.insert(attempt, placement);
         let server = &mut self.servers[key.0];
-        server.add_attempt(&attempt, &step.needs);
-        server.command_start(Start {
-            attempt,
-            needs: step.needs,
-            spec: Arc::from(record.job.spec.as_str()),
-        });
-        true
+        server.add_attempt(&attempt, &needs);
+        let spec = Arc::from(record.job.spec.as_str());
+        server.command_start(Start { attempt, needs, spec });
     }
 
     /// Returns the number of a task's next attempt. The number is higher than all numbers that
@@ -440,6 +660,19 @@
     }
 }
 
+/// Returns the number of servers that crashed under attempts of a task.
+fn crashes(task: Task, queues: &Queues) -> usize {
+    let progress = queues.job(task.job).and_then(|record| record.progress(task));
+    progress.map_or(0, |progress| progress.crashes.len())
+}
+
+/// Returns the declared run time of a task.
+fn estimate_ms(task: Task, queues: &Queues) -> u64 {
+    let record = queues.job(task.job);
+    let step = record.and_then(|record| record.job.steps.get(usize::from(task.step)));
+    step.map_or(0, |step| step.estimate_ms.into())
+}
+
 /// Returns the length of the pause in starts on a server that refused one, in ms.
 fn pause_ms(reason: Reason) -> u64 {
     match reason {
--- a/src/coordination/schedule/server.rs
+++ b/src/coordination/schedule/server.rs
@@ -17,6 +17,8 @@
     pub info: queue::Server,
     /// Whether all attempts that run there are known; nothing is started there otherwise.
     synced: bool,
+    /// Whether only suspects start here, one at a time.
+    apart: bool,
     used: Resources,
     attempts: IndexMap<Attempt, ()>,
     /// Speed and health, estimated from the attempts that have ended.
@@ -31,6 +33,7 @@
             used: Resources::default(),
             info,
             synced: false,
+            apart: false,
             attempts: IndexMap::new(),
             pace: Pace::default(),
             outbox: Batch::default(),
@@ -60,14 +63,41 @@
 
     /// Whether a task of `step` may start here now.
     pub(super) fn accepts(&self, now_ms: u64, service: &str, step: &Step) -> bool {
+        !self.apart
+            && self.pace.may_start(now_ms, self.attempts.len())
+            && self.has_capacity(&step.needs)
+            && self.suits(service, step)
+    }
+
+    /// Whether a task of `step` may start here once the server is free.
+    pub(super) fn suits(&self, service: &str, step: &Step) -> bool {
         self.synced
             && !self.info.draining
-            && self.pace.may_start(now_ms, self.attempts.len())
             && self.info.service == service
-            && self.has_capacity(&step.needs)
+            && self.info.capacity.fits(&step.needs)
+            && step.max_per_server != Some(0)
             && step.required_label.as_ref().is_none_or(|label| self.info.labels.contains(label))
     }
 
+    /// Whether only suspects start here.
+    pub fn apart(&self) -> bool {
+        self.apart
+    }
+
+    pub(super) fn set_apart(&mut self, apart: bool) {
+        self.apart = apart;
+    }
+
+    /// Whether a suspect may start here now.
+    pub(super) fn free_for_suspect(&self, now_ms: u64) -> bool {
+        self.apart && self.attempts.is_empty() && self.pace.may_start(now_ms, 0)
+    }
+
+    /// Number of attempts here.
+    pub(super) fn attempts(&self) -> usize {
+        self.attempts.len()
+    }
+
     fn has_capacity(&self, needs: &Resources) -> bool {
         let mut used = self.used;
         used.add(needs);
--- /dev/null
+++ b/src/coordination/schedule/suspect.rs
@@ -0,0 +1,193 @@
+//! Tasks that may have crashed backend servers. A crash ends all attempts at the server, so each of
+//! their tasks is a suspect until it is done, or until the crash is explained by another task.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    protocol::{
+        queue::{Attempt, Id, Task},
+        wire::queue::ServerId,
+    },
+    state::machine::queue::Crash,
+};
+
+/// Time around a crash within which the loss of other servers suggests a common cause, in ms.
+const COMMON_CAUSE_MS: u64 = 300;
+/// Number of other servers whose loss within that time suggests a common cause.
+const COMMON_CAUSE_SERVERS: usize = 2;
+/// One of so many backend servers of a service, rounded up, may run suspects or be down because of
+/// one. More suspects would take too much from other tasks; fewer would wait for long, as each crash
+/// keeps a server down for seconds.
+const SERVERS_PER_SUSPECT: usize = 3;
+/// The same if the server is idle and no other tasks wait.
+const IDLE_SERVERS_PER_SUSPECT: usize = 2;
+/// Longest time for which a server that crashed under a suspect counts as down because of it, in
+/// ms.
+const DOWN_MAX_MS: u64 = 10_000;
+/// Pause before a crash that could not be stored is proposed again, in ms.
+const STORE_AGAIN_MS: u64 = 200;
+
+/// Returns the number of a service's backend servers that may run suspects, or be down because of
+/// them, at the same time. Those above the first number have to be
+/// idle while no other tasks wait.
+pub fn servers_max(servers: usize) -> (usize, usize) {
+    (servers.div_ceil(SERVERS_PER_SUSPECT), servers.div_ceil(IDLE_SERVERS_PER_SUSPECT))
+}
+
+/// A reported crash that is not stored yet. Its task does not start before it is.
+#[derive(Debug)]
+struct Report {
+    server: ServerId,
+    /// Whether nothing else ran at the server.
+    alone: bool,
+    reported_ms: u64,
+    /// When it is to be stored.
+    due_ms: u64,
+    storing: bool,
+}
+
+/// The suspects and the crashes that made them so.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    /// For each suspect, the crashed servers that no other task explains; `None` stands for crashes
+    /// that an earlier leader stored.
+    tasks: BTreeMap<Task, IndexSet<Option<ServerId>>>,
+    reports: BTreeMap<Attempt, Report>,
+    /// Servers lost lately.
+    losses: VecDeque<(u64, ServerId)>,
+    /// Sidecars whose server crashed under a suspect, with its service, and until when it counts as
+    /// down. The next incarnation of a server may have another id.
+    down: IndexMap<String, (String, u64)>,
+}
+
+impl Suspects {
+    /// Adds a suspect whose crashes an earlier leader has stored.
+    pub fn inherit(&mut self, task: Task) {
+        self.tasks.entry(task).or_default().insert(None);
+    }
+
+    pub fn contains(&self, task: Task) -> bool {
+        self.tasks.contains_key(&task)
+    }
+
+    /// Whether a reported crash under an attempt of the task is not stored yet.
+    pub fn awaits_storage(&self, task: Task) -> bool {
+        let first = Attempt { task, number: 0 };
+        self.reports.range(first..).next().is_some_and(|(attempt, _)| attempt.task == task)
+    }
+
+    /// Whether a task of the job is a suspect, or a reported crash under one is not stored yet.
+    pub fn concerns(&self, job: Id) -> bool {
+        let task = Task { job, step: 0, index: 0 };
+        let suspect = self.tasks.range(task..).next().map(|(task, _)| task.job);
+        let first = Attempt { task, number: 0 };
+        let reported = self.reports.range(first..).next().map(|(attempt, _)| attempt.task.job);
+        suspect == Some(job) || reported == Some(job)
+    }
+
+    /// Records the loss of a server, for whatever reason.
+    pub fn lost(&mut self, now_ms: u64, server: ServerId) {
+        self.losses.retain(|(at_ms, _)| at_ms + 2 * COMMON_CAUSE_MS >= now_ms);
+        if self.losses.iter().all(|(_, lost)| *lost != server) {
+            self.losses.push_back((now_ms, server));
+        }
+    }
+
+    /// Records that a sidecar's server crashed under a suspect that ran there apart.
+    pub fn took_down(&mut self, now_ms: u64, sidecar: &str, service: &str) {
+        self.down.insert(sidecar.to_owned(), (service.to_owned(), now_ms + DOWN_MAX_MS));
+    }
+
+    /// Records that a sidecar's server is up.
+    pub fn up(&mut self, sidecar: &str) {
+        self.down.swap_remove(sidecar);
+    }
+
+    /// Number of the service's servers that are down because of suspects.
+    pub fn down(&mut self, now_ms: u64, service: &str) -> usize {
+        self.down.retain(|_, (_, until_ms)| *until_ms > now_ms);
+        self.down.values().filter(|(name, _)| name == service).count()
+    }
+
+    /// Records a reported crash. Returns false if that was done before. If it may decide that the
+    /// job fails, it is stored only once servers lost by a common cause have been reported too.
+    pub fn report(
+        &mut self,
+        now_ms: u64,
+        attempt: Attempt,
+        server: &ServerId,
+        alone: bool,
+    ) -> bool {
+        if self.reports.contains_key(&attempt) {
+            return false;
+        }
+        let wait_ms = if alone && self.contains(attempt.task) { COMMON_CAUSE_MS } else { 0 };
+        let report = Report {
+            server: server.clone(),
+            alone,
+            reported_ms: now_ms,
+            due_ms: now_ms + wait_ms,
+            storing: false,
+        };
+        self.reports.insert(attempt, report);
+        true
+    }
+
+    /// Returns the crashes that are to be stored now.
+    pub fn due(&mut self, now_ms: u64) -> Vec<Crash> {
+        let mut due = Vec::new();
+        for (attempt, report) in &mut self.reports {
+            if report.storing || report.due_ms > now_ms {
+                continue;
+            }
+            report.storing = true;
+            let near = |at_ms: u64| at_ms.abs_diff(report.reported_ms) <= COMMON_CAUSE_MS;
+            let others = self
+                .losses
+                .iter()
+                .filter(|(at_ms, server)| near(*at_ms) && *server != report.server)
+                .count();
+            let isolated = report.alone && others < COMMON_CAUSE_SERVERS;
+            due.push(Crash { attempt: *attempt, isolated });
+        }
+        due
+    }
+
+    /// Records that a crash could not be stored. It becomes due again.
+    pub fn not_stored(&mut self, now_ms: u64, attempt: Attempt) {
+        if let Some(report) = self.reports.get_mut(&attempt) {
+            report.storing = false;
+            report.due_ms = now_ms + STORE_AGAIN_MS;
+        }
+    }
+
+    /// Records that a crash is stored, which makes the task a suspect.
+    pub fn stored(&mut self, attempt: Attempt) {
+        if let Some(report) = self.reports.remove(&attempt) {
+            self.tasks.entry(attempt.task).or_default().insert(Some(report.server));
+        }
+    }
+
+    /// Removes a task that is done or whose job has ended.
+    pub fn remove(&mut self, task: Task) {
+        self.tasks.remove(&task);
+    }
+
+    /// Records that `task` has crashed servers, which explains these crashes. Returns the tasks that
+    /// are no suspects any more. Those for which `keep` is true stay suspects.
+    pub fn explain(&mut self, task: Task, keep: impl Fn(Task) -> bool) -> Vec<Task> {
+        let Some(crashed) = self.tasks.remove(&task) else { return Vec::new() };
+        let mut cleared = Vec::new();
+        for (other, servers) in &self.tasks {
+            let explained =
+                |server: &Option<ServerId>| server.is_some() && crashed.contains(server);
+            if servers.iter().all(explained) && !keep(*other) {
+                cleared.push(*other);
+            }
+        }
+        cleared.iter().for_each(|other| self.remove(*other));
+        cleared
+    }
+}
--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -17,7 +17,9 @@
 use crate::protocol::{
     queue::{self, Attempt, Id},
     wire::{
-        queue::{Backend, Batch, Commands, Completion, NotStarted, Reason, Report, Server, Start},
+        queue::{
+            Backend, Batch, Commands, Completion, Crash, NotStarted, Reason, Report, Server, Start,
+        },
         work::{self, Entry, Load},
     },
 };
@@ -104,6 +106,10 @@
     /// Attempts commanded by the leader that will not start; kept until a report of them is
     /// answered.
     not_started: Vec<NotStarted>,
+    /// Crashes of the backend server that the leader has not stored yet.
+    crashes: Vec<Crash>,
+    /// Number of the last crash.
+    last_crash: u64,
     /// Expiry of the lease of each connection of an entry. An `Entry` id stands for one connection.
     leases: IndexMap<Entry, u64>,
     /// Connections of entries whose leases were released, and until when delayed messages of them
@@ -132,6 +138,8 @@
             batch: 0,
             out_of_order: BTreeMap::new(),
             not_started: Vec::new(),
+            crashes: Vec::new(),
+            last_crash: 0,
             leases: IndexMap::new(),
             released: IndexMap::new(),
             draining: false,
@@ -163,6 +171,12 @@
             }
             _ => {
                 log::info!("event=server server={} service={}", server.id, server.service);
+                if let Some(backend) = &mut self.backend
+                    && !backend.lost
+                {
+                    backend.unaccounted = backend.sent();
+                }
+                self.record_crash();
                 self.discard_backend();
                 self.backend = Some(BackendServer::new(server, addr, seq));
                 self.announced = true;
@@ -186,6 +200,29 @@
         self.actions.report_due = true;
     }
 
+    /// Records, for the leader, a crash of the present incarnation of the backend server under the
+    /// attempts that were sent to it. A draining server is about to leave, and its end is no crash.
+    fn record_crash(&mut self) {
+        let Some(backend) = &mut self.backend else { return };
+        let lost = std::mem::take(&mut backend.unaccounted);
+        let attempts: Vec<Attempt> = lost
+            .iter()
+            .filter(|(_, source)| *source == Source::Leader)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        if attempts.is_empty() || backend.server.draining || self.draining {
+            return;
+        }
+        self.last_crash += 1;
+        self.crashes.push(Crash {
+            number: self.last_crash,
+            server: backend.server.id.clone(),
+            others: (lost.len() - attempts.len()) as u32,
+            attempts,
+        });
+        self.actions.report_due = true;
+    }
+
     /// Drops the present incarnation of the backend server: nothing runs there any more.
     fn discard_backend(&mut self) {
         let Some(backend) = self.backend.take() else { return };
@@ -279,6 +316,8 @@
             return;
         }
         if std::mem::take(&mut backend.lost) {
+            // The server was cut off or stalled, and has not crashed.
+            backend.unaccounted.clear();
             log::info!("event=server_reachable server={}", backend.server.id);
             self.actions.report_due = true;
         }
@@ -361,11 +400,21 @@
     /// expired or its process is gone.
     pub fn poll_failed(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
         let Some(backend) = &mut self.backend else { return };
-        if backend.answered_since(sent_ms) || !backend.poll_failed(now_ms, refused) {
+        if backend.answered_since(sent_ms) {
+            return;
+        }
+        if !backend.poll_failed(now_ms, refused) {
+            if backend.gone() {
+                self.record_crash();
+            }
             return;
         }
         log::warn!("event=server_unreachable server={} refused={refused}", backend.server.id);
+        let gone = backend.gone();
         let assignments = backend.mark_lost();
+        if gone {
+            self.record_crash();
+        }
         for (attempt, assignment) in assignments {
             self.record_outcome(attempt, &assignment, work::Outcome::Lost, 0);
         }
@@ -592,6 +641,7 @@
             completions: clean
                 .map_or_else(Vec::new, |backend| backend.completions.values().cloned().collect()),
             not_started: self.not_started.clone(),
+            crashes: self.crashes.clone(),
             batch: self.batch,
             wait_ms,
         }
@@ -605,6 +655,8 @@
         report: &Report,
         commands: Commands,
     ) {
+        // What a leader has stored stays stored, whichever term and generation it answers under.
+        self.crashes.retain(|crash| !commands.crashes_stored.contains(&crash.number));
         if commands.term < self.term || commands.generation < self.generation {
             log::info!("event=orders_outdated term={} known={}", commands.term, self.term);
             return;
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -115,6 +115,9 @@
     /// Completions that the leader has not stored yet.
     pub completions: BTreeMap<u64, Completion>,
     newest_completion: u64,
+    /// Attempts that were sent to the server before it last counted as lost. They count as lost by a
+    /// crash once it is certain that its process is gone.
+    pub unaccounted: Vec<(Attempt, Source)>,
 }
 
 impl BackendServer {
@@ -135,6 +138,7 @@
             foreign: IndexMap::new(),
             completions: BTreeMap::new(),
             newest_completion: 0,
+            unaccounted: Vec::new(),
         }
     }
 
@@ -194,13 +198,24 @@
     pub fn poll_failed(&mut self, now_ms: u64, refused: bool) -> bool {
         self.unanswered += 1;
         self.refusals = if refused { self.refusals + 1 } else { 0 };
-        let gone = self.refusals >= REFUSALS_MAX;
-        !self.lost && (gone || now_ms >= self.lease_until_ms + LAPSE_SLACK_MS)
+        !self.lost && (self.gone() || now_ms >= self.lease_until_ms + LAPSE_SLACK_MS)
+    }
+
+    /// Whether the process of the server is gone: nothing listens at its address.
+    pub fn gone(&self) -> bool {
+        self.refusals >= REFUSALS_MAX
+    }
+
+    /// Returns the attempts that were sent to the server and have not ended.
+    pub fn sent(&self) -> Vec<(Attempt, Source)> {
+        let sent = self.assignments.iter().filter(|(_, a)| a.state != State::Waiting);
+        sent.map(|(attempt, assignment)| (*attempt, assignment.source)).collect()
     }
 
     /// Marks the server as lost until it answers again. Returns the attempts that were assigned.
     pub fn mark_lost(&mut self) -> IndexMap<Attempt, Assignment> {
         self.lost = true;
+        self.unaccounted = self.sent();
         self.found_clean = false;
         self.reported_generation = 0;
         self.used = Resources::default();
--- a/src/protocol/queue.rs
+++ b/src/protocol/queue.rs
@@ -235,6 +235,13 @@
         self.steps.iter().map(|step| usize::from(step.tasks)).sum()
     }
 
+    /// All tasks of the job, whose id is given.
+    pub fn all_tasks(&self, job: Id) -> impl Iterator<Item = Task> {
+        self.steps.iter().zip(0..).flat_map(move |(step, number)| {
+            (0..step.tasks).map(move |index| Task { job, step: number, index })
+        })
+    }
+
     /// Returns the position of a task among all tasks of the job, if there is such a task.
     pub fn position(&self, task: Task) -> Option<usize> {
         let step = self.steps.get(usize::from(task.step))?;
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -164,6 +164,9 @@
     pub completions: Vec<Completion>,
     /// Commanded attempts that did not start and cannot start any more.
     pub not_started: Vec<NotStarted>,
+    /// Crashes of the backend server that the leader has not yet acknowledged. They concern servers
+    /// of any registration.
+    pub crashes: Vec<Crash>,
     /// Number up to which all batches of commands have been handled.
     pub batch: u64,
     /// How long the leader may delay its answer.
@@ -187,6 +190,18 @@
     pub reason: Reason,
 }
 
+/// A crash of a backend server under attempts that the leader commanded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Numbers the crashes that one process of the sidecar reports.
+    pub number: u64,
+    pub server: ServerId,
+    /// The leader's attempts that had been sent to the server and had not ended.
+    pub attempts: Vec<Attempt>,
+    /// Number of entries' attempts that had been sent to the server and had not ended.
+    pub others: u32,
+}
+
 /// Why an attempt did not start.
 #[derive(Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reason {
@@ -228,6 +243,8 @@
     /// Completions with numbers up to this one are stored, or need not be. The sidecar may drop
     /// them.
     pub completions_stored: u64,
+    /// Numbers of the report's crashes that are stored, or need not be. The sidecar may drop them.
+    pub crashes_stored: Vec<u64>,
     pub batches: Vec<Batch>,
     /// Addresses of the control instances.
     pub control_addrs: Vec<SocketAddr>,
--- a/src/state/machine/queue.rs
+++ b/src/state/machine/queue.rs
@@ -8,6 +8,11 @@
 
 use crate::protocol::queue::{Attempt, Config, Id, Job, Outcome, Phase, Task};
 
+/// Number of crashes under attempts of a task at which its job fails if the last was isolated.
+const ISOLATED_CRASHES_MAX: usize = 2;
+/// Number of crashes under attempts of a task at which its job fails in any case.
+const CRASHES_MAX: usize = 4;
+
 /// A change of the queues.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
@@ -17,6 +22,8 @@
     /// Records the outcomes of ended attempts. `Outcome::Stopped` has no effect.
     Complete(Vec<Completion>),
     Cancel(Id),
+    /// Records attempts under which a backend server crashed.
+    Crash(Vec<Crash>),
 }
 
 /// A job that a caller has submitted.
@@ -40,6 +47,15 @@
     pub outcome: Outcome,
 }
 
+/// Record that a backend server crashed under an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    pub attempt: Attempt,
+    /// Whether nothing but the attempt explains the crash: it was alone at the server, and no other
+    /// servers were lost at that time.
+    pub isolated: bool,
+}
+
 /// Result of a change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reply {
@@ -78,11 +94,14 @@
 }
 
 /// State of a task.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     pub done: bool,
     /// Number of failed attempts.
     pub failed: u32,
+    /// Numbers of the attempts under which a backend server crashed, at most [`CRASHES_MAX`]. A
+    /// crash that is reported again, also to a later leader, counts once.
+    pub crashes: Vec<u32>,
 }
 
 /// The replicated queues.
@@ -101,8 +120,16 @@
     }
 
     /// State of a task, if the job has it.
-    pub fn progress(&self, task: Task) -> Option<Progress> {
-        self.tasks.get(self.job.position(task)?).copied()
+    pub fn progress(&self, task: Task) -> Option<&Progress> {
+        self.tasks.get(self.job.position(task)?)
+    }
+
+    /// Whether a crash under `attempt` is still to be recorded.
+    pub fn crash_counts(&self, attempt: Attempt) -> bool {
+        !self.phase.is_terminal()
+            && self
+                .progress(attempt.task)
+                .is_some_and(|task| !task.done && !task.crashes.contains(&attempt.number))
     }
 }
 
@@ -119,6 +146,12 @@
                 Reply::Done
             }
             Change::Cancel(id) => self.cancel(now_ms, id),
+            Change::Crash(crashes) => {
+                for crash in crashes {
+                    self.crash(now_ms, crash);
+                }
+                Reply::Done
+            }
         }
     }
 
@@ -197,6 +230,21 @@
         }
     }
 
+    fn crash(&mut self, now_ms: u64, crash: Crash) {
+        let id = crash.attempt.task.job;
+        let Some(record) = self.jobs.get_mut(&id) else { return };
+        if !record.crash_counts(crash.attempt) {
+            return;
+        }
+        let Some(position) = record.job.position(crash.attempt.task) else { return };
+        let crashes = &mut record.tasks[position].crashes;
+        crashes.push(crash.attempt.number);
+        let max = if crash.isolated { ISOLATED_CRASHES_MAX } else { CRASHES_MAX };
+        if crashes.len() >= max {
+            self.finish(now_ms, id, Phase::Failed);
+        }
+    }
+
     fn cancel(&mut self, now_ms: u64, id: Id) -> Reply {
         match self.jobs.get(&id) {
             None => Reply::Unknown,
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -6,11 +6,11 @@
     coordination::schedule::{Key, Scheduler, Server},
     protocol::{
         queue::{Attempt, Config, Id, Job, Outcome, Phase, Queue, Resources, Service, Step, Task},
-        wire::queue::{self, Batch, NotStarted, Reason, ServerId},
+        wire::queue::{self, Batch, NotStarted, Reason, ServerId, Start},
     },
     state::machine::{
         Command, Op, Reply, State,
-        queue::{Change, Completion, Submission},
+        queue::{Change, Completion, Crash, Submission},
     },
 };
 
@@ -261,9 +261,179 @@
     assert_eq!(starts(scheduler.commands(key)), [], "a server that refused an attempt is paused");
     scheduler.assign(100, fixture.state.queues());
     assert_eq!(starts(scheduler.commands(key))[0].number, 2);
-    scheduler.remove_server(key, fixture.state.queues());
+    scheduler.remove_server(100, key, fixture.state.queues());
     let other = scheduler.add_server(server(1));
     scheduler.sync(200, other, &[], fixture.state.queues());
     scheduler.assign(200, fixture.state.queues());
     assert_eq!(starts(scheduler.commands(other))[0].number, 3);
 }
+
+fn crash(server: &str, attempts: &[Attempt]) -> queue::Crash {
+    let server = ServerId { id: server.to_owned(), started_at_ms: 1 };
+    queue::Crash { number: 1, server, attempts: attempts.to_vec(), others: 0 }
+}
+
+impl Fixture {
+    /// Stores the crashes that are due and returns them.
+    fn store_crashes(&mut self, scheduler: &mut Scheduler) -> Vec<Crash> {
+        let crashes = scheduler.crashes_due(self.now_ms);
+        self.apply(Change::Crash(crashes.clone()));
+        crashes.iter().for_each(|crash| scheduler.crash_stored(crash, self.state.queues()));
+        crashes
+    }
+
+    fn crashes(&self, task: Task) -> Vec<u32> {
+        self.state.queues().job(task.job).unwrap().progress(task).unwrap().crashes.clone()
+    }
+}
+
+/// Returns the newly commanded starts of two servers.
+fn assigned(scheduler: &mut Scheduler, keys: [Key; 2], fixture: &Fixture) -> [Vec<Start>; 2] {
+    scheduler.assign(fixture.now_ms, fixture.state.queues());
+    keys.map(|key| scheduler.commands(key).unwrap_or_default().starts)
+}
+
+/// Guards against a crash that counts twice because it is reported again, to the same leader or to
+/// the next one, and against one that a snapshot drops.
+#[test]
+fn a_repeated_report_of_a_crash_counts_once() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1, "/q/x", job(1));
+    let attempt = Attempt { task: task(1, 0), number: 1 };
+    let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
+    scheduler.crashed(0, "s", &crash("b", &[attempt]), fixture.state.queues());
+    scheduler.crashed(0, "s", &crash("b", &[attempt]), fixture.state.queues());
+    assert_eq!(fixture.store_crashes(&mut scheduler).len(), 1);
+    scheduler.crashed(0, "s", &crash("b", &[attempt]), fixture.state.queues());
+    assert_eq!(fixture.store_crashes(&mut scheduler), []);
+
+    let bytes = postcard::to_stdvec(&fixture.state).unwrap();
+    fixture.state = postcard::from_bytes(&bytes).unwrap();
+    let mut next = Scheduler::new(2, 0, fixture.state.queues());
+    next.crashed(0, "s", &crash("b", &[attempt]), fixture.state.queues());
+    assert_eq!(fixture.store_crashes(&mut next), []);
+    // Two leaders may each propose it.
+    fixture.apply(Change::Crash(vec![Crash { attempt, isolated: true }]));
+    assert_eq!(fixture.crashes(attempt.task), [1]);
+    assert_eq!(fixture.phase(1), Some(Phase::Running));
+}
+
+/// Guards against a task that takes down server after server: one of a job that is kept was started
+/// 110 times. Also guards against its restart before the crash is stored.
+#[test]
+fn a_job_fails_after_its_task_crashed_two_servers_the_second_alone() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1, "/q/x", job(1));
+    let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
+    scheduler.release_inherited();
+    let mut numbers = Vec::new();
+    for number in 0..3 {
+        let key = scheduler.add_server(server(2));
+        scheduler.sync(fixture.now_ms, key, &[], fixture.state.queues());
+        scheduler.assign(fixture.now_ms, fixture.state.queues());
+        let started = starts(scheduler.commands(key));
+        numbers.extend(started.iter().map(|attempt| attempt.number));
+        let mut reported = crash("b", &started);
+        reported.number = number;
+        scheduler.crashed(fixture.now_ms, "s", &reported, fixture.state.queues());
+        scheduler.remove_server(fixture.now_ms, key, fixture.state.queues());
+        let other = scheduler.add_server(server(2));
+        scheduler.sync(fixture.now_ms, other, &[], fixture.state.queues());
+        scheduler.assign(fixture.now_ms, fixture.state.queues());
+        assert_eq!(starts(scheduler.commands(other)), [], "the crash is not stored yet");
+        scheduler.remove_server(fixture.now_ms, other, fixture.state.queues());
+        fixture.now_ms += 400;
+        fixture.store_crashes(&mut scheduler);
+    }
+    assert_eq!(numbers, [1, 2]);
+    assert_eq!(fixture.phase(1), Some(Phase::Failed));
+}
+
+/// Guards against giving up the jobs of a rack that loses power twice: only a fourth crash under a
+/// task that coincides with the loss of other servers ends its job.
+#[test]
+fn servers_that_are_lost_together_give_up_no_job() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1, "/q/x", job(1));
+    fixture.submit(2, "/q/y", job(1));
+    let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
+    scheduler.release_inherited();
+    for _ in 0..3 {
+        let names = ["b", "c", "d"];
+        let keys = names.map(|name| {
+            let mut server = server(1);
+            server.info.id.id = name.to_owned();
+            scheduler.add_server(server)
+        });
+        keys.iter()
+            .for_each(|key| scheduler.sync(fixture.now_ms, *key, &[], fixture.state.queues()));
+        scheduler.assign(fixture.now_ms, fixture.state.queues());
+        for (name, key) in names.into_iter().zip(keys) {
+            let attempts = starts(scheduler.commands(key));
+            scheduler.crashed(fixture.now_ms, "s", &crash(name, &attempts), fixture.state.queues());
+            scheduler.remove_server(fixture.now_ms, key, fixture.state.queues());
+        }
+        fixture.now_ms += 1_000;
+        fixture.store_crashes(&mut scheduler);
+    }
+    let counts = [task(1, 0), task(2, 0)].map(|task| fixture.crashes(task).len());
+    assert_eq!(counts.iter().max(), Some(&3));
+    assert_eq!([fixture.phase(1), fixture.phase(2)], [Some(Phase::Running); 2]);
+}
+
+/// Guards against other tasks beside a suspect, also under the next leader: the server's capacity is
+/// all the suspect's, and an innocent task that shared a server with it starts beside others again.
+#[test]
+fn a_suspect_runs_alone_until_its_crash_is_explained() {
+    let mut fixture = Fixture::new();
+    (1..=4).for_each(|id| assert_eq!(fixture.submit(id, "/q/x", job(1)), "Done"));
+    let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
+    let first = [1, 2].map(|id| Attempt { task: task(id, 0), number: 1 });
+    scheduler.crashed(0, "s", &crash("b", &first), fixture.state.queues());
+    fixture.store_crashes(&mut scheduler);
+    let mut next = Scheduler::new(2, 0, fixture.state.queues());
+    next.release_inherited();
+    let jobs = |starts: &[Start]| starts.iter().map(|s| s.attempt.task.job.0).collect::<Vec<_>>();
+    let keys = [&mut scheduler, &mut next].map(|scheduler| {
+        scheduler.release_inherited();
+        let keys = [0, 1].map(|_| scheduler.add_server(server(4)));
+        keys.iter().for_each(|key| scheduler.sync(0, *key, &[], fixture.state.queues()));
+        let [suspects, others] = assigned(scheduler, keys, &fixture);
+        assert_eq!((jobs(&suspects), jobs(&others)), (vec![1], vec![3, 4]));
+        assert_eq!(suspects[0].needs, server(4).info.capacity);
+        keys
+    });
+    // The second crash under the first suspect, alone, clears the second one.
+    let again = Attempt { task: task(1, 0), number: 2 };
+    fixture.now_ms = 400;
+    scheduler.crashed(0, "s", &crash("c", &[again]), fixture.state.queues());
+    fixture.store_crashes(&mut scheduler);
+    assert_eq!([fixture.phase(1), fixture.phase(2)], [Some(Phase::Failed), Some(Phase::Running)]);
+    let [first, second] = assigned(&mut scheduler, keys[0], &fixture);
+    let started = [first, second].concat();
+    assert_eq!(jobs(&started), [2]);
+    assert_eq!(started[0].needs, job(1).steps[0].needs);
+}
+
+/// Guards against starts beyond a capacity that has shrunk: those that are being stopped count.
+#[test]
+fn the_newest_announced_capacity_limits_starts() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1, "/q/x", job(6));
+    let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
+    scheduler.release_inherited();
+    let key = scheduler.add_server(server(3));
+    scheduler.sync(0, key, &[], fixture.state.queues());
+    scheduler.assign(0, fixture.state.queues());
+    let running = starts(scheduler.commands(key));
+    assert_eq!(running.len(), 3);
+    scheduler.server_mut(key).unwrap().describe(server(1).info);
+    for attempt in &running[..2] {
+        fixture.complete(&mut scheduler, key, *attempt, Outcome::Done);
+        scheduler.assign(1, fixture.state.queues());
+        assert_eq!(starts(scheduler.commands(key)), []);
+    }
+    scheduler.server_mut(key).unwrap().describe(server(2).info);
+    scheduler.assign(2, fixture.state.queues());
+    assert_eq!(starts(scheduler.commands(key)).len(), 1);
+}
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -324,6 +324,91 @@
     assert_eq!(sidecar.report(0).backend, Backend::Lost);
 }
 
+/// A sidecar whose backend server runs an attempt of the leader and one of an entry.
+fn sidecar_with_attempts() -> Sidecar {
+    let mut sidecar = sidecar();
+    sidecar.announce(0, server(1, 1_200), addr(), 2);
+    sidecar.handle_start(0, Source::Leader, start(attempt(1, 1)), 0, 0);
+    command(&mut sidecar, 0, attempt(2, 1));
+    command(&mut sidecar, 0, attempt(3, 1));
+    sidecar
+}
+
+/// Guards against a task that takes down server after server: a crash is reported with the attempts
+/// that had been sent to the server, whether it is found by refused connections or by a new
+/// incarnation, and also if the server did not answer before.
+#[test]
+fn attempts_that_were_sent_to_a_crashed_server_are_reported() {
+    let crashes = |sidecar: &Sidecar| {
+        let crashes = sidecar.report(0).crashes.into_iter();
+        crashes.map(|c| (c.number, c.server, c.attempts, c.others)).collect::<Vec<_>>()
+    };
+    let expected = [(1, server(1, 0).id, vec![attempt(1, 1)], 1)];
+    let mut replaced = sidecar_with_attempts();
+    replaced.announce(10, server(2, 1_200), addr(), 1);
+    assert_eq!(crashes(&replaced), expected);
+    let mut refused = sidecar_with_attempts();
+    refused.poll_failed(1, 1, true);
+    assert_eq!(crashes(&refused), [], "one refused connection may be an error");
+    refused.poll_failed(2, 2, true);
+    assert_eq!(crashes(&refused), expected);
+    refused.announce(10, server(2, 1_200), addr(), 1);
+    assert_eq!(crashes(&refused), expected, "it is the same crash");
+    let mut silent = sidecar_with_attempts();
+    silent.poll_failed(60_000, 60_000, false);
+    assert_eq!(crashes(&silent), [], "it may be cut off");
+    silent.announce(60_001, server(2, 1_200), addr(), 1);
+    assert_eq!(crashes(&silent), expected);
+}
+
+/// Guards against counting the end of a server that leaves, drains or is cut off for a while as a
+/// crash of its tasks.
+#[test]
+fn a_server_that_leaves_or_was_cut_off_has_not_crashed() {
+    let mut left = sidecar_with_attempts();
+    left.leave("b");
+    left.announce(10, server(2, 1_200), addr(), 1);
+    let mut draining = sidecar_with_attempts();
+    draining.announce(1, Server { draining: true, ..server(1, 1_200) }, addr(), 3);
+    draining.announce(10, server(2, 1_200), addr(), 1);
+    let mut cut_off = sidecar_with_attempts();
+    cut_off.poll_failed(60_000, 60_000, false);
+    cut_off.polled(60_001, 60_002, PollReply { clock_ms: 60_000, ..poll_reply(&[], &[]) });
+    cut_off.announce(60_003, server(2, 1_200), addr(), 1);
+    for sidecar in [left, draining, cut_off] {
+        assert_eq!(sidecar.report(0).crashes, []);
+    }
+}
+
+/// Guards against a crash that is never counted because a report or its answer was lost or the
+/// leader has changed: it is reported until a leader has stored it.
+#[test]
+fn a_crash_is_reported_until_it_is_stored() {
+    let mut sidecar = sidecar_with_attempts();
+    sidecar.announce(10, server(2, 1_200), addr(), 1);
+    let report = sidecar.report(0);
+    sidecar.handle_commands(11, 10, &report, Commands { term: 2, ..commands(20) });
+    assert_eq!(sidecar.report(0).crashes, report.crashes);
+    let stored = Commands { crashes_stored: vec![1], ..commands(9) };
+    sidecar.handle_commands(12, 10, &report, stored);
+    assert_eq!(sidecar.report(0).crashes, []);
+}
+
+/// Guards against starts beyond a capacity that has shrunk: an attempt that is being stopped still
+/// uses its share.
+#[test]
+fn the_newest_announced_capacity_limits_starts() {
+    let mut sidecar = sidecar();
+    assert_eq!(command(&mut sidecar, 0, attempt(1, 1)).starts.len(), 1);
+    sidecar.announce(1, server(1, 500), addr(), 2);
+    sidecar.stop(attempt(1, 1));
+    assert_eq!(command(&mut sidecar, 2, attempt(2, 1)).starts.len(), 0);
+    sidecar.polled(3, 4, poll_reply(&[], &[(1, attempt(1, 1), queue::Outcome::Stopped)]));
+    assert_eq!(sidecar.take_actions().starts, []);
+    sidecar.announce(5, server(1, 600), addr(), 3);
+    assert_eq!(sidecar.take_actions().starts, [start(attempt(2, 1))]);
+}
+
 /// A backend server that carries out starts late or not at all, and whose attempts end at random
 /// times.
 #[derive(Default)]
