--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -121,6 +121,7 @@
         generation,
         running,
         completions: Vec::new(),
+        crashes: Vec::new(),
         not_started: Vec::new(),
         batch: 0,
         wait_ms: 0,
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -202,7 +202,7 @@
             self.done.remove(&end.attempt.task);
         }
         if let Some(key) = lost.key.take() {
-            self.scheduler.remove_server(key, self.state.queues());
+            self.scheduler.remove_server(self.now_ms, key, self.state.queues());
         }
     }
 
