Use a server again that ran a suspect under an earlier leader

What callers would see: kept jobs that wait for ever (LOST) after a change of leader during crashes.

Cause: a new leader takes over a suspect's attempt and keeps its server apart. Servers are released only while suspects of their service wait, and none did under the new leader.

Change: the services of servers that are apart are looked at as well.

suspects::a_server_apart_under_an_earlier_leader_is_used_again failed before (one job was Running after 60 s).

--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -526,6 +526,12 @@
     /// most servers crashed first. If no server is free, some are kept from starting other tasks
     /// until they are.
     fn assign_suspects(&mut self, now_ms: u64, queues: &Queues) {
+        // A server on which an earlier leader ran a suspect is apart although none waits.
+        let apart = self.servers.iter().filter(|(_, server)| server.apart());
+        let apart: Vec<String> = apart.map(|(_, server)| server.info.service.clone()).collect();
+        for service in apart {
+            self.ready_suspects.entry(service).or_default();
+        }
         let services: Vec<String> = self.ready_suspects.keys().cloned().collect();
         for service in services {
             let mut ranks: Vec<Rank> = self.ready_suspects[&service].iter().copied().collect();
