Do not start a cancelled attempt again when its server is lost

Cause: only a stopped or refused attempt of a cancelled job was reported as cancelled. A lost one was reported as lost, and its entry, which does not know of the cancel, started the task elsewhere.

Test: sidecar_jobs::a_cancelled_attempt_whose_server_is_lost_has_outcome_canceled failed before.

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -279,7 +279,9 @@
         took_ms: u64,
     ) {
         let outcome = match outcome {
-            work::Outcome::Stopped | work::Outcome::NotStarted(_) if assignment.canceled => {
+            work::Outcome::Stopped | work::Outcome::Lost | work::Outcome::NotStarted(_)
+                if assignment.canceled =>
+            {
                 work::Outcome::Canceled
             }
             outcome => outcome,
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -592,3 +592,15 @@
     }
     quickcheck::QuickCheck::new().tests(2_000).quickcheck(holds as fn(Vec<u8>) -> bool);
 }
+
+/// Guards against the restart of a cancelled job: its server was lost before the stop.
+#[test]
+fn a_cancelled_attempt_whose_server_is_lost_has_outcome_canceled() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    assert!(sidecar.cancel(Id(1)));
+    sidecar.announce(10, server(2, 1_000), addr(), 1);
+    sidecar.polled(10, 11, poll_reply(&[], &[]));
+    let canceled = (Entry(7), attempt(1, 1), work::Outcome::Canceled, 0);
+    assert_eq!(sidecar.take_actions().replies, [canceled]);
+}
