Start no suspect of a transient job before its step

What callers would see: a task that starts before the steps that it depends on are done (ORDER), after a job was submitted again and a server crashed under an attempt that it took over; or a suspect that starts beside other tasks.

Cause: suspects were started without a look at their step, and a step that became ready took its suspects along as ordinary tasks.

Change: a suspect waits for its step, and stays a suspect when its step becomes ready.

--- a/src/coordination/transient/job.rs
+++ b/src/coordination/transient/job.rs
@@ -100,18 +100,26 @@
             let tasks = (0..step.tasks).map(|index| Task { job: id, step: number as u16, index });
             self.ready.extend(tasks.filter(|task| {
                 let progress = self.submitted.position(*task).map(|position| &self.tasks[position]);
-                progress.is_some_and(|progress| !progress.done && progress.placement.is_none())
+                progress.is_some_and(|progress| {
+                    // A task under which a server was lost waits for a server of its own.
+                    !progress.done && progress.placement.is_none() && progress.servers_lost == 0
+                })
             }));
         }
     }
 
     /// Makes a task ready whose attempt has ended, unless it waits for other steps.
     pub fn make_ready(&mut self, task: Task) {
-        if self.made_ready[usize::from(task.step)] {
+        if self.is_step_ready(task) {
             self.ready.insert(task);
         }
     }
 
+    /// Whether the tasks of a task's step have been made ready.
+    pub fn is_step_ready(&self, task: Task) -> bool {
+        self.made_ready.get(usize::from(task.step)).is_some_and(|ready| *ready)
+    }
+
     /// Takes over an attempt of a removed job with the same id, which may still run. Returns whether
     /// this job has its task.
     pub fn adopt(&mut self, placement: Placement) -> bool {
--- a/src/coordination/transient/suspect.rs
+++ b/src/coordination/transient/suspect.rs
@@ -30,10 +30,11 @@
         }
     }
 
-    /// Whether no attempt of a suspect is commanded.
+    /// Whether no attempt of a suspect is commanded although its step may start.
     fn waits(&self, task: Task) -> bool {
-        let job = self.jobs.get(&task.job);
-        job.and_then(|job| job.progress(task)).is_some_and(|progress| progress.placement.is_none())
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        job.is_step_ready(task)
+            && job.progress(task).is_some_and(|progress| progress.placement.is_none())
     }
 
     /// Releases servers whose suspects have ended, or wait and cannot start there any more.
