Start no waiting task whose end is being stored

What callers would see: a task that runs again after its end as done (TWICE).

Cause: the guard for ends that are being stored kept a task from becoming ready. A task that was ready already, as its server had counted as lost, and that waited for capacity, was started when the sidecar came back with the end and with the capacity.

Change: a reported end takes its task off the ready ones.

queues::a_ready_task_does_not_start_while_its_end_is_being_stored failed before.

--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -436,6 +436,7 @@
             return None;
         }
         self.unstored.insert(attempt);
+        self.remove_ready(attempt.task);
         Some(Completion { attempt, outcome })
     }
 
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -530,3 +530,26 @@
     scheduler.assign(2, fixture.state.queues());
     assert_eq!(starts(scheduler.commands(key)).len(), 1);
 }
+
+/// Guards against a second start of a task that waits for capacity when its end as done is reported:
+/// its server had counted as lost.
+#[test]
+fn a_ready_task_does_not_start_while_its_end_is_being_stored() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1, "/q/x", job(1));
+    let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
+    scheduler.release_inherited();
+    let key = scheduler.add_server(server(1));
+    scheduler.sync(0, key, &[], fixture.state.queues());
+    scheduler.assign(0, fixture.state.queues());
+    let first = starts(scheduler.commands(key))[0];
+    scheduler.remove_server(0, key, fixture.state.queues());
+    let back = scheduler.add_server(server(1));
+    let done = scheduler.ended(0, back, first, Outcome::Done).unwrap();
+    scheduler.sync(0, back, &[], fixture.state.queues());
+    scheduler.assign(0, fixture.state.queues());
+    assert_eq!(starts(scheduler.commands(back)), []);
+    fixture.apply(Change::Complete(vec![done]));
+    scheduler.outcome_stored(&done, fixture.state.queues());
+    assert_eq!(fixture.phase(1), Some(Phase::Completed));
+}
