Make no suspect of a task that is done

What callers would see: a kept job whose other tasks never start (LOST), until the leader changes.

Cause: a crash under a second attempt was stored just after the end of the first one as done. The replicated state ignored it, the leader made the task a suspect all the same, and the other tasks of the job waited for a suspect that never ends.

Change: only a crash that the replicated state has counted makes a suspect.

queues::a_crash_stored_after_the_task_is_done_leaves_no_suspect failed before.

--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -381,7 +381,11 @@
     /// Handles a crash that has been stored in the replicated queues.
     pub fn crash_stored(&mut self, crash: &Crash, queues: &Queues) {
         let task = crash.attempt.task;
-        self.suspects.stored(crash.attempt);
+        // The end of another attempt may have been stored before.
+        let progress = queues.job(task.job).and_then(|record| record.progress(task));
+        let counted =
+            progress.is_some_and(|p| !p.done && p.crashes.contains(&crash.attempt.number));
+        self.suspects.stored(crash.attempt, counted);
         let Some(record) = queues.job(task.job) else { return self.suspects.remove(task) };
         if record.phase.is_terminal() {
             if record.phase == Phase::Failed && crash.isolated {
--- a/src/coordination/schedule/suspect.rs
+++ b/src/coordination/schedule/suspect.rs
@@ -163,9 +163,9 @@
         }
     }
 
-    /// Records that a crash is stored, which makes the task a suspect.
-    pub fn stored(&mut self, attempt: Attempt) {
-        if let Some(report) = self.reports.remove(&attempt) {
+    /// Records that a crash is stored. If the replicated state has counted it, the task is a suspect.
+    pub fn stored(&mut self, attempt: Attempt, counted: bool) {
+        if let Some(report) = self.reports.remove(&attempt).filter(|_| counted) {
             self.tasks.entry(attempt.task).or_default().insert(Some(report.server));
         }
     }
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -553,3 +553,35 @@
     scheduler.outcome_stored(&done, fixture.state.queues());
     assert_eq!(fixture.phase(1), Some(Phase::Completed));
 }
+
+/// Guards against a job whose other tasks never start: a crash under a second attempt was stored just
+/// after the end of the first one as done, and left a suspect that never ends.
+#[test]
+fn a_crash_stored_after_the_task_is_done_leaves_no_suspect() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1, "/q/x", job(2));
+    let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
+    scheduler.release_inherited();
+    let lost = scheduler.add_server(server(1));
+    scheduler.sync(0, lost, &[], fixture.state.queues());
+    scheduler.assign(0, fixture.state.queues());
+    let first = starts(scheduler.commands(lost))[0];
+    scheduler.remove_server(0, lost, fixture.state.queues());
+    let crashing = scheduler.add_server(server(1));
+    scheduler.sync(0, crashing, &[], fixture.state.queues());
+    scheduler.assign(0, fixture.state.queues());
+    let second = starts(scheduler.commands(crashing))[0];
+    assert_eq!(first.task, second.task);
+
+    let back = scheduler.add_server(server(1));
+    let done = scheduler.ended(0, back, first, Outcome::Done).unwrap();
+    scheduler.crashed(0, "s", &crash("b", &[second]), fixture.state.queues());
+    scheduler.remove_server(0, crashing, fixture.state.queues());
+    fixture.apply(Change::Complete(vec![done]));
+    scheduler.outcome_stored(&done, fixture.state.queues());
+    fixture.store_crashes(&mut scheduler);
+    scheduler.sync(0, back, &[], fixture.state.queues());
+    scheduler.assign(1_000, fixture.state.queues());
+    let started = starts(scheduler.commands(back));
+    assert_eq!(started, [Attempt { task: task(1, 1), number: 1 }]);
+}
