--- a/src/coordination/consensus/check.rs
+++ b/src/coordination/consensus/check.rs
@@ -3,8 +3,8 @@
 
 use super::{Body, Instance, Message, Role};
 
-/// Largest term of a message. Fencing numbers have 24 bits below the term.
-const TERM_MAX: u64 = 1 << 39;
+/// Largest term of a message. Fencing tokens take less than 35 bits below the term.
+const TERM_MAX: u64 = 1 << 29;
 /// Largest index of a message.
 const INDEX_MAX: u64 = 1 << 62;
 
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -216,7 +216,8 @@
         Key(self.servers.insert(server))
     }
 
-    /// Records that the server of a sidecar is up and gets attempts, so that it does not count as crashed any more.
+    /// Records that the server of a sidecar is up and gets attempts, so that it does not count as
+    /// crashed any more.
     pub fn recovered(&mut self, sidecar: &str) {
         self.suspects.up(sidecar);
     }
@@ -347,8 +348,8 @@
         self.servers.try_remove(key.0);
     }
 
-    /// Handles a report that the server of a sidecar crashed. The tasks of its attempts start again only
-    /// after [`Scheduler::crash_stored`].
+    /// Handles a report that the server of a sidecar crashed. The tasks of its attempts start again
+    /// only after [`Scheduler::crash_stored`].
     pub fn crashed(&mut self, now_ms: u64, sidecar: &str, crash: &queue::Crash, queues: &Queues) {
         let alone = crash.attempts.len() == 1 && crash.others == 0;
         for attempt in &crash.attempts {
--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -33,9 +33,9 @@
 /// Time after the release of a lease within which delayed messages of its connection may still
 /// carry a lease that has not expired, in ms. Entries take leases of less than half of this.
 const RELEASED_MS: u64 = 2_500;
-/// Longest time by which the backend server's lease may outlast that of an entry with attempts there,
-/// in ms. Callers send a job again 1,300 ms after they have lost an entry, whose lease is 700 ms, and
-/// a sidecar that is suspended stops nothing itself.
+/// Longest time by which the backend server's lease may outlast that of an entry with attempts
+/// there, in ms. Callers send a job again 1,300 ms after they have lost an entry, whose lease is
+/// 700 ms, and a sidecar that is suspended stops nothing itself.
 const OUTLAST_MAX_MS: u64 = 500;
 /// Incarnations of the backend server that get fencing tokens of their own under one generation.
 const INCARNATIONS_MAX: u64 = 1 << 10;
@@ -729,7 +729,7 @@
         // What a leader has stored stays stored, whichever term and generation it answers under.
         self.crashes.retain(|crash| !commands.crashes_stored.contains(&crash.number));
         if commands.term < self.term || commands.generation < self.generation {
-            log::info!("event=orders_outdated term={} known={}", commands.term, self.term);
+            log::info!("event=commands_outdated term={} known={}", commands.term, self.term);
             return;
         }
         self.term = commands.term;
--- a/src/coordination/transient/suspect.rs
+++ b/src/coordination/transient/suspect.rs
@@ -6,10 +6,10 @@
 use super::{Key, Scheduler};
 use crate::protocol::queue::Task;
 
-/// One in this many servers of a service is held for suspects at a time, but at least one. A server
-/// that was lost meanwhile counts until it accepts start commands again, ...
+/// One in this many servers of a service is held for suspects at a time, but at least one.
 const SERVERS_PER_HELD: usize = 8;
-/// ... or for this time, in ms.
+/// Longest time for which a server that was lost while it was held counts as held, in ms. It counts
+/// until it accepts start commands again.
 const LOST_HELD_MS: u64 = 5_000;
 
 impl Scheduler {
