Let suspects use more servers while no other tasks wait

Cause: the share of servers for suspects while nothing else waits was a half. A server that crashes under a suspect counts for seconds.

Change: while no other tasks wait, all idle servers but one, and one more of each eight, may run suspects.

--- a/src/coordination/schedule/suspect.rs
+++ b/src/coordination/schedule/suspect.rs
@@ -21,8 +21,8 @@
 /// one. More suspects would take too much from other tasks; fewer would wait for long, as each crash
 /// keeps a server down for seconds.
 const SERVERS_PER_SUSPECT: usize = 3;
-/// The same if the server is idle and no other tasks wait.
-const IDLE_SERVERS_PER_SUSPECT: usize = 2;
+/// While no other tasks wait, one server, and one more of so many, is left to tasks that may come.
+const SERVERS_PER_SPARE: usize = 8;
 /// Longest time for which a server that crashed under a suspect counts as down because of it, in
 /// ms.
 const DOWN_MAX_MS: u64 = 10_000;
@@ -30,10 +30,12 @@
 const STORE_AGAIN_MS: u64 = 200;
 
 /// Returns the number of a service's backend servers that may run suspects, or be down because of
-/// them, at the same time. Those above the first number have to be
-/// idle while no other tasks wait.
+/// them, at the same time, and the same while no other tasks wait: those above the first number have
+/// to be idle.
 pub fn servers_max(servers: usize) -> (usize, usize) {
-    (servers.div_ceil(SERVERS_PER_SUSPECT), servers.div_ceil(IDLE_SERVERS_PER_SUSPECT))
+    let spare = 1 + servers / SERVERS_PER_SPARE;
+    let most = servers.div_ceil(SERVERS_PER_SUSPECT);
+    (most, servers.saturating_sub(spare).max(most))
 }
 
 /// A reported crash that is not stored yet. Its task does not start before it is.
