Transient jobs: run a task whose server crashed on a server of its own

Callers saw: after a crash, the task that had caused it was started again beside other jobs, and the next crash ended those, too.

Cause: a retry after a lost server was placed like any other start.

Change: a task under which a server crashed waits for a server that is held for it, on which this entry starts nothing else.

--- a/src/coordination/transient.rs
+++ b/src/coordination/transient.rs
@@ -9,6 +9,7 @@
 mod job;
 mod ready;
 mod server;
+mod suspect;
 
 use std::net::SocketAddr;
 
@@ -199,7 +200,9 @@
     /// whether the job was known.
     fn remove_job(&mut self, id: Id) -> bool {
         let Some(job) = self.jobs.swap_remove(&id) else { return false };
-        ready_of(&mut self.ready, &job).remove(id, &job);
+        let ready = ready_of(&mut self.ready, &job);
+        ready.remove(id, &job);
+        ready.suspects.retain(|task| task.job != id);
         for task in &job.tasks {
             if let Some(placement) = task.placement {
                 self.actions.stops.push((placement.server, placement.attempt));
@@ -240,6 +243,10 @@
             true => COINCIDING_LOST_SERVERS_MAX,
             false => LOST_SERVERS_MAX,
         };
+        let server = &mut self.servers[key.0];
+        if server.held_for == Some(attempt.task) {
+            server.lost_held_ms = Some(now_ms);
+        }
         let id = attempt.task.job;
         let Some(job) = self.jobs.get_mut(&id) else { return false };
         let Some(position) = job.submitted.position(attempt.task) else { return false };
@@ -247,6 +254,7 @@
         task.placement = None;
         task.servers_lost += 1;
         if task.servers_lost < limit {
+            ready_of(&mut self.ready, job).suspects.insert(attempt.task);
             return false;
         }
         log::warn!("event=given_up run={attempt} servers_lost={}", task.servers_lost);
@@ -274,6 +282,7 @@
             Outcome::Done => {
                 task.done = true;
                 job.remaining -= 1;
+                ready_of(&mut self.ready, job).suspects.shift_remove(&attempt.task);
                 if job.remaining == 0 {
                     self.jobs.swap_remove(&id);
                     self.actions.finished.push((id, JobOutcome::Completed));
@@ -299,8 +308,11 @@
             Outcome::NotStarted(Reason::Expired) => task.number += NUMBER_STEP,
             Outcome::Stopped | Outcome::Lost | Outcome::NotStarted(_) => {}
         }
-        job.ready.insert(attempt.task);
-        ready_of(&mut self.ready, job).update(id, job);
+        let ready = ready_of(&mut self.ready, job);
+        if !ready.suspects.contains(&attempt.task) {
+            job.ready.insert(attempt.task);
+            ready.update(id, job);
+        }
     }
 
     /// Stops stalled attempts, refuses jobs that have waited too long, and assigns ready tasks.
@@ -362,6 +374,7 @@
 
     /// Commands starts of ready tasks of the service at `service_index` in `ready`.
     fn assign_service(&mut self, now_ms: u64, service_index: usize) {
+        self.assign_suspects(now_ms, service_index);
         let mut misses = 0;
         for pass in Pass::ALL {
             for id in self.ready[service_index].first(now_ms, pass) {
@@ -406,14 +419,24 @@
     /// Commands the start of a ready task. Returns `false` if no suitable server has free
     /// capacity.
     fn place(&mut self, now_ms: u64, task: Task) -> bool {
-        let Some(job) = self.jobs.get_mut(&task.job) else { return true };
-        let submitted = job.submitted.clone();
-        let step = &submitted.steps[usize::from(task.step)];
-        let Some(position) = submitted.position(task) else { return true };
-        let avoid = job.tasks[position].avoid;
+        let Some(job) = self.jobs.get(&task.job) else { return true };
+        let (Some(step), Some(progress)) = (job.step(task), job.progress(task)) else {
+            return true;
+        };
         let remaining_ms = job.latest_end_ms.saturating_sub(now_ms);
+        let avoid = progress.avoid;
         let criteria = Criteria { service: &job.service, task, step, avoid, remaining_ms };
         let Some(key) = choose(&self.servers, now_ms, &criteria) else { return false };
+        self.start(now_ms, task, key);
+        true
+    }
+
+    /// Commands the start of a task on a server.
+    fn start(&mut self, now_ms: u64, task: Task, key: Key) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let submitted = job.submitted.clone();
+        let Some(position) = submitted.position(task) else { return };
+        let step = &submitted.steps[usize::from(task.step)];
         job.ready.remove(&task);
         let progress = &mut job.tasks[position];
         progress.number += 1;
@@ -430,7 +453,6 @@
             due_ms,
             wait_ms: CAPACITY_WAIT_MS,
         });
-        true
     }
 }
 
@@ -459,7 +481,9 @@
 /// suitable server is fast enough, even if the fast one has no free capacity.
 fn choose(servers: &Slab<Server>, now_ms: u64, criteria: &Criteria) -> Option<Key> {
     let Criteria { service, task, step, avoid, remaining_ms } = *criteria;
-    let suitable = || servers.iter().filter(|(_, s)| s.suits(now_ms, service, task, step));
+    let suits =
+        |server: &Server| server.held_for.is_none() && server.suits(now_ms, service, task, step);
+    let suitable = || servers.iter().filter(|(_, server)| suits(server));
     let in_time = |server: &Server| server.expected_ms(step) <= remaining_ms as f64;
     let any_in_time = suitable().any(|(_, server)| in_time(server));
     let cost = |key: usize, server: &Server| {
--- a/src/coordination/transient/job.rs
+++ b/src/coordination/transient/job.rs
@@ -106,9 +106,19 @@
         self.submitted.step_ready(step, |position| self.tasks[position].done)
     }
 
+    /// Returns the step of a task.
+    pub fn step(&self, task: Task) -> Option<&Step> {
+        self.submitted.steps.get(usize::from(task.step))
+    }
+
+    /// Returns the state of a task.
+    pub fn progress(&self, task: Task) -> Option<&Progress> {
+        self.tasks.get(self.submitted.position(task)?)
+    }
+
     /// Returns the declared run time of a task.
     pub fn estimate_ms(&self, task: Task) -> u32 {
-        self.submitted.steps.get(usize::from(task.step)).map_or(0, |step| step.estimate_ms)
+        self.step(task).map_or(0, |step| step.estimate_ms)
     }
 
     /// Whether the job would not be on time even if it started now.
--- a/src/coordination/transient/ready.rs
+++ b/src/coordination/transient/ready.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeSet;
 
+use indexmap::IndexSet;
+
 use super::job::{Job, LATE_SLACK_MS};
-use crate::protocol::queue::Id;
+use crate::protocol::queue::{Id, Task};
 
 /// Maximum number of jobs that one pass tries.
 const JOBS_PER_PASS: usize = 64;
@@ -41,6 +43,9 @@
     /// Since when jobs of the pass `OnTime`, or of the pass `StartCommanded` before it, have found
     /// no capacity.
     shortage_since_ms: Option<u64>,
+    /// Tasks under which a server was lost, and which have not ended. They are not ready tasks of
+    /// their jobs: each waits for a server that is held for it.
+    pub suspects: IndexSet<Task>,
 }
 
 impl Ready {
--- a/src/coordination/transient/server.rs
+++ b/src/coordination/transient/server.rs
@@ -42,6 +42,10 @@
     pace: Pace,
     /// Highest ratio of run time so far to declared time among the running attempts.
     pub running_ratio: f64,
+    /// Task for which the server is held: nothing else starts here.
+    pub held_for: Option<Task>,
+    /// When it was last lost while it was held; `None` once it accepts start commands again.
+    pub lost_held_ms: Option<u64>,
 }
 
 impl Server {
@@ -55,6 +59,8 @@
             own_total: Resources::default(),
             pace: Pace::default(),
             running_ratio: 0.0,
+            held_for: None,
+            lost_held_ms: None,
         }
     }
 
@@ -75,6 +81,9 @@
     /// Handles a sidecar's report of its load, from which the resources of others are estimated.
     pub fn update_load(&mut self, load: &Load) {
         self.open = load.open;
+        if load.open {
+            self.lost_held_ms = None;
+        }
         let mut others = load.used;
         others.add(&load.queued);
         others.sub(&self.own_total);
