Tests of durable jobs share their data

tests/coordinator.rs and tests/schedule.rs had the same configuration and job (tests/durable), and six places in tests/queues.rs the same steps to a first attempt on a new server.

--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -1,5 +1,7 @@
 //! Tests of the leader of the durable jobs, with a replica that stores its log on disk.
 
+mod durable;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use briargauge::{
@@ -9,7 +11,7 @@
     },
     protocol::{
         id,
-        queue::{Attempt, Config, Id, Job, Phase, Queue, Resources, Service, Step},
+        queue::{Attempt, Id, Phase, Resources},
         wire::queue::{
             Answer, Backend, Call, Commands, Refusal, Report, Server, ServerId, Service as _,
             ServiceClient,
@@ -17,12 +19,12 @@
     },
     transport::rpc,
 };
+use durable::HOST;
 use tempfile::TempDir;
 use tokio::time;
 
 /// Time limit for a condition; only reached by a failing test.
 const LIMIT: Duration = Duration::from_secs(10);
-const HOST: &str = "co-op.example";
 
 /// A control instance that is a cluster of its own, with a configuration and without sidecars.
 struct Instance {
@@ -45,7 +47,7 @@
         let handler = Handler::new(coordinator.clone());
         let server = rpc::serve_to_end(any_port, handler.serve()).await.unwrap();
         let instance = Instance { replica, coordinator, server, _folder: folder };
-        instance.answer(Call::Configure(Arc::new(config()))).await;
+        instance.answer(Call::Configure(Arc::new(durable::config(2)))).await;
         instance
     }
 
@@ -74,32 +76,12 @@
     }
 }
 
-fn config() -> Config {
-    let queue = Queue {
-        host: HOST.to_owned(),
-        prefix: "/q/".to_owned(),
-        service: "quotes".to_owned(),
-        max_attempts: 2,
-        timeout_ms: 100,
-        ..Queue::default()
-    };
-    Config {
-        version: 1,
-        queues: vec![queue],
-        services: vec![Service { name: "quotes".to_owned(), enforces_capacity: false }],
-        document: String::new(),
-    }
-}
-
 fn path(id: Id) -> String {
     format!("/q/{id}")
 }
 
 fn submit(id: Id) -> Call {
-    let needs = Resources { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 };
-    let step = Step { tasks: 1, needs, estimate_ms: 10, ..Step::default() };
-    let job = Job { spec: "spec".to_owned(), steps: vec![step] };
-    Call::Submit { host: HOST.to_owned(), path: path(id), job }
+    Call::Submit { host: HOST.to_owned(), path: path(id), job: durable::job(1) }
 }
 
 /// Report `number` of a sidecar whose server has capacity for one task.
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// Adds a server with capacity for one task, and returns it with the attempt that it gets.
+    fn start_on_new_server(&self, scheduler: &mut Scheduler) -> (Key, Attempt) {
+        let key = scheduler.add_server(server(1));
+        scheduler.sync(0, key, &[], self.state.queues());
+        scheduler.assign(0, self.state.queues());
+        (key, starts(scheduler.commands(key))[0])
+    }
+
     fn phase(&self, id: u64) -> Option<Phase> {
         self.state.queues().job(Id(id)).map(|job| job.phase)
     }
@@ -268,10 +276,7 @@
     fixture.submit(1, "/q/x", job(1));
     let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
     scheduler.release_inherited();
-    let key = scheduler.add_server(server(1));
-    scheduler.sync(0, key, &[], fixture.state.queues());
-    scheduler.assign(0, fixture.state.queues());
-    let first = starts(scheduler.commands(key))[0];
+    let (key, first) = fixture.start_on_new_server(&mut scheduler);
     let not_started = NotStarted { attempt: first, reason: Reason::NoCapacity };
     scheduler.not_started(0, key, &not_started, fixture.state.queues());
     scheduler.assign(0, fixture.state.queues());
@@ -293,16 +298,10 @@
     fixture.submit(1, "/q/x", job(1));
     let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
     scheduler.release_inherited();
-    let lost = scheduler.add_server(server(1));
-    scheduler.sync(0, lost, &[], fixture.state.queues());
-    scheduler.assign(0, fixture.state.queues());
-    let first = starts(scheduler.commands(lost))[0];
+    let (lost, first) = fixture.start_on_new_server(&mut scheduler);
     scheduler.remove_server(0, lost, fixture.state.queues());
 
-    let other = scheduler.add_server(server(1));
-    scheduler.sync(0, other, &[], fixture.state.queues());
-    scheduler.assign(0, fixture.state.queues());
-    let second = starts(scheduler.commands(other))[0];
+    let (other, second) = fixture.start_on_new_server(&mut scheduler);
     let done = scheduler.ended(0, other, second, Outcome::Done).unwrap();
 
     let back = scheduler.add_server(server(1));
@@ -539,10 +538,7 @@
     fixture.submit(1, "/q/x", job(1));
     let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
     scheduler.release_inherited();
-    let key = scheduler.add_server(server(1));
-    scheduler.sync(0, key, &[], fixture.state.queues());
-    scheduler.assign(0, fixture.state.queues());
-    let first = starts(scheduler.commands(key))[0];
+    let (key, first) = fixture.start_on_new_server(&mut scheduler);
     scheduler.remove_server(0, key, fixture.state.queues());
     let back = scheduler.add_server(server(1));
     let done = scheduler.ended(0, back, first, Outcome::Done).unwrap();
@@ -562,15 +558,9 @@
     fixture.submit(1, "/q/x", job(2));
     let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
     scheduler.release_inherited();
-    let lost = scheduler.add_server(server(1));
-    scheduler.sync(0, lost, &[], fixture.state.queues());
-    scheduler.assign(0, fixture.state.queues());
-    let first = starts(scheduler.commands(lost))[0];
+    let (lost, first) = fixture.start_on_new_server(&mut scheduler);
     scheduler.remove_server(0, lost, fixture.state.queues());
-    let crashing = scheduler.add_server(server(1));
-    scheduler.sync(0, crashing, &[], fixture.state.queues());
-    scheduler.assign(0, fixture.state.queues());
-    let second = starts(scheduler.commands(crashing))[0];
+    let (crashing, second) = fixture.start_on_new_server(&mut scheduler);
     assert_eq!(first.task, second.task);
 
     let back = scheduler.add_server(server(1));
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -1,6 +1,8 @@
 //! Drawn histories of the leader's scheduler: servers are lost and come back, leaders change, ends
 //! are reported late and repeatedly, commits are slow and acknowledgements get lost.
 
+mod durable;
+
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
@@ -9,7 +11,7 @@
 use briargauge::{
     coordination::schedule::{Key, Scheduler, Server},
     protocol::{
-        queue::{Attempt, Config, Id, Job, Outcome, Phase, Queue, Resources, Service, Step, Task},
+        queue::{Attempt, Id, Outcome, Phase, Resources, Task},
         wire::queue::{self, Batch, ServerId},
     },
     state::machine::{
@@ -17,12 +19,12 @@
         queue::{Change, Completion, Submission},
     },
 };
+use durable::HOST;
 use quickcheck::{Gen, QuickCheck};
 
 const SEED: u64 = 25;
 const HISTORIES: u64 = 12_000;
 const HISTORY_LENGTH: usize = 120;
-const HOST: &str = "co-op.example";
 const JOBS: u64 = 2;
 const TASKS: u16 = 2;
 const SERVERS: usize = 2;
@@ -77,14 +79,14 @@
             done: BTreeSet::new(),
             failures: BTreeMap::new(),
         };
-        world.apply(Change::Configure(Arc::new(config())));
+        world.apply(Change::Configure(Arc::new(durable::config(MAX_ATTEMPTS))));
         for id in 0..JOBS {
             let path = format!("/q/{id}");
             let submission = Submission {
                 id: Id(id),
                 host: HOST.to_owned(),
                 path,
-                job: job(),
+                job: durable::job(TASKS),
                 term: 1,
                 keep_ms: 1 << 40,
             };
@@ -257,29 +259,6 @@
     }
 }
 
-fn config() -> Config {
-    let queue = Queue {
-        host: HOST.to_owned(),
-        prefix: "/q/".to_owned(),
-        service: "quotes".to_owned(),
-        max_attempts: MAX_ATTEMPTS,
-        timeout_ms: 100,
-        ..Queue::default()
-    };
-    Config {
-        version: 1,
-        queues: vec![queue],
-        services: vec![Service { name: "quotes".to_owned(), enforces_capacity: false }],
-        document: String::new(),
-    }
-}
-
-fn job() -> Job {
-    let needs = Resources { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 };
-    let step = Step { tasks: TASKS, needs, estimate_ms: 10, ..Step::default() };
-    Job { spec: "spec".to_owned(), steps: vec![step] }
-}
-
 fn server(node: usize) -> Server {
     Server::new(queue::Server {
         id: ServerId { id: format!("b{node}"), started_at_ms: 1 },
