Look for servers for suspects only while there are suspects

Each start, end and report of load of a transient job counted servers and collected suspects, also without any. Servers that are held are still released first. Behaviour is unchanged.

--- a/src/coordination/transient/suspect.rs
+++ b/src/coordination/transient/suspect.rs
@@ -17,6 +17,9 @@
     /// them.
     pub(super) fn assign_suspects(&mut self, now_ms: u64, service_index: usize) {
         self.release_servers(now_ms, service_index);
+        if self.ready[service_index].suspects.is_empty() {
+            return;
+        }
         self.hold_servers(now_ms, service_index);
         let free = self.servers.iter().filter(|(_, server)| server.outstanding() == 0);
         let free = free.filter_map(|(key, server)| Some((Key(key), server.held_for?)));
