One way to store what sidecars report; isolation of suspects in its own module

Crashes had a retry of their own (not_stored, due again after 200 ms) beside Coordinator::store, which proposes again while the leader leads the same term. Attempts of a task are found by attempts_range in both places.

--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -226,15 +226,18 @@
         if !crashes.is_empty() {
             let (coordinator, term) = (self.clone(), leadership.term);
             actix_rt::spawn(async move {
-                let stored =
-                    coordinator.inner.batcher.propose(Change::Crash(crashes.clone())).await;
-                coordinator.crashes_proposed(term, &crashes, stored.is_ok());
+                if coordinator.store(Some(term), Change::Crash(crashes.clone())).await {
+                    coordinator.crashes_stored(term, &crashes);
+                } else {
+                    // The sidecars keep reporting them, and a leader of a later term stores them.
+                    log::warn!("event=crashes_not_stored crashes={}", crashes.len());
+                }
             });
         }
     }
 
-    fn crashes_proposed(&self, term: u64, crashes: &[StoredCrash], stored: bool) {
-        let now_ms = util::boot_ms();
+    /// Updates the scheduler after crashes were stored.
+    fn crashes_stored(&self, term: u64, crashes: &[StoredCrash]) {
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut().filter(|leadership| leadership.term == term)
         else {
@@ -242,11 +245,6 @@
         };
         let state = self.inner.replica.state();
         for crash in crashes {
-            if !stored {
-                log::warn!("event=crash_not_stored run={}", crash.attempt);
-                leadership.scheduler.crash_not_stored(now_ms, crash);
-                continue;
-            }
             let record = state.queues().job(crash.attempt.task.job);
             let progress = record.and_then(|record| record.progress(crash.attempt.task));
             log::warn!(
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -4,11 +4,11 @@
 //! in the replicated [`Queues`]. Which server runs an attempt is not replicated: a new leader
 //! receives it from the sidecars' reports.
 
+mod isolation;
 mod server;
 mod suspect;
 
 use std::{
-    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     ops::RangeInclusive,
     sync::Arc,
@@ -19,10 +19,10 @@
 
 use crate::{
     protocol::{
-        queue::{Attempt, Id, Outcome, Phase, Resources, Step, Task},
-        wire::queue::{self, Batch, NotStarted, Reason, Start},
+        queue::{Attempt, Id, Outcome, Resources, Step, Task},
+        wire::queue::{Batch, NotStarted, Reason, Start},
     },
-    state::machine::queue::{Completion, Crash, Queues, Record},
+    state::machine::queue::{Completion, Queues, Record},
 };
 pub use server::Server;
 use suspect::Suspects;
@@ -31,9 +31,6 @@
 /// Number of attempts of a task that one leader may start before its attempt numbers reach those of
 /// the next leader.
 const ATTEMPTS_PER_TERM: u64 = 1_000;
-/// Number of declared run times by which a suspect yields to those that are due later: short ones
-/// explain crashes sooner, and those whose crashes are explained need not run apart.
-const SUSPECT_WAIT_FACTOR: u64 = 10;
 /// Once more ready tasks of a service than this have found no server, the rest are not tried.
 const MISSES_MAX: usize = 32;
 
@@ -216,12 +213,6 @@
         Key(self.servers.insert(server))
     }
 
-    /// Records that the server of a sidecar is up and gets attempts, so that it does not count as
-    /// crashed any more.
-    pub fn recovered(&mut self, sidecar: &str) {
-        self.suspects.up(sidecar);
-    }
-
     pub fn server(&self, key: Key) -> Option<&Server> {
         self.servers.get(key.0)
     }
@@ -348,74 +339,6 @@
         self.servers.try_remove(key.0);
     }
 
-    /// Handles a report that the server of a sidecar crashed. The tasks of its attempts start again
-    /// only after [`Scheduler::crash_stored`].
-    pub fn crashed(&mut self, now_ms: u64, sidecar: &str, crash: &queue::Crash, queues: &Queues) {
-        let alone = crash.attempts.len() == 1 && crash.others == 0;
-        for attempt in &crash.attempts {
-            if !queues.job(attempt.task.job).is_some_and(|record| record.crash_counts(*attempt))
-                || !self.suspects.report(now_ms, *attempt, &crash.server, alone)
-            {
-                continue;
-            }
-            self.suspects.lost(now_ms, crash.server.clone());
-            self.remove_ready(attempt.task);
-            let server = self.attempts.get(attempt).map(|placed| placed.server);
-            if let Some(server) = server.and_then(|key| self.servers.get(key.0))
-                && server.apart()
-            {
-                self.suspects.took_down(now_ms, sidecar, &server.info.service);
-            }
-        }
-    }
-
-    /// Returns the reported crashes that are to be stored now.
-    pub fn crashes_due(&mut self, now_ms: u64) -> Vec<Crash> {
-        self.suspects.due(now_ms)
-    }
-
-    /// Handles a crash that could not be stored. It becomes due again.
-    pub fn crash_not_stored(&mut self, now_ms: u64, crash: &Crash) {
-        self.suspects.not_stored(now_ms, crash.attempt);
-    }
-
-    /// Handles a crash that has been stored in the replicated queues.
-    pub fn crash_stored(&mut self, crash: &Crash, queues: &Queues) {
-        let task = crash.attempt.task;
-        // The end of another attempt may have been stored before.
-        let progress = queues.job(task.job).and_then(|record| record.progress(task));
-        let counted =
-            progress.is_some_and(|p| !p.done && p.crashes.contains(&crash.attempt.number));
-        self.suspects.stored(crash.attempt, counted);
-        let Some(record) = queues.job(task.job) else { return self.suspects.remove(task) };
-        if record.phase.is_terminal() {
-            if record.phase == Phase::Failed && crash.isolated {
-                // After a second crash, one more beside other tasks would end the job.
-                let keep = |task: Task| crashes(task, queues) > 1;
-                for cleared in self.suspects.explain(task, keep) {
-                    self.clear(cleared);
-                }
-            }
-            return self.close(task.job, record);
-        }
-        if let Some(job) = self.jobs.get_mut(&task.job) {
-            job.started = true;
-        }
-        self.retry(crash.attempt, RetryCause::Crashed, queues);
-    }
-
-    /// Lets a task that is no suspect any more start beside others, if it may start.
-    fn clear(&mut self, task: Task) {
-        let Some(job) = self.jobs.get(&task.job) else { return };
-        let removed = self
-            .ready_suspects
-            .get_mut(&job.service)
-            .is_some_and(|ready| ready.remove(&(job.due_ms, task)));
-        if removed {
-            self.make_ready(task);
-        }
-    }
-
     /// Handles the end of an attempt. Returns the completion that must be stored before the
     /// sidecar's report of it may be acknowledged; `None` if nothing needs to be stored.
     pub fn ended(
@@ -528,116 +451,6 @@
         }
     }
 
-    /// Commands starts of suspects, each on a server where nothing else runs, those under which
-    /// most servers crashed first. If no server is free, some are kept from starting other tasks
-    /// until they are.
-    fn assign_suspects(&mut self, now_ms: u64, queues: &Queues) {
-        // A server on which an earlier leader ran a suspect is apart although none waits.
-        let apart = self.servers.iter().filter(|(_, server)| server.apart());
-        let apart: Vec<String> = apart.map(|(_, server)| server.info.service.clone()).collect();
-        for service in apart {
-            self.ready_suspects.entry(service).or_default();
-        }
-        let services: Vec<String> = self.ready_suspects.keys().cloned().collect();
-        for service in services {
-            let mut ranks: Vec<Rank> = self.ready_suspects[&service].iter().copied().collect();
-            ranks.sort_by_key(|(due_ms, task)| {
-                let wait_ms = SUSPECT_WAIT_FACTOR * estimate_ms(*task, queues);
-                (Reverse(crashes(*task, queues)), due_ms + wait_ms)
-            });
-            let down = self.suspects.down(now_ms, &service);
-            let servers = self.servers.iter().filter(|(_, s)| s.info.service == service).count();
-            let apart = self.servers_apart(&service).count();
-            let others_wait = self.others_wait(&service);
-            let (most, most_idle) = suspect::servers_max(servers + down);
-            let mut taken = apart + down;
-            let mut waiting = Vec::new();
-            for (due_ms, task) in ranks {
-                let record = queues.job(task.job).filter(|record| !record.phase.is_terminal());
-                let Some(record) = record else {
-                    self.remove_ready(task);
-                    continue;
-                };
-                let step = &record.job.steps[usize::from(task.step)];
-                let mut key = self.free_apart(now_ms, &service, step);
-                let may_take = taken < most || taken < most_idle && !others_wait;
-                if key.is_none() && may_take && self.drained_apart(&service) <= waiting.len() {
-                    let next = self.least_busy(&service, step);
-                    let idle = |key: &Key| self.servers[key.0].attempts() == 0;
-                    if let Some(next) = next.filter(|key| taken < most || idle(key)) {
-                        self.servers[next.0].set_apart(true);
-                        taken += 1;
-                        key = Some(next).filter(|key| self.servers[key.0].free_for_suspect(now_ms));
-                    }
-                }
-                match key {
-                    Some(key) => {
-                        self.ready_suspects[&service].remove(&(due_ms, task));
-                        let needs = self.servers[key.0].info.capacity;
-                        self.start(now_ms, key, task, record, needs);
-                    }
-                    None => waiting.push(step),
-                }
-            }
-            self.end_apart(&service, &waiting);
-        }
-    }
-
-    /// Whether tasks of the service that are no suspects wait for a server.
-    fn others_wait(&self, service: &str) -> bool {
-        let mut ready = self.ready.get(service).into_iter().flatten();
-        ready.any(|(_, task)| !self.suspects.concerns(task.job))
-    }
-
-    /// The service's servers on which only suspects start.
-    fn servers_apart(&self, service: &str) -> impl Iterator<Item = (usize, &Server)> {
-        self.servers.iter().filter(move |(_, s)| s.apart() && s.info.service == service)
-    }
-
-    /// Number of the service's servers that are to run suspects and run none yet.
-    fn drained_apart(&self, service: &str) -> usize {
-        self.servers_apart(service).filter(|(key, _)| !self.runs_suspect(Key(*key))).count()
-    }
-
-    fn runs_suspect(&self, key: Key) -> bool {
-        self.attempts
-            .iter()
-            .any(|(attempt, placed)| placed.server == key && self.suspects.contains(attempt.task))
-    }
-
-    /// Returns the server with the lowest cost on which a suspect can start now.
-    fn free_apart(&self, now_ms: u64, service: &str, step: &Step) -> Option<Key> {
-        self.servers_apart(service)
-            .filter(|(_, server)| server.free_for_suspect(now_ms) && server.suits(service, step))
-            .min_by(|(_, a), (_, b)| a.cost(step).total_cmp(&b.cost(step)))
-            .map(|(key, _)| Key(key))
-    }
-
-    /// Returns the server with the fewest attempts that can run a suspect of `step` once it is free.
-    fn least_busy(&self, service: &str, step: &Step) -> Option<Key> {
-        self.servers
-            .iter()
-            .filter(|(_, server)| !server.apart() && server.suits(service, step))
-            .min_by_key(|(_, server)| server.attempts())
-            .map(|(key, _)| Key(key))
-    }
-
-    /// Lets other tasks start again on servers that run no suspect and can run none of those that
-    /// wait, whose steps are given.
-    fn end_apart(&mut self, service: &str, waiting: &[&Step]) {
-        let unused: Vec<usize> = self
-            .servers_apart(service)
-            .filter(|(key, server)| {
-                !self.runs_suspect(Key(*key))
-                    && !waiting.iter().any(|step| server.suits(service, step))
-            })
-            .map(|(key, _)| key)
-            .collect();
-        for key in unused {
-            self.servers[key].set_apart(false);
-        }
-    }
-
     /// Commands the start of a ready task. Returns `false` if no server is suitable.
     fn place(&mut self, now_ms: u64, service: &str, rank: Rank, queues: &Queues) -> bool {
         let (_, task) = rank;
@@ -719,19 +532,6 @@
     Attempt { task, number: 0 }..=Attempt { task, number: u32::MAX }
 }
 
-/// Returns the number of servers that crashed under attempts of a task.
-fn crashes(task: Task, queues: &Queues) -> usize {
-    let progress = queues.job(task.job).and_then(|record| record.progress(task));
-    progress.map_or(0, |progress| progress.crashes.len())
-}
-
-/// Returns the declared run time of a task.
-fn estimate_ms(task: Task, queues: &Queues) -> u64 {
-    let record = queues.job(task.job);
-    let step = record.and_then(|record| record.job.steps.get(usize::from(task.step)));
-    step.map_or(0, |step| step.estimate_ms.into())
-}
-
 /// Returns the length of the pause in starts on a server that refused one, in ms.
 fn pause_ms(reason: Reason) -> u64 {
     match reason {
--- a/src/coordination/schedule/suspect.rs
+++ b/src/coordination/schedule/suspect.rs
@@ -26,8 +26,6 @@
 /// Longest time for which a server that crashed under a suspect counts as down because of it, in
 /// ms.
 const DOWN_MAX_MS: u64 = 10_000;
-/// Pause before a crash that could not be stored is proposed again, in ms.
-const STORE_AGAIN_MS: u64 = 200;
 
 /// Returns the number of a service's backend servers that may run suspects, or be down because of
 /// them, at the same time, and the same while no other tasks wait: those above the first number have
@@ -76,8 +74,7 @@
 
     /// Whether a reported crash under an attempt of the task is not stored yet.
     pub fn awaits_storage(&self, task: Task) -> bool {
-        let first = Attempt { task, number: 0 };
-        self.reports.range(first..).next().is_some_and(|(attempt, _)| attempt.task == task)
+        self.reports.range(super::attempts_range(task)).next().is_some()
     }
 
     /// Whether a task of the job is a suspect, or a reported crash under one is not stored yet.
@@ -157,14 +154,6 @@
         due
     }
 
-    /// Records that a crash could not be stored. It becomes due again.
-    pub fn not_stored(&mut self, now_ms: u64, attempt: Attempt) {
-        if let Some(report) = self.reports.get_mut(&attempt) {
-            report.storing = false;
-            report.due_ms = now_ms + STORE_AGAIN_MS;
-        }
-    }
-
     /// Records that a crash is stored. If the replicated state has counted it, the task is a suspect.
     pub fn stored(&mut self, attempt: Attempt, counted: bool) {
         if let Some(report) = self.reports.remove(&attempt).filter(|_| counted) {
