--- a/review/tool/cases.rs
+++ b/review/tool/cases.rs
@@ -11,7 +11,7 @@
 use crate::{
     record::{Event, Record},
     runner::{Runner, Spec},
-    system::{Kind, SERVICE, Size, System, config, job, until},
+    system::{Kind, SERVICE, Size, System, config, job, until, until_now},
 };
 
 type Broken = Result<Vec<String>, String>;
@@ -28,6 +28,7 @@
         "kind" => kind(trouble, record),
         "pending" => pending(trouble, record),
         "cancel" => cancel(trouble, record),
+        "install" => install(trouble, record),
         _ => Err(format!("unknown case {case}")),
     }
 }
@@ -392,3 +393,91 @@
     });
     Ok(late.collect())
 }
+
+/// A control instance is down while much work is accepted, and is killed again while it stores the
+/// snapshot that it is sent. Some time later two disks are lost while all instances are killed.
+fn install(trouble: bool, record: Arc<Record>) -> Broken {
+    const LAST: u8 = 4;
+    let size = Size { controls: 5, losses: 2, entries: 1, sidecars: 2 };
+    let mut system = System::new(Path::new("."), size, None, record.clone());
+    system.start(&config(7))?;
+    let runners: Vec<Arc<Runner>> = (0..2).map(|n| runner(&system, n, 1, "a")).collect();
+    warm_up(&system, runners.len())?;
+    // The final fault alone is played with TROUBLE=final.
+    let alone = std::env::var("TROUBLE").is_ok_and(|value| value == "final");
+    let kills = trouble && !alone;
+    if kills {
+        system.kill(Kind::Control, LAST);
+    }
+    // Kept jobs with long specs, until the others have replaced their logs by snapshots.
+    let body = job(1, 1_000, 10, "", "");
+    let body = body.replacen("\"10\"", &format!("\"10 done {}\"", "x".repeat(3_900)), 1);
+    let mut sent = 0;
+    while sent < 2_500 {
+        let ids: Vec<String> = (0..100).map(|n| id(sent + n)).collect();
+        let accepted = thread::scope(|scope| {
+            let clients: Vec<_> = ids
+                .chunks(25)
+                .map(|ids| scope.spawn(|| ids.iter().try_for_each(|id| system.hand_in(id, &body))))
+                .collect();
+            clients.into_iter().all(|client| client.join().is_ok_and(|result| result.is_ok()))
+        });
+        if !accepted {
+            return Err("a job was not accepted".to_owned());
+        }
+        sent += 100;
+    }
+    record.log(format!("jobs accepted={sent}"));
+    let has_snapshot = |system: &System, control: u8| {
+        system.data(control).iter().any(|name| name.starts_with("snapshot-") && !name.ends_with(".tmp"))
+    };
+    until(Duration::from_secs(10), "the others have a snapshot", || {
+        (0..LAST).all(|control| has_snapshot(&system, control))
+    })?;
+    if kills {
+        system.launch(Kind::Control, LAST, false)?;
+        until_now(Duration::from_secs(10), "the snapshot is stored", || has_snapshot(&system, LAST))?;
+        system.kill(Kind::Control, LAST);
+        system.launch(Kind::Control, LAST, false)?;
+    }
+    // `contactMs` and `catchUpS`, and more is accepted.
+    sleep(8_000);
+    for n in 0..20 {
+        system.submit(0, &id(10_000 + n), &job(1, CPU, 10, "", ""))?;
+    }
+    sleep(2_000);
+    if system.ended() {
+        return Err("a process has ended by itself before the final fault".to_owned());
+    }
+    if trouble {
+        record.log("final fault");
+        (0..=LAST).for_each(|control| system.kill(Kind::Control, control));
+        system.wipe(0)?;
+        system.wipe(1)?;
+        sleep(800);
+        for control in 0..=LAST {
+            system.launch(Kind::Control, control, false)?;
+        }
+    }
+    // A process that ends is started again, as the platform does.
+    let mut starts = 1;
+    let mut state = String::new();
+    // `recoveryS` and `finish_s`.
+    let known = until(Duration::from_secs(12 + 14), "a job is known", || {
+        if system.has_ended(Kind::Control, LAST) && starts < 4 {
+            record.log(format!("ended by itself: {}", system.last_error(Kind::Control, LAST)));
+            system.kill(Kind::Control, LAST);
+            let _ = system.launch(Kind::Control, LAST, false);
+            starts += 1;
+        }
+        state = system.state(0, &id(10_019));
+        state == "completed"
+    });
+    Ok(match known {
+        Ok(()) => Vec::new(),
+        Err(_) => vec![
+            format!("LOST job {} was accepted, and its state is {state} 26 s after", id(10_019)),
+            format!("Fault control-4 has ended by itself at each of {starts} starts"),
+        ],
+    })
+}
--- a/review/tool/record.rs
+++ b/review/tool/record.rs
@@ -43,6 +43,7 @@
 
     pub fn start(&self, runner: &Spec, task: &str, run: u64, spec: &str) {
         let (id, labels) = (runner.id.clone(), runner.labels.clone());
+        let spec = &spec[..spec.len().min(40)];
         self.log(format!("start runner={id} task={task} run={run} spec={spec:?}"));
         let at_ms = self.now_ms();
         let task = task.to_owned();
--- a/review/tool/system.rs
+++ b/review/tool/system.rs
@@ -266,7 +266,52 @@
         }
     }
 
+    /// Names of the files in the data folder of a control instance.
+    pub fn data(&self, number: u8) -> Vec<String> {
+        let folder = self.folder.join(format!("control-{number}.data"));
+        let files = fs::read_dir(folder).into_iter().flatten().flatten();
+        files.filter_map(|file| file.file_name().into_string().ok()).collect()
+    }
+
+    /// The disk of a control instance is lost.
+    pub fn wipe(&self, number: u8) -> Result<(), String> {
+        self.record.log(format!("disk_lost name=control-{number}"));
+        let folder = self.folder.join(format!("control-{number}.data"));
+        fs::remove_dir_all(folder).map_err(|e| e.to_string())
+    }
+
     /// Whether a process has ended by itself.
+    pub fn has_ended(&mut self, kind: Kind, number: u8) -> bool {
+        let is = |process: &&mut Process| process.kind == kind && process.number == number;
+        let process = self.processes.iter_mut().find(is);
+        process.is_some_and(|process| !matches!(process.child.try_wait(), Ok(None)))
+    }
+
+    /// The last line that a process has logged as an error.
+    pub fn last_error(&self, kind: Kind, number: u8) -> String {
+        let path = self.folder.join(format!("{}-{number}.log", kind.role()));
+        let log = fs::read_to_string(path).unwrap_or_default();
+        let folder = self.folder.display().to_string();
+        let line = log.lines().rev().find(|line| !line.trim().is_empty()).unwrap_or_default();
+        line.replace(&folder, "FOLDER")
+    }
+
+    /// Hands a job in without a line for each call in the record.
+    pub fn hand_in(&self, id: &str, body: &str) -> Result<(), String> {
+        let path = format!("{PREFIX}{id}");
+        let headers = [("Host", HOST), ("X-Briargauge-Deadline-Ms", "1500")];
+        let limit = Duration::from_millis(1_500);
+        for _ in 0..5 {
+            match http::call(self.front(0), "POST", &path, &headers, body, limit) {
+                Some((200..=299, _)) => return Ok(()),
+                Some((502 | 504, _)) | None => thread::sleep(Duration::from_millis(100)),
+                Some((status, _)) => return Err(format!("a job was refused with {status}")),
+            }
+        }
+        Err("a job got no clear answer".to_owned())
+    }
+
+    /// Whether any process has ended by itself.
     pub fn ended(&mut self) -> bool {
         self.processes.iter_mut().any(|p| !matches!(p.child.try_wait(), Ok(None)))
     }
@@ -363,6 +408,21 @@
     )
 }
 
+/// Waits until `condition` holds, without a pause between two looks.
+pub fn until_now(
+    limit: Duration,
+    what: &str,
+    mut condition: impl FnMut() -> bool,
+) -> Result<(), String> {
+    let end = Instant::now() + limit;
+    while !condition() {
+        if Instant::now() >= end {
+            return Err(format!("not reached within {limit:?}: {what}"));
+        }
+    }
+    Ok(())
+}
+
 /// Waits until `condition` holds.
 pub fn until(
     limit: Duration,
