--- a/review/tool/cases.rs
+++ b/review/tool/cases.rs
@@ -40,7 +40,8 @@
 fn system(
     sidecars: u8,
     proxied: Option<(Kind, u8)>,
-    record: Arc<Record>) -> Result<System, String> {
+    record: Arc<Record>,
+) -> Result<System, String> {
     let size = Size { controls: 5, losses: 2, entries: 2, sidecars };
     let mut system = System::new(Path::new("."), size, proxied, record);
     system.start(&config(7))?;
@@ -318,7 +319,9 @@
     sleep(100);
     let answer = system.call(1, "DELETE", &id, "");
     let cancelled_ms = record.now_ms();
-    let Some((200..=299 | 410, _)) = answer else { return Err(format!("not cancelled: {answer:?}")) };
+    let Some((200..=299 | 410, _)) = answer else {
+        return Err(format!("not cancelled: {answer:?}"));
+    };
     sleep(9_000);
     drop((busy, second));
     if system.ended() {
--- a/review/tool/http.rs
+++ b/review/tool/http.rs
@@ -26,7 +26,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-
     pub fn path(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or_default()
     }
--- a/review/tool/proxy.rs
+++ b/review/tool/proxy.rs
@@ -32,7 +32,8 @@
     /// Hosts of the real machine's network whose last byte is below `hosts` are shown under the
     /// proxies' network.
     pub fn start(real: [u8; 4], shown: [u8; 4], port: u16, hosts: u8) -> Proxy {
-        let listener = TcpListener::bind(SocketAddr::from((shown, port))).expect("the proxy's port is free");
+        let listener =
+            TcpListener::bind(SocketAddr::from((shown, port))).expect("the proxy's port is free");
         let proxy = Proxy { cut: Arc::default(), delay: Arc::default(), open: Arc::default() };
         let (cut, open) = (proxy.cut.clone(), proxy.open.clone());
         let delay = proxy.delay.clone();
@@ -44,12 +45,16 @@
                     while cut.load(Ordering::SeqCst) {
                         thread::sleep(Duration::from_millis(10));
                     }
-                    let Ok(server) = TcpStream::connect(SocketAddr::from((real, port))) else { return };
+                    let Ok(server) = TcpStream::connect(SocketAddr::from((real, port))) else {
+                        return;
+                    };
                     let _ = (client.set_nodelay(true), server.set_nodelay(true));
                     for stream in [&client, &server] {
                         open.lock().unwrap().extend(stream.try_clone());
                     }
-                    let (Ok(from), Ok(to)) = (client.try_clone(), server.try_clone()) else { return };
+                    let (Ok(from), Ok(to)) = (client.try_clone(), server.try_clone()) else {
+                        return;
+                    };
                     let up = cut.clone();
                     thread::spawn(move || pass(from, to, &up, Some(&delay), None));
                     pass(server, client, &cut, None, Some((real, shown, hosts)));
--- a/review/tool/record.rs
+++ b/review/tool/record.rs
@@ -1,23 +1,36 @@
 //! What was sent, answered and run, in the order in which it was seen.
 
-use std::{
-    fs::File,
-    io::Write,
-    path::Path,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{fs::File, io::Write, path::Path, sync::Mutex, time::Instant};
 
 use crate::runner::Spec;
 
 /// A start, an end or the acknowledgement of an end at a runner.
 #[derive(Debug, Clone)]
 pub enum Event {
-    Start { at_ms: u64, runner: String, labels: Vec<String>, task: String, run: u64 },
+    Start {
+        at_ms: u64,
+        runner: String,
+        labels: Vec<String>,
+        task: String,
+        run: u64,
+    },
     /// `lapses` counts how often the runner's lease had lapsed before.
-    End { at_ms: u64, runner: String, task: String, run: u64, how: String, lapses: u64 },
+    End {
+        at_ms: u64,
+        runner: String,
+        task: String,
+        run: u64,
+        how: String,
+        lapses: u64,
+    },
     /// The end was taken note of: `ackCursor` has reached it.
-    Noted { runner: String, task: String, run: u64, how: String, lapses: u64 },
+    Noted {
+        runner: String,
+        task: String,
+        run: u64,
+        how: String,
+        lapses: u64,
+    },
 }
 
 pub struct Record {
--- a/review/tool/system.rs
+++ b/review/tool/system.rs
@@ -92,7 +92,12 @@
 }
 
 impl System {
-    pub fn new(root: &Path, size: Size, proxied: Option<(Kind, u8)>, record: Arc<Record>) -> System {
+    pub fn new(
+        root: &Path,
+        size: Size,
+        proxied: Option<(Kind, u8)>,
+        record: Arc<Record>,
+    ) -> System {
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("briargauge-review-{pid}"));
         fs::create_dir_all(&folder).expect("the temporary folder can be created");
@@ -310,7 +315,8 @@
             let signal = if frozen { SIGSTOP } else { SIGCONT };
             // The process is a child that has not been waited for, so the id is its own.
             unsafe { kill(process.child.id() as i32, signal) };
-            self.record.log(format!("process_freeze name={}-{number} frozen={frozen}", kind.role()));
+            self.record
+                .log(format!("process_freeze name={}-{number} frozen={frozen}", kind.role()));
         }
     }
 
@@ -379,7 +385,11 @@
             body.len()
         );
         stream.write_all(text.as_bytes()).map_err(|e| e.to_string())?;
-        Ok(Channel { stream, name: format!("node={entry} POST {path}"), record: self.record.clone() })
+        Ok(Channel {
+            stream,
+            name: format!("node={entry} POST {path}"),
+            record: self.record.clone(),
+        })
     }
 
     /// Hands a job in that is kept, and sends it again, as clients do, until it has a clear answer.
