--- a/src/state/log/mod.rs
+++ b/src/state/log/mod.rs
@@ -59,6 +59,9 @@
     segments: Vec<Segment>,
     current: Option<Box<dyn Handle>>,
     next_frame: u64,
+    /// Index of the stored snapshot if it has replaced all entries and no durable record says so.
+    /// The next frame starts with that record.
+    unrecorded_reset: Option<u64>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -90,10 +93,13 @@
             Record::HardState(hard_state) => Some(*hard_state),
             _ => None,
         });
+        let reset: Vec<Record> = self.unrecorded_reset.map(Record::Reset).into_iter().collect();
+        let records = &[&reset, records].concat();
         match &mut self.current {
             Some(_) => self.append_to_current_segment(records)?,
             None => self.append_to_new_segment(records)?,
         }
+        self.unrecorded_reset = None;
         self.hard_state = hard_state.unwrap_or(self.hard_state);
         self.next_frame += 1;
         let last = records.iter().filter_map(Record::index).max().unwrap_or(0);
@@ -165,8 +171,8 @@
     /// repeated as for [`Log::append`].
     pub fn install(&mut self, snapshot: &Snapshot, records: &[Record]) -> Result<()> {
         snapshot.store(&*self.files)?;
-        let reset = [Record::Reset(snapshot.meta.index)];
-        self.append(&[&reset, records].concat())?;
+        self.unrecorded_reset = Some(snapshot.meta.index);
+        self.append(records)?;
         self.trim(snapshot.meta.index)
     }
 
--- a/src/state/log/recovery.rs
+++ b/src/state/log/recovery.rs
@@ -34,6 +34,15 @@
     let id = load_identity(&*files, node, names.iter().any(|n| n == IDENTITY), numbers.is_empty())?;
     let replay = Replay::read(&*files, &numbers)?;
     let entries = replay.entries_after(snapshot.as_ref(), files.path(""))?;
+    // The process ended after the snapshot was stored and before the entries were reset.
+    let unrecorded_reset = match (&snapshot, &entries) {
+        (Some(snapshot), None) => {
+            log::warn!("event=installation_resumed index={}", snapshot.meta.index);
+            Some(snapshot.meta.index)
+        }
+        _ => None,
+    };
+    let entries = entries.unwrap_or_default();
     let recovered = Recovered { id, hard_state: replay.hard_state, snapshot, entries };
     let mut current = None;
     if let Some(segment) = replay.segments.last() {
@@ -50,6 +59,7 @@
         segments: replay.segments,
         current,
         next_frame: replay.next_frame,
+        unrecorded_reset,
     };
     Ok((log, recovered))
 }
@@ -237,9 +247,13 @@
         Ok(())
     }
 
-    /// The entries that follow a snapshot. If the log ends before the snapshot's index or has an
-    /// entry of another term there, its entries are outdated and none is returned.
-    fn entries_after(&self, snapshot: Option<&Snapshot>, path: PathBuf) -> Result<Vec<Entry>> {
+    /// The entries that follow a snapshot; `None` if the log ends before the snapshot's index or has
+    /// an entry of another term there, as all its entries are then outdated.
+    fn entries_after(
+        &self,
+        snapshot: Option<&Snapshot>,
+        path: PathBuf,
+    ) -> Result<Option<Vec<Entry>>> {
         let (index, term) = snapshot.map_or((0, 0), |s| (s.meta.index, s.meta.term));
         let base = match self.base {
             Base::Unknown => index,
@@ -251,7 +265,7 @@
         let covered = (index - base) as usize;
         let agrees =
             covered == 0 || self.entries.get(covered - 1).is_some_and(|entry| entry.term == term);
-        Ok(if agrees { self.entries[covered..].to_vec() } else { Vec::new() })
+        Ok(agrees.then(|| self.entries[covered..].to_vec()))
     }
 }
 
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -38,6 +38,22 @@
     /// Number of bytes that can be written before the disk is full; `None` for no limit.
     space: Option<usize>,
     fail_sync: bool,
+    /// Number of changes that succeed before all others fail, as if the process had been killed;
+    /// `None` for no limit.
+    changes_left: Option<usize>,
+}
+
+impl Content {
+    fn count_change(&mut self) -> io::Result<()> {
+        match &mut self.changes_left {
+            Some(0) => Err(io::Error::other("injected kill")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
 }
 
 #[derive(Default, Clone)]
@@ -64,6 +80,7 @@
     /// the first `keep` of each file.
     fn crash(&self, keep: usize) {
         self.change(|content| {
+            content.changes_left = None;
             content.files.retain(|_, file| file.named);
             for file in content.files.values_mut() {
                 let len = file.bytes.len().min(file.synced + keep);
@@ -88,7 +105,11 @@
     }
 
     fn create(&self, name: &str) -> io::Result<Box<dyn Handle>> {
-        self.change(|content| content.files.insert(name.to_owned(), File::default()));
+        self.change(|content| {
+            content.count_change()?;
+            content.files.insert(name.to_owned(), File::default());
+            Ok::<_, io::Error>(())
+        })?;
         Ok(Box::new(OpenFile { name: name.to_owned(), memory: self.clone(), failed: false }))
     }
 
@@ -103,16 +124,20 @@
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         self.change(|content| {
+            content.count_change()?;
             let file = content.files.remove(from).unwrap();
             assert_eq!(file.synced, file.bytes.len(), "{from} must be synced before it is renamed");
             content.files.insert(to.to_owned(), file);
-        });
-        Ok(())
+            Ok(())
+        })
     }
 
     fn remove(&self, name: &str) -> io::Result<()> {
-        self.change(|content| content.files.remove(name));
-        Ok(())
+        self.change(|content| {
+            content.count_change()?;
+            content.files.remove(name);
+            Ok(())
+        })
     }
 
     fn sync(&self) -> io::Result<()> {
@@ -120,6 +145,7 @@
             if content.fail_sync {
                 return Err(io::Error::other("injected sync error"));
             }
+            content.count_change()?;
             content.files.values_mut().for_each(|file| file.named = true);
             Ok(())
         })
@@ -134,6 +160,7 @@
     fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         assert!(!self.failed, "a file is not used after an error");
         self.memory.change(|content| {
+            content.count_change()?;
             let fits = content.space.map_or(bytes.len(), |space| space.min(bytes.len()));
             content.space = content.space.map(|space| space - fits);
             let file = content.files.get_mut(&self.name).unwrap();
@@ -150,6 +177,7 @@
             if self.failed {
                 return Err(io::Error::other("injected sync error"));
             }
+            content.count_change()?;
             let file = content.files.get_mut(&self.name).unwrap();
             file.synced = file.bytes.len();
             Ok(())
@@ -206,11 +234,24 @@
         records
     }
 
-    fn compact(&mut self, index: u64) -> Snapshot {
+    /// Compacts to an index that `at` selects, unless there are no entries.
+    fn compact(&mut self, at: u8) -> Option<Snapshot> {
+        let span = self.last() - self.base.0;
+        let index = self.base.0 + 1 + u64::from(at).checked_rem(span)?;
         let term = self.term(index);
         self.entries.drain(..(index - self.base.0) as usize);
         self.base = (index, term);
-        snapshot(index, term)
+        Some(snapshot(index, term))
+    }
+
+    /// Replaces all entries by a snapshot of a new term, `ahead` entries after the last one. No two
+    /// snapshots have the same index.
+    fn install(&mut self, ahead: u8) -> (Snapshot, Record) {
+        self.hard_state.term += 1;
+        let ahead = u64::from(ahead).max(u64::from(self.entries.is_empty()));
+        self.base = (self.last() + ahead, self.hard_state.term);
+        self.entries.clear();
+        (snapshot(self.base.0, self.base.1), Record::HardState(self.hard_state))
     }
 }
 
@@ -234,18 +275,33 @@
     Crash {
         keep: u8,
     },
+    /// The process is killed after `changes` changes of files of a compaction.
+    KillCompact {
+        index: u8,
+        changes: u8,
+        keep: u8,
+    },
+    /// The same during the installation of a snapshot.
+    KillInstall {
+        ahead: u8,
+        changes: u8,
+        keep: u8,
+    },
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Step {
         let (count, other) = (u8::arbitrary(g) % 6, u8::arbitrary(g));
-        match u8::arbitrary(g) % 12 {
+        let (changes, keep) = (u8::arbitrary(g) % 12, u8::arbitrary(g));
+        match u8::arbitrary(g) % 16 {
             0..5 => Step::Append { count, replaced: other % 4 },
             5 => Step::Full { count, space: other },
             6 => Step::SyncError { count, replaced: other % 4 },
             7..9 => Step::Compact(other),
             9 => Step::Install(count),
-            _ => Step::Crash { keep: other },
+            10..12 => Step::Crash { keep: other },
+            12..14 => Step::KillCompact { index: other, changes, keep },
+            _ => Step::KillInstall { ahead: count, changes, keep },
         }
     }
 }
@@ -277,18 +333,41 @@
                 log.append(&records).unwrap();
             }
             Step::Compact(a) => {
-                let span = model.last() - model.base.0;
-                if span > 0 {
-                    let index = model.base.0 + 1 + u64::from(a) % span;
-                    log.compact(&model.compact(index)).unwrap();
+                if let Some(snapshot) = model.compact(a) {
+                    log.compact(&snapshot).unwrap();
                 }
             }
             Step::Install(ahead) => {
-                model.hard_state.term += 1;
-                model.base = (model.last() + u64::from(ahead), model.hard_state.term);
-                model.entries.clear();
-                let hard_state = Record::HardState(model.hard_state);
-                log.install(&snapshot(model.base.0, model.base.1), &[hard_state]).unwrap();
+                let (snapshot, hard_state) = model.install(ahead);
+                log.install(&snapshot, &[hard_state]).unwrap();
+            }
+            Step::KillCompact { index, changes, keep } => {
+                let mut compacted = model.clone();
+                let Some(snapshot) = compacted.compact(index) else { continue };
+                memory.change(|content| content.changes_left = Some(changes.into()));
+                let done = log.compact(&snapshot).is_ok();
+                drop(log);
+                memory.crash(keep.into());
+                let (opened, recovered) = memory.open().unwrap();
+                let recovered = Model::of(recovered);
+                assert!(recovered == compacted || !done && recovered == model);
+                (log, model) = (opened, recovered);
+            }
+            Step::KillInstall { ahead, changes, keep } => {
+                let mut installed = model.clone();
+                let (snapshot, hard_state) = installed.install(ahead);
+                memory.change(|content| content.changes_left = Some(changes.into()));
+                let done = log.install(&snapshot, &[hard_state]).is_ok();
+                drop(log);
+                memory.crash(keep.into());
+                let (opened, recovered) = memory.open().unwrap();
+                let recovered = Model::of(recovered);
+                let snapshot_only = Model { hard_state: model.hard_state, ..installed.clone() };
+                assert!(
+                    recovered == installed
+                        || !done && [&model, &snapshot_only].contains(&&recovered)
+                );
+                (log, model) = (opened, recovered);
             }
             Step::Crash { keep } => {
                 drop(log);
@@ -418,21 +497,32 @@
     assert_ne!(open(&other).unwrap().1.id.disk, renewed.disk);
 }
 
-/// Guards against the reuse of outdated entries after a crash between the two writes of a snapshot
-/// installation: the snapshot is stored, but the log still holds entries that conflict with it.
+/// Guards against a log that cannot be read any more, or loses what was appended, after a crash
+/// between the two writes of a snapshot installation: the snapshot is stored, but the log still
+/// ends before it or holds entries that conflict with it.
 #[test]
 fn a_crash_during_a_snapshot_installation_leaves_no_outdated_entries() {
-    let memory = MemoryFiles::default();
-    let (mut log, _) = memory.open().unwrap();
-    let mut model = Model::default();
-    log.append(&model.append(9, 0)).unwrap();
-    drop(log);
-    snapshot(5, 2).store(&memory).unwrap();
-    let (mut log, recovered) = memory.open().unwrap();
-    assert_eq!((recovered.entries, recovered.hard_state), (Vec::new(), model.hard_state));
-    let next = Record::Entry(entry(6, 3));
-    log.install(&snapshot(5, 2), std::slice::from_ref(&next)).unwrap();
-    assert_eq!(memory.open().unwrap().1.entries, [entry(6, 3)]);
+    for index in [5, 12] {
+        let memory = MemoryFiles::default();
+        let (mut log, _) = memory.open().unwrap();
+        let mut model = Model::default();
+        log.append(&model.append(9, 0)).unwrap();
+        drop(log);
+        snapshot(index, 2).store(&memory).unwrap();
+        for restart in 0..3 {
+            let (_, recovered) = memory.open().unwrap();
+            let found = (recovered.entries, recovered.hard_state);
+            assert_eq!(found, (Vec::new(), model.hard_state), "snapshot {index}, start {restart}");
+        }
+        // A replica goes on at the snapshot and does not install it again.
+        let (mut log, _) = memory.open().unwrap();
+        let next = [1, 2].map(|after| entry(index + after, 3));
+        for entry in &next {
+            log.append(&[Record::Entry(entry.clone())]).unwrap();
+        }
+        drop(log);
+        assert_eq!(memory.open().unwrap().1.entries, next, "snapshot {index}");
+    }
 }
 
 /// Guards against segments that are never removed, and against the loss of the hard state together
