Make the removal of each log segment durable before the next

After a loss of power during a compaction, a control instance could end at each start with "segment is missing".

Cause: trim removed several segments and synced the folder once at the end. Several small segments arise after failed writes, as on a full disk.

Change: the folder is synced after each removal, oldest first. What is left after a loss of power is then always a contiguous end of the log. A compaction removes one segment as a rule, so it costs no further sync; the sync without a removal is gone.

--- a/src/state/log/mod.rs
+++ b/src/state/log/mod.rs
@@ -178,15 +178,19 @@
 
     /// Removes the oldest segments that hold no entry after `index`. A durable snapshot must cover
     /// `index`.
+    ///
+    /// Each removal is durable before the next: after a loss of power a segment must not come back
+    /// without its successor.
     pub fn trim(&mut self, index: u64) -> Result<()> {
         while self.segments.len() > 1 && self.segments[0].last_index <= index {
             let name = segment_name(self.segments[0].number);
             let path = self.files.path(&name);
             self.files.remove(&name).context(error::FileSnafu { step: "remove", path })?;
             self.segments.remove(0);
+            let path = self.files.path("");
+            self.files.sync().context(error::FileSnafu { step: "sync_folder", path })?;
         }
-        let path = self.files.path("");
-        self.files.sync().context(error::FileSnafu { step: "sync_folder", path })
+        Ok(())
     }
 
     /// Gives the data directory a new disk id, so that it no longer counts as the same voter.
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -35,6 +35,8 @@
 #[derive(Default)]
 struct Content {
     files: BTreeMap<String, File>,
+    /// Files removed since the directory was last synced, each of which a crash may bring back.
+    removed: BTreeMap<String, File>,
     /// Number of bytes that can be written before the disk is full; `None` for no limit.
     space: Option<usize>,
     fail_sync: bool,
@@ -77,10 +79,16 @@
     }
 
     /// Simulates a crash: files without a synced name are lost, and so are unsynced bytes except
-    /// the first `keep` of each file.
+    /// the first `keep` of each file. The bits of `keep` say which removed files come back.
     fn crash(&self, keep: usize) {
         self.change(|content| {
             content.changes_left = None;
+            let removed = std::mem::take(&mut content.removed);
+            let restored =
+                removed.into_iter().enumerate().filter(|(at, _)| keep >> (at % 8) & 1 == 1);
+            for (_, (name, file)) in restored {
+                content.files.entry(name).or_insert(file);
+            }
             content.files.retain(|_, file| file.named);
             for file in content.files.values_mut() {
                 let len = file.bytes.len().min(file.synced + keep);
@@ -135,7 +143,9 @@
     fn remove(&self, name: &str) -> io::Result<()> {
         self.change(|content| {
             content.count_change()?;
-            content.files.remove(name);
+            if let Some(file) = content.files.remove(name) {
+                content.removed.insert(name.to_owned(), file);
+            }
             Ok(())
         })
     }
@@ -147,6 +157,7 @@
             }
             content.count_change()?;
             content.files.values_mut().for_each(|file| file.named = true);
+            content.removed.clear();
             Ok(())
         })
     }
