Let the sidecar describe its server to entries, and refuse other incarnations

Cause: an entry chose servers by the leader's list, and its start command named neither the incarnation nor the labels that it relied on. The sidecar knew at once that its server had come back as another kind, and compared nothing. With a leader the list is right some 20 ms later, which hid this.

Ruled out: to refuse a new incarnation until a leader is back (sound servers would be lost to tasks without a label for as long); to compare labels in the sidecar (the service can differ, too). Commands of the leader are safe: they belong to a registration of one incarnation.

Change: the sidecar is the authority on its server. - It numbers the incarnations that it has known and the changes of their descriptions (work::Revision). - A renewal names the version that the entry has; the status carries the description if that is outdated. Each reply tells the version, too, and an entry with another one renews at once and starts nothing there before it has the description. - A start command names the incarnation; a sidecar refuses another one with Reason::Replaced, which is no sign of a server in trouble: the entry does not pause it. - The leader's list introduces sidecars, and updates a description only if it is of the same incarnation.

Tests of the sidecar's check and of the entry's view. The simulation in tests/single_run.rs passes commands and statuses as they are now.

--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -561,6 +561,6 @@
     match reason {
         Reason::NoCapacity => 100,
         Reason::Unavailable | Reason::NoAnswer => 500,
-        Reason::Expired => 0,
+        Reason::Expired | Reason::Replaced => 0,
     }
 }
--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -19,7 +19,7 @@
     queue::{self, Attempt, Id},
     wire::{
         queue::{Batch, Completion, Crash, NotStarted, Reason, Server, Start},
-        work::{self, Entry, Load},
+        work::{self, Entry, Load, Revision},
     },
 };
 use backend::{Assignment, BackendServer, State};
@@ -111,6 +111,8 @@
     /// Number of incarnations of the backend server seen by this process. The fencing token rises
     /// with it, so that an incarnation under a known id refuses delayed calls to the earlier one.
     incarnations: u64,
+    /// Version of the description of the backend server.
+    revision: Revision,
     /// Highest term of a leader whose commands were received.
     term: u64,
     /// Generation of the registration with the leader. Under a new one, the sidecar reports the
@@ -154,6 +156,7 @@
             announced: false,
             token: 0,
             incarnations: 0,
+            revision: Revision::default(),
             term: 0,
             generation: 0,
             lease_until_ms: 0,
@@ -186,6 +189,7 @@
         match &mut self.backend {
             Some(backend) if backend.server.id == server.id => {
                 if backend.update(&server, addr, seq) {
+                    self.revision.change += 1;
                     self.actions.report_due = true;
                 }
                 self.dispatch(now_ms);
@@ -208,6 +212,7 @@
                 self.end_all(lost, work::Outcome::Lost);
                 self.announced = true;
                 self.incarnations = INCARNATIONS_MAX.min(self.incarnations + 1);
+                self.revision = Revision { incarnation: self.revision.incarnation + 1, change: 0 };
                 self.actions.report_due = true;
             }
         }
@@ -283,6 +288,11 @@
         self.backend.as_ref().map(|backend| (&backend.server, backend.addr))
     }
 
+    /// Version of the description of the backend server.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Whether attempts wait or run, or may be running.
     pub fn busy(&self) -> bool {
         self.backend.as_ref().is_some_and(|backend| !backend.assignments.is_empty())
@@ -290,8 +300,11 @@
 
     /// Returns the load of the backend server, for entries.
     pub fn load(&self) -> Load {
-        let Some(backend) = &self.backend else { return Load::default() };
+        let Some(backend) = &self.backend else {
+            return Load { revision: self.revision, ..Load::default() };
+        };
         Load {
+            revision: self.revision,
             open: backend.may_start() && !self.draining,
             used: backend.used,
             queued: backend.waiting_resources(),
@@ -519,6 +532,20 @@
         self.dispatch(now_ms);
     }
 
+    /// Handles the start command of an entry as [`Sidecar::handle_start`] does. It is refused if the
+    /// entry has chosen another incarnation of the backend server.
+    pub fn handle_entry_start(&mut self, now_ms: u64, command: work::StartCommand) {
+        let work::StartCommand { entry, incarnation, start, due_ms, wait_ms, .. } = command;
+        let (source, until_ms) = (Source::Entry(entry), now_ms + wait_ms);
+        if incarnation != self.revision.incarnation {
+            let attempt = start.attempt;
+            let assignment = Assignment::new(source, start, due_ms, until_ms);
+            let refused = work::Outcome::NotStarted(Reason::Replaced);
+            return self.record_outcome(attempt, &assignment, refused, 0);
+        }
+        self.handle_start(now_ms, source, start, due_ms, until_ms);
+    }
+
     /// Returns the remaining time of the lease of `source`, in ms.
     fn lease_left(&self, now_ms: u64, source: Source) -> u64 {
         let until_ms = match source {
--- a/src/coordination/transient.rs
+++ b/src/coordination/transient.rs
@@ -19,8 +19,8 @@
 use crate::protocol::{
     queue::{self, Attempt, Id, Queue, Step, Task},
     wire::{
-        queue::{Reason, Sidecar, Start},
-        work::{Load, Outcome, Reply},
+        queue::{self as wire_queue, Reason, Sidecar, Start},
+        work::{Load, Outcome, Reply, Revision},
     },
 };
 use job::{Job, Placement};
@@ -73,6 +73,8 @@
 #[derive(Debug, PartialEq)]
 pub struct StartCommand {
     pub server: Key,
+    /// Incarnation of the server, as its sidecar numbers them.
+    pub incarnation: u32,
     pub start: Start,
     /// Latest start at which the job would be on time.
     pub due_ms: u64,
@@ -176,7 +178,27 @@
 
     /// Handles a broken connection to a sidecar: nothing is commanded there any more.
     pub fn disconnected(&mut self, key: Key) {
-        self.servers[key.0].connected = false;
+        let server = &mut self.servers[key.0];
+        server.connected = false;
+        // Another process of the sidecar numbers anew.
+        server.revision = Revision::default();
+    }
+
+    /// Handles a sidecar's own description of its backend server.
+    pub fn describe_server(&mut self, key: Key, revision: Revision, info: wire_queue::Server) {
+        let server = &mut self.servers[key.0];
+        server.revision = revision;
+        server.describe_server(info);
+    }
+
+    /// Version of the description of a backend server, as its sidecar numbers them.
+    pub fn revision(&self, key: Key) -> Revision {
+        self.servers[key.0].revision
+    }
+
+    /// Whether the sidecar has a newer description of its backend server.
+    pub fn outdated(&self, key: Key) -> bool {
+        self.servers[key.0].outdated
     }
 
     /// Handles a sidecar's report of its load.
@@ -490,6 +512,7 @@
         let due_ms = job.latest_start_ms;
         self.actions.commands.push(StartCommand {
             server: key,
+            incarnation: self.servers[key.0].revision.incarnation,
             start,
             due_ms,
             wait_ms: CAPACITY_WAIT_MS,
--- a/src/coordination/transient/server.rs
+++ b/src/coordination/transient/server.rs
@@ -7,8 +7,8 @@
     protocol::{
         queue::{Attempt, Resources, Step, Task},
         wire::{
-            queue::{Reason, Sidecar},
-            work::{Load, Outcome},
+            queue::{self, Reason, Sidecar},
+            work::{Load, Outcome, Revision},
         },
     },
 };
@@ -31,7 +31,13 @@
     pub sidecar: Sidecar,
     /// Whether a connection to the sidecar is open.
     pub connected: bool,
-    /// Whether the sidecar accepts start commands.
+    /// Version of the server's description that the sidecar has sent over the present connection;
+    /// the default if the description is from the leader's list.
+    pub revision: Revision,
+    /// Whether `sidecar` describes another version of the server than the one that its last load
+    /// was of.
+    pub outdated: bool,
+    /// Whether the sidecar accepts start commands for the described incarnation of its server.
     open: bool,
     /// Resources of attempts of others that run or wait there.
     others: Resources,
@@ -53,6 +59,8 @@
         Server {
             sidecar,
             connected: false,
+            revision: Revision::default(),
+            outdated: false,
             open: false,
             others: Resources::default(),
             own: IndexMap::new(),
@@ -64,13 +72,25 @@
         }
     }
 
-    /// Replaces the description. For another backend server or incarnation, the estimates start
-    /// anew.
+    /// Replaces the description by that of the leader's list. If the sidecar itself has described
+    /// another incarnation of its server, that one stays: the leader may not know it yet.
     pub fn describe(&mut self, sidecar: Sidecar) {
-        if self.sidecar.server.id != sidecar.server.id {
+        let described = self.revision != Revision::default();
+        let server = match described && self.sidecar.server.id != sidecar.server.id {
+            true => self.sidecar.server.clone(),
+            false => sidecar.server.clone(),
+        };
+        self.describe_server(server);
+        self.sidecar = Sidecar { server: self.sidecar.server.clone(), ..sidecar };
+    }
+
+    /// Replaces the description of the backend server. For another one or another incarnation, the
+    /// estimates start anew.
+    pub fn describe_server(&mut self, server: queue::Server) {
+        if self.sidecar.server.id != server.id {
             self.pace = Pace::default();
         }
-        self.sidecar = sidecar;
+        self.sidecar.server = server;
     }
 
     /// Number of this entry's attempts here that have not ended.
@@ -80,7 +100,8 @@
 
     /// Handles a sidecar's report of its load, from which the resources of others are estimated.
     pub fn update_load(&mut self, load: &Load) {
-        self.open = load.open;
+        self.outdated = load.revision != self.revision;
+        self.open = load.open && load.revision.incarnation == self.revision.incarnation;
         if load.open {
             self.lost_held_ms = None;
         }
@@ -177,7 +198,7 @@
             }
             Outcome::Stopped
             | Outcome::Canceled
-            | Outcome::NotStarted(Reason::NoCapacity | Reason::Expired) => {}
+            | Outcome::NotStarted(Reason::NoCapacity | Reason::Expired | Reason::Replaced) => {}
         }
     }
 
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -22,7 +22,7 @@
     coordination::transient::{Key, StartCommand},
     protocol::{
         queue::{Attempt, Id},
-        wire::work::{self, Renewal, Reply, ServiceClient, Status},
+        wire::work::{self, Renewal, Reply, Revision, ServiceClient, Status},
     },
     transport::rpc,
     util,
@@ -58,6 +58,8 @@
     channel: RefCell<Option<Channel>>,
     /// Ends the renewals, so that the connection is opened again.
     broken: Notify,
+    /// Makes a renewal due at once.
+    renewal_due: Notify,
 }
 
 /// One opening of a [`Connection`], until it breaks.
@@ -119,6 +121,7 @@
             key,
             channel: RefCell::new(None),
             broken: Notify::new(),
+            renewal_due: Notify::new(),
         };
         Connection { inner: Rc::new(inner) }
     }
@@ -165,6 +168,9 @@
             log::info!("event=run_lost run={attempt} sidecar={}", connection.inner.addr.get());
         }
         self.scheduler().ended(util::boot_ms(), key, attempt, reply.as_ref());
+        if self.inner.scheduler.borrow().outdated(key) {
+            connection.inner.renewal_due.notify_one();
+        }
         self.carry_out();
     }
 
@@ -180,6 +186,7 @@
         let due_ms = (clock_ms + command.due_ms).saturating_sub(util::boot_ms());
         let request = work::StartCommand {
             entry: channel.entry,
+            incarnation: command.incarnation,
             lease_until_ms: channel.extend_lease(),
             start: command.start,
             due_ms,
@@ -220,15 +227,25 @@
                 continue;
             };
             connection.inner.channel.replace(Some(channel.clone()));
+            let incarnation = status.incarnation;
             self.scheduler().connected(key);
-            self.scheduler().update_load(util::boot_ms(), key, &status.load);
-            self.carry_out();
+            self.apply_status(key, status);
             self.renew(&connection, &channel).await;
             log::info!("event=link_broken sidecar={addr}");
             connection.inner.channel.replace(None);
             self.scheduler().disconnected(key);
-            actix_rt::spawn(wait_for_termination(channel, terminated, status.incarnation, addr));
+            actix_rt::spawn(wait_for_termination(channel, terminated, incarnation, addr));
+        }
+    }
+
+    fn apply_status(&self, key: Key, status: Status) {
+        let Status { load, server, .. } = status;
+        if let Some(server) = server {
+            log::info!("event=server_described server={} revision={:?}", server.id, load.revision);
+            self.scheduler().describe_server(key, load.revision, server);
         }
+        self.scheduler().update_load(util::boot_ms(), key, &load);
+        self.carry_out();
     }
 
     /// Renews the lease until the connection breaks.
@@ -238,6 +255,7 @@
         loop {
             tokio::select! {
                 () = time::sleep(RENEW_INTERVAL) => {}
+                () = connection.inner.renewal_due.notified() => skipped = IDLE_SKIPS,
                 () = connection.inner.broken.notified() => return,
             }
             let idle = self.inner.scheduler.borrow().outstanding(key) == 0;
@@ -246,12 +264,13 @@
                 continue;
             }
             skipped = 0;
-            match request_status(&channel.client, channel.entry, channel.extend_lease()).await {
+            let revision = self.inner.scheduler.borrow().revision(key);
+            let renewal =
+                Renewal { entry: channel.entry, revision, lease_until_ms: channel.extend_lease() };
+            match request_status(&channel.client, renewal).await {
                 Some((sent_ms, status)) => {
                     channel.clock_reading.set((status.clock_ms, sent_ms));
-                    let now_ms = util::boot_ms();
-                    self.scheduler().update_load(now_ms, key, &status.load);
-                    self.carry_out();
+                    self.apply_status(key, status);
                 }
                 None => return,
             }
@@ -270,7 +289,8 @@
         }
     };
     let entry = work::Entry(rand::random());
-    let (sent_ms, status) = request_status(&client, entry, 0).await?;
+    let renewal = Renewal { entry, revision: Revision::default(), lease_until_ms: 0 };
+    let (sent_ms, status) = request_status(&client, renewal).await?;
     let (sender, terminated) = watch::channel(false);
     let channel = Channel {
         client,
@@ -283,13 +303,8 @@
 }
 
 /// Renews a lease and requests the status of a sidecar. Also returns when the request was sent.
-async fn request_status(
-    client: &ServiceClient,
-    entry: work::Entry,
-    lease_until_ms: u64,
-) -> Option<(u64, Status)> {
+async fn request_status(client: &ServiceClient, renewal: Renewal) -> Option<(u64, Status)> {
     let sent_ms = util::boot_ms();
-    let renewal = Renewal { entry, lease_until_ms };
     let answer = client.renew(rpc::context(RENEW_TIMEOUT), renewal);
     match time::timeout(RENEW_TIMEOUT, answer).await {
         Ok(Ok(status)) => Some((sent_ms, status)),
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -219,6 +219,8 @@
     Expired,
     /// The backend server did not answer.
     NoAnswer,
+    /// The command was for an earlier incarnation of the backend server.
+    Replaced,
 }
 
 /// Returns the labels in log lines. They are kept stable for searches in logs, and some differ from
@@ -230,6 +232,7 @@
             Reason::Unavailable => "Unavailable",
             Reason::Expired => "Late",
             Reason::NoAnswer => "NoAnswer",
+            Reason::Replaced => "Replaced",
         })
     }
 }
--- a/src/protocol/wire/work.rs
+++ b/src/protocol/wire/work.rs
@@ -6,7 +6,7 @@
 use crate::{
     protocol::{
         queue::{Attempt, Id, Resources},
-        wire::queue::{Reason, Start},
+        wire::queue::{Reason, Server, Start},
     },
     transport::rpc,
 };
@@ -32,16 +32,28 @@
 #[serde(transparent)]
 pub struct Entry(pub u64);
 
+/// Version of a sidecar's description of its backend server.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revision {
+    /// Position of the server's incarnation among those that the sidecar's process has known; 0 if
+    /// it has known none.
+    pub incarnation: u32,
+    /// Number of changes of the description since the incarnation became known.
+    pub change: u32,
+}
+
 /// Renews an entry's lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
     pub entry: Entry,
+    /// Version of the description that the entry has.
+    pub revision: Revision,
     /// Expiry of the lease on the sidecar's clock; 0 while that clock is not known.
     pub lease_until_ms: u64,
 }
 
 /// Status of a sidecar.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     /// Random number drawn when the sidecar's process started.
     pub incarnation: u64,
@@ -51,11 +63,15 @@
     /// sidecar, such as one that an earlier process of the sidecar started.
     pub clean: bool,
     pub load: Load,
+    /// Description of the backend server, if the entry has another version of it.
+    pub server: Option<Server>,
 }
 
 /// Load of a backend server.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
+    /// Version of the description of the server.
+    pub revision: Revision,
     /// Whether the sidecar accepts start commands at present.
     pub open: bool,
     /// Resources of the attempts that run, or may be running.
@@ -68,6 +84,9 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StartCommand {
     pub entry: Entry,
+    /// Incarnation of the backend server that the entry has chosen, as in [`Revision`]. Another one
+    /// may have other labels or belong to another service, so the sidecar refuses the command then.
+    pub incarnation: u32,
     /// As in [`Renewal`]. A command that arrives after the lease has expired is refused.
     pub lease_until_ms: u64,
     pub start: Start,
--- a/src/sidecar/jobs/service.rs
+++ b/src/sidecar/jobs/service.rs
@@ -37,6 +37,8 @@
     async fn renew(self, _: Context, renewal: Renewal) -> Status {
         let mut state = self.sidecar.inner.state.borrow_mut();
         let clock_ms = util::boot_ms();
+        let server = state.server().filter(|_| renewal.revision != state.revision());
+        let server = server.map(|(server, _)| server.clone());
         if renewal.lease_until_ms > clock_ms {
             state.renew(renewal.entry, renewal.lease_until_ms);
         }
@@ -45,6 +47,7 @@
             clock_ms,
             clean: state.clean(),
             load: state.load(),
+            server,
         }
     }
 
@@ -59,14 +62,7 @@
             if command.lease_until_ms > now_ms {
                 state.renew(entry, command.lease_until_ms);
             }
-            let until_ms = now_ms + command.wait_ms;
-            state.handle_start(
-                now_ms,
-                Source::Entry(entry),
-                command.start,
-                command.due_ms,
-                until_ms,
-            );
+            state.handle_entry_start(now_ms, command);
         }
         self.sidecar.carry_out();
         let (outcome, took_ms) = reply.await.unwrap_or((Outcome::NotStarted(Reason::Expired), 0));
--- a/tests/overload/world.rs
+++ b/tests/overload/world.rs
@@ -412,7 +412,7 @@
         let host = &self.machines[machine];
         let mut queued = Resources::default();
         host.waiting.iter().for_each(|waiting| queued.add(&waiting.start.needs));
-        Load { open: !self.is_down(machine), used: host.used, queued }
+        Load { open: !self.is_down(machine), used: host.used, queued, ..Load::default() }
     }
 
     fn answer(
--- a/tests/resubmission.rs
+++ b/tests/resubmission.rs
@@ -9,12 +9,13 @@
         queue::{Attempt, Id, Job, Queue, Resources, Step, Task},
         wire::{
             queue::{Server, ServerId, Sidecar},
-            work::{Load, Outcome, Reply},
+            work::{Load, Outcome, Reply, Revision},
         },
     },
 };
 
 const OPEN: Load = Load {
+    revision: Revision { incarnation: 0, change: 0 },
     open: true,
     used: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
     queued: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -11,7 +11,7 @@
             queue::{
                 Backend, Batch, Commands, Completion, Reason, Report, Server, ServerId, Start,
             },
-            work::{self, Entry},
+            work::{self, Entry, Revision},
         },
     },
 };
@@ -304,6 +304,35 @@
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), work::Outcome::Lost, 0)]);
 }
 
+/// Guards against a start on a server without the label that the task requires: the entry chose the
+/// incarnation before, which had it.
+#[test]
+fn a_start_command_for_another_incarnation_of_the_server_is_refused() {
+    let mut sidecar = sidecar();
+    let command = |number| work::StartCommand {
+        entry: Entry(7),
+        incarnation: 1,
+        lease_until_ms: 10_000,
+        start: start(attempt(number, 1)),
+        due_ms: 0,
+        wait_ms: 100,
+    };
+    sidecar.handle_entry_start(1, command(1));
+    assert_eq!(sidecar.take_actions().starts.len(), 1);
+    let mut described = server(1, 2_000);
+    described.labels.push("rack".to_owned());
+    sidecar.announce(2, described, addr(), 2);
+    sidecar.handle_entry_start(3, command(2));
+    assert_eq!(sidecar.take_actions().starts.len(), 1, "it is the same incarnation");
+    sidecar.announce(4, server(2, 1_000), addr(), 1);
+    sidecar.polled(4, 5, poll_reply(&[], &[]));
+    sidecar.take_actions();
+    sidecar.handle_entry_start(6, command(3));
+    let replaced = work::Outcome::NotStarted(Reason::Replaced);
+    assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(3, 1), replaced, 0)]);
+    assert_eq!(sidecar.revision(), Revision { incarnation: 2, change: 0 });
+}
+
 /// Guards against waiting for attempts of a server that has crashed and been started again under
 /// its id.
 #[test]
--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -14,7 +14,7 @@
     protocol::{
         queue::{self, Attempt, Id, Job, Queue, Resources, Step, Task},
         wire::{
-            queue::{self as wire, Commands, Completion, Server, ServerId, Start},
+            queue::{self as wire, Commands, Completion, Server, ServerId},
             work::{self, Load, Outcome, Reply},
         },
     },
@@ -150,7 +150,7 @@
 
 #[derive(Debug, Clone)]
 enum Message {
-    Run { channel: work::Entry, lease_until_ms: u64, start: Start, due_ms: u64, wait_ms: u64 },
+    Run(work::StartCommand),
     Renew { channel: work::Entry, lease_until_ms: u64, sent_ms: u64 },
     Stop { channel: work::Entry, attempt: Attempt },
     Release { channel: work::Entry },
@@ -348,13 +348,14 @@
             return;
         };
         channel.attempts.insert(attempt);
-        let message = Message::Run {
-            channel: channel.id,
+        let message = Message::Run(work::StartCommand {
+            entry: channel.id,
+            incarnation: command.incarnation,
             lease_until_ms: channel.extend_lease(now_ms),
             start: command.start,
             due_ms: command.due_ms,
             wait_ms: command.wait_ms,
-        };
+        });
         self.note(format!("entry {entry} commands {attempt:?} at {sidecar}"));
         self.send_to_sidecar(entry, sidecar, message);
     }
@@ -492,7 +493,7 @@
             Message::Released { channel } => {
                 self.terminate(entry, sidecar, |broken| broken.id == channel);
             }
-            Message::Run { .. }
+            Message::Run(_)
             | Message::Renew { .. }
             | Message::Stop { .. }
             | Message::Release { .. } => {}
@@ -512,6 +513,11 @@
         let key = self.key(entry, sidecar);
         let Entry { links, scheduler, .. } = &mut self.entries[entry];
         let link = &mut links[sidecar];
+        let current = link.channel.as_ref().is_some_and(|channel| channel.id == id)
+            || link.opening.is_some_and(|(opening, _)| opening == id);
+        if let Some(server) = status.server.filter(|_| current) {
+            scheduler.describe_server(key, status.load.revision, server);
+        }
         if link.opening.is_some_and(|(opening, _)| opening == id) {
             link.opening = None;
             link.channel = Some(Channel {
@@ -549,11 +555,11 @@
         let now_ms = self.now_ms;
         let state = &mut self.sidecars[sidecar];
         match message {
-            Message::Run { channel, lease_until_ms, start, due_ms, wait_ms } => {
-                if lease_until_ms > now_ms {
-                    state.renew(channel, lease_until_ms);
+            Message::Run(command) => {
+                if command.lease_until_ms > now_ms {
+                    state.renew(command.entry, command.lease_until_ms);
                 }
-                state.handle_start(now_ms, Source::Entry(channel), start, due_ms, now_ms + wait_ms);
+                state.handle_entry_start(now_ms, command);
             }
             Message::Renew { channel, lease_until_ms, sent_ms } => {
                 if lease_until_ms > now_ms {
@@ -564,6 +570,7 @@
                     clock_ms: now_ms,
                     clean: state.clean(),
                     load: state.load(),
+                    server: state.server().map(|(server, _)| server.clone()),
                 };
                 self.send_to_entry(entry, sidecar, Message::Status { channel, sent_ms, status });
             }
--- a/tests/transient.rs
+++ b/tests/transient.rs
@@ -8,12 +8,13 @@
         queue::{Attempt, Id, Job, Queue, Resources, Step},
         wire::{
             queue::{Reason, Server, ServerId, Sidecar},
-            work::{Load, Outcome, Reply},
+            work::{Load, Outcome, Reply, Revision},
         },
     },
 };
 
 const OPEN: Load = Load {
+    revision: Revision { incarnation: 0, change: 0 },
     open: true,
     used: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
     queued: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
@@ -137,7 +138,7 @@
 fn waiting_jobs_with_commanded_starts_count_as_a_capacity_shortage() {
     let (mut scheduler, keys) = scheduler(&[("a", 20)]);
     let cpu = |cpu_milli| Resources { cpu_milli, ..OPEN.used };
-    let full = Load { open: true, used: cpu(20_000), queued: cpu(1_000) };
+    let full = Load { used: cpu(20_000), queued: cpu(1_000), ..OPEN };
     let commands: Vec<StartCommand> =
         (1..=20).flat_map(|id| submit(&mut scheduler, 0, id, job(1, 300))).collect();
     for command in &commands {
@@ -400,3 +401,25 @@
     let next = submit(&mut scheduler, 340, 5, job(1, 100));
     assert_eq!(places(&next), [(5, keys[1])], "the server is released");
 }
+
+/// Guards against tasks that start on a server without the label that they require: its sidecar knows
+/// an incarnation of another kind, and the leader's list does not show it.
+#[test]
+fn a_sidecar_describes_its_server_before_the_leader_does() {
+    let (mut scheduler, keys) = scheduler(&[("a", 4)]);
+    let mut labelled = job(1, 100);
+    labelled.steps[0].required_label = Some("rack-a".to_owned());
+    let load = Load { revision: Revision { incarnation: 1, change: 0 }, ..OPEN };
+    scheduler.update_load(1, keys[0], &load);
+    assert!(scheduler.outdated(keys[0]));
+    assert_eq!(submit(&mut scheduler, 1, 1, labelled.clone()), [], "its labels are not known");
+    let mut other = sidecar("b", 4).server;
+    other.id.started_at_ms = 2;
+    scheduler.describe_server(keys[0], load.revision, other);
+    scheduler.update_load(2, keys[0], &load);
+    assert_eq!(scheduler.take_actions().commands, []);
+    scheduler.describe(sidecar("a", 4));
+    assert_eq!(submit(&mut scheduler, 3, 2, labelled), [], "the list is outdated");
+    let commands = submit(&mut scheduler, 3, 3, job(1, 100));
+    assert_eq!((commands.len(), commands[0].incarnation), (1, 1));
+}
