Follow a backend server although another writer left an odd entry

Callers would have seen jobs without an answer: after one announcement of another writer at each sidecar, no job completed within 30 s.

Cause: an announcement of a server that started in the future replaced the true one, whose announcements then counted as outdated, for good.

Ruled out: deep nesting (refused at 128 levels, and skipped without recursion in fields that are not used), ports out of range and numbers beyond 64 bits (refused before), large capacities (they saturate). No process ended by any of these.

--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -45,6 +45,8 @@
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Interval at which leases are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Most by which the clocks of a backend server and its sidecar may differ, in ms.
+const CLOCK_ERROR_MAX_MS: u64 = 3_600_000;
 /// Interval at which a draining sidecar checks whether its attempts have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -157,8 +159,13 @@
         Ok(sidecar)
     }
 
-    /// Handles an announcement of the backend server.
+    /// Handles an announcement of the backend server. One that started in the future is no server:
+    /// it would keep the true one from being known, which has started before.
     pub fn announce(&self, server: Server, addr: SocketAddr, seq: u64) {
+        if server.id.started_at_ms > util::unix_ms() + CLOCK_ERROR_MAX_MS {
+            log::warn!("event=announcement_refused server={} reason=future", server.id);
+            return;
+        }
         self.inner.state.borrow_mut().announce(util::boot_ms(), server, addr, seq);
         self.inner.poll_wake.notify_one();
         self.carry_out();
