Count a start as absent only by a list requested after its stop

Cause: a start without an answer is stopped, and counts as not started once a list that was requested after the confirmed stop does not show it. "After" was decided by times in whole milliseconds, and equal ones passed. Sidecar and server are on one machine: within one millisecond a poll was sent, the server made its list, carried out the start, lost its answer, and confirmed the stop. The list was older than the start. The sidecar told the entry that nothing runs, which started the task elsewhere, and gave the room to the next task, while the run was still being stopped.

Change: the poll has to be sent in a later millisecond than the confirmation. The poll that follows a stop is sent 1 ms later, so that it counts. No other decision compares two local times in this way.

Test: an_unanswered_start_counts_until_its_stop_is_confirmed now polls in the millisecond of the confirmation; it failed before.

--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -416,10 +416,11 @@
 
     /// Returns the assigned attempts that neither run nor can start any more. Their stops were
     /// confirmed before a poll was sent at `sent_ms`, and its list of `running` attempts omits
-    /// them.
+    /// them. A poll of the same millisecond may have been sent before, and its list be older than a
+    /// late start.
     pub fn absent_after_stop(&self, sent_ms: u64, running: &[Attempt]) -> Vec<Attempt> {
         let absent = |attempt: &Attempt, assignment: &Assignment| {
-            matches!(assignment.state, State::StopConfirmed { at_ms } if at_ms <= sent_ms)
+            matches!(assignment.state, State::StopConfirmed { at_ms } if at_ms < sent_ms)
                 && !running.contains(attempt)
         };
         self.assignments
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -43,6 +43,8 @@
 const REPORTS_IN_FLIGHT_MAX: usize = 3;
 /// Pause before another try to stop an attempt.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Resolution of the times that the decisions are based on.
+const CLOCK_STEP: Duration = Duration::from_millis(1);
 /// Interval at which leases are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Most by which the clocks of a backend server and its sidecar may differ, in ms.
@@ -322,6 +324,8 @@
                 if self.server().is_some_and(|(id, _)| id == server) {
                     self.inner.state.borrow_mut().stop_confirmed(util::boot_ms(), attempt);
                     self.carry_out();
+                    // The list has to be requested in a later millisecond than the confirmation.
+                    time::sleep(CLOCK_STEP).await;
                     self.poll_once();
                 }
                 return;
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -186,7 +186,8 @@
 }
 
 /// Guards against a second attempt while an unanswered start may still be carried out: in some
-/// simulations with delayed starts at the backend server, tasks were started twice.
+/// simulations with delayed starts at the backend server, tasks were started twice. A list that was
+/// requested in the same millisecond in which the stop was confirmed may be older than the start.
 #[test]
 fn an_unanswered_start_counts_until_its_stop_is_confirmed() {
     let mut sidecar = sidecar();
@@ -197,8 +198,10 @@
     sidecar.polled(210, 211, poll_reply(&[], &[]));
     assert_eq!(sidecar.take_actions().replies, [], "it may still be carried out");
     sidecar.stop_confirmed(220, attempt(1, 1));
-    sidecar.polled(215, 221, poll_reply(&[], &[]));
-    assert_eq!(sidecar.take_actions().replies, [], "the list is older than the stop");
+    for sent_ms in [215, 220] {
+        sidecar.polled(sent_ms, 221, poll_reply(&[], &[]));
+        assert_eq!(sidecar.take_actions().replies, [], "the list may be older than the start");
+    }
     sidecar.polled(222, 223, poll_reply(&[], &[]));
     let outcome = work::Outcome::NotStarted(Reason::NoAnswer);
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), outcome, 0)]);
