--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -226,7 +226,7 @@
         let coordinator = self.clone();
         actix_rt::spawn(async move {
             if !coordinator.store(Some(term), Change::Fence(attempts.clone())).await {
-                // A leader of a later term has given up what it does not know to run.
+                // A leader of a later term waits for reports, and then fences anew.
                 log::warn!("event=fence_not_stored attempts={}", attempts.len());
                 return;
             }
--- a/src/coordination/schedule/fence.rs
+++ b/src/coordination/schedule/fence.rs
@@ -34,8 +34,8 @@
         attempts
     }
 
-    /// Handles fenced attempts that have been stored in the replicated queues. Stops those that were
-    /// adopted meanwhile, and lets the other tasks start again.
+    /// Handles fenced attempts that have been stored in the replicated queues: lets their tasks start
+    /// again. An attempt that was adopted meanwhile is stopped first, as its end would not count.
     pub fn fence_stored(&mut self, fenced: &[Attempt], queues: &Queues) {
         for attempt in fenced {
             self.fencing.remove(attempt);
