Model of transient jobs: messages stay on their connection's process

tests/single_run.rs addressed each message to the process of the sidecar that ran when it was sent. A connection ends with the process that it was opened to, so this delivered commands, renewals and releases to processes that never got them.

In the product the release is called on the connection on which the status arrived (wait_for_termination in src/entry/jobs/connection.rs), so it fails.

Ruled out as a fault of the product: tarpc clients of the entry's connections are opened once (rpc::connect) and never move to another socket.

The check is as strict as before: the same rule over the same faults.

--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -290,9 +290,15 @@
         self.trace.push(format!("{:>5} {line}", self.now_ms));
     }
 
-    fn send_to_sidecar(&mut self, entry: usize, sidecar: usize, message: Message) {
+    /// Sends a message on a connection, which ends with the process `incarnation` of the sidecar.
+    fn send_to_sidecar(
+        &mut self,
+        entry: usize,
+        sidecar: usize,
+        incarnation: u64,
+        message: Message,
+    ) {
         let at_ms = self.stalled_ms[entry][sidecar].max(self.now_ms + DELAY_MS);
-        let incarnation = self.sidecars[sidecar].incarnation();
         let life = self.entries[entry].life;
         self.push(at_ms, Event::ToSidecar { sidecar, entry, life, incarnation, message });
     }
@@ -316,8 +322,9 @@
             for (key, attempt) in actions.stops {
                 let sidecar = self.sidecar_of(entry, key);
                 if let Some(channel) = &self.entries[entry].links[sidecar].channel {
-                    let channel = channel.id;
-                    self.send_to_sidecar(entry, sidecar, Message::Stop { channel, attempt });
+                    let (channel, incarnation) = (channel.id, channel.incarnation);
+                    let stop = Message::Stop { channel, attempt };
+                    self.send_to_sidecar(entry, sidecar, incarnation, stop);
                 }
             }
             for (job, outcome) in actions.finished {
@@ -348,6 +355,7 @@
             return;
         };
         channel.attempts.insert(attempt);
+        let incarnation = channel.incarnation;
         let message = Message::Run(work::StartCommand {
             entry: channel.id,
             incarnation: command.incarnation,
@@ -357,7 +365,7 @@
             wait_ms: command.wait_ms,
         });
         self.note(format!("entry {entry} commands {attempt:?} at {sidecar}"));
-        self.send_to_sidecar(entry, sidecar, message);
+        self.send_to_sidecar(entry, sidecar, incarnation, message);
     }
 
     fn break_link(&mut self, entry: usize, sidecar: usize) {
@@ -376,6 +384,7 @@
         let now_ms = self.now_ms;
         let key = self.key(entry, sidecar);
         let idle = self.entries[entry].scheduler.outstanding(key) == 0;
+        let present = self.sidecars[sidecar].incarnation();
         let link = &mut self.entries[entry].links[sidecar];
         let mut sends = Vec::new();
         let mut overdue = false;
@@ -389,11 +398,9 @@
                         channel.skipped = 0;
                         channel.sent_ms = Some(now_ms);
                         let lease_until_ms = channel.extend_lease(now_ms);
-                        sends.push(Message::Renew {
-                            channel: channel.id,
-                            lease_until_ms,
-                            sent_ms: now_ms,
-                        });
+                        let renew =
+                            Message::Renew { channel: channel.id, lease_until_ms, sent_ms: now_ms };
+                        sends.push((channel.incarnation, renew));
                     }
                 }
             }
@@ -406,7 +413,8 @@
                     let id = work::Entry(self.entry_of.len() as u64 + 1);
                     self.entry_of.insert(id, entry);
                     link.opening = Some((id, now_ms));
-                    sends.push(Message::Renew { channel: id, lease_until_ms: 0, sent_ms: now_ms });
+                    let renew = Message::Renew { channel: id, lease_until_ms: 0, sent_ms: now_ms };
+                    sends.push((present, renew));
                 }
             }
         }
@@ -419,11 +427,12 @@
                 let id = work::Entry(self.entry_of.len() as u64 + 1);
                 self.entry_of.insert(id, entry);
                 *release = Some((id, now_ms));
-                sends.push(Message::Renew { channel: id, lease_until_ms: 0, sent_ms: now_ms });
+                let renew = Message::Renew { channel: id, lease_until_ms: 0, sent_ms: now_ms };
+                sends.push((present, renew));
             }
         }
-        for message in sends {
-            self.send_to_sidecar(entry, sidecar, message);
+        for (incarnation, message) in sends {
+            self.send_to_sidecar(entry, sidecar, incarnation, message);
         }
         if overdue {
             self.break_link(entry, sidecar);
@@ -545,7 +554,9 @@
         let Some((broken, ..)) = link.broken.iter().find(by) else { return };
         let (broken_id, same) = (broken.id, broken.incarnation == status.incarnation);
         if same {
-            self.send_to_sidecar(entry, sidecar, Message::Release { channel: broken_id });
+            // The release goes over the connection on which the status arrived.
+            let release = Message::Release { channel: broken_id };
+            self.send_to_sidecar(entry, sidecar, status.incarnation, release);
         } else if status.clean {
             self.terminate(entry, sidecar, |channel| channel.id == broken_id);
         }
