Start an attempt only under a server lease that its own bounds

Callers can see two runs of a transient task at the same time: a command is held up, its entry ends, and the sidecar is paused after the start.

Cause: the backend server's lease is kept from outlasting that of any source with attempts there by more than 500 ms, but a lease that it got before the start is not shortened. A command that arrives 600 ms late starts under a lease of up to 1,020 ms, so the attempt may run until 1,620 ms after the command; a caller sends its job again 1,300 ms after its entry has ended. The sum holds only while the sidecar is awake to stop the attempt.

Change: an attempt waits until the server's last lease ends at most 500 ms after that of its source, and waiting attempts limit new leases as started ones do, so the next renewal of the source lets it start. An attempt that has waited too long for that is refused as expired. A prompt command has nearly 700 ms of its lease left, where 520 are enough, and does not wait.

Tests: sidecar_jobs::a_late_command_waits_while_the_lease_of_the_server_outlasts_its_own and an_attempt_whose_lease_is_not_renewed_in_time_is_refused failed before (both started at once).

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -336,14 +336,19 @@
     /// being stopped, this is in the past.
     fn backend_lease_limit(&self) -> Option<u64> {
         let backend = self.backend.as_ref()?;
-        let sent = backend.assignments.values().filter(|a| a.state != State::Waiting);
-        let expiries = sent.chain(backend.inherited.values()).map(|a| match a.source {
-            Source::Entry(entry) => self.leases.get(&entry).copied().unwrap_or_default(),
-            Source::Leader => self.lease_until_ms,
-        });
+        let assigned = backend.assignments.values().chain(backend.inherited.values());
+        let expiries = assigned.map(|assignment| self.lease_until(assignment.source));
         expiries.min().map(|until_ms| until_ms + OUTLAST_MAX_MS)
     }
 
+    /// Returns when the lease of `source` expires, 0 if it has none.
+    fn lease_until(&self, source: Source) -> u64 {
+        match source {
+            Source::Leader => self.lease_until_ms,
+            Source::Entry(entry) => self.leases.get(&entry).copied().unwrap_or_default(),
+        }
+    }
+
     /// Whether a leader has assigned a fencing token, without which the backend server cannot be
     /// called.
     pub fn has_fencing_token(&self) -> bool {
@@ -520,7 +525,7 @@
             Some(backend) if !backend.may_start() || self.draining => Some(Reason::Unavailable),
             Some(backend) if backend.assignments.contains_key(&attempt) => Some(Reason::Expired),
             Some(backend) if backend.waiting_count() >= WAITING_MAX => Some(Reason::NoCapacity),
-            Some(_) if self.lease_left(now_ms, source) < START_MARGIN_MS => Some(Reason::Expired),
+            Some(_) if self.lease_until(source) < now_ms + START_MARGIN_MS => Some(Reason::Expired),
             Some(_) => None,
         };
         if let Some(reason) = refusal {
@@ -546,35 +551,37 @@
         self.handle_start(now_ms, source, start, due_ms, until_ms);
     }
 
-    /// Returns the remaining time of the lease of `source`, in ms.
-    fn lease_left(&self, now_ms: u64, source: Source) -> u64 {
-        let until_ms = match source {
-            Source::Leader => self.lease_until_ms,
-            Source::Entry(entry) => self.leases.get(&entry).copied().unwrap_or(0),
-        };
-        until_ms.saturating_sub(now_ms)
-    }
-
-    /// Starts waiting attempts for which there is free capacity, the most urgent first, and refuses
-    /// those that have waited too long.
+    /// Starts waiting attempts that may start, the most urgent first, and refuses those that have
+    /// waited too long.
     fn dispatch(&mut self, now_ms: u64) {
+        let Some(backend) = &self.backend else { return };
+        let lease_until = |attempt: &Attempt| {
+            backend.assignments.get(attempt).map_or(0, |a| self.lease_until(a.source))
+        };
+        let waiting: Vec<(Attempt, u64)> = backend
+            .waiting_by_urgency()
+            .into_iter()
+            .map(|attempt| (attempt, lease_until(&attempt)))
+            .collect();
         let Some(backend) = &mut self.backend else { return };
         let may_start = backend.may_start() && !self.draining;
         let mut refused = Vec::new();
-        for attempt in backend.waiting_by_urgency() {
+        for (attempt, lease_until_ms) in waiting {
             let assignment = &backend.assignments[&attempt];
-            let (needs, until_ms) = (assignment.start.needs, assignment.until_ms);
-            let reason = if !may_start {
-                Reason::Unavailable
-            } else if backend.has_capacity(&needs) {
-                if let Some(start) = backend.begin(now_ms, &attempt) {
-                    self.actions.starts.push(start);
+            let has_capacity = backend.has_capacity(&assignment.start.needs);
+            // A lease that the server has already cannot be shortened for the attempt.
+            let outlasted = backend.lease_expires_after(lease_until_ms + OUTLAST_MAX_MS);
+            let reason = match (may_start, has_capacity, outlasted) {
+                (false, ..) => Reason::Unavailable,
+                (true, true, false) => {
+                    if let Some(start) = backend.begin(now_ms, &attempt) {
+                        self.actions.starts.push(start);
+                    }
+                    continue;
                 }
-                continue;
-            } else if until_ms <= now_ms {
-                Reason::NoCapacity
-            } else {
-                continue;
+                _ if now_ms < assignment.until_ms => continue,
+                (true, false, _) => Reason::NoCapacity,
+                (true, true, true) => Reason::Expired,
             };
             if let Some(assignment) = backend.remove(&attempt) {
                 refused.push((attempt, assignment, reason));
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -233,6 +233,11 @@
         Some(clock_ms + since_ms as u64 + lease_ms)
     }
 
+    /// Whether the lease that the server was granted last may expire after `limit_ms`.
+    pub fn lease_expires_after(&self, limit_ms: u64) -> bool {
+        self.lease_until_ms > limit_ms
+    }
+
     /// Grants no more leases once a drained server is idle or its time is over. An earlier process of
     /// the sidecar may have granted one of `lease_ms` just before this one started.
     fn begin_lapse(&mut self, now_ms: u64, lease_ms: u64) {
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -482,6 +482,36 @@
     assert_eq!(sidecar.poll(10_500).unwrap().lease_until_ms, None);
 }
 
+/// Guards against two runs of a task at the same time: a late command started its attempt under the
+/// lease that the server had got before, and that ended over 500 ms after the lease of the entry.
+#[test]
+fn a_late_command_waits_while_the_lease_of_the_server_outlasts_its_own() {
+    let mut sidecar = sidecar();
+    // The server's lease ends 1,020 ms later, that of the entry at 10,000 ms.
+    assert!(sidecar.poll(9_550).unwrap().lease_until_ms.is_some());
+    assert_eq!(command(&mut sidecar, 9_600, attempt(1, 1)), Actions::default());
+    let until_ms = sidecar.poll(9_620).unwrap().lease_until_ms.unwrap();
+    assert!(until_ms <= 10_500, "the server's lease must not grow while the attempt waits");
+    sidecar.renew(Entry(7), 10_300);
+    sidecar.tick(9_650);
+    assert_eq!(sidecar.take_actions().starts, [start(attempt(1, 1))]);
+}
+
+/// Guards against a command that waits for a renewal of its lease until its caller's deadline.
+#[test]
+fn an_attempt_whose_lease_is_not_renewed_in_time_is_refused() {
+    let mut sidecar = sidecar();
+    sidecar.poll(9_550);
+    sidecar.handle_start(9_600, ENTRY, start(attempt(1, 1)), 9_600, 9_700);
+    sidecar.tick(9_700);
+    let actions = sidecar.take_actions();
+    let outcome = work::Outcome::NotStarted(Reason::Expired);
+    assert_eq!(
+        (actions.starts, actions.replies),
+        (vec![], vec![(Entry(7), attempt(1, 1), outcome, 0)])
+    );
+}
+
 /// Guards against commands that are lost or carried out twice when answers overtake each other or
 /// are repeated.
 #[test]
