Do not let renewals after a stop keep the stopped attempt

Callers can see two runs of a transient task at the same time: a caller leaves, its job is cancelled, and the stop is not carried out, because calls to the backend server get no answer or the sidecar is paused again.

Cause: the entry's connection goes on to renew its lease for other attempts, and the server's lease follows it, so the stopped attempt may run for as long as its stop fails. The caller sends the job to another entry 1,300 ms after it has left.

Change: when a stop is requested, the lease that its source has at that moment is recorded; until the attempt has gone, the server's lease ends at most 500 ms after that one. The server then ends the attempt by its own clock at most 1,200 ms after the last renewal before the stop. The price: a server that does not confirm a stop for about 850 ms or longer ends its other attempts too.

Test: sidecar_jobs::renewals_after_a_stop_do_not_keep_the_stopped_attempt failed before (lease until 10,707 on the server's clock, 10,500 allowed).

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -332,12 +332,16 @@
     }
 
     /// Returns when a new lease of the backend server has to expire at the latest, so that no
-    /// attempt outlasts the lease of its source for long. While an attempt without such a lease is
-    /// being stopped, this is in the past.
+    /// attempt outlasts the lease of its source for long. What a source renews after it has had an
+    /// attempt stopped does not keep that attempt. While an attempt without a lease is being stopped,
+    /// this is in the past.
     fn backend_lease_limit(&self) -> Option<u64> {
         let backend = self.backend.as_ref()?;
         let assigned = backend.assignments.values().chain(backend.inherited.values());
-        let expiries = assigned.map(|assignment| self.lease_until(assignment.source));
+        let expiries = assigned.map(|assignment| {
+            let until_ms = self.lease_until(assignment.source);
+            assignment.stop_lease_ms.map_or(until_ms, |stop_ms| stop_ms.min(until_ms))
+        });
         expiries.min().map(|until_ms| until_ms + OUTLAST_MAX_MS)
     }
 
@@ -614,6 +618,8 @@
 
     /// Stops an attempt; one that waits for capacity is refused at once.
     pub fn stop(&mut self, attempt: Attempt) {
+        let Some(assignment) = self.assignment(&attempt) else { return };
+        let lease_until_ms = self.lease_until(assignment.source);
         let Some(backend) = &mut self.backend else { return };
         let Some(assignment) = backend.assignments.get_mut(&attempt) else { return };
         if assignment.state == State::Waiting {
@@ -625,16 +631,19 @@
                     0,
                 );
             }
-        } else if !std::mem::replace(&mut assignment.stopping, true) {
+        } else if assignment.stop_lease_ms.is_none() {
+            assignment.stop_lease_ms = Some(lease_until_ms);
             self.actions.stops.push(attempt);
         }
     }
 
+    fn assignment(&self, attempt: &Attempt) -> Option<&Assignment> {
+        self.backend.as_ref()?.assignments.get(attempt)
+    }
+
     /// Stops an attempt if `source` commanded it.
     pub fn stop_for(&mut self, source: Source, attempt: Attempt) {
-        let assignment =
-            self.backend.as_ref().and_then(|backend| backend.assignments.get(&attempt));
-        if assignment.is_some_and(|assignment| assignment.source == source) {
+        if self.assignment(&attempt).is_some_and(|assignment| assignment.source == source) {
             self.stop(attempt);
         }
     }
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -61,8 +61,9 @@
     /// Until when it may wait for free capacity.
     pub until_ms: u64,
     pub state: State,
-    /// Whether a stop has been requested.
-    pub stopping: bool,
+    /// When the lease of its source expires that was in force when a stop was requested; `None`
+    /// without such a request.
+    pub stop_lease_ms: Option<u64>,
     /// Whether its job was cancelled; a stop is then reported as `Canceled`.
     pub canceled: bool,
     /// When the backend server was called to start it.
@@ -77,7 +78,7 @@
             due_ms,
             until_ms,
             state: State::Waiting,
-            stopping: false,
+            stop_lease_ms: None,
             canceled: false,
             called_ms: 0,
         }
@@ -413,7 +414,7 @@
         match self.assignments.get(attempt) {
             Some(assignment) => {
                 !matches!(assignment.state, State::StopConfirmed { .. })
-                    && (assignment.stopping || assignment.state == State::Unanswered)
+                    && (assignment.stop_lease_ms.is_some() || assignment.state == State::Unanswered)
             }
             None => false,
         }
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -497,6 +497,22 @@
     assert_eq!(sidecar.take_actions().starts, [start(attempt(1, 1))]);
 }
 
+/// Guards against two runs of a task at the same time: an attempt whose stop was not confirmed went
+/// on under leases that its entry renewed for others, after the caller had sent the job elsewhere.
+#[test]
+fn renewals_after_a_stop_do_not_keep_the_stopped_attempt() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 9_000, attempt(1, 1));
+    sidecar.start_answered(9_001, attempt(1, 1), StartResult::Started);
+    sidecar.stop_for(ENTRY, attempt(1, 1));
+    sidecar.renew(Entry(7), 10_600);
+    let until_ms = sidecar.poll(9_900).unwrap().lease_until_ms.unwrap();
+    assert!(until_ms <= 10_500, "{until_ms}");
+    assert_eq!(sidecar.poll(10_500).unwrap().lease_until_ms, None);
+    sidecar.polled(10_510, 10_511, poll_reply(&[], &[(1, attempt(1, 1), queue::Outcome::Stopped)]));
+    assert!(sidecar.poll(10_520).unwrap().lease_until_ms.is_some(), "nothing is being stopped");
+}
+
 /// Guards against a command that waits for a renewal of its lease until its caller's deadline.
 #[test]
 fn an_attempt_whose_lease_is_not_renewed_in_time_is_refused() {
