A new process of the sidecar counts on the leases of the one before

Callers can see two runs of a task at the same time, of kept jobs too: a sidecar ends and starts again while its backend server has attempts under the lease that the ended process granted, and one poll gets no answer.

Cause: a server counts as lost when its last lease is over, and a new process started with none, so the first poll without an answer made it lost. The leader then starts its tasks elsewhere at once, without the 1,200 ms that it waits for the attempts of an earlier process. The same zero let a start count as covered by the lease of its source.

Ruled out for transient jobs: their entries wait for the list of the new process or for the end of the leases.

Change: a server that becomes known counts as having got a whole lease at that moment. A server that is gone (two refused connections) is lost at once as before.

Test: sidecar_jobs::a_restarted_sidecar_waits_for_the_lease_that_its_earlier_process_granted failed before (lost after the first poll without an answer).

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -206,7 +206,8 @@
                 }
                 self.record_crash();
                 let earlier = self.backend.take();
-                let mut backend = BackendServer::new(server, addr, seq);
+                let mut backend =
+                    BackendServer::new(now_ms, server, addr, seq, self.backend_lease_ms);
                 let lost = earlier.map(|earlier| backend.inherit(earlier)).unwrap_or_default();
                 self.backend = Some(backend);
                 self.end_all(lost, work::Outcome::Lost);
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -107,6 +107,12 @@
     },
 }
 
+/// Returns the longest time that a lease of `lease_ms` on the backend server's clock lasts on the
+/// sidecar's, in ms.
+fn longest_ms(lease_ms: u64) -> u64 {
+    (lease_ms as f64 / CLOCK_SLOWEST) as u64
+}
+
 /// State of one incarnation of the backend server.
 #[derive(Debug)]
 pub(super) struct BackendServer {
@@ -148,13 +154,20 @@
 }
 
 impl BackendServer {
-    pub fn new(server: Server, addr: SocketAddr, seq: u64) -> BackendServer {
+    /// An earlier process of the sidecar may have granted the server a lease of `lease_ms` until now.
+    pub fn new(
+        now_ms: u64,
+        server: Server,
+        addr: SocketAddr,
+        seq: u64,
+        lease_ms: u64,
+    ) -> BackendServer {
         BackendServer {
             server,
             addr,
             seq,
             clock: None,
-            lease_until_ms: 0,
+            lease_until_ms: now_ms + longest_ms(lease_ms),
             unanswered: 0,
             refusals: 0,
             lost: false,
@@ -227,7 +240,7 @@
         if lease_ms == 0 {
             return None;
         }
-        let until_ms = now_ms + (lease_ms as f64 / CLOCK_SLOWEST) as u64;
+        let until_ms = now_ms + longest_ms(lease_ms);
         // The server never shortens its lease.
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
         let since_ms = now_ms.saturating_sub(read_ms) as f64 * CLOCK_SLOWEST;
@@ -244,8 +257,7 @@
     fn begin_lapse(&mut self, now_ms: u64, lease_ms: u64) {
         let Renewal::Draining { until_ms } = self.renewal else { return };
         if self.assignments.is_empty() || until_ms <= now_ms {
-            let longest_ms = (lease_ms as f64 / CLOCK_SLOWEST) as u64;
-            let expired_ms = self.lease_until_ms.max(now_ms + longest_ms);
+            let expired_ms = self.lease_until_ms.max(now_ms + longest_ms(lease_ms));
             self.renewal = Renewal::Lapsing { until_ms: expired_ms + LAPSE_SLACK_MS };
         }
     }
@@ -308,7 +320,7 @@
         let (inherited, lost) = lost.into_iter().partition(may_run);
         self.inherited = inherited;
         // The calls that started them also carried a lease.
-        self.lease_until_ms = earlier.lease_until_ms;
+        self.lease_until_ms = self.lease_until_ms.max(earlier.lease_until_ms);
         lost
     }
 
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -229,6 +229,21 @@
     );
 }
 
+/// Guards against two runs of a task at the same time: after a restart of the sidecar, one poll
+/// without an answer made the leader start tasks again that ran under the lease of its earlier process.
+#[test]
+fn a_restarted_sidecar_waits_for_the_lease_that_its_earlier_process_granted() {
+    let mut sidecar = Sidecar::new("s".to_owned(), addr(), 2, LEASE_MS);
+    sidecar.announce(5_000, server(1, 1_000), addr(), 1);
+    let report = sidecar.report(0);
+    sidecar.handle_commands(5_000, 5_000, &report, commands(9));
+    sidecar.poll(5_010);
+    sidecar.poll_failed(5_010, 5_210, false);
+    assert!(matches!(sidecar.report(0).backend, Backend::Present(_)));
+    sidecar.poll_failed(6_000, 6_120, false);
+    assert!(matches!(sidecar.report(0).backend, Backend::Lost));
+}
+
 /// Guards against tasks that start again although they have ended as done: a sidecar that was
 /// suspended for longer than the lease has not read the answers that wait for it.
 #[test]
