Date the lease of a start command from its decision

Callers can see two runs of a transient task at the same time after one pause of an entry: a command that was decided before the pause is sent after it with a whole lease, although the caller has left and sent the job to another entry.

Cause: the lease was taken when the call was sent. The scheduler starts nothing for 50 ms after a pause, but a command that it had decided on before is already spawned and goes out before the ends of connections are read. A further way to the same start: a renewal after the pause, for the connection as a whole, made a command with an expired lease of its own acceptable.

Change: a start command carries when it was decided, its lease counts from then, and the sidecar refuses a command by the lease in it. Commands that wait in an entry that has no processor time are bounded in the same way. The due time of a start is converted by the same estimate of the clock.

Tests: connection::a_command_that_is_sent_after_a_pause_has_the_lease_of_its_decision (12,700 before, 10,798 now) and sidecar_jobs::a_command_whose_own_lease_has_expired_is_refused_although_its_entry_renews (started before) failed on the code before.

--- a/src/coordination/connection.rs
+++ b/src/coordination/connection.rs
@@ -6,7 +6,7 @@
 //! end of a lease has to be derived from that bound, because a higher estimate would lengthen the
 //! lease by the delay of the answer.
 
-/// Length of the lease, in ms, counted from the time at which it is extended.
+/// Length of the lease, in ms.
 const LEASE_MS: u64 = 700;
 /// Longest lease of a backend server, in ms. Nothing that a sidecar started is still running this
 /// long after the lease has ended, even if the sidecar's process has died.
@@ -24,11 +24,16 @@
 }
 
 impl Reading {
-    /// Lower bound of the sidecar's clock at `now_ms`.
-    fn lower_bound(&self, now_ms: u64) -> u64 {
-        let elapsed_ms = now_ms.saturating_sub(self.received_ms);
-        let drift_ms = (elapsed_ms * DRIFT_MAX_PPM).div_ceil(1_000_000);
-        self.clock_ms + elapsed_ms - drift_ms
+    /// Lower bound of the sidecar's clock at `at_ms`, which may be before the answer arrived.
+    fn lower_bound(&self, at_ms: u64) -> u64 {
+        let drift_ms = |elapsed_ms: u64| (elapsed_ms * DRIFT_MAX_PPM).div_ceil(1_000_000);
+        match at_ms.checked_sub(self.received_ms) {
+            Some(elapsed_ms) => self.clock_ms + elapsed_ms - drift_ms(elapsed_ms),
+            None => {
+                let before_ms = self.received_ms - at_ms;
+                self.clock_ms.saturating_sub(before_ms + drift_ms(before_ms))
+            }
+        }
     }
 }
 
@@ -57,16 +62,18 @@
         }
     }
 
-    /// Lower bound of the sidecar's clock.
-    pub fn clock(&self, now_ms: u64) -> u64 {
-        self.reading.lower_bound(now_ms)
+    /// Lower bound of the sidecar's clock at `at_ms`.
+    pub fn clock(&self, at_ms: u64) -> u64 {
+        self.reading.lower_bound(at_ms)
     }
 
-    /// Extends the lease to [`LEASE_MS`] from now at most. Returns its end on the sidecar's clock.
-    pub fn extend(&mut self, now_ms: u64) -> u64 {
-        // Estimates never fall, but a sidecar keeps the latest end that it receives in any case.
-        self.until_ms = self.until_ms.max(self.clock(now_ms) + LEASE_MS);
-        self.until_ms
+    /// Extends the lease for what was decided at `decided_ms`. Returns its new end on the sidecar's
+    /// clock, at most [`LEASE_MS`] after the decision. A process that is paused before it sends the
+    /// call thus gets no longer lease: its callers may have left meanwhile.
+    pub fn extend(&mut self, decided_ms: u64) -> u64 {
+        let until_ms = self.clock(decided_ms) + LEASE_MS;
+        self.until_ms = self.until_ms.max(until_ms);
+        until_ms
     }
 
     /// Whether the lease and, after it, the longest lease of the backend server have ended.
--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -543,17 +543,22 @@
     }
 
     /// Handles the start command of an entry as [`Sidecar::handle_start`] does. It is refused if the
-    /// entry has chosen another incarnation of the backend server.
+    /// entry has chosen another incarnation of the backend server, or if the lease in the command has
+    /// expired: later renewals do not show that the entry still wants the attempt.
     pub fn handle_entry_start(&mut self, now_ms: u64, command: work::StartCommand) {
-        let work::StartCommand { entry, incarnation, start, due_ms, wait_ms, .. } = command;
+        let work::StartCommand { entry, incarnation, lease_until_ms, start, due_ms, wait_ms } =
+            command;
         let (source, until_ms) = (Source::Entry(entry), now_ms + wait_ms);
-        if incarnation != self.revision.incarnation {
-            let attempt = start.attempt;
-            let assignment = Assignment::new(source, start, due_ms, until_ms);
-            let refused = work::Outcome::NotStarted(Reason::Replaced);
-            return self.record_outcome(attempt, &assignment, refused, 0);
-        }
-        self.handle_start(now_ms, source, start, due_ms, until_ms);
+        let refusal = if incarnation != self.revision.incarnation {
+            Reason::Replaced
+        } else if lease_until_ms < now_ms + START_MARGIN_MS {
+            Reason::Expired
+        } else {
+            return self.handle_start(now_ms, source, start, due_ms, until_ms);
+        };
+        let attempt = start.attempt;
+        let assignment = Assignment::new(source, start, due_ms, until_ms);
+        self.record_outcome(attempt, &assignment, work::Outcome::NotStarted(refusal), 0);
     }
 
     /// Starts waiting attempts that may start, the most urgent first, and refuses those that have
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -84,10 +84,10 @@
         }
     }
 
-    /// Extends the lease and returns its end on the sidecar's clock.
-    fn extend_lease(&self) -> u64 {
+    /// Extends the lease for what was decided at `decided_ms`. Returns its end on the sidecar's clock.
+    fn extend_lease(&self, decided_ms: u64) -> u64 {
         let mut lease = self.lease.get();
-        let until_ms = lease.extend(util::boot_ms());
+        let until_ms = lease.extend(decided_ms);
         self.lease.set(lease);
         until_ms
     }
@@ -167,15 +167,12 @@
         channel: Channel,
         command: StartCommand,
     ) -> Option<Reply> {
-        // Converts the due time from the entry's clock to the sidecar's.
-        let now_ms = util::boot_ms();
-        let due_ms = (channel.lease.get().clock(now_ms) + command.due_ms).saturating_sub(now_ms);
         let request = work::StartCommand {
             entry: channel.entry,
             incarnation: command.incarnation,
-            lease_until_ms: channel.extend_lease(),
+            lease_until_ms: channel.extend_lease(command.decided_ms),
             start: command.start,
-            due_ms,
+            due_ms: channel.lease.get().clock(command.due_ms),
             wait_ms: command.wait_ms,
         };
         let call = channel.client.run(rpc::context(ATTEMPT_TIMEOUT), request);
@@ -251,8 +248,8 @@
             }
             skipped = 0;
             let revision = self.inner.scheduler.borrow().revision(key);
-            let renewal =
-                Renewal { entry: channel.entry, revision, lease_until_ms: channel.extend_lease() };
+            let lease_until_ms = channel.extend_lease(util::boot_ms());
+            let renewal = Renewal { entry: channel.entry, revision, lease_until_ms };
             match request_status(&channel.client, renewal).await {
                 Some((received_ms, status)) => {
                     channel.record_clock(status.clock_ms, received_ms);
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -34,8 +34,10 @@
         let mut until_ms = 0;
         for (pause, request, answer, wait) in renewals {
             now_ms += 20 * u64::from(pause);
-            let asked_ms = lease.extend(now_ms);
-            if asked_ms > clock.at(now_ms + LEASE_MS) + 1 {
+            // A process that is paused sends what it decided before.
+            let decided_ms = now_ms - 3 * u64::from(pause);
+            let asked_ms = lease.extend(decided_ms);
+            if asked_ms > clock.at(decided_ms + LEASE_MS) + 1 {
                 return false;
             }
             until_ms = until_ms.max(asked_ms);
@@ -63,3 +65,14 @@
     lease.record(12_000, 3_001);
     assert_eq!(lease.clock(3_001), 12_000);
 }
+
+/// Guards against a start after the callers have left: a command that was decided before a pause of
+/// the entry was sent after it with a whole lease.
+#[test]
+fn a_command_that_is_sent_after_a_pause_has_the_lease_of_its_decision() {
+    let mut lease = Lease::new(10_000, 1_000);
+    assert_eq!(lease.extend(1_100), 10_799);
+    lease.record(12_000, 3_000);
+    assert_eq!(lease.extend(1_100), 10_798, "1,900 ms before the reading");
+    assert_eq!(lease.extend(3_000), 12_700);
+}
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -322,6 +322,27 @@
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), work::Outcome::Lost, 0)]);
 }
 
+/// Guards against a start after the callers have left: an entry that goes on after a pause renews its
+/// lease before a command arrives that it decided on before the pause.
+#[test]
+fn a_command_whose_own_lease_has_expired_is_refused_although_its_entry_renews() {
+    let mut sidecar = sidecar();
+    let attempt = attempt(1, 1);
+    let lease_until_ms = 3_000;
+    let command = work::StartCommand {
+        entry: Entry(7),
+        incarnation: 1,
+        lease_until_ms,
+        start: start(attempt),
+        due_ms: 0,
+        wait_ms: 100,
+    };
+    sidecar.handle_entry_start(lease_until_ms, command);
+    let actions = sidecar.take_actions();
+    let expired = work::Outcome::NotStarted(Reason::Expired);
+    assert_eq!((actions.starts, actions.replies), (vec![], vec![(Entry(7), attempt, expired, 0)]));
+}
+
 /// Guards against a start on a server without the label that the task requires: the entry chose the
 /// incarnation before, which had it.
 #[test]
--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -344,7 +344,7 @@
         let message = Message::Run(work::StartCommand {
             entry: channel.id,
             incarnation: command.incarnation,
-            lease_until_ms: channel.lease.extend(now_ms),
+            lease_until_ms: channel.lease.extend(command.decided_ms),
             start: command.start,
             due_ms: command.due_ms,
             wait_ms: command.wait_ms,
