End a transient job with its caller's deadline

Callers can see two runs of a task at the same time: an entry that does not hear that its caller has left, because the end of the connection is lost, runs the job on. The caller sends it to another entry 1,300 ms after its deadline.

Cause: only the end of the connection cancelled a transient job. The entry knew the deadline and used it for other calls alone, so its right to run the job had no end by its own clock.

Evidence: read, and shown with the real programs by a caller that keeps its connection open without reading. Ruled out: the entry's leases bound its attempts only once the entry itself ends or is cut off.

A caller without a deadline is waited for as before. The caller counts from its sending, so a job that its caller still waits for is never ended.

--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -50,6 +50,8 @@
     NotRun,
     /// No task was started: there is no configuration yet, or the entry is stopping.
     NotReady,
+    /// The caller's deadline has passed. Tasks may have run; those that still do are stopped.
+    Expired,
 }
 
 /// Cancels a job on drop unless other callers still wait for it.
@@ -85,9 +87,16 @@
     }
 
     /// Runs a transient job and returns when it has ended. Dropping the future cancels the job
-    /// unless other callers wait for it.
-    pub async fn run_job(&self, host: &str, path: &str, job: Job) -> Ended {
-        let arrived_ms = util::boot_ms();
+    /// unless other callers wait for it, and so does the end of `deadline`, the time for which the
+    /// caller waits: a caller that leaves is not always heard of, and may send the job elsewhere.
+    pub async fn run_job(
+        &self,
+        host: &str,
+        path: &str,
+        job: Job,
+        deadline: Option<Duration>,
+    ) -> Ended {
+        let (arrived, arrived_ms) = (time::Instant::now(), util::boot_ms());
         let Some(config) = self.wait_for_config().await else { return Ended::NotReady };
         let Some((queue, rest)) = config.route(host, path) else { return Ended::NoQueue };
         let Some(id) = Id::parse(rest) else { return Ended::NoJob };
@@ -108,8 +117,16 @@
         let guard = CancelGuard { entry: self.clone(), id };
         let submitted = Instant::now();
         self.carry_out();
-        let outcome = ended.await.unwrap_or(JobOutcome::Canceled);
+        let outcome = match deadline {
+            None => Ok(ended.await),
+            Some(deadline) => time::timeout_at(arrived + deadline, ended).await,
+        };
         drop(guard);
+        let Ok(outcome) = outcome else {
+            log::info!("event=deadline_passed job={id}");
+            return Ended::Expired;
+        };
+        let outcome = outcome.unwrap_or(JobOutcome::Canceled);
         let took = submitted.elapsed();
         self.inner.meter.ended(&queue.prefix, outcome, took);
         log::info!(
