Bound the lease of a sidecar whose attempts the leader does not know

Callers can see two runs of a kept task at the same time after a change of the leader: an attempt of the earlier leader goes on at its sidecar while the new leader starts the task elsewhere.

Cause: a new leader gives up the inherited tasks 3,700 ms (LEASE_MS + LEASE_SLACK_MS) after it has started to lead, since the leases of the earlier leader have ended by then. Its own first answer to a sidecar renews the lease as well, and the sidecar extends its lease before it looks at the generation and lists its attempts. If that list is lost or late, an attempt that the leader has not heard of lives on under a lease that starts with the first contact, not with the leadership: with a first contact 1,400 ms after the start the lease ends 2,500 ms later, after the inherited tasks are given up.

Evidence: found by reading; the test shows the lease that is granted. No double run was reproduced.

Change: until a sidecar has listed its attempts under the present registration, the lease that it is granted ends LEASE_MS after the start of the leadership at the latest. The leader still counts the sidecar's server as present for as long as before.

Why it works: all attempts that the leader does not know live under leases that end by the time that the give-up assumes. Starts are only sent once the list has come, in an answer that carries the full lease, so no start waits longer for it. A sidecar that registers later than LEASE_MS after the start gets its fencing token and no lease; its list one round trip later brings the full one. A sidecar whose list has not come by then stops its attempts.

Ruled out: taking the shorter time for the give-up of the server too.

Test: coordinator::a_lease_outlasts_those_of_the_earlier_leader_only_once_the_attempts_are_known failed before ("s: 2413 ms", 1,000 allowed).

--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -352,16 +352,23 @@
         let completions_fenced =
             completions.iter().filter(fenced).map(|completion| completion.number).collect();
         let (term, until_ms) = (leadership.term, leadership.confirmed_ms + LEASE_MS);
+        let earlier_until_ms = leadership.started_ms + LEASE_MS;
         let Some(sidecar) = leadership.sidecars.get_mut(name) else {
             // This instance has lost the leadership and regained it since the report arrived, and
             // the sidecar has not reported to it again.
             return Err(self.not_leader());
         };
         sidecar.lease_until_ms = until_ms;
+        // Until the sidecar has listed its attempts, some that an earlier leader commanded may go on
+        // under this lease. They end before the inherited tasks are given up.
+        let granted_until_ms = match sidecar.synced {
+            true => until_ms,
+            false => until_ms.min(earlier_until_ms),
+        };
         Ok(Commands {
             term,
             generation: sidecar.generation,
-            lease_ms: until_ms.saturating_sub(now_ms),
+            lease_ms: granted_until_ms.saturating_sub(now_ms),
             completions_stored: sidecar.completions_stored(),
             completions_fenced,
             crashes_stored,
--- a/src/control/jobs/sidecar.rs
+++ b/src/control/jobs/sidecar.rs
@@ -27,7 +27,8 @@
     pub synced: bool,
     /// The backend server, with its key in the scheduler.
     pub server: Option<(ServerId, Key)>,
-    /// End of the last lease, on the leader's clock.
+    /// Latest end of a lease of the sidecar, on the leader's clock. The lease of one that is not
+    /// synced may end earlier.
     pub lease_until_ms: u64,
     /// When all attempts that an earlier process of the sidecar started have certainly ended. Set
     /// only while the present process does not know its backend server.
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -185,3 +185,28 @@
     instance.coordinator.stop();
     instance.replica.stop().await;
 }
+
+/// Guards against a second run of a task beside the first: an attempt of the earlier leader that the
+/// new one did not know yet went on under its lease, while the new leader started the task elsewhere.
+#[actix_rt::test]
+async fn a_lease_outlasts_those_of_the_earlier_leader_only_once_the_attempts_are_known() {
+    let instance = Instance::start().await;
+    let named = |name: &str, report| Report { sidecar: name.to_owned(), ..report };
+    let report = async |report| instance.coordinator.report(report).await.unwrap();
+    // The instance has led since before this moment, so leases of an earlier leader end 2,500 ms
+    // after it at the latest. A lease for known attempts has 1,500 ms left at least, or is refused.
+    let led = time::Instant::now();
+    for (name, contact_ms, longest_ms) in [("s", 1_500, 1_000), ("t", 3_900, 0)] {
+        time::sleep_until(led + Duration::from_millis(contact_ms)).await;
+        let first = report(named(name, self::report(1, 0, 0, None))).await;
+        assert!(first.lease_ms <= longest_ms, "{name}: {} ms", first.lease_ms);
+        // Long enough for the coordinator to give up servers without a lease.
+        time::sleep(Duration::from_millis(100)).await;
+        let listed = named(name, self::report(2, 0, first.generation, Some(Vec::new())));
+        let second = report(listed).await;
+        assert_eq!(second.generation, first.generation, "{name}");
+        assert!(second.lease_ms >= 1_500, "{name}: {} ms", second.lease_ms);
+    }
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
