Drop commands that answer a report from before a loss of the server

Callers can see two runs of a kept task at the same time after a short loss of a backend server: the leader starts the task elsewhere, and the old command to start it is carried out at the server that is back.

Cause: a sidecar compares the id of the server and the generation of a late answer with its own, but not the number of losses. Between its report of a loss and the answer to that report, which brings a new generation, an answer to an earlier report still fits. If the server answers again in that time, the start in it is carried out, though the leader has removed the server. The same holds for a server that leaves and announces itself again; there the number of losses did not rise either, so the leader was not told that the attempts had been dropped and counted them as running.

Evidence: found by reading; the tests carry out such an answer. No double run was reproduced at the level of the whole system.

Change: the contents of an answer are handled only if no loss has happened since its report was built, and a server that leaves counts as a loss.

Why it works: the leader registers a sidecar anew when the number of losses in a report has risen, and drops the batches of the earlier registration. It keeps the server if its id is the same and starts nothing there until the sidecar lists what runs; tasks that are not listed then start again (coordinator::a_task_starts_again_though_the_loss_of_its_server_was_not_reported covers this for any reason of a loss). What an answer acknowledged is reported again, and acknowledged again.

Ruled out: a server that is replaced by another incarnation. Its id includes the start time, and such answers were dropped before. Batches that wait for an earlier one are not carried out after a loss either: they are handled only after an answer that passes the same checks, and are dropped with the generation.

Tests: sidecar_jobs::commands_from_before_a_loss_of_the_server_start_nothing failed before (attempt 1 of task 1 was started; 1 loss) and sidecar_jobs::commands_from_before_a_leave_of_the_server_start_nothing (attempt 1 was started; 0 losses, 1 expected).

--- a/src/control/jobs/sidecar.rs
+++ b/src/control/jobs/sidecar.rs
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub struct Sidecar {
     pub incarnation: u64,
-    /// How often the process has taken a backend server for lost.
+    /// How often the process has dropped the attempts at a backend server.
     pub losses: u64,
     /// Address at which entries reach the sidecar.
     pub addr: SocketAddr,
--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -100,7 +100,7 @@
     /// Length of each lease granted to the backend server.
     backend_lease_ms: u64,
     backend: Option<BackendServer>,
-    /// How often a backend server has counted as lost.
+    /// How often a backend server has counted as lost or has left.
     losses: u64,
     /// Number of reports built.
     reports: u64,
@@ -237,6 +237,7 @@
     /// is that of the attempts that were running.
     fn discard_backend(&mut self, outcome: work::Outcome) {
         let Some(mut backend) = self.backend.take() else { return };
+        self.losses += 1;
         let ended = backend.mark_lost();
         self.end_all(ended, outcome);
     }
--- a/src/coordination/sidecar/leader.rs
+++ b/src/coordination/sidecar/leader.rs
@@ -95,10 +95,12 @@
         }
         // The leader does not handle the contents of a report with an outdated generation, and
         // batches for a backend server that is gone or has been replaced do not concern the present
-        // one.
+        // one. The leader starts their tasks elsewhere once it knows of a loss, whether the server
+        // is back or not.
         let Some(backend) = &mut self.backend else { return };
         if report.backend.server().map(|s| &s.id) != Some(&backend.server.id)
             || report.generation != self.generation
+            || report.losses != self.losses
         {
             return;
         }
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -154,8 +154,8 @@
     /// Position among the reports of the sidecar's process. A delayed one may arrive after newer ones.
     pub number: u64,
     pub backend: Backend,
-    /// How often the sidecar's process has taken a backend server for lost, and dropped the attempts
-    /// there. The server may have been present again before a report could say that it was lost.
+    /// How often the sidecar's process has dropped the attempts at a backend server that it took for
+    /// lost or that has left. The server may have been present again before a report could say so.
     pub losses: u64,
     /// Newest generation of its registration with the leader that the sidecar received.
     pub generation: u64,
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -549,6 +549,42 @@
     assert_eq!(sidecar.report(0).batch, 2);
 }
 
+/// A late answer to a report from before `lose`, when the server is back, commands a start: which
+/// starts are carried out, and by how much `lose` has raised the number of losses.
+fn late_starts_after(lose: impl Fn(&mut Sidecar)) -> (Vec<Start>, u64) {
+    let mut sidecar = sidecar();
+    let report = sidecar.report(0);
+    lose(&mut sidecar);
+    sidecar.polled(6, 7, poll_reply(&[], &[]));
+    assert!(sidecar.load().open, "the server is back");
+    let losses = sidecar.report(0).losses - report.losses;
+    let batch = Batch { number: 1, starts: vec![start(attempt(1, 1))], stops: vec![] };
+    sidecar.handle_commands(8, 0, &report, Commands { batches: vec![batch], ..commands(9) });
+    (sidecar.take_actions().starts, losses)
+}
+
+/// Guards against a second run of a task beside the first: a late answer to a report from before the
+/// server was lost commanded a start that the leader had given up since.
+#[test]
+fn commands_from_before_a_loss_of_the_server_start_nothing() {
+    let started = late_starts_after(|sidecar| {
+        sidecar.poll_failed(1, 2, true);
+        sidecar.poll_failed(3, 4, true);
+    });
+    assert_eq!(started, (vec![], 1));
+}
+
+/// Guards against the same after a server has left and announced itself again, and against a leader
+/// that does not learn that the attempts there were dropped.
+#[test]
+fn commands_from_before_a_leave_of_the_server_start_nothing() {
+    let started = late_starts_after(|sidecar| {
+        sidecar.leave("b");
+        sidecar.announce(5, server(1, 1_000), addr(), 2);
+    });
+    assert_eq!(started, (vec![], 1));
+}
+
 /// Guards against a leader that counts a server as lost because its sidecar has just started:
 /// attempts that the sidecar's earlier process had started continued while the leader started their
 /// tasks again.
