Wait for the attempts of a server that starts again under its id

Callers can see two runs of a kept task at the same time: a call to start an attempt is held up and reaches a server that has just started again under its id, while the leader starts the task elsewhere.

Cause: the leader's id of a server includes its start time, so it took the new process for another server, removed the earlier one and started its tasks elsewhere at once. The new process does not know the fencing tokens of the earlier one until its sidecar polls it. For transient jobs the sidecar already holds the outcome back until a poll shows that nothing runs there.

No double run was reproduced.

Change: a server that is present again under the same id stays registered with its attempts. Nothing starts there, it is described anew, what was learned of its speed and health is forgotten, its ends are numbered from the start, and its loss counts as one for telling crashes with a common cause, as before.

Why it works: the sidecar lists what runs only after a poll with the raised fencing token has shown no attempt that is not assigned; after that poll the server refuses the held-up call. The list ends the attempts that are not in it, and their tasks start again. A server that is never polled so counts as lost, or its sidecar's lease ends, and the server is removed as before. The tasks wait for one poll and one report longer than before.

Ruled out: doing the same once the sidecar has reported the server as lost.

Test: coordinator::a_task_waits_until_it_does_not_run_at_a_server_that_has_started_again failed before ("it may run, and [2] is commanded elsewhere").

--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -132,12 +132,13 @@
         self.inner.view_changed.notify_waiters();
         // A sidecar whose process has just started does not know its server yet. The server that
         // its earlier process reported stays registered until the sidecar reports its server or
-        // the time set below is reached.
+        // the time set below is reached. One that has started again under its id stays registered,
+        // as it may have received calls that were meant for its earlier process.
         let may_be_same_server = match &report.backend {
             Backend::Unknown => true,
             Backend::Lost => false,
             Backend::Present(server) => {
-                sidecar.server.as_ref().is_some_and(|(id, _)| *id == server.id)
+                sidecar.server.as_ref().is_some_and(|(known, _)| known.id == server.id.id)
             }
         };
         sidecar.earlier_attempts_ended_ms = match &report.backend {
@@ -155,6 +156,14 @@
             // which attempts run.
             server.shut();
         }
+        if let (Some((known, key)), Some(server)) = (&mut sidecar.server, report.backend.server())
+            && *known != server.id
+        {
+            log::warn!("event=server_restarted sidecar={} server={}", report.sidecar, server.id);
+            leadership.scheduler.restarted(util::boot_ms(), *key, server.clone());
+            *known = server.id.clone();
+            sidecar.reset_completions();
+        }
         if sidecar.server.is_none()
             && let Some(server) = report.backend.server()
         {
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -21,7 +21,7 @@
 use crate::{
     protocol::{
         queue::{Attempt, Id, Outcome, Resources, Step, Task},
-        wire::queue::{Batch, NotStarted, Reason, Start},
+        wire::queue::{self, Batch, NotStarted, Reason, Start},
     },
     state::machine::queue::{Completion, Queues, Record},
 };
@@ -217,6 +217,14 @@
         self.servers.get_mut(key.0)
     }
 
+    /// Handles the start of a new process of a backend server under the same id, which `info`
+    /// describes. The attempts that were commanded there may still run, until [`Scheduler::sync`].
+    pub fn restarted(&mut self, now_ms: u64, key: Key, info: queue::Server) {
+        let Some(server) = self.servers.get_mut(key.0) else { return };
+        self.suspects.lost(now_ms, server.info.id.clone());
+        server.restart(info);
+    }
+
     /// Sets which attempts run on a backend server, which gets attempts from then on. Attempts that
     /// were commanded before and are not in `running` cannot start any more; their tasks become
     /// ready again.
--- a/src/coordination/schedule/server.rs
+++ b/src/coordination/schedule/server.rs
@@ -53,6 +53,13 @@
         self.outbox = Batch::default();
     }
 
+    /// Forgets what was known of the earlier process of the server, except its attempts.
+    pub(super) fn restart(&mut self, info: queue::Server) {
+        let Server { used, ref mut attempts, .. } = *self;
+        let attempts = std::mem::take(attempts);
+        *self = Server { used, attempts, ..Server::new(info) };
+    }
+
     /// Replaces the description of the server.
     pub fn describe(&mut self, info: queue::Server) {
         if self.info.capacity != info.capacity {
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -210,3 +210,45 @@
     instance.coordinator.stop();
     instance.replica.stop().await;
 }
+
+/// Guards against a second run of a task beside the first: a server that starts again under its id
+/// may carry out a start that was meant for its earlier process, while the leader starts the task
+/// elsewhere at once.
+#[actix_rt::test]
+async fn a_task_waits_until_it_does_not_run_at_a_server_that_has_started_again() {
+    let instance = Instance::start().await;
+    let report = async |report| instance.coordinator.report(report).await.unwrap();
+    let first = report(self::report(1, 0, 0, None)).await.generation;
+    report(self::report(2, 0, first, Some(Vec::new()))).await;
+    instance.answer(submit(Id(1))).await;
+    assert_eq!(starts(&report(self::report(3, 0, first, None)).await), [1]);
+
+    // Another server has room for the task.
+    let other = |number, generation, running| {
+        let mut other = self::report(number, 0, generation, running);
+        other.sidecar = "t".to_owned();
+        if let Backend::Present(server) = &mut other.backend {
+            server.id.id = "c".to_owned();
+        }
+        other
+    };
+    let generation = report(other(1, 0, None)).await.generation;
+    report(other(2, generation, Some(Vec::new()))).await;
+
+    let restarted = |number, generation, running| {
+        let mut restarted = self::report(number, 0, generation, running);
+        if let Backend::Present(server) = &mut restarted.backend {
+            server.id.started_at_ms = 2;
+        }
+        restarted
+    };
+    let second = report(restarted(4, first, None)).await.generation;
+    assert!(second > first);
+    let elsewhere = starts(&report(other(3, generation, None)).await);
+    assert!(elsewhere.is_empty(), "it may run, and {elsewhere:?} is commanded elsewhere");
+    let mut commanded = starts(&report(restarted(5, second, Some(Vec::new()))).await);
+    commanded.extend(starts(&report(other(4, generation, None)).await));
+    assert_eq!(commanded, [2]);
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
