--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -132,12 +132,13 @@
         self.inner.view_changed.notify_waiters();
         // A sidecar whose process has just started does not know its server yet. The server that
         // its earlier process reported stays registered until the sidecar reports its server or
-        // the time set below is reached.
+        // the time set below is reached. One that has started again under its id stays registered,
+        // as it may have received calls that were meant for its earlier process.
         let may_be_same_server = match &report.backend {
             Backend::Unknown => true,
             Backend::Lost => false,
             Backend::Present(server) => {
-                sidecar.server.as_ref().is_some_and(|(id, _)| *id == server.id)
+                sidecar.server.as_ref().is_some_and(|(known, _)| known.id == server.id.id)
             }
         };
         sidecar.earlier_attempts_ended_ms = match &report.backend {
@@ -155,6 +156,14 @@
             // which attempts run.
             server.shut();
         }
+        if let (Some((known, key)), Some(server)) = (&mut sidecar.server, report.backend.server())
+            && *known != server.id
+        {
+            log::warn!("event=server_restarted sidecar={} server={}", report.sidecar, server.id);
+            leadership.scheduler.restarted(util::boot_ms(), *key, server.clone());
+            *known = server.id.clone();
+            sidecar.reset_completions();
+        }
         if sidecar.server.is_none()
             && let Some(server) = report.backend.server()
         {
@@ -352,16 +361,23 @@
         let completions_fenced =
             completions.iter().filter(fenced).map(|completion| completion.number).collect();
         let (term, until_ms) = (leadership.term, leadership.confirmed_ms + LEASE_MS);
+        let earlier_until_ms = leadership.started_ms + LEASE_MS;
         let Some(sidecar) = leadership.sidecars.get_mut(name) else {
             // This instance has lost the leadership and regained it since the report arrived, and
             // the sidecar has not reported to it again.
             return Err(self.not_leader());
         };
         sidecar.lease_until_ms = until_ms;
+        // Until the sidecar has listed its attempts, some that an earlier leader commanded may go on
+        // under this lease. They end before the inherited tasks are given up.
+        let granted_until_ms = match sidecar.synced {
+            true => until_ms,
+            false => until_ms.min(earlier_until_ms),
+        };
         Ok(Commands {
             term,
             generation: sidecar.generation,
-            lease_ms: until_ms.saturating_sub(now_ms),
+            lease_ms: granted_until_ms.saturating_sub(now_ms),
             completions_stored: sidecar.completions_stored(),
             completions_fenced,
             crashes_stored,
--- a/src/control/jobs/sidecar.rs
+++ b/src/control/jobs/sidecar.rs
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub struct Sidecar {
     pub incarnation: u64,
-    /// How often the process has taken a backend server for lost.
+    /// How often the process has dropped the attempts at a backend server.
     pub losses: u64,
     /// Address at which entries reach the sidecar.
     pub addr: SocketAddr,
@@ -27,7 +27,8 @@
     pub synced: bool,
     /// The backend server, with its key in the scheduler.
     pub server: Option<(ServerId, Key)>,
-    /// End of the last lease, on the leader's clock.
+    /// Latest end of a lease of the sidecar, on the leader's clock. The lease of one that is not
+    /// synced may end earlier.
     pub lease_until_ms: u64,
     /// When all attempts that an earlier process of the sidecar started have certainly ended. Set
     /// only while the present process does not know its backend server.
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -185,3 +185,70 @@
     instance.coordinator.stop();
     instance.replica.stop().await;
 }
+
+/// Guards against a second run of a task beside the first: an attempt of the earlier leader that the
+/// new one did not know yet went on under its lease, while the new leader started the task elsewhere.
+#[actix_rt::test]
+async fn a_lease_outlasts_those_of_the_earlier_leader_only_once_the_attempts_are_known() {
+    let instance = Instance::start().await;
+    let named = |name: &str, report| Report { sidecar: name.to_owned(), ..report };
+    let report = async |report| instance.coordinator.report(report).await.unwrap();
+    // The instance has led since before this moment, so leases of an earlier leader end 2,500 ms
+    // after it at the latest. A lease for known attempts has 1,500 ms left at least, or is refused.
+    let led = time::Instant::now();
+    for (name, contact_ms, longest_ms) in [("s", 1_500, 1_000), ("t", 3_900, 0)] {
+        time::sleep_until(led + Duration::from_millis(contact_ms)).await;
+        let first = report(named(name, self::report(1, 0, 0, None))).await;
+        assert!(first.lease_ms <= longest_ms, "{name}: {} ms", first.lease_ms);
+        // Long enough for the coordinator to give up servers without a lease.
+        time::sleep(Duration::from_millis(100)).await;
+        let listed = named(name, self::report(2, 0, first.generation, Some(Vec::new())));
+        let second = report(listed).await;
+        assert_eq!(second.generation, first.generation, "{name}");
+        assert!(second.lease_ms >= 1_500, "{name}: {} ms", second.lease_ms);
+    }
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
+
+/// Guards against a second run of a task beside the first: a server that starts again under its id
+/// may carry out a start that was meant for its earlier process, while the leader starts the task
+/// elsewhere at once.
+#[actix_rt::test]
+async fn a_task_waits_until_it_does_not_run_at_a_server_that_has_started_again() {
+    let instance = Instance::start().await;
+    let report = async |report| instance.coordinator.report(report).await.unwrap();
+    let first = report(self::report(1, 0, 0, None)).await.generation;
+    report(self::report(2, 0, first, Some(Vec::new()))).await;
+    instance.answer(submit(Id(1))).await;
+    assert_eq!(starts(&report(self::report(3, 0, first, None)).await), [1]);
+
+    // Another server has room for the task.
+    let other = |number, generation, running| {
+        let mut other = self::report(number, 0, generation, running);
+        other.sidecar = "t".to_owned();
+        if let Backend::Present(server) = &mut other.backend {
+            server.id.id = "c".to_owned();
+        }
+        other
+    };
+    let generation = report(other(1, 0, None)).await.generation;
+    report(other(2, generation, Some(Vec::new()))).await;
+
+    let restarted = |number, generation, running| {
+        let mut restarted = self::report(number, 0, generation, running);
+        if let Backend::Present(server) = &mut restarted.backend {
+            server.id.started_at_ms = 2;
+        }
+        restarted
+    };
+    let second = report(restarted(4, first, None)).await.generation;
+    assert!(second > first);
+    let elsewhere = starts(&report(other(3, generation, None)).await);
+    assert!(elsewhere.is_empty(), "it may run, and {elsewhere:?} is commanded elsewhere");
+    let mut commanded = starts(&report(restarted(5, second, Some(Vec::new()))).await);
+    commanded.extend(starts(&report(other(4, generation, None)).await));
+    assert_eq!(commanded, [2]);
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
