Check the lease of a waiting attempt when it starts

An attempt that waits for capacity could start after the lease of its source had expired: the lease was checked when the command arrived, and a sidecar that goes on after a pause may read an answer that frees capacity before it checks the leases. It ran for up to 500 ms, for nobody.

Evidence: read, and shown by the test. Ruled out: two runs by this alone, as the server's lease bounds it.

Change: one check where an attempt starts, in place of the one where its command arrives, which starts it through the same function.

Test: sidecar_jobs::a_waiting_attempt_does_not_start_after_its_lease_has_expired failed before (the attempt started).

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -24,7 +24,7 @@
 };
 use backend::{Assignment, BackendServer, State};
 
-/// Remaining time of a source's lease below which its start commands are refused, in ms.
+/// Remaining time of a source's lease below which its attempts do not start, in ms.
 const START_MARGIN_MS: u64 = 50;
 /// Longest time from a poll to its failure, in ms. A poll that fails later was not waited for: this
 /// process was suspended, and the server's answer may wait to be read.
@@ -531,7 +531,6 @@
             Some(backend) if !backend.may_start() || self.draining => Some(Reason::Unavailable),
             Some(backend) if backend.assignments.contains_key(&attempt) => Some(Reason::Expired),
             Some(backend) if backend.waiting_count() >= WAITING_MAX => Some(Reason::NoCapacity),
-            Some(_) if self.lease_until(source) < now_ms + START_MARGIN_MS => Some(Reason::Expired),
             Some(_) => None,
         };
         if let Some(reason) = refusal {
@@ -582,17 +581,21 @@
             let has_capacity = backend.has_capacity(&assignment.start.needs);
             // A lease that the server has already cannot be shortened for the attempt.
             let outlasted = backend.lease_expires_after(lease_until_ms + OUTLAST_MAX_MS);
-            let reason = match (may_start, has_capacity, outlasted) {
-                (false, ..) => Reason::Unavailable,
-                (true, true, false) => {
-                    if let Some(start) = backend.begin(now_ms, &attempt) {
-                        self.actions.starts.push(start);
-                    }
-                    continue;
+            let reason = if !may_start {
+                Reason::Unavailable
+            } else if lease_until_ms < now_ms + START_MARGIN_MS {
+                Reason::Expired
+            } else if has_capacity && !outlasted {
+                if let Some(start) = backend.begin(now_ms, &attempt) {
+                    self.actions.starts.push(start);
                 }
-                _ if now_ms < assignment.until_ms => continue,
-                (true, false, _) => Reason::NoCapacity,
-                (true, true, true) => Reason::Expired,
+                continue;
+            } else if now_ms < assignment.until_ms {
+                continue;
+            } else if has_capacity {
+                Reason::Expired
+            } else {
+                Reason::NoCapacity
             };
             if let Some(assignment) = backend.remove(&attempt) {
                 refused.push((attempt, assignment, reason));
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -322,6 +322,21 @@
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), work::Outcome::Lost, 0)]);
 }
 
+/// Guards against the start of an attempt that waited for capacity until after its lease had expired:
+/// a sidecar that goes on after a pause may read an answer to a poll before it checks the leases.
+#[test]
+fn a_waiting_attempt_does_not_start_after_its_lease_has_expired() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 9_500, attempt(1, 1));
+    command(&mut sidecar, 9_500, attempt(2, 1));
+    let ended = (1, attempt(1, 1), queue::Outcome::Done);
+    sidecar.polled(9_990, 10_100, poll_reply(&[], &[ended]));
+    let actions = sidecar.take_actions();
+    let expired = work::Outcome::NotStarted(Reason::Expired);
+    assert_eq!(actions.starts, []);
+    assert_eq!(actions.replies[1..], [(Entry(7), attempt(2, 1), expired, 0)]);
+}
+
 /// Guards against a start after the callers have left: an entry that goes on after a pause renews its
 /// lease before a command arrives that it decided on before the pause.
 #[test]
