Model of transient jobs: every process has its own clock

Sidecars and backend servers read clocks of their own in the drawn histories of tests/single_run.rs: other origins, sidecars up to 0.1% fast or slow against the entries, backend servers up to 2% slow against their sidecars, which is what coordination/connection.rs and coordination/sidecar/backend.rs allow for. Before, all read the time of the model, so a wrong conversion between clocks had no effect. The due time of a start is converted as the entry does it.

Fixed histories keep equal clocks, so that they mean the same as before.

--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -36,6 +36,11 @@
 const RETRY_MS: u64 = 1_300;
 const POLL_MS: u64 = 25;
 const TICK_MS: u64 = 50;
+const CLOCK_OFFSET_MAX_MS: u64 = 1_000_000;
+/// Most by which a sidecar's clock runs faster or slower than the entries'.
+const SIDECAR_DRIFT_MAX_PPM: i64 = 1_000;
+/// Most by which a backend server's clock is slower than its sidecar's.
+const SERVER_SLOW_MAX_PPM: i64 = 20_000;
 
 fn server(index: usize, life: u64) -> Server {
     Server {
@@ -52,10 +57,27 @@
     "127.0.0.1:1".parse().unwrap()
 }
 
+/// A process's clock: the time base it is read from, with another origin and rate.
+#[derive(Debug, Clone, Copy)]
+struct Clock {
+    offset_ms: u64,
+    slow_ppm: i64,
+}
+
+impl Clock {
+    const SAME: Clock = Clock { offset_ms: 0, slow_ppm: 0 };
+
+    fn read(&self, base_ms: u64) -> u64 {
+        let lost_ms = base_ms as i64 * self.slow_ppm / 1_000_000;
+        self.offset_ms + base_ms.saturating_add_signed(-lost_ms)
+    }
+}
+
 /// A backend server. Its attempts end after a drawn time, or when its lease expires.
 #[derive(Default)]
 struct BackendServer {
     life: u64,
+    /// On the server's clock.
     lease_until_ms: u64,
     /// Running attempts and when they end.
     running: BTreeMap<Attempt, u64>,
@@ -72,8 +94,8 @@
         }
     }
 
-    fn advance(&mut self, now_ms: u64) {
-        let lapsed = self.lease_until_ms < now_ms;
+    fn advance(&mut self, now_ms: u64, clock_ms: u64) {
+        let lapsed = self.lease_until_ms < clock_ms;
         let ended: Vec<Attempt> =
             self.running.iter().filter(|(_, end)| **end <= now_ms).map(|(a, _)| *a).collect();
         for attempt in ended {
@@ -86,8 +108,8 @@
         }
     }
 
-    fn grant(&mut self, now_ms: u64, until_ms: Option<u64>) {
-        let until_ms = until_ms.map_or(0, |until_ms| until_ms.min(now_ms + BACKEND_LEASE_MS));
+    fn grant(&mut self, clock_ms: u64, until_ms: Option<u64>) {
+        let until_ms = until_ms.map_or(0, |until_ms| until_ms.min(clock_ms + BACKEND_LEASE_MS));
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
     }
 }
@@ -196,6 +218,10 @@
     entries: Vec<Entry>,
     sidecars: Vec<Sidecar>,
     servers: Vec<BackendServer>,
+    /// The sidecars' clocks, based on the entries'.
+    sidecar_clocks: Vec<Clock>,
+    /// The backend servers' clocks, based on their sidecars'.
+    server_clocks: Vec<Clock>,
     entry_of: HashMap<work::Entry, usize>,
     entry_paused_ms: Vec<u64>,
     sidecar_paused_ms: Vec<u64>,
@@ -218,6 +244,8 @@
             entries: Vec::new(),
             sidecars: Vec::new(),
             servers: Vec::new(),
+            sidecar_clocks: vec![Clock::SAME; SERVERS],
+            server_clocks: vec![Clock::SAME; SERVERS],
             entry_of: HashMap::new(),
             entry_paused_ms: vec![0; ENTRIES],
             sidecar_paused_ms: vec![0; SERVERS],
@@ -227,24 +255,50 @@
             trace: Vec::new(),
             broken: None,
         };
-        for index in 0..SERVERS {
+        for _ in 0..SERVERS {
             world.servers.push(BackendServer { life: 1, ..BackendServer::default() });
-            let sidecar = world.new_sidecar(index, 1);
-            world.sidecars.push(sidecar);
         }
+        world.sidecars = (0..SERVERS).map(|index| world.new_sidecar(index, 1)).collect();
         world.entries = (0..ENTRIES).map(|_| World::new_entry(1)).collect();
         world
     }
 
-    fn new_sidecar(&mut self, index: usize, generation: u64) -> Sidecar {
+    /// Draws the clocks of the sidecars and of the backend servers.
+    fn with_drawn_clocks(mut self) -> World {
+        for index in 0..SERVERS {
+            self.sidecar_clocks[index] = Clock {
+                offset_ms: self.draw(CLOCK_OFFSET_MAX_MS),
+                slow_ppm: 500 * self.draw(5) as i64 - SIDECAR_DRIFT_MAX_PPM,
+            };
+            self.server_clocks[index] = Clock {
+                offset_ms: self.draw(CLOCK_OFFSET_MAX_MS),
+                slow_ppm: SERVER_SLOW_MAX_PPM / 4 * self.draw(5) as i64,
+            };
+            self.sidecars[index] = self.new_sidecar(index, 1);
+        }
+        self
+    }
+
+    fn new_sidecar(&self, index: usize, generation: u64) -> Sidecar {
+        let clock_ms = self.sidecar_ms(index);
         let mut sidecar = Sidecar::new(format!("s{index}"), addr(), generation, BACKEND_LEASE_MS);
-        sidecar.announce(self.now_ms, server(index, self.servers[index].life), addr(), self.now_ms);
+        sidecar.announce(clock_ms, server(index, self.servers[index].life), addr(), self.now_ms);
         let report = sidecar.report(0);
         let commands = Commands { term: 1, generation, lease_ms: 10_000, ..Commands::default() };
-        sidecar.handle_commands(self.now_ms, self.now_ms, &report, commands);
+        sidecar.handle_commands(clock_ms, clock_ms, &report, commands);
         sidecar
     }
 
+    /// Time on a sidecar's clock.
+    fn sidecar_ms(&self, sidecar: usize) -> u64 {
+        self.sidecar_clocks[sidecar].read(self.now_ms)
+    }
+
+    /// Time on a backend server's clock.
+    fn server_ms(&self, sidecar: usize) -> u64 {
+        self.server_clocks[sidecar].read(self.sidecar_ms(sidecar))
+    }
+
     fn new_entry(life: u64) -> Entry {
         let mut scheduler = Scheduler::default();
         let describe = |index| {
@@ -346,7 +400,7 @@
             incarnation: command.incarnation,
             lease_until_ms: channel.lease.extend(now_ms),
             start: command.start,
-            due_ms: command.due_ms,
+            due_ms: (channel.lease.clock(now_ms) + command.due_ms).saturating_sub(now_ms),
             wait_ms: command.wait_ms,
         });
         self.note(format!("entry {entry} commands {attempt:?} at {sidecar}"));
@@ -540,22 +594,22 @@
     }
 
     fn at_sidecar(&mut self, sidecar: usize, entry: usize, message: Message) {
-        let now_ms = self.now_ms;
+        let clock_ms = self.sidecar_ms(sidecar);
         let state = &mut self.sidecars[sidecar];
         match message {
             Message::Run(command) => {
-                if command.lease_until_ms > now_ms {
+                if command.lease_until_ms > clock_ms {
                     state.renew(command.entry, command.lease_until_ms);
                 }
-                state.handle_entry_start(now_ms, command);
+                state.handle_entry_start(clock_ms, command);
             }
             Message::Renew { channel, lease_until_ms, sent_ms } => {
-                if lease_until_ms > now_ms {
+                if lease_until_ms > clock_ms {
                     state.renew(channel, lease_until_ms);
                 }
                 let status = work::Status {
                     incarnation: state.incarnation(),
-                    clock_ms: now_ms,
+                    clock_ms,
                     clean: state.clean(),
                     load: state.load(),
                     server: state.server().map(|(server, _)| server.clone()),
@@ -564,7 +618,7 @@
             }
             Message::Stop { channel, attempt } => state.stop_for(Source::Entry(channel), attempt),
             Message::Release { channel } => {
-                let released = state.release(now_ms, channel);
+                let released = state.release(clock_ms, channel);
                 let message = Message::Released { channel };
                 released.then(|| self.send_to_entry(entry, sidecar, message));
             }
@@ -575,6 +629,7 @@
 
     /// Carries out what a sidecar has decided on.
     fn act(&mut self, sidecar: usize) {
+        let clock_ms = self.sidecar_ms(sidecar);
         loop {
             let actions = self.sidecars[sidecar].take_actions();
             if actions.starts.is_empty() && actions.stops.is_empty() && actions.replies.is_empty() {
@@ -588,7 +643,7 @@
                 server.end(attempt, queue::Outcome::Stopped);
                 let highest = server.highest.entry(attempt.task).or_default();
                 *highest = attempt.number.max(*highest);
-                self.sidecars[sidecar].stop_confirmed(self.now_ms - 1, attempt);
+                self.sidecars[sidecar].stop_confirmed(clock_ms - 1, attempt);
             }
             let load = self.sidecars[sidecar].load();
             for (channel, attempt, outcome, _) in actions.replies {
@@ -600,18 +655,18 @@
     }
 
     fn start(&mut self, sidecar: usize, attempt: Attempt) {
-        let now_ms = self.now_ms;
-        let Some(lease) = self.sidecars[sidecar].poll(now_ms) else { return };
-        let end_ms = now_ms + 100 + self.draw(1_800);
+        let (sidecar_ms, server_ms) = (self.sidecar_ms(sidecar), self.server_ms(sidecar));
+        let Some(lease) = self.sidecars[sidecar].poll(sidecar_ms) else { return };
+        let end_ms = self.now_ms + 100 + self.draw(1_800);
         let elsewhere = self
             .servers
             .iter()
             .position(|server| server.running.keys().any(|other| other.task == attempt.task));
         let server = &mut self.servers[sidecar];
-        server.grant(now_ms, lease.lease_until_ms);
+        server.grant(server_ms, lease.lease_until_ms);
         let outdated =
             server.highest.get(&attempt.task).is_some_and(|highest| *highest >= attempt.number);
-        let result = match outdated || server.lease_until_ms <= now_ms {
+        let result = match outdated || server.lease_until_ms <= server_ms {
             true => StartResult::NotStarted(wire::Reason::Expired),
             false => {
                 server.highest.insert(attempt.task, attempt.number);
@@ -623,24 +678,24 @@
         if let (StartResult::Started, Some(elsewhere)) = (result, elsewhere) {
             self.broken = Some(format!("{attempt:?} starts at {sidecar} and runs at {elsewhere}"));
         }
-        self.sidecars[sidecar].start_answered(now_ms, attempt, result);
+        self.sidecars[sidecar].start_answered(sidecar_ms, attempt, result);
     }
 
     fn poll(&mut self, sidecar: usize) {
-        let now_ms = self.now_ms;
-        let Some(poll) = self.sidecars[sidecar].poll(now_ms) else { return };
+        let (sidecar_ms, server_ms) = (self.sidecar_ms(sidecar), self.server_ms(sidecar));
+        let Some(poll) = self.sidecars[sidecar].poll(sidecar_ms) else { return };
         let server = &mut self.servers[sidecar];
-        server.grant(now_ms, poll.lease_until_ms);
+        server.grant(server_ms, poll.lease_until_ms);
         let listed = |completion: &&Completion| completion.number > poll.acknowledged;
         let reply = PollReply {
-            clock_ms: now_ms,
+            clock_ms: server_ms,
             running: server.running.keys().copied().collect(),
             completions: server.completions.iter().filter(listed).cloned().collect(),
         };
         let known = self.sidecars[sidecar].server().map(|(server, _)| server.id.started_at_ms);
         match known == Some(server.life) {
-            true => self.sidecars[sidecar].polled(now_ms, now_ms, reply),
-            false => self.sidecars[sidecar].poll_failed(now_ms, now_ms, false),
+            true => self.sidecars[sidecar].polled(sidecar_ms, sidecar_ms, reply),
+            false => self.sidecars[sidecar].poll_failed(sidecar_ms, sidecar_ms, false),
         }
         self.act(sidecar);
     }
@@ -740,7 +795,8 @@
             Event::Expire { job, call, entry } => self.close(job, call, entry),
             Event::Announce { sidecar } => {
                 let announced = server(sidecar, self.servers[sidecar].life);
-                self.sidecars[sidecar].announce(self.now_ms, announced, addr(), self.now_ms);
+                let clock_ms = self.sidecar_ms(sidecar);
+                self.sidecars[sidecar].announce(clock_ms, announced, addr(), self.now_ms);
                 self.act(sidecar);
             }
             Event::Fault(fault) => self.fault(fault),
@@ -764,7 +820,10 @@
         while self.now_ms < END_MS {
             self.now_ms += 1;
             let now_ms = self.now_ms;
-            self.servers.iter_mut().for_each(|server| server.advance(now_ms));
+            for sidecar in 0..SERVERS {
+                let clock_ms = self.server_ms(sidecar);
+                self.servers[sidecar].advance(now_ms, clock_ms);
+            }
             while let Some(slot) = self.events.first_entry().filter(|slot| slot.key().0 <= now_ms) {
                 let (at, event) = slot.remove_entry();
                 self.handle(at, event);
@@ -775,7 +834,8 @@
                         self.poll(sidecar);
                     }
                     if now_ms % TICK_MS == 10 + sidecar as u64 {
-                        self.sidecars[sidecar].tick(now_ms);
+                        let clock_ms = self.sidecar_ms(sidecar);
+                        self.sidecars[sidecar].tick(clock_ms);
                         self.act(sidecar);
                     }
                 }
@@ -822,7 +882,7 @@
 
 /// Plays a history of at most `most` of the drawn faults.
 fn played(seed: u64, faults: &[Drawn], most: usize) -> quickcheck::TestResult {
-    match World::new(seed).play(&faults[..faults.len().min(most)]) {
+    match World::new(seed).with_drawn_clocks().play(&faults[..faults.len().min(most)]) {
         Ok(()) => quickcheck::TestResult::passed(),
         Err(trace) => quickcheck::TestResult::error(trace),
     }
