Model of transient jobs: calls to a backend server get lost or late

Three kinds of faults for a drawn server and span in tests/single_run.rs. Half of the calls in the span are answered, and of the others

- 8: the call to start, stop or poll is not carried out,
- 9: it is carried out without an answer,
- 10: a start or stop is carried out by up to 2,500 ms late.

A call follows src/sidecar/jobs.rs, jobs/poll.rs and platform/src/backend.rs: after 60 ms without an answer a start is unknown, and a stop is not confirmed and is sent again every 50 ms while it is due; a poll fails 200 ms after its wait, and the next one is sent 40 ms after it. A start without a lease is not sent, as in the product. The server refuses a lower fencing token than it has received.

A late call ends with the process of the server that it was sent to, as a connection does. Without that with faults (5, 41272, 208, 0), (10, 40052, 16, 675) failed: attempt 1 of job 7 is sent to server 1 at 1,203 ms, its stop is confirmed, attempt 2 starts at server 2 at 1,280 ms, server 1 starts again under its id at 1,772 ms and carries out the start of attempt 1 at 1,802 ms, before it has received a newer fencing token.

Fixed histories give their kinds as numbers below 8 and keep their meaning when kinds are added; drawn kinds are reduced to those that exist.

--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -9,7 +9,7 @@
 use briargauge::{
     coordination::{
         connection::Lease,
-        sidecar::{PollReply, Sidecar, Source, StartResult},
+        sidecar::{Poll, PollReply, Sidecar, Source, StartResult},
         transient::{JobOutcome, Key, Scheduler, StartCommand},
     },
     protocol::{
@@ -36,6 +36,18 @@
 const RETRY_MS: u64 = 1_300;
 const POLL_MS: u64 = 25;
 const TICK_MS: u64 = 50;
+/// Number of kinds of faults.
+const KINDS: u8 = 11;
+/// Time limit of a call to start or stop an attempt.
+const COMMAND_LIMIT_MS: u64 = 60;
+const STOP_RETRY_MS: u64 = 50;
+/// Time limit of a poll beyond its wait.
+const POLL_LIMIT_MS: u64 = 200;
+const POLL_OVERDUE_MS: u64 = 40;
+const IDLE_WAIT_MS: u64 = 250;
+const BUSY_WAIT_MS: u64 = 100;
+/// Longest time by which a backend server carries out a call late.
+const LATE_MAX_MS: u64 = 2_500;
 const CLOCK_OFFSET_MAX_MS: u64 = 1_000_000;
 /// Most by which a sidecar's clock runs faster or slower than the entries'.
 const SIDECAR_DRIFT_MAX_PPM: i64 = 1_000;
@@ -84,6 +96,8 @@
     /// Highest attempt number that has started, ended or was stopped, by task.
     highest: BTreeMap<Task, u32>,
     completions: Vec<Completion>,
+    /// Highest fencing token that was received.
+    fence: u64,
 }
 
 impl BackendServer {
@@ -108,6 +122,13 @@
         }
     }
 
+    /// Whether a call is carried out: not if a newer fencing token was received.
+    fn accepts(&mut self, fence: u64) -> bool {
+        let accepted = fence >= self.fence;
+        self.fence = self.fence.max(fence);
+        accepted
+    }
+
     fn grant(&mut self, clock_ms: u64, until_ms: Option<u64>) {
         let until_ms = until_ms.map_or(0, |until_ms| until_ms.min(clock_ms + BACKEND_LEASE_MS));
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
@@ -196,10 +217,83 @@
     Announce {
         sidecar: usize,
     },
+    /// A backend server carries out a call; `answered` if the answer arrives.
+    Served {
+        call: Call,
+        answered: bool,
+    },
+    Answered {
+        call: Call,
+        answer: Answer,
+    },
+    /// A stop that was not confirmed is due again.
+    StopAgain {
+        sidecar: usize,
+        incarnation: u64,
+        attempt: Attempt,
+    },
     Fault(Fault),
 }
 
-/// Kind, time, target, and length.
+/// A call of a sidecar's process to its backend server.
+#[derive(Debug, Clone, Copy)]
+struct Call {
+    sidecar: usize,
+    incarnation: u64,
+    /// Life of the server that the sidecar knows, and that of the process that is called. A late
+    /// call ends with that process.
+    known: u64,
+    called: u64,
+    /// When it was sent, on the sidecar's clock.
+    sent_ms: u64,
+    poll: Poll,
+    request: Request,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Request {
+    /// The attempt takes `for_ms`.
+    Start {
+        attempt: Attempt,
+        for_ms: u64,
+    },
+    Stop(Attempt),
+    Poll,
+}
+
+impl Request {
+    /// What the sidecar takes a missing answer for.
+    fn unanswered(&self) -> Answer {
+        match self {
+            Request::Start { .. } => Answer::Start(StartResult::Unknown),
+            Request::Stop(_) => Answer::Stop(false),
+            Request::Poll => Answer::Poll(None),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Answer {
+    Start(StartResult),
+    /// Whether the stop was confirmed.
+    Stop(bool),
+    Poll(Option<PollReply>),
+}
+
+/// What becomes of a call to a backend server.
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    Answered,
+    /// It is not carried out.
+    Lost,
+    /// It is carried out without an answer.
+    Unanswered,
+    /// It is carried out after this time in ms.
+    Late(u64),
+}
+
+/// Kind, time, target, and length. Fixed histories give the kind itself; drawn kinds are reduced to
+/// those below `KINDS`.
 type Drawn = (u8, u16, u8, u16);
 
 #[derive(Debug, Clone, Copy)]
@@ -227,6 +321,12 @@
     sidecar_paused_ms: Vec<u64>,
     /// Until when messages between an entry and a sidecar are held up.
     stalled_ms: Vec<Vec<u64>>,
+    /// Until when calls to a backend server are lost, are not answered, and are late.
+    calls_lost_ms: Vec<u64>,
+    calls_unanswered_ms: Vec<u64>,
+    calls_late_ms: Vec<u64>,
+    /// When a sidecar polls again after a poll without an answer.
+    next_poll_ms: Vec<u64>,
     /// Jobs that wait for an answer, with the call and the entry.
     calls: BTreeMap<Id, (u64, usize)>,
     sends: BTreeMap<Id, u32>,
@@ -250,6 +350,10 @@
             entry_paused_ms: vec![0; ENTRIES],
             sidecar_paused_ms: vec![0; SERVERS],
             stalled_ms: vec![vec![0; SERVERS]; ENTRIES],
+            calls_lost_ms: vec![0; SERVERS],
+            calls_unanswered_ms: vec![0; SERVERS],
+            calls_late_ms: vec![0; SERVERS],
+            next_poll_ms: vec![0; SERVERS],
             calls: BTreeMap::new(),
             sends: BTreeMap::new(),
             trace: Vec::new(),
@@ -629,7 +733,6 @@
 
     /// Carries out what a sidecar has decided on.
     fn act(&mut self, sidecar: usize) {
-        let clock_ms = self.sidecar_ms(sidecar);
         loop {
             let actions = self.sidecars[sidecar].take_actions();
             if actions.starts.is_empty() && actions.stops.is_empty() && actions.replies.is_empty() {
@@ -639,11 +742,7 @@
                 self.start(sidecar, start.attempt);
             }
             for attempt in actions.stops {
-                let server = &mut self.servers[sidecar];
-                server.end(attempt, queue::Outcome::Stopped);
-                let highest = server.highest.entry(attempt.task).or_default();
-                *highest = attempt.number.max(*highest);
-                self.sidecars[sidecar].stop_confirmed(clock_ms - 1, attempt);
+                self.call(sidecar, Request::Stop(attempt));
             }
             let load = self.sidecars[sidecar].load();
             for (channel, attempt, outcome, _) in actions.replies {
@@ -655,48 +754,173 @@
     }
 
     fn start(&mut self, sidecar: usize, attempt: Attempt) {
-        let (sidecar_ms, server_ms) = (self.sidecar_ms(sidecar), self.server_ms(sidecar));
-        let Some(lease) = self.sidecars[sidecar].poll(sidecar_ms) else { return };
-        let end_ms = self.now_ms + 100 + self.draw(1_800);
-        let elsewhere = self
-            .servers
-            .iter()
-            .position(|server| server.running.keys().any(|other| other.task == attempt.task));
-        let server = &mut self.servers[sidecar];
-        server.grant(server_ms, lease.lease_until_ms);
-        let outdated =
-            server.highest.get(&attempt.task).is_some_and(|highest| *highest >= attempt.number);
-        let result = match outdated || server.lease_until_ms <= server_ms {
-            true => StartResult::NotStarted(wire::Reason::Expired),
-            false => {
-                server.highest.insert(attempt.task, attempt.number);
-                server.running.insert(attempt, end_ms);
-                StartResult::Started
+        let for_ms = 100 + self.draw(1_800);
+        self.next_poll_ms[sidecar] = self.now_ms;
+        self.call(sidecar, Request::Start { attempt, for_ms });
+    }
+
+    /// Calls a backend server as the sidecar's process does.
+    fn call(&mut self, sidecar: usize, request: Request) {
+        let sent_ms = self.sidecar_ms(sidecar);
+        let state = &mut self.sidecars[sidecar];
+        let Some(poll) = state.poll(sent_ms) else { return };
+        let Some(known) = state.server().map(|(server, _)| server.id.started_at_ms) else { return };
+        let wait_ms = match (state.may_wait(), state.busy()) {
+            (false, _) => 0,
+            (true, true) => BUSY_WAIT_MS,
+            (true, false) => IDLE_WAIT_MS,
+        };
+        let incarnation = state.incarnation();
+        let called = self.servers[sidecar].life;
+        let call = Call { sidecar, incarnation, known, called, sent_ms, poll, request };
+        let limit_ms = match request {
+            Request::Start { attempt, .. } if poll.lease_until_ms.is_none() => {
+                let result = StartResult::NotStarted(wire::Reason::Unavailable);
+                return self.sidecars[sidecar].start_answered(sent_ms, attempt, result);
+            }
+            Request::Start { .. } | Request::Stop(_) => COMMAND_LIMIT_MS,
+            Request::Poll => wait_ms + POLL_LIMIT_MS,
+        };
+        let fate = match (self.fate(sidecar), request) {
+            (Fate::Late(_), Request::Poll) => Fate::Answered,
+            (fate, _) => fate,
+        };
+        let answered = match fate {
+            Fate::Answered => {
+                let answer = self.serve(call);
+                return self.answered(call, answer);
+            }
+            Fate::Lost => false,
+            Fate::Unanswered => {
+                self.serve(call);
+                false
+            }
+            Fate::Late(by_ms) => {
+                let answered = by_ms < limit_ms;
+                self.push(self.now_ms + by_ms, Event::Served { call, answered });
+                answered
             }
         };
-        self.note(format!("server {sidecar} {attempt:?} {result:?}"));
-        if let (StartResult::Started, Some(elsewhere)) = (result, elsewhere) {
-            self.broken = Some(format!("{attempt:?} starts at {sidecar} and runs at {elsewhere}"));
+        if let Request::Poll = request {
+            self.next_poll_ms[sidecar] = self.now_ms + wait_ms + POLL_OVERDUE_MS;
+        } else {
+            self.note(format!("server {sidecar} {request:?} {fate:?}"));
+        }
+        if !answered {
+            let answer = request.unanswered();
+            self.push(self.now_ms + limit_ms, Event::Answered { call, answer });
         }
-        self.sidecars[sidecar].start_answered(sidecar_ms, attempt, result);
     }
 
-    fn poll(&mut self, sidecar: usize) {
-        let (sidecar_ms, server_ms) = (self.sidecar_ms(sidecar), self.server_ms(sidecar));
-        let Some(poll) = self.sidecars[sidecar].poll(sidecar_ms) else { return };
-        let server = &mut self.servers[sidecar];
-        server.grant(server_ms, poll.lease_until_ms);
-        let listed = |completion: &&Completion| completion.number > poll.acknowledged;
-        let reply = PollReply {
-            clock_ms: server_ms,
-            running: server.running.keys().copied().collect(),
-            completions: server.completions.iter().filter(listed).cloned().collect(),
+    /// Draws what becomes of a call. During a disruption, half of the calls are answered.
+    fn fate(&mut self, sidecar: usize) -> Fate {
+        let now_ms = self.now_ms;
+        let lost = self.calls_lost_ms[sidecar] > now_ms;
+        let unanswered = self.calls_unanswered_ms[sidecar] > now_ms;
+        let late = self.calls_late_ms[sidecar] > now_ms;
+        if !(lost || unanswered || late) || self.draw(2) == 0 {
+            return Fate::Answered;
+        }
+        match (lost, unanswered) {
+            (true, _) => Fate::Lost,
+            (false, true) => Fate::Unanswered,
+            (false, false) => Fate::Late(self.draw(LATE_MAX_MS)),
+        }
+    }
+
+    /// Carries out a call at the backend server.
+    fn serve(&mut self, call: Call) -> Answer {
+        let Call { sidecar, known, poll, request, .. } = call;
+        let (now_ms, server_ms) = (self.now_ms, self.server_ms(sidecar));
+        let elsewhere = |task| {
+            let mut servers = self.servers.iter();
+            servers.position(|server| server.running.keys().any(|other| other.task == task))
         };
-        let known = self.sidecars[sidecar].server().map(|(server, _)| server.id.started_at_ms);
-        match known == Some(server.life) {
-            true => self.sidecars[sidecar].polled(sidecar_ms, sidecar_ms, reply),
-            false => self.sidecars[sidecar].poll_failed(sidecar_ms, sidecar_ms, false),
+        match request {
+            Request::Start { attempt, for_ms } => {
+                let elsewhere = elsewhere(attempt.task);
+                let server = &mut self.servers[sidecar];
+                let accepted = server.accepts(poll.fence);
+                if accepted {
+                    server.grant(server_ms, poll.lease_until_ms);
+                }
+                let highest = server.highest.get(&attempt.task);
+                let outdated = highest.is_some_and(|highest| *highest >= attempt.number);
+                let result = match !accepted || outdated || server.lease_until_ms <= server_ms {
+                    true => StartResult::NotStarted(wire::Reason::Expired),
+                    false => {
+                        server.highest.insert(attempt.task, attempt.number);
+                        server.running.insert(attempt, now_ms + for_ms);
+                        StartResult::Started
+                    }
+                };
+                self.note(format!("server {sidecar} {attempt:?} {result:?}"));
+                if let (StartResult::Started, Some(elsewhere)) = (result, elsewhere) {
+                    let broken = format!("{attempt:?} starts at {sidecar} and runs at {elsewhere}");
+                    self.broken = Some(broken);
+                }
+                Answer::Start(result)
+            }
+            Request::Stop(attempt) => {
+                let server = &mut self.servers[sidecar];
+                let accepted = server.accepts(poll.fence);
+                if accepted {
+                    server.end(attempt, queue::Outcome::Stopped);
+                    let highest = server.highest.entry(attempt.task).or_default();
+                    *highest = attempt.number.max(*highest);
+                }
+                Answer::Stop(accepted)
+            }
+            Request::Poll => {
+                let server = &mut self.servers[sidecar];
+                if !server.accepts(poll.fence) {
+                    return Answer::Poll(None);
+                }
+                server.grant(server_ms, poll.lease_until_ms);
+                let listed = |completion: &&Completion| completion.number > poll.acknowledged;
+                let reply = PollReply {
+                    clock_ms: server_ms,
+                    running: server.running.keys().copied().collect(),
+                    completions: server.completions.iter().filter(listed).cloned().collect(),
+                };
+                Answer::Poll(Some(reply).filter(|_| server.life == known))
+            }
         }
+    }
+
+    /// Passes an answer, or that there is none in time, to the process that made the call.
+    fn answered(&mut self, call: Call, answer: Answer) {
+        let Call { sidecar, incarnation, known, sent_ms, request, .. } = call;
+        let clock_ms = self.sidecar_ms(sidecar);
+        let state = &mut self.sidecars[sidecar];
+        if state.incarnation() != incarnation {
+            return;
+        }
+        let known = state.server().is_some_and(|(server, _)| server.id.started_at_ms == known);
+        match (request, answer) {
+            (Request::Start { attempt, .. }, Answer::Start(result)) if known => {
+                state.start_answered(clock_ms, attempt, result);
+            }
+            (Request::Stop(attempt), Answer::Stop(true)) if known => {
+                // The list of the next poll is newer, even in the same ms.
+                state.stop_confirmed(clock_ms - 1, attempt);
+            }
+            (Request::Stop(attempt), Answer::Stop(false)) => {
+                let again = Event::StopAgain { sidecar, incarnation, attempt };
+                self.push(self.now_ms + STOP_RETRY_MS, again);
+            }
+            (Request::Poll, Answer::Poll(Some(reply))) if known => {
+                state.polled(sent_ms, clock_ms, reply);
+            }
+            (Request::Poll, Answer::Poll(None)) if known => {
+                state.poll_failed(sent_ms, clock_ms, false);
+            }
+            _ => {}
+        }
+    }
+
+    fn poll(&mut self, sidecar: usize) {
+        self.call(sidecar, Request::Poll);
         self.act(sidecar);
     }
 
@@ -746,8 +970,8 @@
         let Fault { kind, target, other, for_ms } = fault;
         let (entry, sidecar) = (target % ENTRIES, other % SERVERS);
         let until_ms = self.now_ms + for_ms;
-        self.note(format!("fault {} entry {entry} sidecar {sidecar} until {until_ms}", kind % 8));
-        match kind % 8 {
+        self.note(format!("fault {kind} entry {entry} sidecar {sidecar} until {until_ms}"));
+        match kind {
             0 => later(&mut self.entry_paused_ms[entry], until_ms),
             1 => later(&mut self.sidecar_paused_ms[sidecar], until_ms),
             2 => later(&mut self.stalled_ms[entry][sidecar], until_ms),
@@ -769,7 +993,11 @@
                 self.push(self.now_ms + 30, Event::Announce { sidecar });
             }
             6 => self.close_all(entry),
-            _ => self.stalled_ms[entry].iter_mut().for_each(|stalled| later(stalled, until_ms)),
+            7 => self.stalled_ms[entry].iter_mut().for_each(|stalled| later(stalled, until_ms)),
+            8 => later(&mut self.calls_lost_ms[sidecar], until_ms),
+            9 => later(&mut self.calls_unanswered_ms[sidecar], until_ms),
+            10 => later(&mut self.calls_late_ms[sidecar], until_ms),
+            _ => unreachable!("no fault of kind {kind}"),
         }
     }
 
@@ -799,6 +1027,35 @@
                 self.sidecars[sidecar].announce(clock_ms, announced, addr(), self.now_ms);
                 self.act(sidecar);
             }
+            Event::Served { call, answered } => {
+                let answer = match self.servers[call.sidecar].life == call.called {
+                    true => self.serve(call),
+                    false => call.request.unanswered(),
+                };
+                if answered {
+                    self.handle(at, Event::Answered { call, answer });
+                }
+            }
+            Event::Answered { call, answer } => {
+                if self.sidecar_paused_ms[call.sidecar] > self.now_ms {
+                    let event = Event::Answered { call, answer };
+                    self.events.insert((self.sidecar_paused_ms[call.sidecar], at.1), event);
+                } else {
+                    self.answered(call, answer);
+                    self.act(call.sidecar);
+                }
+            }
+            Event::StopAgain { sidecar, incarnation, attempt } => {
+                if self.sidecar_paused_ms[sidecar] > self.now_ms {
+                    let event = Event::StopAgain { sidecar, incarnation, attempt };
+                    self.events.insert((self.sidecar_paused_ms[sidecar], at.1), event);
+                } else if self.sidecars[sidecar].incarnation() == incarnation
+                    && self.sidecars[sidecar].stop_due(attempt)
+                {
+                    self.call(sidecar, Request::Stop(attempt));
+                    self.act(sidecar);
+                }
+            }
             Event::Fault(fault) => self.fault(fault),
         }
     }
@@ -830,7 +1087,7 @@
             }
             for sidecar in 0..SERVERS {
                 if self.sidecar_paused_ms[sidecar] <= now_ms {
-                    if now_ms % POLL_MS == sidecar as u64 {
+                    if now_ms % POLL_MS == sidecar as u64 && self.next_poll_ms[sidecar] <= now_ms {
                         self.poll(sidecar);
                     }
                     if now_ms % TICK_MS == 10 + sidecar as u64 {
@@ -882,7 +1139,10 @@
 
 /// Plays a history of at most `most` of the drawn faults.
 fn played(seed: u64, faults: &[Drawn], most: usize) -> quickcheck::TestResult {
-    match World::new(seed).with_drawn_clocks().play(&faults[..faults.len().min(most)]) {
+    let kept = faults.iter().take(most);
+    let faults: Vec<Drawn> =
+        kept.map(|(kind, at, target, length)| (kind % KINDS, *at, *target, *length)).collect();
+    match World::new(seed).with_drawn_clocks().play(&faults) {
         Ok(()) => quickcheck::TestResult::passed(),
         Err(trace) => quickcheck::TestResult::error(trace),
     }
@@ -918,7 +1178,7 @@
 /// be after callers have sent the job to another entry.
 #[test]
 fn a_paused_sidecar_does_not_keep_the_attempts_of_an_entry_that_ended() {
-    let faults = [(1, 13_618, 112, 944), (59, 33_302, 130, 0)];
+    let faults = [(1, 13_618, 112, 944), (3, 33_302, 130, 0)];
     if let Err(trace) = World::new(0).play(&faults) {
         panic!("{trace}");
     }
@@ -928,7 +1188,7 @@
 /// almost the time limit of a renewal, and the entry took the delay for a difference of the clocks.
 #[test]
 fn a_late_renewal_does_not_lengthen_the_lease_of_an_entry_that_ends() {
-    let faults = [(185, 30_730, 32, 18_670), (41, 33_228, 32, 935), (27, 22_902, 34, 0)];
+    let faults = [(1, 30_730, 32, 18_670), (1, 33_228, 32, 935), (3, 22_902, 34, 0)];
     if let Err(trace) = World::new(256).play(&faults) {
         panic!("{trace}");
     }
