Model of transient jobs: calls that time out are cancelled

A call of an entry to a sidecar, other than a start command, ends after 350 ms, and tarpc sends a cancellation after it. A sidecar that was paused, or that was cut off, reads both before it handles the call, so the call has no effect. In tests/single_run.rs stops, renewals and releases that reach a sidecar so late are now dropped; before, they were carried out.

The stop that entry 0 sends for job 22 when its caller leaves is dropped together with its cancellation at 4,553 ms, Connection::stop does not send it again, and the attempt, which starts at server 0 in the same ms, still runs when entry 1 starts the task at server 2 at 5,503 ms.

--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -202,6 +202,7 @@
         entry: usize,
         life: u64,
         incarnation: u64,
+        sent_ms: u64,
         message: Message,
     },
     /// A caller sends a job.
@@ -442,8 +443,19 @@
         message: Message,
     ) {
         let at_ms = self.stalled_ms[entry][sidecar].max(self.now_ms + DELAY_MS);
-        let life = self.entries[entry].life;
-        self.push(at_ms, Event::ToSidecar { sidecar, entry, life, incarnation, message });
+        let (life, sent_ms) = (self.entries[entry].life, self.now_ms);
+        let event = Event::ToSidecar { sidecar, entry, life, incarnation, sent_ms, message };
+        self.push(at_ms, event);
+    }
+
+    /// Whether the process of an entry that sent a message at `sent_ms` has cancelled that call. A
+    /// sidecar that goes on reads the cancellation before it handles the call.
+    fn canceled(&self, entry: usize, life: u64, sent_ms: u64, message: &Message) -> bool {
+        let timeout_ms = sent_ms + RENEW_TIMEOUT_MS;
+        !matches!(message, Message::Run(_))
+            && timeout_ms + DELAY_MS <= self.now_ms
+            && self.entries[entry].life == life
+            && self.entry_paused_ms[entry] <= timeout_ms
     }
 
     fn send_to_entry(&mut self, entry: usize, sidecar: usize, message: Message) {
@@ -1011,10 +1023,13 @@
                     self.at_entry(entry, sidecar, message);
                 }
             }
-            Event::ToSidecar { sidecar, entry, life, incarnation, message } => {
+            Event::ToSidecar { sidecar, entry, life, incarnation, sent_ms, message } => {
                 if self.sidecar_paused_ms[sidecar] > self.now_ms {
-                    let event = Event::ToSidecar { sidecar, entry, life, incarnation, message };
+                    let event =
+                        Event::ToSidecar { sidecar, entry, life, incarnation, sent_ms, message };
                     self.events.insert((self.sidecar_paused_ms[sidecar], at.1), event);
+                } else if self.canceled(entry, life, sent_ms, &message) {
+                    self.note(format!("entry {entry} canceled {message:?} at {sidecar}"));
                 } else if self.sidecars[sidecar].incarnation() == incarnation {
                     self.at_sidecar(sidecar, entry, message);
                 }
