Model of transient jobs: callers whose connections are cut silently

Fault 11 of tests/single_run.rs cuts a drawn entry off from its callers for a span: no request, answer or close passes, and neither end notices. A caller leaves at its deadline and sends the job again 1,300 ms later to a drawn entry, while the first entry goes on with the job.

--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -37,7 +37,7 @@
 const POLL_MS: u64 = 25;
 const TICK_MS: u64 = 50;
 /// Number of kinds of faults.
-const KINDS: u8 = 11;
+const KINDS: u8 = 12;
 /// Time limit of a call to start or stop an attempt.
 const COMMAND_LIMIT_MS: u64 = 60;
 const STOP_RETRY_MS: u64 = 50;
@@ -326,6 +326,8 @@
     calls_lost_ms: Vec<u64>,
     calls_unanswered_ms: Vec<u64>,
     calls_late_ms: Vec<u64>,
+    /// Until when nothing passes between an entry and its callers, and neither notices.
+    callers_cut_ms: Vec<u64>,
     /// When a sidecar polls again after a poll without an answer.
     next_poll_ms: Vec<u64>,
     /// Jobs that wait for an answer, with the call and the entry.
@@ -354,6 +356,7 @@
             calls_lost_ms: vec![0; SERVERS],
             calls_unanswered_ms: vec![0; SERVERS],
             calls_late_ms: vec![0; SERVERS],
+            callers_cut_ms: vec![0; ENTRIES],
             next_poll_ms: vec![0; SERVERS],
             calls: BTreeMap::new(),
             sends: BTreeMap::new(),
@@ -484,7 +487,8 @@
             }
             for (job, outcome) in actions.finished {
                 let waiters = self.entries[entry].waiters.remove(&job).unwrap_or_default();
-                if self.calls.get(&job).is_some_and(|(call, _)| waiters.contains(call)) {
+                let reached = self.callers_cut_ms[entry] <= self.now_ms;
+                if reached && self.calls.get(&job).is_some_and(|(call, _)| waiters.contains(call)) {
                     self.note(format!("entry {entry} answers {job:?} {outcome:?}"));
                     if outcome != JobOutcome::Canceled {
                         self.calls.remove(&job);
@@ -950,11 +954,14 @@
         self.note(format!("{job:?} is sent to entry {entry}"));
         let life = self.entries[entry].life;
         let message = Message::Submit { job, call };
-        self.push(self.now_ms + 1, Event::ToEntry { entry, life, sidecar: 0, message });
+        if self.callers_cut_ms[entry] <= self.now_ms {
+            self.push(self.now_ms + 1, Event::ToEntry { entry, life, sidecar: 0, message });
+        }
         self.push(self.now_ms + DEADLINE_MS, Event::Expire { job, call, entry });
     }
 
-    /// The connection between a caller and its entry closes.
+    /// The connection between a caller and its entry closes. The entry does not hear of it if the
+    /// connection is cut.
     fn close(&mut self, job: Id, call: u64, entry: usize) {
         if self.calls.get(&job) != Some(&(call, entry)) {
             return;
@@ -962,11 +969,18 @@
         self.calls.remove(&job);
         let life = self.entries[entry].life;
         let message = Message::Close { job, call };
-        self.push(self.now_ms + 1, Event::ToEntry { entry, life, sidecar: 0, message });
+        if self.callers_cut_ms[entry] <= self.now_ms {
+            self.push(self.now_ms + 1, Event::ToEntry { entry, life, sidecar: 0, message });
+        }
         self.push(self.now_ms + RETRY_MS, Event::Send { job });
     }
 
+    /// All connections between an entry and its callers break. Over a cut one no caller hears of
+    /// that before its deadline.
     fn close_all(&mut self, entry: usize) {
+        if self.callers_cut_ms[entry] > self.now_ms {
+            return;
+        }
         let calls: Vec<(Id, u64)> = self
             .calls
             .iter()
@@ -1009,6 +1023,7 @@
             8 => later(&mut self.calls_lost_ms[sidecar], until_ms),
             9 => later(&mut self.calls_unanswered_ms[sidecar], until_ms),
             10 => later(&mut self.calls_late_ms[sidecar], until_ms),
+            11 => later(&mut self.callers_cut_ms[entry], until_ms),
             _ => unreachable!("no fault of kind {kind}"),
         }
     }
