Model of transient jobs: the clock of a new backend server begins at 0

A server that starts again under its id counts its time anew, as its platform describes. In tests/single_run.rs its clock went on before, so that the end of a lease that was requested for the process before it kept its meaning.

--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -72,7 +72,7 @@
 /// A process's clock: the time base it is read from, with another origin and rate.
 #[derive(Debug, Clone, Copy)]
 struct Clock {
-    offset_ms: u64,
+    offset_ms: i64,
     slow_ppm: i64,
 }
 
@@ -80,8 +80,13 @@
     const SAME: Clock = Clock { offset_ms: 0, slow_ppm: 0 };
 
     fn read(&self, base_ms: u64) -> u64 {
-        let lost_ms = base_ms as i64 * self.slow_ppm / 1_000_000;
-        self.offset_ms + base_ms.saturating_add_signed(-lost_ms)
+        let base_ms = base_ms as i64;
+        (self.offset_ms + base_ms - base_ms * self.slow_ppm / 1_000_000) as u64
+    }
+
+    /// Lets the clock begin at 0.
+    fn restart(&mut self, base_ms: u64) {
+        self.offset_ms -= self.read(base_ms) as i64;
     }
 }
 
@@ -375,11 +380,11 @@
     fn with_drawn_clocks(mut self) -> World {
         for index in 0..SERVERS {
             self.sidecar_clocks[index] = Clock {
-                offset_ms: self.draw(CLOCK_OFFSET_MAX_MS),
+                offset_ms: self.draw(CLOCK_OFFSET_MAX_MS) as i64,
                 slow_ppm: 500 * self.draw(5) as i64 - SIDECAR_DRIFT_MAX_PPM,
             };
             self.server_clocks[index] = Clock {
-                offset_ms: self.draw(CLOCK_OFFSET_MAX_MS),
+                offset_ms: self.draw(CLOCK_OFFSET_MAX_MS) as i64,
                 slow_ppm: SERVER_SLOW_MAX_PPM / 4 * self.draw(5) as i64,
             };
             self.sidecars[index] = self.new_sidecar(index, 1);
@@ -1016,6 +1021,8 @@
             5 => {
                 let life = self.servers[sidecar].life + 1;
                 self.servers[sidecar] = BackendServer { life, ..BackendServer::default() };
+                let base_ms = self.sidecar_ms(sidecar);
+                self.server_clocks[sidecar].restart(base_ms);
                 self.push(self.now_ms + 30, Event::Announce { sidecar });
             }
             6 => self.close_all(entry),
