--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -38,6 +38,8 @@
 const TICK_MS: u64 = 50;
 /// Number of kinds of faults.
 const KINDS: u8 = 12;
+/// Number of kinds without the last, a cut between an entry and its callers.
+const KINDS_BUT_CUT_CALLERS: u8 = KINDS - 1;
 /// Time limit of a call to start or stop an attempt.
 const COMMAND_LIMIT_MS: u64 = 60;
 const STOP_RETRY_MS: u64 = 50;
@@ -457,10 +459,11 @@
     }
 
     /// Whether the process of an entry that sent a message at `sent_ms` has cancelled that call. A
-    /// sidecar that goes on reads the cancellation before it handles the call.
+    /// sidecar that goes on reads the cancellation before it handles the call. Nothing cancels a stop:
+    /// its call ends at the entry when its time is over.
     fn canceled(&self, entry: usize, life: u64, sent_ms: u64, message: &Message) -> bool {
         let timeout_ms = sent_ms + RENEW_TIMEOUT_MS;
-        !matches!(message, Message::Run(_))
+        !matches!(message, Message::Run(_) | Message::Stop { .. })
             && timeout_ms + DELAY_MS <= self.now_ms
             && self.entries[entry].life == life
             && self.entry_paused_ms[entry] <= timeout_ms
@@ -631,6 +634,10 @@
         self.entries[entry].scheduler.observe(now_ms);
         match message {
             Message::Submit { job, call } => {
+                let life = self.entries[entry].life;
+                let message = Message::Close { job, call };
+                let event = Event::ToEntry { entry, life, sidecar, message };
+                self.push(now_ms + DEADLINE_MS, event);
                 self.entries[entry].waiters.entry(job).or_default().insert(call);
                 if !self.entries[entry].scheduler.knows(job) {
                     self.entries[entry].scheduler.submit(now_ms, job, &queue(), new_job());
@@ -1174,17 +1181,33 @@
     Job { spec: "spec".to_owned(), steps: vec![step] }
 }
 
-/// Plays a history of at most `most` of the drawn faults.
-fn played(seed: u64, faults: &[Drawn], most: usize) -> quickcheck::TestResult {
+/// Plays a history of at most `most` of the drawn faults, whose kinds are below `kinds`.
+fn played(seed: u64, faults: &[Drawn], most: usize, kinds: u8) -> quickcheck::TestResult {
     let kept = faults.iter().take(most);
     let faults: Vec<Drawn> =
-        kept.map(|(kind, at, target, length)| (kind % KINDS, *at, *target, *length)).collect();
+        kept.map(|(kind, at, target, length)| (kind % kinds, *at, *target, *length)).collect();
     match World::new(seed).with_drawn_clocks().play(&faults) {
         Ok(()) => quickcheck::TestResult::passed(),
         Err(trace) => quickcheck::TestResult::error(trace),
     }
 }
 
+fn draw_histories(count: u64, holds: fn(u64, Vec<Drawn>) -> quickcheck::TestResult) {
+    quickcheck::QuickCheck::new().tests(count).quickcheck(holds);
+}
+
+fn holds_with_one_fault(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
+    played(seed, &faults, 1, KINDS)
+}
+
+fn holds(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
+    played(seed, &faults, 8, KINDS_BUT_CUT_CALLERS)
+}
+
+fn holds_with_cut_callers(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
+    played(seed, &faults, 8, KINDS)
+}
+
 /// Plays a fixed history.
 fn play(seed: u64, faults: &[Drawn]) {
     if let Err(trace) = World::new(seed).play(faults) {
@@ -1196,25 +1219,28 @@
 /// one disruption.
 #[test]
 fn no_disruption_runs_a_transient_task_twice_at_the_same_time() {
-    fn holds(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
-        played(seed, &faults, 1)
-    }
-    quickcheck::QuickCheck::new()
-        .tests(100)
-        .quickcheck(holds as fn(u64, Vec<Drawn>) -> quickcheck::TestResult);
+    draw_histories(100, holds_with_one_fault);
 }
 
 /// Guards against two runs of a transient task at the same time on servers that are up, when
 /// disruptions come together.
 #[test]
-#[ignore = "known_red"]
 fn no_history_runs_a_transient_task_twice_at_the_same_time() {
-    fn holds(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
-        played(seed, &faults, 8)
-    }
-    quickcheck::QuickCheck::new()
-        .tests(2_000)
-        .quickcheck(holds as fn(u64, Vec<Drawn>) -> quickcheck::TestResult);
+    draw_histories(100, holds);
+}
+
+/// The same with more histories.
+#[test]
+#[ignore = "takes minutes"]
+fn no_history_of_many_runs_a_transient_task_twice_at_the_same_time() {
+    draw_histories(2_000, holds);
+}
+
+/// The same if entries do not hear that their callers have left, either.
+#[test]
+#[ignore = "known_red"]
+fn no_history_with_cut_callers_runs_a_transient_task_twice_at_the_same_time() {
+    draw_histories(2_000, holds_with_cut_callers);
 }
 
 /// Guards against an attempt that outlives the lease of its entry because its sidecar is paused when
