Count the interval of renewals from their sending

On a link with a round trip of 275 ms or more the lease of an entry expired between two renewals, and its attempts were stopped.

Cause: the interval of 150 ms began with the answer, so the next renewal came one round trip plus 150 ms after the one before, while the lease, which follows the lower bound of the sidecar's clock, is shorter by the time of the answer. Since leases follow that bound, the limit is 275 ms in place of about 500.

Change: the interval begins when a renewal is sent.

Test: single_run::a_slow_link_does_not_let_leases_expire, with a round trip of 300 ms.

--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -235,12 +235,15 @@
     async fn renew(&self, connection: &Connection, channel: &Channel) {
         let key = connection.inner.key;
         let mut skipped = 0;
+        let mut due = time::Instant::now() + RENEW_INTERVAL;
         loop {
             tokio::select! {
-                () = time::sleep(RENEW_INTERVAL) => {}
+                () = time::sleep_until(due) => {}
                 () = connection.inner.renewal_due.notified() => skipped = IDLE_SKIPS,
                 () = connection.inner.broken.notified() => return,
             }
+            // On a slow link, an interval that began with the answer would let the lease expire.
+            due = time::Instant::now() + RENEW_INTERVAL;
             let idle = self.inner.scheduler.borrow().outstanding(key) == 0;
             if idle && skipped < IDLE_SKIPS {
                 skipped += 1;
--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -383,6 +383,11 @@
         world
     }
 
+    fn with_delay(mut self, delay_ms: u64) -> World {
+        self.delay_ms = delay_ms;
+        self
+    }
+
     /// Draws the clocks of the sidecars and of the backend servers.
     fn with_drawn_clocks(mut self) -> World {
         for index in 0..SERVERS {
@@ -717,7 +722,6 @@
         if let Some(channel) = link.channel.as_mut().filter(|channel| channel.id == id) {
             channel.lease.record(status.clock_ms, now_ms);
             channel.sent_ms = None;
-            channel.next_ms = now_ms + RENEW_INTERVAL_MS;
             scheduler.update_load(now_ms, key, &status.load);
             return;
         }
@@ -1275,3 +1279,21 @@
 fn a_late_command_starts_nothing_that_outlasts_its_entry_for_long() {
     play(95_473_628, &[(3, 50_722, 1, 0), (1, 1_322, 0, 689), (7, 65_431, 46, 35_620)]);
 }
+
+/// Guards against leases that expire between two renewals because the round trip is long: nothing is
+/// stopped but the attempts of callers that have left.
+#[test]
+fn a_slow_link_does_not_let_leases_expire() {
+    let trace = World::new(0).with_delay(150).play(&[]).unwrap();
+    let mut left = BTreeSet::new();
+    let mut stopped = Vec::new();
+    for line in &trace {
+        let job = line.split_inclusive(')').find_map(|part| part.find("Id(").map(|at| &part[at..]));
+        if line.ends_with("leaves") {
+            left.insert(job);
+        } else if line.ends_with("Stopped") && !left.contains(&job) {
+            stopped.push(line);
+        }
+    }
+    assert_eq!(stopped, Vec::<&String>::new());
+}
