Keep a second attempt of a task waiting at its server

Callers can see two runs of a task at the same server: a caller sends its job to another entry while the first attempt is being stopped, the second entry's attempt 1 is refused as the same one, and the one that follows, 18, is started beside the first.

Cause: the sidecar compared whole attempts. The backend server refuses only numbers up to one that has ended or was stopped there, so it starts a higher one beside a running one.

Change: an attempt waits while another one of its task may run at the server, as it waits for capacity, and is refused if that takes too long. It is no bound in time and holds for this one server only.

Test: sidecar_jobs::an_attempt_waits_until_another_one_of_its_task_has_ended failed before (attempt 18 started at once).

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -581,11 +581,12 @@
             let has_capacity = backend.has_capacity(&assignment.start.needs);
             // A lease that the server has already cannot be shortened for the attempt.
             let outlasted = backend.lease_expires_after(lease_until_ms + OUTLAST_MAX_MS);
+            let may_begin = has_capacity && !outlasted && !backend.runs_other_attempt(&attempt);
             let reason = if !may_start {
                 Reason::Unavailable
             } else if lease_until_ms < now_ms + START_MARGIN_MS {
                 Reason::Expired
-            } else if has_capacity && !outlasted {
+            } else if may_begin {
                 if let Some(start) = backend.begin(now_ms, &attempt) {
                     self.actions.starts.push(start);
                 }
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -324,6 +324,14 @@
         lost
     }
 
+    /// Whether another attempt of the same task runs, or may be running, such as one that is being
+    /// stopped. The server itself would start this one beside it.
+    pub fn runs_other_attempt(&self, attempt: &Attempt) -> bool {
+        let sent = self.assignments.iter().filter(|(_, a)| a.state != State::Waiting);
+        let mut attempts = sent.map(|(other, _)| other).chain(self.inherited.keys());
+        attempts.any(|other| other.task == attempt.task && other != attempt)
+    }
+
     pub fn has_capacity(&self, needs: &Resources) -> bool {
         let mut used = self.used;
         used.add(needs);
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -95,6 +95,23 @@
     assert_eq!(actions.starts, [start(attempt(2, 1))]);
 }
 
+/// Guards against two runs of a task at the same server: an attempt that another entry had commanded
+/// started while the one before was being stopped.
+#[test]
+fn an_attempt_waits_until_another_one_of_its_task_has_ended() {
+    let mut sidecar = sidecar();
+    sidecar.announce(0, server(1, 2_000), addr(), 2);
+    sidecar.renew(Entry(8), 10_000);
+    command(&mut sidecar, 1, attempt(1, 1));
+    sidecar.start_answered(2, attempt(1, 1), StartResult::Started);
+    sidecar.stop(attempt(1, 1));
+    sidecar.take_actions();
+    sidecar.handle_start(3, Source::Entry(Entry(8)), start(attempt(1, 18)), 3, 500);
+    assert_eq!(sidecar.take_actions(), Actions::default());
+    sidecar.polled(4, 5, poll_reply(&[], &[(1, attempt(1, 1), queue::Outcome::Stopped)]));
+    assert_eq!(sidecar.take_actions().starts, [start(attempt(1, 18))]);
+}
+
 /// Guards against a task that waits at a full server while others have free capacity.
 #[test]
 fn an_attempt_that_waits_too_long_for_capacity_is_refused() {
