Count a caller's deadline from the arrival of its request's head

The deadline of a transient job counted from when the whole body had been read, so an entry could run the job on by that time after its caller had left, when the end of the connection is lost.

Change: the platform's entry passes the moment at which the caller leaves, taken when the request's head has been read. No test of its own; the test of the deadline covers the path.

--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -87,16 +87,16 @@
     }
 
     /// Runs a transient job and returns when it has ended. Dropping the future cancels the job
-    /// unless other callers wait for it, and so does the end of `deadline`, the time for which the
-    /// caller waits: a caller that leaves is not always heard of, and may send the job elsewhere.
+    /// unless other callers wait for it. So does `leaves_at`, when the caller's deadline passes: a
+    /// caller that leaves is not always heard of, and may send the job elsewhere.
     pub async fn run_job(
         &self,
         host: &str,
         path: &str,
         job: Job,
-        deadline: Option<Duration>,
+        leaves_at: Option<Instant>,
     ) -> Ended {
-        let (arrived, arrived_ms) = (time::Instant::now(), util::boot_ms());
+        let arrived_ms = util::boot_ms();
         let Some(config) = self.wait_for_config().await else { return Ended::NotReady };
         let Some((queue, rest)) = config.route(host, path) else { return Ended::NoQueue };
         let Some(id) = Id::parse(rest) else { return Ended::NoJob };
@@ -117,9 +117,9 @@
         let guard = CancelGuard { entry: self.clone(), id };
         let submitted = Instant::now();
         self.carry_out();
-        let outcome = match deadline {
+        let outcome = match leaves_at {
             None => Ok(ended.await),
-            Some(deadline) => time::timeout_at(arrived + deadline, ended).await,
+            Some(leaves_at) => time::timeout_at(leaves_at.into(), ended).await,
         };
         drop(guard);
         let Ok(outcome) = outcome else {
