--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -34,8 +34,8 @@
 const RELEASED_MS: u64 = 2_500;
 /// Longest time by which the backend server's lease may outlast that of a source with attempts
 /// there, in ms. Callers send a job again 1,300 ms after they have lost an entry, whose lease is
-/// 700 ms, the leader starts a task again 1,200 ms after its lease has expired, and a sidecar that is
-/// suspended stops nothing itself.
+/// 700 ms, which leaves 100 ms for the entry to hear of it. The leader starts a task again 1,200 ms
+/// after its lease has expired. A sidecar that is suspended stops nothing itself.
 const OUTLAST_MAX_MS: u64 = 500;
 /// Incarnations of the backend server that get fencing tokens of their own under one generation.
 const INCARNATIONS_MAX: u64 = 1 << 10;
@@ -334,9 +334,9 @@
     }
 
     /// Returns when a new lease of the backend server has to expire at the latest, so that no
-    /// attempt outlasts the lease of its source for long. What a source renews after it has had an
-    /// attempt stopped does not keep that attempt. While an attempt without a lease is being stopped,
-    /// this is in the past.
+    /// attempt outlasts the lease of its source for long. For an attempt that is being stopped, that
+    /// is the lease at the time of the stop. While an attempt without a lease is being stopped, this is
+    /// in the past.
     fn backend_lease_limit(&self) -> Option<u64> {
         let backend = self.backend.as_ref()?;
         let assigned = backend.assignments.values().chain(backend.inherited.values());
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -61,8 +61,8 @@
     /// Until when it may wait for free capacity.
     pub until_ms: u64,
     pub state: State,
-    /// When the lease of its source expires that was in force when a stop was requested; `None`
-    /// without such a request.
+    /// Expiry that the lease of its source had when a stop was requested; `None` without such a
+    /// request. Later renewals do not count for it.
     pub stop_lease_ms: Option<u64>,
     /// Whether its job was cancelled; a stop is then reported as `Canceled`.
     pub canceled: bool,
@@ -122,7 +122,7 @@
     seq: u64,
     /// The newest reading of the server's clock, and when it was received on the sidecar's clock.
     clock: Option<(u64, u64)>,
-    /// Latest time at which the last requested lease can expire, on the sidecar's clock.
+    /// Latest time at which any lease that the server may have got can expire, on the sidecar's clock.
     lease_until_ms: u64,
     /// Consecutive polls without an answer.
     unanswered: u32,
