Starts and polls of the sidecar in modules of their own

Functions and constants move without a change; sidecar_jobs, single_run and coordinator pass as before.

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -10,13 +10,15 @@
 
 mod backend;
 mod leader;
+mod poll;
+mod start;
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use indexmap::IndexMap;
 
 use crate::protocol::{
-    queue::{self, Attempt, Id},
+    queue::{Attempt, Id},
     wire::{
         queue::{Batch, Completion, Crash, NotStarted, Reason, Server, Start},
         work::{self, Entry, Load, Revision},
@@ -24,11 +26,6 @@
 };
 use backend::{Assignment, BackendServer, State};
 
-/// Remaining time of a source's lease below which its attempts do not start, in ms.
-const START_MARGIN_MS: u64 = 50;
-/// Longest time from a poll to its failure, in ms. A poll that fails later was not waited for: this
-/// process was suspended, and the server's answer may wait to be read.
-const POLL_AGE_MAX_MS: u64 = 700;
 /// Time after the release of a lease within which delayed messages of its connection may still
 /// carry a lease that has not expired, in ms. Entries take leases of less than half of this.
 const RELEASED_MS: u64 = 2_500;
@@ -39,8 +36,6 @@
 const OUTLAST_MAX_MS: u64 = 500;
 /// Incarnations of the backend server that get fencing tokens of their own under one generation.
 const INCARNATIONS_MAX: u64 = 1 << 10;
-/// Maximum number of attempts that wait for free capacity.
-const WAITING_MAX: usize = 64;
 
 /// Who commanded an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -319,34 +314,6 @@
         self.backend.as_ref().is_some_and(|backend| backend.found_clean)
     }
 
-    /// Returns the next poll of the backend server; `None` if there is no server, and until a
-    /// leader has assigned a fencing token. The lease in the poll counts as granted at once, since
-    /// a call without an answer may have been carried out.
-    pub fn poll(&mut self, now_ms: u64) -> Option<Poll> {
-        let limit_ms = self.backend_lease_limit();
-        let backend = self.backend.as_mut().filter(|_| self.token > 0)?;
-        backend.end_lapse(now_ms);
-        Some(Poll {
-            fence: self.token * (INCARNATIONS_MAX + 1) + self.incarnations,
-            acknowledged: backend.acknowledged(),
-            lease_until_ms: backend.lease(now_ms, self.backend_lease_ms, limit_ms),
-        })
-    }
-
-    /// Returns when a new lease of the backend server has to expire at the latest, so that no
-    /// attempt outlasts the lease of its source for long. For an attempt that is being stopped, that
-    /// is the lease at the time of the stop. While an attempt without a lease is being stopped, this is
-    /// in the past.
-    fn backend_lease_limit(&self) -> Option<u64> {
-        let backend = self.backend.as_ref()?;
-        let assigned = backend.assignments.values().chain(backend.inherited.values());
-        let expiries = assigned.map(|assignment| {
-            let until_ms = self.lease_until(assignment.source);
-            assignment.stop_lease_ms.map_or(until_ms, |stop_ms| stop_ms.min(until_ms))
-        });
-        expiries.min().map(|until_ms| until_ms + OUTLAST_MAX_MS)
-    }
-
     /// Returns when the lease of `source` expires, 0 if it has none.
     fn lease_until(&self, source: Source) -> u64 {
         match source {
@@ -361,134 +328,6 @@
         self.token > 0
     }
 
-    /// Whether a poll may ask the backend server to delay its answer until an attempt has ended.
-    pub fn may_wait(&self) -> bool {
-        self.backend.as_ref().is_some_and(|backend| backend.found_clean && !backend.unresponsive())
-    }
-
-    /// Handles the backend server's answer to a poll that was sent at `sent_ms`. An answer that
-    /// arrives after a newer one is ignored.
-    pub fn polled(&mut self, sent_ms: u64, now_ms: u64, reply: PollReply) {
-        let Some(backend) = &mut self.backend else { return };
-        if !backend.record_clock(reply.clock_ms, now_ms) {
-            return;
-        }
-        if std::mem::take(&mut backend.lost) {
-            // The server was cut off or stalled, and has not crashed.
-            backend.unaccounted.clear();
-            log::info!("event=server_reachable server={}", backend.server.id);
-            self.actions.report_due = true;
-        }
-        for completion in reply.completions {
-            self.complete(now_ms, completion);
-        }
-        self.compare_running(sent_ms, now_ms, &reply.running);
-        self.dispatch(now_ms);
-    }
-
-    /// Handles a completion from the backend server's list. The leader receives those of its own
-    /// attempts and those of attempts that are not assigned here.
-    fn complete(&mut self, now_ms: u64, completion: Completion) {
-        let Some(backend) = &mut self.backend else { return };
-        if !backend.record_completion(completion.number) {
-            return;
-        }
-        let assignment =
-            completion.attempt.and_then(|attempt| Some((attempt, backend.remove(&attempt)?)));
-        let for_leader = assignment.as_ref().is_none_or(|(_, a)| a.source == Source::Leader);
-        if for_leader {
-            backend.completions.insert(completion.number, completion.clone());
-            self.actions.report_due = true;
-        }
-        if let Some((attempt, assignment)) = assignment {
-            let outcome = match completion.outcome {
-                queue::Outcome::Done => work::Outcome::Done,
-                queue::Outcome::Failed => work::Outcome::Failed,
-                queue::Outcome::Stopped => work::Outcome::Stopped,
-            };
-            self.record_outcome(
-                attempt,
-                &assignment,
-                outcome,
-                now_ms.saturating_sub(assignment.called_ms),
-            );
-        }
-    }
-
-    /// Compares the attempts that run with those that are assigned. Stops running ones that are not
-    /// assigned, and removes assigned ones that were stopped and do not run. The list of running
-    /// attempts answers a poll that was sent at `sent_ms`.
-    fn compare_running(&mut self, sent_ms: u64, now_ms: u64, running: &[Attempt]) {
-        let Some(backend) = &mut self.backend else { return };
-        let mut foreign = 0;
-        for attempt in running {
-            match backend.assignments.get_mut(attempt) {
-                Some(assignment) => assignment.confirm_running(),
-                None => {
-                    foreign += 1;
-                    // Nobody waits for an attempt that is not assigned here.
-                    if backend.record_foreign(now_ms, *attempt) {
-                        log::info!("event=run_not_wanted run={attempt}");
-                        self.actions.stops.push(*attempt);
-                    }
-                }
-            }
-        }
-        let absent_earlier = match foreign == 0 && !backend.found_clean {
-            true => {
-                backend.found_clean = true;
-                self.actions.report_due = true;
-                std::mem::take(&mut backend.inherited)
-            }
-            false => IndexMap::new(),
-        };
-        self.end_all(absent_earlier, work::Outcome::Lost);
-        let Some(backend) = &mut self.backend else { return };
-        let absent: Vec<Attempt> = backend.absent_after_stop(sent_ms, running);
-        for attempt in absent {
-            if let Some(assignment) =
-                self.backend.as_mut().and_then(|backend| backend.remove(&attempt))
-            {
-                self.record_outcome(
-                    attempt,
-                    &assignment,
-                    work::Outcome::NotStarted(Reason::NoAnswer),
-                    0,
-                );
-            }
-        }
-    }
-
-    /// Handles a poll, sent at `sent_ms`, that the backend server did not answer; `refused` if
-    /// nothing listens at its address. The server counts as lost once its lease has expired or its
-    /// process is gone. Only in the second case has it crashed under its attempts.
-    pub fn poll_failed(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
-        let Some(backend) = &mut self.backend else { return };
-        if sent_ms + POLL_AGE_MAX_MS < now_ms {
-            log::info!("event=suspended for_ms={}", now_ms - sent_ms);
-            return;
-        }
-        if backend.answered_since(sent_ms) {
-            return;
-        }
-        if !backend.poll_failed(now_ms, refused) {
-            if backend.gone() {
-                self.record_crash();
-            }
-            return;
-        }
-        log::warn!("event=server_unreachable server={} refused={refused}", backend.server.id);
-        let gone = backend.gone();
-        let ended = backend.mark_lost();
-        self.losses += 1;
-        if gone {
-            self.record_crash();
-        }
-        let outcome = if gone { work::Outcome::Lost } else { work::Outcome::Stopped };
-        self.end_all(ended, outcome);
-        self.actions.report_due = true;
-    }
-
     /// Renews the lease of an entry's connection, which expires at `until_ms`. A released lease
     /// stays released: for it, only the time until which delayed messages may arrive is extended.
     pub fn renew(&mut self, entry: Entry, until_ms: u64) {
@@ -513,120 +352,6 @@
         self.dispatch(now_ms);
     }
 
-    /// Handles a start command. The attempt may wait for free capacity until `until_ms`. Of the
-    /// attempts that wait, the one with the lowest `due_ms`, which is the latest start at which its
-    /// job would be on time, starts first.
-    pub fn handle_start(
-        &mut self,
-        now_ms: u64,
-        source: Source,
-        start: Start,
-        due_ms: u64,
-        until_ms: u64,
-    ) {
-        let attempt = start.attempt;
-        let assignment = Assignment::new(source, start, due_ms, until_ms);
-        let refusal = match &self.backend {
-            None => Some(Reason::Unavailable),
-            Some(backend) if !backend.may_start() || self.draining => Some(Reason::Unavailable),
-            Some(backend) if backend.assignments.contains_key(&attempt) => Some(Reason::Expired),
-            Some(backend) if backend.waiting_count() >= WAITING_MAX => Some(Reason::NoCapacity),
-            Some(_) => None,
-        };
-        if let Some(reason) = refusal {
-            return self.record_outcome(attempt, &assignment, work::Outcome::NotStarted(reason), 0);
-        }
-        if let Some(backend) = &mut self.backend {
-            backend.assignments.insert(attempt, assignment);
-        }
-        self.dispatch(now_ms);
-    }
-
-    /// Handles the start command of an entry as [`Sidecar::handle_start`] does. It is refused if the
-    /// entry has chosen another incarnation of the backend server, or if the lease in the command has
-    /// expired: later renewals do not show that the entry still wants the attempt.
-    pub fn handle_entry_start(&mut self, now_ms: u64, command: work::StartCommand) {
-        let work::StartCommand { entry, incarnation, lease_until_ms, start, due_ms, wait_ms } =
-            command;
-        let (source, until_ms) = (Source::Entry(entry), now_ms + wait_ms);
-        let refusal = if incarnation != self.revision.incarnation {
-            Reason::Replaced
-        } else if lease_until_ms < now_ms + START_MARGIN_MS {
-            Reason::Expired
-        } else {
-            return self.handle_start(now_ms, source, start, due_ms, until_ms);
-        };
-        let attempt = start.attempt;
-        let assignment = Assignment::new(source, start, due_ms, until_ms);
-        self.record_outcome(attempt, &assignment, work::Outcome::NotStarted(refusal), 0);
-    }
-
-    /// Starts waiting attempts that may start, the most urgent first, and refuses those that have
-    /// waited too long.
-    fn dispatch(&mut self, now_ms: u64) {
-        let Some(backend) = &self.backend else { return };
-        let lease_until = |attempt: &Attempt| {
-            backend.assignments.get(attempt).map_or(0, |a| self.lease_until(a.source))
-        };
-        let waiting: Vec<(Attempt, u64)> = backend
-            .waiting_by_urgency()
-            .into_iter()
-            .map(|attempt| (attempt, lease_until(&attempt)))
-            .collect();
-        let Some(backend) = &mut self.backend else { return };
-        let may_start = backend.may_start() && !self.draining;
-        let mut refused = Vec::new();
-        for (attempt, lease_until_ms) in waiting {
-            let assignment = &backend.assignments[&attempt];
-            let has_capacity = backend.has_capacity(&assignment.start.needs);
-            // A lease that the server has already cannot be shortened for the attempt.
-            let outlasted = backend.lease_expires_after(lease_until_ms + OUTLAST_MAX_MS);
-            let may_begin = has_capacity && !outlasted && !backend.runs_other_attempt(&attempt);
-            let reason = if !may_start {
-                Reason::Unavailable
-            } else if lease_until_ms < now_ms + START_MARGIN_MS {
-                Reason::Expired
-            } else if may_begin {
-                if let Some(start) = backend.begin(now_ms, &attempt) {
-                    self.actions.starts.push(start);
-                }
-                continue;
-            } else if now_ms < assignment.until_ms {
-                continue;
-            } else if has_capacity {
-                Reason::Expired
-            } else {
-                Reason::NoCapacity
-            };
-            if let Some(assignment) = backend.remove(&attempt) {
-                refused.push((attempt, assignment, reason));
-            }
-        }
-        for (attempt, assignment, reason) in refused {
-            self.record_outcome(attempt, &assignment, work::Outcome::NotStarted(reason), 0);
-        }
-    }
-
-    /// Handles the result of a request to the backend server to start an attempt.
-    pub fn start_answered(&mut self, now_ms: u64, attempt: Attempt, result: StartResult) {
-        let Some(backend) = &mut self.backend else { return };
-        let Some(assignment) = backend.assignments.get_mut(&attempt) else { return };
-        match result {
-            StartResult::Started => assignment.confirm_running(),
-            StartResult::NotStarted(reason) => {
-                if let Some(assignment) = backend.remove(&attempt) {
-                    self.record_outcome(attempt, &assignment, work::Outcome::NotStarted(reason), 0);
-                }
-                self.dispatch(now_ms);
-            }
-            StartResult::Unknown if assignment.state == State::Running => {}
-            StartResult::Unknown => {
-                assignment.state = State::Unanswered;
-                self.actions.stops.push(attempt);
-            }
-        }
-    }
-
     /// Stops an attempt; one that waits for capacity is refused at once.
     pub fn stop(&mut self, attempt: Attempt) {
         let Some(assignment) = self.assignment(&attempt) else { return };
--- /dev/null
+++ b/src/coordination/sidecar/poll.rs
@@ -0,0 +1,174 @@
+//! Polls of the backend server: the lease that each grants, and what its answer tells.
+
+use indexmap::IndexMap;
+
+use super::{INCARNATIONS_MAX, OUTLAST_MAX_MS, Poll, PollReply, Sidecar, Source};
+use crate::protocol::{
+    queue::{self, Attempt},
+    wire::{
+        queue::{Completion, Reason},
+        work,
+    },
+};
+
+/// Longest time from a poll to its failure, in ms. A poll that fails later was not waited for: this
+/// process was suspended, and the server's answer may wait to be read.
+const POLL_AGE_MAX_MS: u64 = 700;
+
+impl Sidecar {
+    /// Returns the next poll of the backend server; `None` if there is no server, and until a
+    /// leader has assigned a fencing token. The lease in the poll counts as granted at once, since
+    /// a call without an answer may have been carried out.
+    pub fn poll(&mut self, now_ms: u64) -> Option<Poll> {
+        let limit_ms = self.backend_lease_limit();
+        let backend = self.backend.as_mut().filter(|_| self.token > 0)?;
+        backend.end_lapse(now_ms);
+        Some(Poll {
+            fence: self.token * (INCARNATIONS_MAX + 1) + self.incarnations,
+            acknowledged: backend.acknowledged(),
+            lease_until_ms: backend.lease(now_ms, self.backend_lease_ms, limit_ms),
+        })
+    }
+
+    /// Returns when a new lease of the backend server has to expire at the latest, so that no
+    /// attempt outlasts the lease of its source for long. For an attempt that is being stopped, that
+    /// is the lease at the time of the stop. While an attempt without a lease is being stopped, this is
+    /// in the past.
+    fn backend_lease_limit(&self) -> Option<u64> {
+        let backend = self.backend.as_ref()?;
+        let assigned = backend.assignments.values().chain(backend.inherited.values());
+        let expiries = assigned.map(|assignment| {
+            let until_ms = self.lease_until(assignment.source);
+            assignment.stop_lease_ms.map_or(until_ms, |stop_ms| stop_ms.min(until_ms))
+        });
+        expiries.min().map(|until_ms| until_ms + OUTLAST_MAX_MS)
+    }
+
+    /// Whether a poll may ask the backend server to delay its answer until an attempt has ended.
+    pub fn may_wait(&self) -> bool {
+        self.backend.as_ref().is_some_and(|backend| backend.found_clean && !backend.unresponsive())
+    }
+
+    /// Handles the backend server's answer to a poll that was sent at `sent_ms`. An answer that
+    /// arrives after a newer one is ignored.
+    pub fn polled(&mut self, sent_ms: u64, now_ms: u64, reply: PollReply) {
+        let Some(backend) = &mut self.backend else { return };
+        if !backend.record_clock(reply.clock_ms, now_ms) {
+            return;
+        }
+        if std::mem::take(&mut backend.lost) {
+            // The server was cut off or stalled, and has not crashed.
+            backend.unaccounted.clear();
+            log::info!("event=server_reachable server={}", backend.server.id);
+            self.actions.report_due = true;
+        }
+        for completion in reply.completions {
+            self.complete(now_ms, completion);
+        }
+        self.compare_running(sent_ms, now_ms, &reply.running);
+        self.dispatch(now_ms);
+    }
+
+    /// Handles a completion from the backend server's list. The leader receives those of its own
+    /// attempts and those of attempts that are not assigned here.
+    fn complete(&mut self, now_ms: u64, completion: Completion) {
+        let Some(backend) = &mut self.backend else { return };
+        if !backend.record_completion(completion.number) {
+            return;
+        }
+        let assignment =
+            completion.attempt.and_then(|attempt| Some((attempt, backend.remove(&attempt)?)));
+        let for_leader = assignment.as_ref().is_none_or(|(_, a)| a.source == Source::Leader);
+        if for_leader {
+            backend.completions.insert(completion.number, completion.clone());
+            self.actions.report_due = true;
+        }
+        if let Some((attempt, assignment)) = assignment {
+            let outcome = match completion.outcome {
+                queue::Outcome::Done => work::Outcome::Done,
+                queue::Outcome::Failed => work::Outcome::Failed,
+                queue::Outcome::Stopped => work::Outcome::Stopped,
+            };
+            self.record_outcome(
+                attempt,
+                &assignment,
+                outcome,
+                now_ms.saturating_sub(assignment.called_ms),
+            );
+        }
+    }
+
+    /// Compares the attempts that run with those that are assigned. Stops running ones that are not
+    /// assigned, and removes assigned ones that were stopped and do not run. The list of running
+    /// attempts answers a poll that was sent at `sent_ms`.
+    fn compare_running(&mut self, sent_ms: u64, now_ms: u64, running: &[Attempt]) {
+        let Some(backend) = &mut self.backend else { return };
+        let mut foreign = 0;
+        for attempt in running {
+            match backend.assignments.get_mut(attempt) {
+                Some(assignment) => assignment.confirm_running(),
+                None => {
+                    foreign += 1;
+                    // Nobody waits for an attempt that is not assigned here.
+                    if backend.record_foreign(now_ms, *attempt) {
+                        log::info!("event=run_not_wanted run={attempt}");
+                        self.actions.stops.push(*attempt);
+                    }
+                }
+            }
+        }
+        let absent_earlier = match foreign == 0 && !backend.found_clean {
+            true => {
+                backend.found_clean = true;
+                self.actions.report_due = true;
+                std::mem::take(&mut backend.inherited)
+            }
+            false => IndexMap::new(),
+        };
+        self.end_all(absent_earlier, work::Outcome::Lost);
+        let Some(backend) = &mut self.backend else { return };
+        let absent: Vec<Attempt> = backend.absent_after_stop(sent_ms, running);
+        for attempt in absent {
+            if let Some(assignment) =
+                self.backend.as_mut().and_then(|backend| backend.remove(&attempt))
+            {
+                self.record_outcome(
+                    attempt,
+                    &assignment,
+                    work::Outcome::NotStarted(Reason::NoAnswer),
+                    0,
+                );
+            }
+        }
+    }
+
+    /// Handles a poll, sent at `sent_ms`, that the backend server did not answer; `refused` if
+    /// nothing listens at its address. The server counts as lost once its lease has expired or its
+    /// process is gone. Only in the second case has it crashed under its attempts.
+    pub fn poll_failed(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
+        let Some(backend) = &mut self.backend else { return };
+        if sent_ms + POLL_AGE_MAX_MS < now_ms {
+            log::info!("event=suspended for_ms={}", now_ms - sent_ms);
+            return;
+        }
+        if backend.answered_since(sent_ms) {
+            return;
+        }
+        if !backend.poll_failed(now_ms, refused) {
+            if backend.gone() {
+                self.record_crash();
+            }
+            return;
+        }
+        log::warn!("event=server_unreachable server={} refused={refused}", backend.server.id);
+        let gone = backend.gone();
+        let ended = backend.mark_lost();
+        self.losses += 1;
+        if gone {
+            self.record_crash();
+        }
+        let outcome = if gone { work::Outcome::Lost } else { work::Outcome::Stopped };
+        self.end_all(ended, outcome);
+        self.actions.report_due = true;
+    }
+}
