--- a/src/coordination/connection.rs
+++ b/src/coordination/connection.rs
@@ -67,10 +67,10 @@
         self.reading.lower_bound(at_ms)
     }
 
-    /// Extends the lease to [`LEASE_MS`] after `heard_ms`, as [`Heard`] tells it. Returns that end on
-    /// the sidecar's clock.
-    pub fn extend(&mut self, heard_ms: u64) -> u64 {
-        let until_ms = self.clock_lower_bound(heard_ms) + LEASE_MS;
+    /// Extends the lease to [`LEASE_MS`] after `watermark_ms`, the time that a [`Watermark`] gives.
+    /// Returns that end on the sidecar's clock.
+    pub fn extend(&mut self, watermark_ms: u64) -> u64 {
+        let until_ms = self.clock_lower_bound(watermark_ms) + LEASE_MS;
         self.until_ms = self.until_ms.max(until_ms);
         until_ms
     }
@@ -85,16 +85,16 @@
 /// process that goes on after a pause sends calls before it has. A lease counts from this time, so
 /// that none outlasts a caller that left during the pause for longer than one that left before.
 #[derive(Debug, Clone, Copy)]
-pub struct Heard {
+pub struct Watermark {
     /// Time of the tick before the last one. What had arrived by then was read before the last one.
     before_ms: u64,
     last_ms: u64,
 }
 
-impl Heard {
+impl Watermark {
     /// A process that starts has missed nothing.
-    pub fn new(now_ms: u64) -> Heard {
-        Heard { before_ms: now_ms, last_ms: now_ms }
+    pub fn new(now_ms: u64) -> Watermark {
+        Watermark { before_ms: now_ms, last_ms: now_ms }
     }
 
     /// Records a tick. Between two ticks, the process reads what has arrived.
@@ -102,6 +102,7 @@
         self.before_ms = std::mem::replace(&mut self.last_ms, now_ms);
     }
 
+    /// What had arrived by this time has been handled.
     pub fn until_ms(&self) -> u64 {
         self.before_ms
     }
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -20,7 +20,7 @@
 use super::Entry;
 use crate::{
     coordination::{
-        connection::{Heard, Lease},
+        connection::{Lease, Watermark},
         transient::{Key, StartCommand},
     },
     protocol::{
@@ -85,9 +85,9 @@
     }
 
     /// Extends the lease and returns its end on the sidecar's clock.
-    fn extend_lease(&self, heard: Heard) -> u64 {
+    fn extend_lease(&self, watermark: Watermark) -> u64 {
         let mut lease = self.lease.get();
-        let until_ms = lease.extend(heard.until_ms());
+        let until_ms = lease.extend(watermark.until_ms());
         self.lease.set(lease);
         until_ms
     }
@@ -170,7 +170,7 @@
         let request = work::StartCommand {
             entry: channel.entry,
             incarnation: command.incarnation,
-            lease_until_ms: channel.extend_lease(self.inner.heard.get()),
+            lease_until_ms: channel.extend_lease(self.inner.watermark.get()),
             start: command.start,
             due_ms: channel.lease.get().clock_lower_bound(command.due_ms),
             wait_ms: command.wait_ms,
@@ -251,7 +251,7 @@
             }
             skipped = 0;
             let revision = self.inner.scheduler.borrow().revision(key);
-            let lease_until_ms = channel.extend_lease(self.inner.heard.get());
+            let lease_until_ms = channel.extend_lease(self.inner.watermark.get());
             let renewal = Renewal { entry: channel.entry, revision, lease_until_ms };
             match request_status(&channel.client, renewal).await {
                 Some((received_ms, status)) => {
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     coordination::{
-        connection::Heard,
+        connection::Watermark,
         transient::{JobOutcome, Key, Scheduler},
     },
     leader::{Failure, LeaderClient},
@@ -47,7 +47,7 @@
 struct Inner {
     leader: LeaderClient,
     scheduler: RefCell<Scheduler>,
-    heard: Cell<Heard>,
+    watermark: Cell<Watermark>,
     connections: RefCell<IndexMap<Key, Connection>>,
     config: RefCell<Option<Arc<Config>>>,
     /// Version of the newest list of sidecars received.
@@ -65,7 +65,7 @@
         let inner = Inner {
             leader,
             scheduler: RefCell::default(),
-            heard: Cell::new(Heard::new(util::boot_ms())),
+            watermark: Cell::new(Watermark::new(util::boot_ms())),
             connections: RefCell::default(),
             config: RefCell::default(),
             sidecar_list_version: Cell::new(0),
@@ -146,9 +146,9 @@
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            let mut heard = self.inner.heard.get();
-            heard.tick(util::boot_ms());
-            self.inner.heard.set(heard);
+            let mut watermark = self.inner.watermark.get();
+            watermark.tick(util::boot_ms());
+            self.inner.watermark.set(watermark);
             let busy = self.scheduler().busy();
             if busy {
                 self.scheduler().tick(util::boot_ms());
--- a/tests/connection.rs
+++ b/tests/connection.rs
@@ -1,6 +1,6 @@
 //! The lease of an entry's connection to a sidecar, as the entry knows it.
 
-use briargauge::coordination::connection::{Heard, Lease};
+use briargauge::coordination::connection::{Lease, Watermark};
 
 const LEASE_MS: u64 = 700;
 const BACKEND_LEASE_MAX_MS: u64 = 1_100;
@@ -34,9 +34,9 @@
         let mut until_ms = 0;
         for (pause, request, answer, wait) in renewals {
             now_ms += 20 * u64::from(pause);
-            let heard_ms = now_ms - 3 * u64::from(pause);
-            let asked_ms = lease.extend(heard_ms);
-            if asked_ms > clock.at(heard_ms + LEASE_MS) + 1 {
+            let watermark_ms = now_ms - 3 * u64::from(pause);
+            let asked_ms = lease.extend(watermark_ms);
+            if asked_ms > clock.at(watermark_ms + LEASE_MS) + 1 {
                 return false;
             }
             until_ms = until_ms.max(asked_ms);
@@ -74,14 +74,14 @@
 #[test]
 fn a_lease_that_is_extended_after_a_pause_counts_from_before_it() {
     let mut lease = Lease::new(10_000, 1_000);
-    let mut heard = Heard::new(1_000);
-    heard.tick(1_025);
-    heard.tick(1_050);
-    assert_eq!(lease.extend(heard.until_ms()), 10_724);
-    heard.tick(1_950);
-    assert_eq!(lease.extend(heard.until_ms()), 10_749, "the first tick after the pause");
+    let mut watermark = Watermark::new(1_000);
+    watermark.tick(1_025);
+    watermark.tick(1_050);
+    assert_eq!(lease.extend(watermark.until_ms()), 10_724);
+    watermark.tick(1_950);
+    assert_eq!(lease.extend(watermark.until_ms()), 10_749, "the first tick after the pause");
     lease.record(11_000, 2_000);
-    assert_eq!(lease.extend(heard.until_ms()), 10_749, "950 ms before the reading");
-    heard.tick(1_975);
-    assert_eq!(lease.extend(heard.until_ms()), 11_649);
+    assert_eq!(lease.extend(watermark.until_ms()), 10_749, "950 ms before the reading");
+    watermark.tick(1_975);
+    assert_eq!(lease.extend(watermark.until_ms()), 11_649);
 }
--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -8,7 +8,7 @@
 
 use briargauge::{
     coordination::{
-        connection::{Heard, Lease},
+        connection::{Lease, Watermark},
         sidecar::{Poll, PollReply, Sidecar, Source, StartResult},
         transient::{JobOutcome, Key, Scheduler, StartCommand},
     },
@@ -182,7 +182,7 @@
     waiters: BTreeMap<Id, BTreeSet<u64>>,
     /// Increases when the process is restarted.
     life: u64,
-    heard: Heard,
+    watermark: Watermark,
 }
 
 #[derive(Debug, Clone)]
@@ -435,8 +435,8 @@
         };
         let keys = (0..SERVERS).map(describe).collect();
         let links = (0..SERVERS).map(|_| Link::default()).collect();
-        let heard = Heard::new(now_ms);
-        Entry { scheduler, keys, links, waiters: BTreeMap::new(), life, heard }
+        let watermark = Watermark::new(now_ms);
+        Entry { scheduler, keys, links, waiters: BTreeMap::new(), life, watermark }
     }
 
     fn draw(&mut self, below: u64) -> u64 {
@@ -528,7 +528,7 @@
     fn command(&mut self, entry: usize, command: StartCommand) {
         let sidecar = self.sidecar_of(entry, command.server);
         let (now_ms, attempt) = (self.now_ms, command.start.attempt);
-        let heard_ms = self.entries[entry].heard.until_ms();
+        let watermark_ms = self.entries[entry].watermark.until_ms();
         let Some(channel) = &mut self.entries[entry].links[sidecar].channel else {
             self.entries[entry].scheduler.ended(now_ms, command.server, attempt, None);
             return;
@@ -538,7 +538,7 @@
         let message = Message::Run(work::StartCommand {
             entry: channel.id,
             incarnation: command.incarnation,
-            lease_until_ms: channel.lease.extend(heard_ms),
+            lease_until_ms: channel.lease.extend(watermark_ms),
             start: command.start,
             due_ms: channel.lease.clock_lower_bound(command.due_ms),
             wait_ms: command.wait_ms,
@@ -564,7 +564,7 @@
         let key = self.key(entry, sidecar);
         let idle = self.entries[entry].scheduler.outstanding(key) == 0;
         let present = self.sidecars[sidecar].incarnation();
-        let heard_ms = self.entries[entry].heard.until_ms();
+        let watermark_ms = self.entries[entry].watermark.until_ms();
         let link = &mut self.entries[entry].links[sidecar];
         let mut sends = Vec::new();
         let mut overdue = false;
@@ -577,7 +577,7 @@
                     if !idle || channel.skipped > IDLE_SKIPS {
                         channel.skipped = 0;
                         channel.sent_ms = Some(now_ms);
-                        let lease_until_ms = channel.lease.extend(heard_ms);
+                        let lease_until_ms = channel.lease.extend(watermark_ms);
                         let renew =
                             Message::Renew { channel: channel.id, lease_until_ms, sent_ms: now_ms };
                         sends.push((channel.incarnation, renew));
@@ -1161,7 +1161,7 @@
                         (0..SERVERS).for_each(|sidecar| self.maintain(entry, sidecar));
                     }
                     if now_ms % 25 == entry as u64 {
-                        self.entries[entry].heard.tick(now_ms);
+                        self.entries[entry].watermark.tick(now_ms);
                         self.entries[entry].scheduler.observe(now_ms);
                         self.entries[entry].scheduler.tick(now_ms);
                         self.carry_out(entry);
