Move a replica's view of its group to a module of its own

Formation and membership, the status and transfers of the leadership are moved to driver/group.rs unchanged.

--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -1,6 +1,8 @@
 //! Drives the consensus protocol: passes messages, storage results and the time to the consensus
 //! state and carries out the actions that it returns.
 
+mod group;
+
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -16,18 +18,18 @@
 };
 
 use super::{
-    GroupStatus, Inner, POLL_INTERVAL, Settings, control_member,
+    Inner, POLL_INTERVAL, Settings,
     core::{Core, Reply, decode, log_bytes_of},
     peers::Peers,
-    role, service,
+    service,
     storage::{self, Job, JobResult},
 };
 use crate::{
-    coordination::consensus::{self, Change, InitialState, Instance, Role},
+    coordination::consensus::{self, InitialState, Instance, Role},
     error::Result,
     protocol::wire::{
-        control::{self, Refusal},
-        peer::{self, Body, Hello, Member, Message, SnapshotChunk, SnapshotMeta},
+        control::Refusal,
+        peer::{self, Body, Hello, Message, SnapshotChunk, SnapshotMeta},
     },
     state::{
         log::{Log, files::Files},
@@ -37,6 +39,7 @@
     supervisor,
     transport::rpc,
 };
+pub(super) use group::ChangeResult;
 
 /// Entries kept in memory after a snapshot, so that followers that are slightly behind need no
 /// snapshot.
@@ -48,16 +51,6 @@
 /// Number of heartbeat intervals between two introductions.
 const HEARTBEATS_PER_HELLO: u64 = 4;
 
-/// Result of a requested membership change.
-pub(super) enum ChangeResult {
-    /// The change is already in force.
-    Unchanged,
-    /// The change is in the log; the reply arrives once it is committed.
-    Appended(Reply<machine::Reply>),
-    /// The change is not possible now and can be requested again later.
-    Busy(String),
-}
-
 /// Runs the consensus protocol of one replica.
 pub(super) struct Driver {
     core: RefCell<Core>,
@@ -484,50 +477,6 @@
         Ok(reply)
     }
 
-    pub fn init(&self) -> Result<(), Refusal> {
-        let mut core = self.core.borrow_mut();
-        self.check_available(&core)?;
-        let member = Member {
-            id: core.instance.id(),
-            peer: self.peer_addr.get(),
-            client: self.client_addr.get(),
-            voter: true,
-        };
-        let formed = core.instance.init(self.now(), rand::random(), member);
-        self.wake.notify_one();
-        formed.map_err(|refusal| self.refusal(&core, refusal))
-    }
-
-    /// Adds the instance that has introduced itself with the peer or control address `addr`.
-    pub fn add(&self, addr: SocketAddr) -> Result<ChangeResult, Refusal> {
-        let hello = {
-            let core = self.core.borrow();
-            let mut applicants = core.instance.applicants();
-            applicants.find(|hello| hello.peer == addr || hello.client == addr).copied()
-        };
-        match hello {
-            Some(hello) => self.change(Change::Add(hello)),
-            None if self.leading().is_some() => {
-                Ok(ChangeResult::Busy(format!("no instance at {addr} has introduced itself")))
-            }
-            None => Err(self.refusal(&self.core.borrow(), consensus::Refusal::NotLeader)),
-        }
-    }
-
-    pub fn change(&self, change: Change) -> Result<ChangeResult, Refusal> {
-        let mut core = self.core.borrow_mut();
-        self.check_available(&core)?;
-        match core.instance.change(change) {
-            Ok(None) => Ok(ChangeResult::Unchanged),
-            Ok(Some(index)) => {
-                let term = core.instance.term();
-                Ok(ChangeResult::Appended(self.wait_for(&mut core, index, term)))
-            }
-            Err(consensus::Refusal::Busy(detail)) => Ok(ChangeResult::Busy(detail)),
-            Err(refusal) => Err(self.refusal(&core, refusal)),
-        }
-    }
-
     pub fn leading(&self) -> Option<u64> {
         let core = self.core.borrow();
         let leads = core.instance.role() == Role::Leader && !self.stopping.get();
@@ -546,52 +495,6 @@
         self.client_addr.set(addr);
     }
 
-    pub fn status(&self, applied: u64) -> control::Status {
-        let core = self.core.borrow();
-        let instance = &core.instance;
-        control::Status {
-            node: instance.id().node,
-            disk: instance.id().disk,
-            role: role(instance),
-            term: instance.term(),
-            leader: core.leader(),
-            commit: instance.commit_index(),
-            applied,
-            members: instance.members().iter().map(control_member).collect(),
-            rules_version: 0,
-        }
-    }
-
-    pub fn group_status(&self) -> GroupStatus {
-        let core = self.core.borrow();
-        let instance = &core.instance;
-        if instance.role() != Role::Leader {
-            return GroupStatus::default();
-        }
-        let members = instance.members();
-        let unresponsive = members.iter().map(|m| m.id).filter(|id| !instance.is_responsive(id));
-        let is_member = |hello: &Hello| members.iter().any(|m| m.id == hello.id);
-        GroupStatus {
-            members: members.len(),
-            voters: members.iter().filter(|m| m.voter).count(),
-            unresponsive: unresponsive.collect(),
-            applicants: instance.applicants().filter(|h| !is_member(h)).copied().collect(),
-        }
-    }
-
-    pub fn transfer_limit(&self) -> Duration {
-        Duration::from_millis(2 * self.settings.timing.election_max_ms)
-    }
-
-    /// Starts a leadership transfer unless one is in progress. Returns false if no other voter is
-    /// responsive.
-    pub fn transfer_leadership(&self) -> bool {
-        let mut core = self.core.borrow_mut();
-        let started = core.instance.transfer_leadership(self.now());
-        self.wake.notify_one();
-        !matches!(started, Err(consensus::Refusal::Invalid(_)))
-    }
-
     /// Returns once the replica has ended without a call of `stop`.
     pub async fn failed(&self) {
         self.failed.notified().await;
