--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -14,7 +14,10 @@
 use super::Source;
 use crate::protocol::{
     queue::{Attempt, Resources},
-    wire::queue::{Completion, Server, Start},
+    wire::{
+        queue::{Completion, Server, Start},
+        work,
+    },
 };
 
 /// Rate of the slowest clock that a backend server may have, relative to the sidecar's clock.
@@ -25,7 +28,8 @@
 /// Number of consecutive polls without an answer after which no lease is renewed and nothing is
 /// started. A single answer may get lost.
 const UNANSWERED_MAX: u32 = 2;
-/// Number of consecutive refused connections after which a backend server counts as lost.
+/// Number of consecutive refused connections after which the process of a backend server that is not
+/// draining counts as gone.
 const REFUSALS_MAX: u32 = 2;
 /// Longest time for which attempts may go on before the server's lease is left to expire, in ms.
 const DRAIN_MAX_MS: u64 = 1_500;
@@ -50,6 +54,40 @@
     },
 }
 
+impl State {
+    /// Whether the backend server was called to start the attempt and has confirmed nothing.
+    pub fn is_unconfirmed(self) -> bool {
+        matches!(self, State::Sent | State::Unanswered)
+    }
+}
+
+/// What shows that attempts have ended at the backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Proof {
+    /// The last lease that the server may have got has expired.
+    Lease,
+    /// Nothing listens at the server's address.
+    Refusal,
+    /// The server has given notice that it leaves.
+    Leave,
+    /// Another incarnation of the server has announced itself.
+    Incarnation,
+    /// The server's list of running attempts, which answers a call with the present fencing token,
+    /// omits them.
+    List,
+}
+
+impl Proof {
+    /// Returns the outcome of the attempts that were called for.
+    pub fn outcome(self, assignment: &Assignment) -> work::Outcome {
+        match self {
+            Proof::Refusal | Proof::Incarnation => work::Outcome::Lost,
+            Proof::List if assignment.replaced => work::Outcome::Lost,
+            Proof::Lease | Proof::Leave | Proof::List => work::Outcome::Stopped,
+        }
+    }
+}
+
 /// An attempt that the leader or an entry has assigned to this sidecar, and its state.
 #[derive(Debug)]
 pub(super) struct Assignment {
@@ -66,6 +104,8 @@
     pub stop_lease_ms: Option<u64>,
     /// Whether its job was cancelled; a stop is then reported as `Canceled`.
     pub canceled: bool,
+    /// Whether another incarnation has replaced the one that was called to start it.
+    pub replaced: bool,
     /// When the backend server was called to start it.
     pub called_ms: u64,
 }
@@ -80,13 +120,14 @@
             state: State::Waiting,
             stop_lease_ms: None,
             canceled: false,
+            replaced: false,
             called_ms: 0,
         }
     }
 
     /// Records that the backend server has confirmed that the attempt runs.
     pub fn confirm_running(&mut self) {
-        if matches!(self.state, State::Sent | State::Unanswered) {
+        if self.state.is_unconfirmed() {
             self.state = State::Running;
         }
     }
@@ -130,13 +171,19 @@
     refusals: u32,
     /// Whether the server counts as lost; it does until it answers again.
     pub lost: bool,
+    /// When its process counted as gone, until it answers again.
+    gone_at_ms: Option<u64>,
     /// Whether a poll has listed no foreign attempt since the server became known or was last lost.
     pub found_clean: bool,
+    /// Time from which polls carry the present fencing token. The list in the answer to an earlier
+    /// one may be older than a start that is carried out late.
+    fenced_from_ms: u64,
     /// Generation of the registration for which the running attempts have been reported.
     pub reported_generation: u64,
     pub assignments: IndexMap<Attempt, Assignment>,
-    /// Attempts that were called for at an earlier incarnation with the same id, and that this one
-    /// may have started. Those that it lists are foreign.
+    /// Attempts that the server may have started or may start late: those that were called for at an
+    /// earlier incarnation with the same id, and those whose starts were not confirmed when the
+    /// server was lost. Those that it lists are foreign.
     pub inherited: IndexMap<Attempt, Assignment>,
     /// Resources of the attempts that run, or may be running.
     pub used: Resources,
@@ -171,7 +218,9 @@
             unanswered: 0,
             refusals: 0,
             lost: false,
+            gone_at_ms: None,
             found_clean: false,
+            fenced_from_ms: now_ms,
             reported_generation: 0,
             assignments: IndexMap::new(),
             inherited: IndexMap::new(),
@@ -215,6 +264,11 @@
             return false;
         }
         self.clock = Some((clock_ms, now_ms));
+        if let Some(gone_at_ms) = self.gone_at_ms.take() {
+            // Attempts that counted as ended may have run on meanwhile.
+            let for_ms = now_ms.saturating_sub(gone_at_ms);
+            log::warn!("event=server_not_gone server={} for_ms={for_ms}", self.server.id);
+        }
         self.refusals = 0;
         self.unanswered = 0;
         true
@@ -283,12 +337,16 @@
     pub fn poll_failed(&mut self, now_ms: u64, refused: bool) -> bool {
         self.unanswered += 1;
         self.refusals = if refused { self.refusals + 1 } else { 0 };
+        if self.gone() {
+            self.gone_at_ms.get_or_insert(now_ms);
+        }
         !self.lost && (self.gone() || now_ms >= self.lease_until_ms + LAPSE_SLACK_MS)
     }
 
-    /// Whether the process of the server is gone: nothing listens at its address.
+    /// Whether the process of the server counts as gone: nothing listens at its address. A draining
+    /// server may close its listener while its attempts still run.
     pub fn gone(&self) -> bool {
-        self.refusals >= REFUSALS_MAX
+        self.refusals >= REFUSALS_MAX && !self.server.draining
     }
 
     /// Returns the attempts that were sent to the server and have not ended.
@@ -297,22 +355,44 @@
         sent.map(|(attempt, assignment)| (*attempt, assignment.source)).collect()
     }
 
-    /// Marks the server as lost until it answers again. Returns the attempts that were assigned.
-    pub fn mark_lost(&mut self) -> IndexMap<Attempt, Assignment> {
+    /// Marks the server as lost until it answers again. Returns the attempts whose end is shown by
+    /// `proof`. A lease shows nothing about a start that may be carried out after it has expired.
+    pub fn mark_lost(&mut self, proof: Proof) -> IndexMap<Attempt, Assignment> {
         self.lost = true;
         self.unaccounted = self.sent();
         self.found_clean = false;
         self.reported_generation = 0;
         self.used = Resources::default();
-        let mut lost = std::mem::take(&mut self.inherited);
-        lost.append(&mut self.assignments);
-        lost
+        let assigned = std::mem::take(&mut self.assignments);
+        let may_start = |(_, assignment): &(Attempt, Assignment)| assignment.state.is_unconfirmed();
+        let (unconfirmed, ended): (IndexMap<_, _>, IndexMap<_, _>) =
+            assigned.into_iter().partition(may_start);
+        self.inherited.extend(unconfirmed);
+        match proof {
+            Proof::Lease => ended,
+            Proof::Refusal | Proof::Leave | Proof::Incarnation | Proof::List => {
+                let mut lost = std::mem::take(&mut self.inherited);
+                lost.extend(ended);
+                lost
+            }
+        }
+    }
+
+    /// Records that polls sent later than `now_ms` carry another fencing token than those before.
+    pub fn fence_after(&mut self, now_ms: u64) {
+        self.fenced_from_ms = now_ms + 1;
+    }
+
+    /// Whether a poll that was sent at `sent_ms` carried the present fencing token.
+    pub fn is_fenced(&self, sent_ms: u64) -> bool {
+        self.fenced_from_ms <= sent_ms
     }
 
     /// Takes over the attempts of the incarnation before if it had the same id. Returns those that
     /// are certainly lost.
     pub fn inherit(&mut self, mut earlier: BackendServer) -> IndexMap<Attempt, Assignment> {
-        let lost = earlier.mark_lost();
+        let mut lost = earlier.mark_lost(Proof::Incarnation);
+        lost.values_mut().for_each(|assignment| assignment.replaced = true);
         if earlier.server.id.id != self.server.id.id {
             return lost;
         }
