Wait for starts without an answer at lost servers

Callers would see two runs of a durable task at the same time. The leader let the tasks of a lost server start elsewhere as soon as the loss was reported. A call to start an attempt that had no answer may be carried out seconds later, after the end of the server's lease, with its granted time counted from its arrival, or by a new process of the server under the same id.

Reports now name the attempts that may still start (`undecided`). The leader keeps their tasks until a report of the same process of the sidecar, or one of a new process that lists what runs, omits them. A server that stays silent holds a task for 12 s at most; then the attempt is fenced in the log, as are those of a silent sidecar, and a report that names it again changes nothing.

Ruled out: fencing in the log at once, which keeps a late end from counting but not a second run.

The sidecar names the attempts that it keeps across a restart of its server under the same id. It still drops them when the server is lost, so the change has its full effect only with a sidecar that keeps them then, too.

--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -258,12 +258,13 @@
     /// earlier process of the sidecar started is running any more and the present one does not know
     /// the server. Also gives up the inherited tasks, which an earlier leader may have started, once
     /// all leases that the earlier leader gave have expired; those of this leader end no later while
-    /// the attempts under them are not known. What is given up starts again once its attempts are
+    /// the attempts under them are not known. Also gives up attempts at lost servers that cannot
+    /// start any more. What is given up starts again once its attempts are
     /// fenced, as ends of them may be reported later.
     fn expire_leases(&self, now_ms: u64) {
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return };
-        let mut given_up = Vec::new();
+        let mut given_up = leadership.scheduler.give_up_undecided(now_ms);
         for (name, sidecar) in &mut leadership.sidecars {
             let lease_over = sidecar.lease_until_ms + LEASE_SLACK_MS <= now_ms;
             let earlier_attempts_ended =
--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -62,12 +62,16 @@
         for crash in &report.crashes {
             leadership.scheduler.crashed(now_ms, &report.sidecar, crash, queues);
         }
+        leadership.scheduler.add_undecided(now_ms, &report, queues);
         self.register(leadership, &report, queues);
         let Leadership { scheduler, sidecars, list_changes, .. } = leadership;
         let Some(sidecar) = sidecars.get_mut(&report.sidecar) else { return Ok(None) };
         sidecar.record_report(&report);
         sidecar.report_count.set(sidecar.report_count.get() + 1);
         sidecar.wake.notify_waiters();
+        if report.generation == sidecar.generation {
+            scheduler.remove_decided(&report, queues);
+        }
         let Some((server, key)) = sidecar.server.clone() else { return Ok(None) };
         if let Backend::Present(info) = report.backend {
             // The present process of the sidecar knows the server, and stops what an earlier
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -8,6 +8,7 @@
 mod isolation;
 mod server;
 mod suspect;
+mod undecided;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -28,6 +29,7 @@
 pub use server::Server;
 use suspect::Suspects;
 pub use suspect::servers_max as suspect_servers_max;
+use undecided::Undecided;
 
 /// Number of attempts of a task that one leader may start before its attempt numbers reach those of
 /// the next leader.
@@ -96,6 +98,8 @@
     unstored: BTreeSet<Attempt>,
     /// Attempts that are being fenced. Their tasks do not start until that is stored.
     fencing: BTreeSet<Attempt>,
+    /// Attempts that may still start at servers that were lost. Their tasks do not start meanwhile.
+    undecided: BTreeMap<Attempt, Undecided>,
     /// Tasks that may start, by service.
     ready: IndexMap<String, BTreeSet<Rank>>,
     /// Suspects that may start, by service. They run apart from all other tasks.
@@ -116,6 +120,7 @@
             attempts: BTreeMap::new(),
             unstored: BTreeSet::new(),
             fencing: BTreeSet::new(),
+            undecided: BTreeMap::new(),
             ready: IndexMap::new(),
             ready_suspects: IndexMap::new(),
             suspects: Suspects::default(),
@@ -311,14 +316,15 @@
     }
 
     /// Whether a task may start again: neither it nor its job has ended, no attempt of it runs or
-    /// may run, and neither the end nor the fencing of one is being stored.
+    /// may run or start, and neither the end nor the fencing of one is being stored.
     fn may_retry(&self, task: Task, queues: &Queues) -> bool {
         let Some(record) = queues.job(task.job) else { return false };
         let pending = !record.phase.is_terminal() && record.progress(task).is_some_and(|p| !p.done);
         let waits = self.attempts_of(task).any(|_| true)
             || self.inherited.contains(&task)
             || self.is_unstored(task)
-            || self.awaits_fence(task);
+            || self.awaits_fence(task)
+            || self.is_undecided(task);
         pending && !waits
     }
 
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -418,6 +418,14 @@
         self.assignments.iter().filter(of_leader).map(|(attempt, _)| *attempt).collect()
     }
 
+    /// Returns the attempts that the leader commanded and that may still start here, although the
+    /// server was lost or has started again since.
+    pub fn undecided(&self) -> Vec<Attempt> {
+        let of_leader =
+            |(_, assignment): &(&Attempt, &Assignment)| assignment.source == Source::Leader;
+        self.inherited.iter().filter(of_leader).map(|(attempt, _)| *attempt).collect()
+    }
+
     /// Records a foreign attempt that was listed as running. Returns whether the backend server is
     /// to be called now to stop it; that call is recorded as made.
     pub fn record_foreign(&mut self, now_ms: u64, attempt: Attempt) -> bool {
--- a/src/coordination/sidecar/leader.rs
+++ b/src/coordination/sidecar/leader.rs
@@ -56,6 +56,7 @@
             running: clean
                 .filter(|backend| backend.reported_generation != self.generation)
                 .map(BackendServer::of_leader),
+            undecided: self.backend.as_ref().map_or_else(Vec::new, BackendServer::undecided),
             completions: clean
                 .map_or_else(Vec::new, |backend| backend.completions.values().cloned().collect()),
             not_started: self.not_started.clone(),
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -164,6 +164,9 @@
     /// while attempts that are not assigned at the sidecar may still run, such as those that an
     /// earlier process of the sidecar started.
     pub running: Option<Vec<Attempt>>,
+    /// Attempts that the leader commanded and that may still start at the backend server, as the calls
+    /// for them had no answer before it was lost or started again.
+    pub undecided: Vec<Attempt>,
     /// Completions that the leader has not yet acknowledged. Empty while attempts that are not
     /// assigned at the sidecar may still run.
     pub completions: Vec<Completion>,
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -11,7 +11,7 @@
     },
     protocol::{
         id,
-        queue::{Attempt, Id, Phase, Resources},
+        queue::{Attempt, Id, Phase, Resources, Task},
         wire::queue::{
             Answer, Backend, Call, Commands, Refusal, Report, Server, ServerId, Service as _,
             ServiceClient,
@@ -103,6 +103,7 @@
         losses,
         generation,
         running,
+        undecided: Vec::new(),
         completions: Vec::new(),
         crashes: Vec::new(),
         not_started: Vec::new(),
@@ -252,3 +253,46 @@
     instance.coordinator.stop();
     instance.replica.stop().await;
 }
+
+/// Guards against a second run of a task beside the first: a call to start an attempt had no answer
+/// before its server was lost, and the server may carry it out seconds later, while the leader starts
+/// the task elsewhere at once.
+#[actix_rt::test]
+async fn a_task_waits_while_an_attempt_may_still_start_at_a_lost_server() {
+    let instance = Instance::start().await;
+    let report = async |report| instance.coordinator.report(report).await.unwrap();
+    let first = report(self::report(1, 0, 0, None)).await.generation;
+    report(self::report(2, 0, first, Some(Vec::new()))).await;
+    instance.answer(submit(Id(1))).await;
+    assert_eq!(starts(&report(self::report(3, 0, first, None)).await), [1]);
+
+    // Another server has room for the task.
+    let other = |number, generation, running| {
+        let mut other = self::report(number, 0, generation, running);
+        other.sidecar = "t".to_owned();
+        if let Backend::Present(server) = &mut other.backend {
+            server.id.id = "c".to_owned();
+        }
+        other
+    };
+    let generation = report(other(1, 0, None)).await.generation;
+    report(other(2, generation, Some(Vec::new()))).await;
+
+    let attempt = Attempt { task: Task { job: Id(1), step: 0, index: 0 }, number: 1 };
+    let undecided = |report| Report { undecided: vec![attempt], ..report };
+    let lost = Report { backend: Backend::Lost, ..self::report(4, 1, first, None) };
+    let second = report(undecided(lost)).await.generation;
+    let elsewhere = starts(&report(other(3, generation, None)).await);
+    assert!(elsewhere.is_empty(), "it may start, and {elsewhere:?} is commanded elsewhere");
+
+    // The server answers again, and is not known to be free of the attempt yet.
+    let third = report(undecided(self::report(5, 1, second, None))).await.generation;
+    let elsewhere = starts(&report(other(4, generation, None)).await);
+    assert!(elsewhere.is_empty(), "it may start, and {elsewhere:?} is commanded elsewhere");
+
+    let mut commanded = starts(&report(self::report(6, 1, third, Some(Vec::new()))).await);
+    commanded.extend(starts(&report(other(5, generation, None)).await));
+    assert_eq!(commanded, [2]);
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -298,6 +298,63 @@
     assert_eq!(starts(scheduler.commands(other))[0].number, 3);
 }
 
+/// Report of a sidecar whose server is lost and may still start `undecided`.
+fn report_of_loss(undecided: &[Attempt]) -> queue::Report {
+    queue::Report {
+        sidecar: "s".to_owned(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 1,
+        number: 1,
+        backend: queue::Backend::Lost,
+        losses: 1,
+        generation: 1,
+        running: None,
+        undecided: undecided.to_vec(),
+        completions: Vec::new(),
+        not_started: Vec::new(),
+        crashes: Vec::new(),
+        batch: 0,
+        wait_ms: 0,
+    }
+}
+
+/// Guards against a task that waits for good for an attempt at a server that stays silent, and against
+/// a late end of that attempt that counts although the task has started again.
+#[test]
+fn a_task_waits_a_limited_time_for_an_attempt_that_may_still_start() {
+    let mut fixture = Fixture::new();
+    fixture.submit(1, "/q/x", job(1));
+    let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
+    fixture.release_inherited(&mut scheduler);
+    let (lost, first) = fixture.start_on_new_server(&mut scheduler);
+    let report = report_of_loss(&[first]);
+    scheduler.add_undecided(0, &report, fixture.state.queues());
+    scheduler.remove_server(0, lost, fixture.state.queues());
+    let other = scheduler.add_server(server(1));
+    scheduler.sync(0, other, &[], fixture.state.queues());
+
+    // Reports that repeat it do not prolong the time.
+    for now_ms in [4_000, 8_000, 11_999] {
+        scheduler.add_undecided(now_ms, &report, fixture.state.queues());
+        scheduler.remove_decided(&report, fixture.state.queues());
+        assert_eq!(scheduler.give_up_undecided(now_ms), []);
+        scheduler.assign(now_ms, fixture.state.queues());
+        assert_eq!(starts(scheduler.commands(other)), []);
+    }
+    let given_up = scheduler.give_up_undecided(12_000);
+    assert_eq!(given_up, [first]);
+    scheduler.assign(12_000, fixture.state.queues());
+    assert_eq!(starts(scheduler.commands(other)), [], "the attempt is not fenced yet");
+    fixture.apply(Change::Fence(given_up.clone()));
+    scheduler.fence_stored(&given_up, fixture.state.queues());
+    scheduler.add_undecided(12_000, &report, fixture.state.queues());
+    scheduler.assign(12_000, fixture.state.queues());
+    assert_eq!(starts(scheduler.commands(other))[0].number, 2);
+
+    fixture.complete(&mut scheduler, lost, first, Outcome::Done);
+    assert_eq!(fixture.phase(1), Some(Phase::Running));
+}
+
 /// Guards against a second start of a task whose end has been reported and is being stored: the
 /// late end of an older attempt must not make the task ready.
 #[test]
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -441,6 +441,22 @@
     assert!(sidecar.release(14, Entry(7)));
 }
 
+/// Guards against a leader that starts a task elsewhere while a call to start it, sent to the earlier
+/// process of the server, may still be carried out: the report names the attempt until then.
+#[test]
+fn an_attempt_of_the_leader_that_may_still_start_is_reported() {
+    let mut sidecar = sidecar();
+    sidecar.handle_start(0, Source::Leader, start(attempt(1, 1)), 0, 0);
+    sidecar.handle_start(0, ENTRY, start(attempt(2, 1)), 0, 100);
+    assert_eq!(sidecar.report(0).undecided, []);
+    sidecar.announce(10, server(2, 1_000), addr(), 1);
+    assert_eq!(sidecar.report(0).undecided, [attempt(1, 1)]);
+    sidecar.polled(10, 11, poll_reply(&[attempt(1, 1)], &[]));
+    assert_eq!(sidecar.report(0).undecided, [attempt(1, 1)]);
+    sidecar.polled(12, 13, poll_reply(&[], &[]));
+    assert_eq!(sidecar.report(0).undecided, []);
+}
+
 /// Guards against a task that counts as having crashed a server on which it has not started yet.
 #[test]
 fn an_attempt_that_waits_for_capacity_is_refused_when_the_server_crashes() {
