Use a server's list only if it is known to be the newest

An attempt whose end the sidecar had handled was listed as running and stopped as foreign (event=run_not_wanted). In the reverse order, an older list that omits a run of an earlier process of the sidecar showed the server as clean, so that attempts could start beside that run.

Cause: answers to polls that overlap can arrive in either order. They were ordered by the server's clock in whole milliseconds, and an answer with the reading of the newest one counted as newer.

Change: an answer is newer if its poll was sent in a later millisecond than the one in which the newest recorded answer arrived, or if its reading of the clock is higher. With an equal reading and overlapping polls the order is unknown: only the completions of such an answer count, since their numbers order them. It renews nothing that depends on its order: the reading, the counts of unanswered and refused polls, the state of a lost server, the comparison of lists. A poll that is sent after the newest answer arrived is always decided, so overlapping polls cannot keep lists from being used.

Tests: a_list_that_may_be_older_in_the_same_millisecond_is_not_used and a_list_that_may_be_older_does_not_show_that_nothing_runs; both failed before.

Ruled out, by reading, as cases of the same pattern: announcements, batches, reports and completions have numbers; a confirmed stop needs a list requested in a later millisecond; answered_since takes an answer of the same millisecond as received before the poll, which counts one failure more. The entry's lease keeps the reading with the highest lower bound, in any order of the answers.

--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -5,6 +5,7 @@
 //! lost.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
 };
@@ -113,6 +114,15 @@
     (lease_ms as f64 / CLOCK_SLOWEST) as u64
 }
 
+/// How old an answer of the backend server is, relative to the newest one known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Age {
+    Newer,
+    /// The server made both in the same millisecond, and their polls overlapped.
+    Unknown,
+    Older,
+}
+
 /// State of one incarnation of the backend server.
 #[derive(Debug)]
 pub(super) struct BackendServer {
@@ -208,16 +218,27 @@
             && self.renewal == Renewal::Granted
     }
 
-    /// Records the reading of the server's clock in an answer, unless a newer answer has been
-    /// received. Returns whether it was recorded.
-    pub fn record_clock(&mut self, clock_ms: u64, now_ms: u64) -> bool {
-        if self.clock.is_some_and(|(newest_ms, _)| clock_ms < newest_ms) {
-            return false;
+    /// Records the reading of the server's clock in the answer to a poll that was sent at `sent_ms`,
+    /// if the answer is newer than any that was received before. Answers to polls that overlap may
+    /// arrive in either order.
+    pub fn record_clock(&mut self, sent_ms: u64, clock_ms: u64, now_ms: u64) -> Age {
+        let age = self.age(sent_ms, clock_ms);
+        if age == Age::Newer {
+            self.clock = Some((clock_ms, now_ms));
+            self.refusals = 0;
+            self.unanswered = 0;
+        }
+        age
+    }
+
+    fn age(&self, sent_ms: u64, clock_ms: u64) -> Age {
+        let Some((newest_ms, read_ms)) = self.clock else { return Age::Newer };
+        match clock_ms.cmp(&newest_ms) {
+            _ if sent_ms > read_ms => Age::Newer,
+            Ordering::Greater => Age::Newer,
+            Ordering::Equal => Age::Unknown,
+            Ordering::Less => Age::Older,
         }
-        self.clock = Some((clock_ms, now_ms));
-        self.refusals = 0;
-        self.unanswered = 0;
-        true
     }
 
     /// Whether an answer was received after `sent_ms`.
--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 
-use super::{INCARNATIONS_MAX, OUTLAST_MAX_MS, Poll, PollReply, Sidecar, Source};
+use super::{INCARNATIONS_MAX, OUTLAST_MAX_MS, Poll, PollReply, Sidecar, Source, backend::Age};
 use crate::protocol::{
     queue::{self, Attempt},
     wire::{
@@ -50,13 +50,15 @@
     }
 
     /// Handles the backend server's answer to a poll that was sent at `sent_ms`. An answer that
-    /// arrives after a newer one is ignored.
+    /// arrives after a newer one is ignored. Of one that may be older, only the completions count:
+    /// their numbers give their order.
     pub fn polled(&mut self, sent_ms: u64, now_ms: u64, reply: PollReply) {
         let Some(backend) = &mut self.backend else { return };
-        if !backend.record_clock(reply.clock_ms, now_ms) {
+        let age = backend.record_clock(sent_ms, reply.clock_ms, now_ms);
+        if age == Age::Older {
             return;
         }
-        if std::mem::take(&mut backend.lost) {
+        if age == Age::Newer && std::mem::take(&mut backend.lost) {
             // The server was cut off or stalled, and has not crashed.
             backend.unaccounted.clear();
             log::info!("event=server_reachable server={}", backend.server.id);
@@ -65,7 +67,9 @@
         for completion in reply.completions {
             self.complete(now_ms, completion);
         }
-        self.compare_running(sent_ms, now_ms, &reply.running);
+        if age == Age::Newer {
+            self.compare_running(sent_ms, now_ms, &reply.running);
+        }
         self.dispatch(now_ms);
     }
 
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -306,6 +306,42 @@
     assert!(!sidecar.may_wait());
 }
 
+/// Guards against an outdated list of running attempts whose answer shows the same millisecond as the
+/// newest one: an attempt that had ended was stopped as one of an earlier incarnation.
+#[test]
+fn a_list_that_may_be_older_in_the_same_millisecond_is_not_used() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    sidecar.start_answered(1, attempt(1, 1), StartResult::Started);
+    let at_40 = |reply| PollReply { clock_ms: 40, ..reply };
+    sidecar.polled(10, 40, at_40(poll_reply(&[], &[])));
+    let done = (1, attempt(1, 1), queue::Outcome::Done);
+    sidecar.polled(10, 41, at_40(poll_reply(&[], &[done])));
+    let reply = (Entry(7), attempt(1, 1), work::Outcome::Done, 41);
+    assert_eq!(sidecar.take_actions().replies, [reply], "an end counts in any order");
+    for sent_ms in [10, 40] {
+        sidecar.polled(sent_ms, 42, at_40(poll_reply(&[attempt(1, 1)], &[])));
+        assert_eq!(sidecar.take_actions(), Actions::default(), "the list may be older");
+    }
+    sidecar.polled(41, 43, at_40(poll_reply(&[attempt(2, 1)], &[])));
+    assert_eq!(sidecar.take_actions().stops, [attempt(2, 1)], "the list is newer");
+}
+
+/// Guards against starts beside an attempt that an earlier incarnation of the sidecar has left: an
+/// older list of the same millisecond omits it.
+#[test]
+fn a_list_that_may_be_older_does_not_show_that_nothing_runs() {
+    let mut sidecar = Sidecar::new("s".to_owned(), addr(), 2, LEASE_MS);
+    sidecar.announce(0, server(1, 1_000), addr(), 1);
+    let report = sidecar.report(0);
+    sidecar.handle_commands(0, 0, &report, commands(9));
+    sidecar.polled(1, 3, poll_reply(&[attempt(5, 1)], &[]));
+    sidecar.polled(2, 4, poll_reply(&[], &[]));
+    assert!(!sidecar.clean());
+    sidecar.polled(4, 5, poll_reply(&[], &[]));
+    assert!(sidecar.clean(), "the poll was sent after the newest answer had arrived");
+}
+
 /// Guards against starts beside attempts that an earlier incarnation of the sidecar has left.
 #[test]
 fn attempts_of_an_earlier_incarnation_are_stopped_before_any_start() {
