Test that the leader is told of unconfirmed starts at a lost server

The sidecar keeps unconfirmed starts when its server is lost, and its report names those of the leader.

--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -756,6 +756,22 @@
     assert_eq!(sidecar.take_actions().replies, [canceled]);
 }
 
+/// Guards against two runs of a durable task at the same time: the leader starts the tasks of a lost
+/// server elsewhere, and does not hear that one of them may still start there.
+#[test]
+fn the_leader_is_told_which_of_its_attempts_may_start_at_a_lost_server() {
+    let mut sidecar = sidecar();
+    sidecar.handle_start(0, Source::Leader, start(attempt(1, 1)), 0, 0);
+    sidecar.start_answered(1, attempt(1, 1), StartResult::Unknown);
+    for sent_ms in [1_500, 1_600, 1_700] {
+        sidecar.poll_failed(sent_ms, sent_ms + 1, false);
+    }
+    let report = sidecar.report(0);
+    assert_eq!((report.backend, report.undecided), (Backend::Lost, vec![attempt(1, 1)]));
+    sidecar.polled(2_000, 2_001, PollReply { clock_ms: 2_000, ..poll_reply(&[], &[]) });
+    assert_eq!(sidecar.report(0).undecided, []);
+}
+
 /// Guards against a task that waits for a server whose leases have shown its end: an attempt that
 /// had started ends with the lease.
 #[test]
