Model of transient jobs: silent servers, refused connections, slow processes, stops

The drawn histories lacked kinds of disruptions. New are a backend server that answers nothing and carries calls out later, with leases that count from their arrival; answers of polls that overtake each other, also of one millisecond; a slow process; an orderly stop of an entry; and refused connections to a live server.

With a silent server and with refused connections a task runs twice at the same time. The sidecar reports an attempt as stopped once the server's lease has expired by its own count, and as lost after two refused connections; calls are still carried out and the lease still lasts. These histories are known red, each with fixed ones. The other kinds are drawn in the set that has to pass.

--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -6,16 +6,17 @@
 
 use std::collections::BTreeSet;
 
-use world::{Drawn, KINDS, KINDS_BUT_CUT_CALLERS, World};
+use world::{Drawn, KINDS, KINDS_WITH_CUT_CALLERS, KINDS_WITH_REFUSALS, KINDS_WITH_SILENCE, World};
 
-/// Plays a history of at most `most` of the drawn faults, whose kinds are below `kinds`.
-fn played(seed: u64, faults: &[Drawn], most: usize, kinds: u8) -> quickcheck::TestResult {
+/// Plays a history of at most `most` of the drawn faults, each of one of `kinds`.
+fn played(seed: u64, faults: &[Drawn], most: usize, kinds: &[u8]) -> quickcheck::TestResult {
     let kept = faults.iter().take(most);
+    let kind = |drawn: u8| kinds[usize::from(drawn) % kinds.len()];
     let faults: Vec<Drawn> =
-        kept.map(|(kind, at, target, length)| (kind % kinds, *at, *target, *length)).collect();
+        kept.map(|(drawn, at, target, length)| (kind(*drawn), *at, *target, *length)).collect();
     match World::new(seed).with_drawn_clocks().play(&faults) {
         Ok(_) => quickcheck::TestResult::passed(),
-        Err(trace) => quickcheck::TestResult::error(trace),
+        Err(trace) => quickcheck::TestResult::error(format!("{seed} {faults:?}: {trace}")),
     }
 }
 
@@ -24,15 +25,37 @@
 }
 
 fn holds_with_one_fault(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
-    played(seed, &faults, 1, KINDS)
+    played(seed, &faults, 1, &KINDS_WITH_CUT_CALLERS)
 }
 
 fn holds(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
-    played(seed, &faults, 8, KINDS_BUT_CUT_CALLERS)
+    played(seed, &faults, 8, &KINDS)
 }
 
 fn holds_with_cut_callers(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
-    played(seed, &faults, 8, KINDS)
+    played(seed, &faults, 8, &KINDS_WITH_CUT_CALLERS)
+}
+
+fn holds_with_silence(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
+    played(seed, &faults, 8, &KINDS_WITH_SILENCE)
+}
+
+fn holds_with_refusals(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
+    played(seed, &faults, 8, &KINDS_WITH_REFUSALS)
+}
+
+/// The same if backend servers are silent and carry calls out later, too.
+#[test]
+#[ignore = "known_red"]
+fn no_history_with_silence_runs_a_transient_task_twice_at_the_same_time() {
+    draw_histories(2_000, holds_with_silence);
+}
+
+/// The same if connections to a live backend server are refused, too.
+#[test]
+#[ignore = "known_red"]
+fn no_history_with_refusals_runs_a_transient_task_twice_at_the_same_time() {
+    draw_histories(2_000, holds_with_refusals);
 }
 
 /// Plays a fixed history.
@@ -109,3 +132,42 @@
     }
     assert_eq!(stopped, Vec::<&String>::new());
 }
+
+/// Guards against an attempt that counts as not started while the call to start it is still to be
+/// carried out: its server is silent, and gives it a lease from the arrival of the call.
+#[test]
+#[ignore = "known_red"]
+fn a_start_before_its_server_counts_as_lost_runs_on_alone() {
+    play(13, &[(11, 899, 50, 2_736)]);
+}
+
+/// The same if the call is carried out after the server has counted as lost.
+#[test]
+#[ignore = "known_red"]
+fn a_start_after_its_server_counts_as_lost_runs_nothing() {
+    play(144, &[(11, 2_143, 200, 1_968)]);
+}
+
+/// The same if the call is carried out after the server has answered again, with the fencing token
+/// that the call carries.
+#[test]
+#[ignore = "known_red"]
+fn a_start_after_its_server_answers_again_runs_nothing() {
+    play(401, &[(11, 3_575, 49, 1_314)]);
+}
+
+/// Guards against an attempt that counts as stopped while it runs: its server is silent, and a late
+/// poll gives it a lease from the arrival of the poll.
+#[test]
+#[ignore = "known_red"]
+fn a_late_poll_does_not_keep_an_attempt_that_counts_as_stopped() {
+    play(181, &[(11, 2_608, 194, 2_056)]);
+}
+
+/// Guards against an attempt that counts as lost while it runs: two connections to its server are
+/// refused, and its lease has not expired.
+#[test]
+#[ignore = "known_red"]
+fn refused_connections_do_not_end_an_attempt_that_runs() {
+    play(0, &[(15, 3_920, 38, 1_055)]);
+}
--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -38,10 +38,14 @@
 const TICK_MS: u64 = 50;
 /// Time after a pause until an entry reads what has arrived. Its timers expire before.
 const READ_DELAY_MS: u64 = 6;
-/// Number of kinds of faults.
-pub const KINDS: u8 = 12;
-/// Number of kinds without the last, a cut between an entry and its callers.
-pub const KINDS_BUT_CUT_CALLERS: u8 = KINDS - 1;
+/// Kinds of faults that histories are drawn from.
+pub const KINDS: [u8; 14] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14];
+/// The same with backend servers that are silent and carry calls out later.
+pub const KINDS_WITH_SILENCE: [u8; 15] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14];
+/// The same as `KINDS` with refused connections to live backend servers.
+pub const KINDS_WITH_REFUSALS: [u8; 15] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15];
+/// The same as `KINDS` with cuts between an entry and its callers.
+pub const KINDS_WITH_CUT_CALLERS: [u8; 15] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 16];
 /// Time limit of a call to start or stop an attempt.
 const COMMAND_LIMIT_MS: u64 = 60;
 const STOP_RETRY_MS: u64 = 50;
@@ -52,6 +56,21 @@
 const BUSY_WAIT_MS: u64 = 100;
 /// Longest time by which a backend server carries out a call late.
 const LATE_MAX_MS: u64 = 2_500;
+/// The same for a server that is silent. A lease in such a call counts from its arrival.
+const SILENT_LATE_MAX_MS: u64 = 6_000;
+/// Pause after a poll that was refused.
+const REFUSED_PAUSE_MS: u64 = 40;
+/// Longest time until a poll is carried out, and from then until its answer arrives, while polls
+/// overtake each other.
+const OVERTAKEN_MAX_MS: u64 = 90;
+/// Delays of a slow process.
+const SLOW_MIN_MS: u64 = 20;
+const SLOW_MAX_MS: u64 = 300;
+/// Time after a job's refusal until its caller sends it to another entry.
+const REFUSED_RETRY_MS: u64 = 20;
+/// A stopping entry takes no job if less time is left, and ends no earlier than after the delay.
+const STOP_TIME_MIN_MS: u64 = 2_500;
+const STOP_DELAY_MS: u64 = 1_000;
 const CLOCK_OFFSET_MAX_MS: u64 = 1_000_000;
 /// Most by which a sidecar's clock runs faster or slower than the entries'.
 const SIDECAR_DRIFT_MAX_PPM: i64 = 1_000;
@@ -236,6 +255,13 @@
         call: Call,
         answer: Answer,
     },
+    /// What a slow process handles late.
+    Slow(Box<Event>),
+    /// A poll beside those in flight.
+    PollOnce {
+        sidecar: usize,
+        incarnation: u64,
+    },
     /// A stop that was not confirmed is due again.
     StopAgain {
         sidecar: usize,
@@ -258,6 +284,8 @@
     sent_ms: u64,
     poll: Poll,
     request: Request,
+    /// Time from sending by which a lease in the call counts later.
+    grant_late_ms: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -288,6 +316,7 @@
     /// Whether the stop was confirmed.
     Stop(bool),
     Poll(Option<PollReply>),
+    Refused,
 }
 
 /// What becomes of a call to a backend server.
@@ -300,10 +329,12 @@
     Unanswered,
     /// It is carried out after this time in ms.
     Late(u64),
+    /// The same by a silent server, without an answer.
+    Silent(u64),
+    Refused,
 }
 
-/// Kind, time, target, and length. Fixed histories give the kind itself; drawn kinds are reduced to
-/// those below `KINDS`.
+/// Kind, time, target, and length.
 pub type Drawn = (u8, u16, u8, u16);
 
 #[derive(Debug, Clone, Copy)]
@@ -337,6 +368,17 @@
     calls_lost_ms: Vec<u64>,
     calls_unanswered_ms: Vec<u64>,
     calls_late_ms: Vec<u64>,
+    /// Until when a backend server is silent, its polls overtake each other, and calls are refused.
+    calls_silent_ms: Vec<u64>,
+    polls_overtake_ms: Vec<u64>,
+    calls_refused_ms: Vec<u64>,
+    /// Until when a process is slow, and what it handles next at the earliest: messages and ticks.
+    /// The entries come first.
+    slow_ms: Vec<u64>,
+    message_ms: Vec<u64>,
+    tick_ms: Vec<u64>,
+    /// When an entry was told to stop, and when it ends at the latest.
+    stopping: Vec<Option<(u64, u64)>>,
     /// Until when nothing passes between an entry and its callers, and neither notices.
     callers_cut_ms: Vec<u64>,
     /// When a sidecar polls again after a poll without an answer.
@@ -368,6 +410,13 @@
             calls_lost_ms: vec![0; SERVERS],
             calls_unanswered_ms: vec![0; SERVERS],
             calls_late_ms: vec![0; SERVERS],
+            calls_silent_ms: vec![0; SERVERS],
+            polls_overtake_ms: vec![0; SERVERS],
+            calls_refused_ms: vec![0; SERVERS],
+            slow_ms: vec![0; ENTRIES + SERVERS],
+            message_ms: vec![0; ENTRIES + SERVERS],
+            tick_ms: vec![0; ENTRIES + SERVERS],
+            stopping: vec![None; ENTRIES],
             callers_cut_ms: vec![0; ENTRIES],
             next_poll_ms: vec![0; SERVERS],
             calls: BTreeMap::new(),
@@ -646,6 +695,19 @@
         let now_ms = self.now_ms;
         self.entries[entry].scheduler.observe(now_ms);
         match message {
+            Message::Submit { job, call } if self.refuses(entry) => {
+                self.note(format!("entry {entry} refuses {job:?}"));
+                if self.callers_cut_ms[entry] <= now_ms
+                    && self.calls.get(&job) == Some(&(call, entry))
+                {
+                    self.calls.remove(&job);
+                    self.push(now_ms + REFUSED_RETRY_MS, Event::Send { job });
+                }
+            }
+            // Before an entry takes a job, it reads the end of the connection if that has arrived.
+            Message::Submit { job, call } if self.closed(entry, call) => {
+                self.note(format!("entry {entry} drops {job:?}"));
+            }
             Message::Submit { job, call } => {
                 let life = self.entries[entry].life;
                 let message = Message::Close { job, call };
@@ -694,6 +756,39 @@
         self.carry_out(entry);
     }
 
+    /// Whether the end of a call's connection waits to be read at an entry that is slow.
+    fn closed(&self, entry: usize, call: u64) -> bool {
+        self.events.values().any(|event| {
+            let Event::Slow(event) = event else { return false };
+            matches!(**event, Event::ToEntry { entry: at, message: Message::Close { call: of, .. }, .. }
+                if at == entry && of == call)
+        })
+    }
+
+    /// Whether an entry is stopping and has no time for a job.
+    fn refuses(&self, entry: usize) -> bool {
+        let least_ms = self.now_ms + STOP_TIME_MIN_MS;
+        self.stopping[entry].is_some_and(|(_, until_ms)| until_ms <= least_ms)
+    }
+
+    /// Ends an entry that is stopping once its callers have their answers, and starts it again.
+    fn end_stopping(&mut self, entry: usize) {
+        let Some((from_ms, until_ms)) = self.stopping[entry] else { return };
+        let idle = self.entries[entry].waiters.is_empty();
+        let ended = idle && self.now_ms >= until_ms.min(from_ms + STOP_DELAY_MS);
+        if ended || self.now_ms >= until_ms {
+            self.note(format!("entry {entry} ends"));
+            self.restart_entry(entry);
+        }
+    }
+
+    fn restart_entry(&mut self, entry: usize) {
+        self.stopping[entry] = None;
+        self.close_all(entry);
+        let life = self.entries[entry].life + 1;
+        self.entries[entry] = World::new_entry(self.now_ms, life);
+    }
+
     fn status(&mut self, entry: usize, sidecar: usize, id: work::Entry, status: work::Status) {
         let now_ms = self.now_ms;
         let key = self.key(entry, sidecar);
@@ -812,7 +907,8 @@
         };
         let incarnation = state.incarnation();
         let called = self.servers[sidecar].life;
-        let call = Call { sidecar, incarnation, known, called, sent_ms, poll, request };
+        let mut call =
+            Call { sidecar, incarnation, known, called, sent_ms, poll, request, grant_late_ms: 0 };
         let limit_ms = match request {
             Request::Start { attempt, .. } if poll.lease_until_ms.is_none() => {
                 let result = StartResult::NotStarted(wire::Reason::Unavailable);
@@ -825,6 +921,13 @@
             (Fate::Late(_), Request::Poll) => Fate::Answered,
             (fate, _) => fate,
         };
+        if let (Fate::Answered, Request::Poll) = (fate, request)
+            && self.polls_overtake_ms[sidecar] > self.now_ms
+        {
+            let by_ms = self.draw(OVERTAKEN_MAX_MS);
+            self.next_poll_ms[sidecar] = self.now_ms + by_ms.min(wait_ms + POLL_OVERDUE_MS);
+            return self.push(self.now_ms + by_ms, Event::Served { call, answered: true });
+        }
         let answered = match fate {
             Fate::Answered => {
                 let answer = self.serve(call);
@@ -840,6 +943,25 @@
                 self.push(self.now_ms + by_ms, Event::Served { call, answered });
                 answered
             }
+            Fate::Silent(by_ms) => {
+                call.grant_late_ms = by_ms;
+                self.push(self.now_ms + by_ms, Event::Served { call, answered: false });
+                false
+            }
+            Fate::Refused => {
+                if let Request::Poll = request {
+                    self.next_poll_ms[sidecar] = self.now_ms + REFUSED_PAUSE_MS;
+                }
+                let answer = match request {
+                    Request::Start { .. } => {
+                        Answer::Start(StartResult::NotStarted(wire::Reason::NoAnswer))
+                    }
+                    Request::Stop(_) => Answer::Stop(false),
+                    Request::Poll => Answer::Refused,
+                };
+                self.note(format!("server {sidecar} {request:?} {fate:?}"));
+                return self.push(self.now_ms + 1, Event::Answered { call, answer });
+            }
         };
         if let Request::Poll = request {
             self.next_poll_ms[sidecar] = self.now_ms + wait_ms + POLL_OVERDUE_MS;
@@ -855,6 +977,12 @@
     /// Draws what becomes of a call. During a disruption, half of the calls are answered.
     fn fate(&mut self, sidecar: usize) -> Fate {
         let now_ms = self.now_ms;
+        if self.calls_refused_ms[sidecar] > now_ms {
+            return Fate::Refused;
+        }
+        if self.calls_silent_ms[sidecar] > now_ms {
+            return Fate::Silent(self.draw(SILENT_LATE_MAX_MS));
+        }
         let lost = self.calls_lost_ms[sidecar] > now_ms;
         let unanswered = self.calls_unanswered_ms[sidecar] > now_ms;
         let late = self.calls_late_ms[sidecar] > now_ms;
@@ -870,7 +998,8 @@
 
     /// Carries out a call at the backend server.
     fn serve(&mut self, call: Call) -> Answer {
-        let Call { sidecar, known, poll, request, .. } = call;
+        let Call { sidecar, known, mut poll, request, grant_late_ms, .. } = call;
+        poll.lease_until_ms = poll.lease_until_ms.map(|until_ms| until_ms + grant_late_ms);
         let (now_ms, server_ms) = (self.now_ms, self.server_ms(sidecar));
         let elsewhere = |task| {
             let mut servers = self.servers.iter();
@@ -944,6 +1073,9 @@
             (Request::Stop(attempt), Answer::Stop(true)) if known => {
                 // The list of the next poll is newer, even in the same ms.
                 state.stop_confirmed(clock_ms - 1, attempt);
+                if self.polls_overtake_ms[sidecar] > self.now_ms {
+                    self.push(self.now_ms + 1, Event::PollOnce { sidecar, incarnation });
+                }
             }
             (Request::Stop(attempt), Answer::Stop(false)) => {
                 let again = Event::StopAgain { sidecar, incarnation, attempt };
@@ -955,6 +1087,9 @@
             (Request::Poll, Answer::Poll(None)) if known => {
                 state.poll_failed(sent_ms, clock_ms, false);
             }
+            (Request::Poll, Answer::Refused) if known => {
+                state.poll_failed(sent_ms, clock_ms, true);
+            }
             _ => {}
         }
     }
@@ -1027,9 +1162,7 @@
             1 => later(&mut self.sidecar_paused_ms[sidecar], until_ms),
             2 => later(&mut self.stalled_ms[entry][sidecar], until_ms),
             3 => {
-                self.close_all(entry);
-                let life = self.entries[entry].life + 1;
-                self.entries[entry] = World::new_entry(self.now_ms, life);
+                self.restart_entry(entry);
             }
             4 => {
                 let generation = self.sidecars[sidecar].incarnation() + 1;
@@ -1050,13 +1183,100 @@
             8 => later(&mut self.calls_lost_ms[sidecar], until_ms),
             9 => later(&mut self.calls_unanswered_ms[sidecar], until_ms),
             10 => later(&mut self.calls_late_ms[sidecar], until_ms),
-            11 => later(&mut self.callers_cut_ms[entry], until_ms),
+            11 => later(&mut self.calls_silent_ms[sidecar], until_ms),
+            12 => later(&mut self.polls_overtake_ms[sidecar], until_ms),
+            13 => {
+                let process = if target % 2 == 0 { entry } else { ENTRIES + sidecar };
+                later(&mut self.slow_ms[process], until_ms);
+            }
+            14 => {
+                self.stopping[entry].get_or_insert((self.now_ms, until_ms));
+            }
+            15 => later(&mut self.calls_refused_ms[sidecar], until_ms),
+            16 => later(&mut self.callers_cut_ms[entry], until_ms),
             _ => unreachable!("no fault of kind {kind}"),
         }
     }
 
+    /// The process that handles an event, if it is slow.
+    fn slow_process(&self, event: &Event) -> Option<usize> {
+        let process = match event {
+            Event::ToEntry { entry, .. } => *entry,
+            Event::ToSidecar { sidecar, .. }
+            | Event::Announce { sidecar }
+            | Event::StopAgain { sidecar, .. }
+            | Event::PollOnce { sidecar, .. } => ENTRIES + sidecar,
+            Event::Answered { call, .. } => ENTRIES + call.sidecar,
+            _ => return None,
+        };
+        let paused = match process.checked_sub(ENTRIES) {
+            None => self.entry_paused_ms[process] + READ_DELAY_MS > self.now_ms,
+            Some(sidecar) => self.sidecar_paused_ms[sidecar] > self.now_ms,
+        };
+        if paused {
+            // It is slow once the pause is over.
+            return None;
+        }
+        // What waits is handled in its order, also when the process is fast again.
+        (self.slow_ms[process].max(self.message_ms[process]) > self.now_ms).then_some(process)
+    }
+
+    fn draw_slow(&mut self) -> u64 {
+        SLOW_MIN_MS + self.draw(SLOW_MAX_MS - SLOW_MIN_MS)
+    }
+
+    /// Whether a process handles a timer that is due at every `interval_ms` and `at_ms`. A slow one
+    /// handles all its timers after drawn delays.
+    fn due(&self, process: usize, interval_ms: u64, at_ms: u64) -> bool {
+        match self.slow_ms[process] > self.now_ms {
+            true => self.tick_ms[process] <= self.now_ms,
+            false => self.now_ms % interval_ms == at_ms,
+        }
+    }
+
+    /// Draws when a slow process handles its timers next.
+    fn draw_tick(&mut self, process: usize) {
+        if self.slow_ms[process] > self.now_ms && self.tick_ms[process] <= self.now_ms {
+            self.tick_ms[process] = self.now_ms + self.draw_slow();
+        }
+    }
+
+    /// Moves a poll that is on its way to this moment, before a call that is carried out.
+    fn move_poll(&mut self, sidecar: usize) {
+        let polls = |(_, event): &(&(u64, u64), &Event)| {
+            matches!(event, Event::Served { call, answered: true }
+                if call.sidecar == sidecar && matches!(call.request, Request::Poll))
+        };
+        let moved = self.events.iter().find(polls).map(|(at, _)| *at);
+        if let Some(event) = moved.and_then(|at| self.events.remove(&at)) {
+            self.handle((self.now_ms, 0), event);
+        }
+    }
+
     fn handle(&mut self, at: (u64, u64), event: Event) {
+        if let Some(process) = self.slow_process(&event) {
+            let late_ms = match self.slow_ms[process] > self.now_ms {
+                true => self.now_ms + self.draw_slow(),
+                false => 0,
+            };
+            later(&mut self.message_ms[process], late_ms);
+            let late_ms = self.message_ms[process];
+            return self.push(late_ms, Event::Slow(Box::new(event)));
+        }
+        self.handle_now(at, event);
+    }
+
+    fn handle_now(&mut self, at: (u64, u64), event: Event) {
         match event {
+            Event::Slow(event) => self.handle_now(at, *event),
+            Event::PollOnce { sidecar, incarnation } => {
+                if self.sidecar_paused_ms[sidecar] > self.now_ms {
+                    let event = Event::PollOnce { sidecar, incarnation };
+                    self.events.insert((self.sidecar_paused_ms[sidecar], at.1), event);
+                } else if self.sidecars[sidecar].incarnation() == incarnation {
+                    self.poll(sidecar);
+                }
+            }
             Event::ToEntry { entry, life, sidecar, message } => {
                 let read_ms = self.entry_paused_ms[entry] + READ_DELAY_MS;
                 if read_ms > self.now_ms {
@@ -1086,13 +1306,25 @@
                 self.act(sidecar);
             }
             Event::Served { call, answered } => {
+                let sidecar = call.sidecar;
+                let is_poll = matches!(call.request, Request::Poll);
+                let overtakes = self.polls_overtake_ms[sidecar] > self.now_ms;
+                if overtakes && !is_poll && self.draw(2) == 0 {
+                    self.move_poll(sidecar);
+                }
                 let answer = match self.servers[call.sidecar].life == call.called {
                     true => self.serve(call),
                     false => call.request.unanswered(),
                 };
-                if answered {
+                if answered && is_poll && overtakes {
+                    let by_ms = self.draw(OVERTAKEN_MAX_MS);
+                    self.push(self.now_ms + by_ms, Event::Answered { call, answer });
+                } else if answered {
                     self.handle(at, Event::Answered { call, answer });
                 }
+                if overtakes && !is_poll && self.draw(2) == 0 {
+                    self.move_poll(sidecar);
+                }
             }
             Event::Answered { call, answer } => {
                 if self.sidecar_paused_ms[call.sidecar] > self.now_ms {
@@ -1145,10 +1377,14 @@
             }
             for sidecar in 0..SERVERS {
                 if self.sidecar_paused_ms[sidecar] <= now_ms {
-                    if now_ms % POLL_MS == sidecar as u64 && self.next_poll_ms[sidecar] <= now_ms {
+                    let process = ENTRIES + sidecar;
+                    let polls = self.due(process, POLL_MS, sidecar as u64);
+                    let ticks = self.due(process, TICK_MS, 10 + sidecar as u64);
+                    self.draw_tick(process);
+                    if polls && self.next_poll_ms[sidecar] <= now_ms {
                         self.poll(sidecar);
                     }
-                    if now_ms % TICK_MS == 10 + sidecar as u64 {
+                    if ticks {
                         let clock_ms = self.sidecar_ms(sidecar);
                         self.sidecars[sidecar].tick(clock_ms);
                         self.act(sidecar);
@@ -1157,10 +1393,14 @@
             }
             for entry in 0..ENTRIES {
                 if self.entry_paused_ms[entry] <= now_ms {
-                    if now_ms % 5 == entry as u64 {
+                    let maintains = self.due(entry, 5, entry as u64);
+                    let ticks = self.due(entry, 25, entry as u64);
+                    self.draw_tick(entry);
+                    self.end_stopping(entry);
+                    if maintains {
                         (0..SERVERS).for_each(|sidecar| self.maintain(entry, sidecar));
                     }
-                    if now_ms % 25 == entry as u64 {
+                    if ticks {
                         self.entries[entry].watermark.tick(now_ms);
                         self.entries[entry].scheduler.observe(now_ms);
                         self.entries[entry].scheduler.tick(now_ms);
