Model of transient jobs: a slow process runs its timers and messages in turns

The messages of a slow process were late independently of its timers, so a watermark told of requests that were not read yet.

--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -372,11 +372,11 @@
     calls_silent_ms: Vec<u64>,
     polls_overtake_ms: Vec<u64>,
     calls_refused_ms: Vec<u64>,
-    /// Until when a process is slow, and what it handles next at the earliest: messages and ticks.
-    /// The entries come first.
+    /// Until when a process is slow, when it runs next, and when it then reads messages. The entries
+    /// come first.
     slow_ms: Vec<u64>,
-    message_ms: Vec<u64>,
-    tick_ms: Vec<u64>,
+    wake_ms: Vec<u64>,
+    read_ms: Vec<u64>,
     /// When an entry was told to stop, and when it ends at the latest.
     stopping: Vec<Option<(u64, u64)>>,
     /// Until when nothing passes between an entry and its callers, and neither notices.
@@ -414,8 +414,8 @@
             polls_overtake_ms: vec![0; SERVERS],
             calls_refused_ms: vec![0; SERVERS],
             slow_ms: vec![0; ENTRIES + SERVERS],
-            message_ms: vec![0; ENTRIES + SERVERS],
-            tick_ms: vec![0; ENTRIES + SERVERS],
+            wake_ms: vec![0; ENTRIES + SERVERS],
+            read_ms: vec![0; ENTRIES + SERVERS],
             stopping: vec![None; ENTRIES],
             callers_cut_ms: vec![0; ENTRIES],
             next_poll_ms: vec![0; SERVERS],
@@ -1217,27 +1217,31 @@
             // It is slow once the pause is over.
             return None;
         }
-        // What waits is handled in its order, also when the process is fast again.
-        (self.slow_ms[process].max(self.message_ms[process]) > self.now_ms).then_some(process)
+        self.asleep(process).then_some(process)
     }
 
-    fn draw_slow(&mut self) -> u64 {
-        SLOW_MIN_MS + self.draw(SLOW_MAX_MS - SLOW_MIN_MS)
+    /// Whether a process is slow and reads no messages now.
+    fn asleep(&self, process: usize) -> bool {
+        let slow = self.slow_ms[process] > self.now_ms && self.wake_ms[process] < self.now_ms;
+        slow || self.read_ms[process] > self.now_ms
     }
 
-    /// Whether a process handles a timer that is due at every `interval_ms` and `at_ms`. A slow one
-    /// handles all its timers after drawn delays.
-    fn due(&self, process: usize, interval_ms: u64, at_ms: u64) -> bool {
-        match self.slow_ms[process] > self.now_ms {
-            true => self.tick_ms[process] <= self.now_ms,
-            false => self.now_ms % interval_ms == at_ms,
+    /// Draws when a slow process runs next. It handles its timers before or after its messages.
+    fn draw_wake(&mut self, process: usize) {
+        if self.slow_ms[process] > self.now_ms && self.read_ms[process] < self.now_ms {
+            let late_ms = SLOW_MIN_MS + self.draw(SLOW_MAX_MS - SLOW_MIN_MS);
+            self.wake_ms[process] = self.now_ms + late_ms;
+            self.read_ms[process] = self.wake_ms[process] + READ_DELAY_MS * self.draw(2);
         }
     }
 
-    /// Draws when a slow process handles its timers next.
-    fn draw_tick(&mut self, process: usize) {
-        if self.slow_ms[process] > self.now_ms && self.tick_ms[process] <= self.now_ms {
-            self.tick_ms[process] = self.now_ms + self.draw_slow();
+    /// Whether a process handles a timer that is due at every `interval_ms` and `at_ms`. A slow one
+    /// handles all its timers when it runs.
+    fn due(&self, process: usize, interval_ms: u64, at_ms: u64) -> bool {
+        let slow = self.slow_ms[process] > self.now_ms || self.read_ms[process] > self.now_ms;
+        match slow || self.wake_ms[process] == self.now_ms {
+            true => self.wake_ms[process] == self.now_ms,
+            false => self.now_ms % interval_ms == at_ms,
         }
     }
 
@@ -1255,12 +1259,8 @@
 
     fn handle(&mut self, at: (u64, u64), event: Event) {
         if let Some(process) = self.slow_process(&event) {
-            let late_ms = match self.slow_ms[process] > self.now_ms {
-                true => self.now_ms + self.draw_slow(),
-                false => 0,
-            };
-            later(&mut self.message_ms[process], late_ms);
-            let late_ms = self.message_ms[process];
+            self.draw_wake(process);
+            let late_ms = self.read_ms[process];
             return self.push(late_ms, Event::Slow(Box::new(event)));
         }
         self.handle_now(at, event);
@@ -1380,7 +1380,7 @@
                     let process = ENTRIES + sidecar;
                     let polls = self.due(process, POLL_MS, sidecar as u64);
                     let ticks = self.due(process, TICK_MS, 10 + sidecar as u64);
-                    self.draw_tick(process);
+                    self.draw_wake(process);
                     if polls && self.next_poll_ms[sidecar] <= now_ms {
                         self.poll(sidecar);
                     }
@@ -1395,7 +1395,7 @@
                 if self.entry_paused_ms[entry] <= now_ms {
                     let maintains = self.due(entry, 5, entry as u64);
                     let ticks = self.due(entry, 25, entry as u64);
-                    self.draw_tick(entry);
+                    self.draw_wake(entry);
                     self.end_stopping(entry);
                     if maintains {
                         (0..SERVERS).for_each(|sidecar| self.maintain(entry, sidecar));
