Model of transient jobs: answers of one millisecond with different lists

Polls that overtake each other never had the same reading of the server's clock and different lists of what runs.

--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -924,11 +924,14 @@
         if let (Fate::Answered, Request::Poll) = (fate, request)
             && self.polls_overtake_ms[sidecar] > self.now_ms
         {
-            let by_ms = self.draw(OVERTAKEN_MAX_MS);
+            let by_ms = self.draw(2) * self.draw(OVERTAKEN_MAX_MS);
             self.next_poll_ms[sidecar] = self.now_ms + by_ms.min(wait_ms + POLL_OVERDUE_MS);
             return self.push(self.now_ms + by_ms, Event::Served { call, answered: true });
         }
         let answered = match fate {
+            Fate::Answered if self.polls_overtake_ms[sidecar] > self.now_ms => {
+                return self.push(self.now_ms + 1, Event::Served { call, answered: true });
+            }
             Fate::Answered => {
                 let answer = self.serve(call);
                 return self.answered(call, answer);
@@ -1323,7 +1326,9 @@
                     self.handle(at, Event::Answered { call, answer });
                 }
                 if overtakes && !is_poll && self.draw(2) == 0 {
-                    self.move_poll(sidecar);
+                    // It may be carried out in the same millisecond.
+                    let incarnation = self.sidecars[sidecar].incarnation();
+                    self.push(self.now_ms, Event::PollOnce { sidecar, incarnation });
                 }
             }
             Event::Answered { call, answer } => {
