--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -98,7 +98,7 @@
     unstored: BTreeSet<Attempt>,
     /// Attempts that are being fenced. Their tasks do not start until that is stored.
     fencing: BTreeSet<Attempt>,
-    /// Attempts that may still start at servers that were lost. Their tasks do not start meanwhile.
+    /// Attempts that may run or start at servers that were lost. Their tasks do not start meanwhile.
     undecided: BTreeMap<Attempt, Undecided>,
     /// Tasks that may start, by service.
     ready: IndexMap<String, BTreeSet<Rank>>,
--- a/src/coordination/schedule/undecided.rs
+++ b/src/coordination/schedule/undecided.rs
@@ -1,6 +1,6 @@
-//! Attempts that may still start at a backend server that was lost, as the calls for them had no
-//! answer. Their tasks do not start elsewhere until the server has answered under a higher fencing
-//! token and lists none of them, or until such a call has certainly been carried out.
+//! Attempts that may run or start at a backend server that was lost: a call that it has not answered
+//! may be carried out late. Their tasks do not start elsewhere until the server has answered under a
+//! higher fencing token and lists none of them, or until all such calls have been carried out.
 
 use super::{RetryCause, Scheduler, attempts_range};
 use crate::{
@@ -12,7 +12,7 @@
     state::machine::queue::Queues,
 };
 
-/// An undecided attempt, by whose report it is known, and until when it may start.
+/// An undecided attempt, by whose report it is known, and until when it may run.
 #[derive(Debug)]
 pub(super) struct Undecided {
     sidecar: String,
@@ -56,7 +56,7 @@
         }
     }
 
-    /// Gives up the attempts that cannot start any more although no report has shown it. Returns
+    /// Gives up the attempts that have ended by now although no report has shown it. Returns
     /// them to be fenced, as for [`Scheduler::give_up_server`].
     pub fn give_up_undecided(&mut self, now_ms: u64) -> Vec<Attempt> {
         let given_up = self.take_undecided(|_, undecided| undecided.until_ms <= now_ms);
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -393,8 +393,8 @@
     }
 
     /// Marks the server as lost until it answers again. Returns the attempts whose end is shown by
-    /// `proof`. The end of the last lease shows little: a call that had no answer may be carried out
-    /// late, and then start an attempt, or prolong the lease of those that run.
+    /// `proof`. The end of the last lease shows that of no attempt that may run: a call that had no
+    /// answer may be carried out late, and start it or prolong its lease.
     pub fn mark_lost(&mut self, proof: Proof) -> IndexMap<Attempt, Assignment> {
         self.lost = true;
         self.unaccounted = self.sent();
@@ -415,14 +415,15 @@
         }
     }
 
-    /// Records that the server counts as lost since `now_ms`. Returns whether the fencing token has to
-    /// be raised, so that starts from before are refused.
+    /// Records that the server counts as lost since `now_ms`. Returns whether starts were called for
+    /// under the present fencing token, which a higher one has to refuse from now on.
     pub fn record_loss(&mut self, now_ms: u64) -> bool {
         self.lost_at_ms = now_ms;
         std::mem::take(&mut self.start_called)
     }
 
-    /// Records that starts from before a loss are refused in answer to polls sent later than `now_ms`.
+    /// Records that only the answer to a poll sent later than `now_ms` shows that no start from before
+    /// the loss is carried out any more.
     pub fn fence_after(&mut self, now_ms: u64) {
         self.fenced_from_ms = now_ms + 1;
     }
@@ -557,7 +558,7 @@
         self.assignments.iter().filter(of_leader).map(|(attempt, _)| *attempt).collect()
     }
 
-    /// Returns the attempts that the leader commanded and that may still start here, although the
+    /// Returns the attempts that the leader commanded and that may run or start here, although the
     /// server was lost or has started again since.
     pub fn undecided(&self) -> Vec<Attempt> {
         let of_leader =
--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -195,7 +195,7 @@
     }
 
     /// Raises the fencing token, so that the lost server refuses starts from before. Without a higher
-    /// one, they are over only once they have been carried out.
+    /// one, the time until all late calls have been carried out has to pass.
     fn fence_lost_server(&mut self, now_ms: u64) {
         let raised = self.begin_epoch();
         if let Some(backend) = &mut self.backend {
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -164,8 +164,8 @@
     /// while attempts that are not assigned at the sidecar may still run, such as those that an
     /// earlier process of the sidecar started.
     pub running: Option<Vec<Attempt>>,
-    /// Attempts that the leader commanded and that may still start at the backend server, as the calls
-    /// for them had no answer before it was lost or started again.
+    /// Attempts that the leader commanded and that may run or start at the backend server although it
+    /// was lost or has started again: a call that it has not answered may be carried out late.
     pub undecided: Vec<Attempt>,
     /// Completions that the leader has not yet acknowledged. Empty while attempts that are not
     /// assigned at the sidecar may still run.
