--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -258,8 +258,9 @@
     /// earlier process of the sidecar started is running any more and the present one does not know
     /// the server. Also gives up the inherited tasks, which an earlier leader may have started, once
     /// all leases that the earlier leader gave have expired; those of this leader end no later while
-    /// the attempts under them are not known. Also gives up attempts at lost servers once all
-    /// late calls have been carried out. What is given up starts again once its attempts are fenced, as ends of them may be reported later.
+    /// the attempts under them are not known. Also gives up attempts at lost servers once all late
+    /// calls have been carried out. What is given up starts again once its attempts are fenced, as
+    /// ends of them may be reported later.
     fn expire_leases(&self, now_ms: u64) {
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return };
