--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -1,5 +1,7 @@
 //! Tests of the replicated queues and of the leader's scheduler for durable jobs.
 
+mod reports;
+
 use std::{net::SocketAddr, sync::Arc};
 
 use briargauge::{
@@ -298,26 +300,6 @@
     assert_eq!(starts(scheduler.commands(other))[0].number, 3);
 }
 
-/// Report of a sidecar whose server is lost and may still start `undecided`.
-fn report_of_loss(undecided: &[Attempt]) -> queue::Report {
-    queue::Report {
-        sidecar: "s".to_owned(),
-        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-        incarnation: 1,
-        number: 1,
-        backend: queue::Backend::Lost,
-        losses: 1,
-        generation: 1,
-        running: None,
-        undecided: undecided.to_vec(),
-        completions: Vec::new(),
-        not_started: Vec::new(),
-        crashes: Vec::new(),
-        batch: 0,
-        wait_ms: 0,
-    }
-}
-
 /// Guards against a task that waits for good for an attempt at a server that stays silent, and against
 /// a late end of that attempt that counts although the task has started again.
 #[test]
@@ -327,7 +309,7 @@
     let mut scheduler = Scheduler::new(1, 0, fixture.state.queues());
     fixture.release_inherited(&mut scheduler);
     let (lost, first) = fixture.start_on_new_server(&mut scheduler);
-    let report = report_of_loss(&[first]);
+    let report = reports::of_loss("s", &[first]);
     scheduler.add_undecided(0, &report, fixture.state.queues());
     scheduler.remove_server(0, lost, fixture.state.queues());
     let other = scheduler.add_server(server(1));
--- a/tests/schedule.rs
+++ b/tests/schedule.rs
@@ -3,10 +3,10 @@
 //! get lost.
 
 mod durable;
+mod reports;
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    net::SocketAddr,
     sync::Arc,
 };
 
@@ -195,7 +195,7 @@
 
     /// The sidecar of a server names the attempts that may still start there.
     fn report_undecided(&mut self, node: usize) {
-        let report = report_of_loss(node, &self.nodes[node].undecided);
+        let report = reports::of_loss(&format!("s{node}"), &self.nodes[node].undecided);
         self.scheduler.add_undecided(self.now_ms, &report, self.state.queues());
         self.scheduler.remove_decided(&report, self.state.queues());
     }
@@ -404,25 +404,6 @@
     })
 }
 
-fn report_of_loss(node: usize, undecided: &[Attempt]) -> queue::Report {
-    queue::Report {
-        sidecar: format!("s{node}"),
-        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
-        incarnation: 1,
-        number: 1,
-        backend: queue::Backend::Lost,
-        losses: 1,
-        generation: 1,
-        running: None,
-        undecided: undecided.to_vec(),
-        completions: Vec::new(),
-        not_started: Vec::new(),
-        crashes: Vec::new(),
-        batch: 0,
-        wait_ms: 0,
-    }
-}
-
 /// Returns the fault of a history, if it has one.
 fn check(events: &[(u8, u8)]) -> Result<(), String> {
     let mut world = World::new();
