--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -165,6 +165,11 @@
     (lease_ms as f64 / CLOCK_SLOWEST) as u64
 }
 
+fn attempts_of_leader(assignments: &IndexMap<Attempt, Assignment>) -> Vec<Attempt> {
+    let of_leader = assignments.iter().filter(|(_, a)| a.source == Source::Leader);
+    of_leader.map(|(attempt, _)| *attempt).collect()
+}
+
 /// How old an answer of the backend server is, relative to the newest one known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Age {
@@ -553,17 +558,13 @@
 
     /// Returns the assigned attempts that the leader commanded.
     pub fn of_leader(&self) -> Vec<Attempt> {
-        let of_leader =
-            |(_, assignment): &(&Attempt, &Assignment)| assignment.source == Source::Leader;
-        self.assignments.iter().filter(of_leader).map(|(attempt, _)| *attempt).collect()
+        attempts_of_leader(&self.assignments)
     }
 
     /// Returns the attempts that the leader commanded and that may run or start here, although the
     /// server was lost or has started again since.
     pub fn undecided(&self) -> Vec<Attempt> {
-        let of_leader =
-            |(_, assignment): &(&Attempt, &Assignment)| assignment.source == Source::Leader;
-        self.inherited.iter().filter(of_leader).map(|(attempt, _)| *attempt).collect()
+        attempts_of_leader(&self.inherited)
     }
 
     /// Records a foreign attempt that was listed as running. Returns whether the backend server is
