Accept calls and reports only in a group with a majority of its voters

What callers saw: a control instance that led alone accepted a configuration and submissions 6 s after its start, although the disk of any one instance may be lost; the loss of its own would have taken what it had accepted. Sidecars got a generation, which becomes their fencing token, and a lease even before the 6 s, from a group that might never serve.

Cause: `maintain_members` opened the group after FORM_LIMIT_MS whatever the number of voters, and `report` did not look at `formed` at all.

Ruled out: that calls pass before FORM_LIMIT_MS (they got NotReady), and that the voters that are counted could be fewer than those that commit: the count and the quorum use the same, latest membership entry.

Change: after FORM_LIMIT_MS the group is opened only with more than half of the configured voters. Reports are refused as NotReady until then. `event=group_formed` names the term and why the group was opened.

Why it works: with 2n + 1 configured voters, at least n + 1 hold what is accepted, and n disks may be lost.

--- a/src/control/jobs/call.rs
+++ b/src/control/jobs/call.rs
@@ -28,9 +28,7 @@
         self.wait_for_leader().await;
         let term = self.inner.leadership.borrow().as_ref().map(|leadership| leadership.term);
         let Some(term) = term else { return Err(self.not_leader()) };
-        if !self.inner.formed.get() {
-            return Err(Refusal::NotReady { detail: "the group is being formed".to_owned() });
-        }
+        self.check_formed()?;
         match call {
             Call::Submit { host, path, job } => self.submit(term, host, path, job).await,
             Call::Query { host, path } => self.query(&host, &path).await,
@@ -52,6 +50,14 @@
         }
     }
 
+    /// Refuses calls and reports while the group is being formed.
+    pub(super) fn check_formed(&self) -> Result<(), Refusal> {
+        match self.inner.formed.get() {
+            true => Ok(()),
+            false => Err(Refusal::NotReady { detail: "the group is being formed".to_owned() }),
+        }
+    }
+
     /// Returns once [`Coordinator::view`] has something to return, or this instance does not lead.
     async fn wait_for_change(&self, config: u64, sidecars: u64) {
         loop {
--- a/src/control/jobs/members.rs
+++ b/src/control/jobs/members.rs
@@ -14,7 +14,7 @@
 const UNRESPONSIVE_LIMIT_MS: u64 = 1_500;
 /// Shortest time between two membership changes, in ms.
 const CHANGE_INTERVAL_MS: u64 = 200;
-/// Time after which a group with fewer voters than configured accepts calls nevertheless, in ms.
+/// Time after which a group with a majority of the configured voters accepts calls, in ms.
 const FORM_LIMIT_MS: u64 = 6_000;
 
 /// Decides about membership changes. Exists for one term of the leader.
@@ -68,8 +68,8 @@
 
 impl Coordinator {
     /// Adds or removes one member if that is due, and marks the group as formed once it has enough
-    /// voters, this instance has led for [`FORM_LIMIT_MS`], or a configuration is stored: calls were
-    /// then accepted before, and a voter is being replaced.
+    /// voters, or a majority of them and this instance has led for [`FORM_LIMIT_MS`], or a
+    /// configuration is stored: calls were then accepted before, and a voter is being replaced.
     pub(super) fn maintain_members(&self, now_ms: u64) {
         let wanted_voters = self.inner.settings.voters;
         let status = self.inner.replica.group_status();
@@ -77,8 +77,15 @@
         let Some(leadership) = leadership.as_mut() else { return };
         let overdue = leadership.member_monitor.started_ms + FORM_LIMIT_MS <= now_ms;
         let served = self.inner.replica.state().queues().config().is_some();
-        if !self.inner.formed.get() && (status.voters >= wanted_voters || overdue || served) {
-            log::info!("event=group_formed voters={} wanted={wanted_voters}", status.voters);
+        let voters = status.voters;
+        // What fewer voters than a majority have accepted, the tolerated losses could take.
+        let complete = voters >= wanted_voters || (overdue && voters > wanted_voters / 2);
+        if !self.inner.formed.get() && (complete || served) {
+            let term = leadership.term;
+            log::info!(
+                "event=group_formed term={term} voters={voters} wanted={wanted_voters} \
+                 served={served} overdue={overdue}"
+            );
             self.inner.formed.set(true);
         }
         let Some(change) = leadership.member_monitor.next_change(now_ms, wanted_voters, &status)
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -76,7 +76,7 @@
     view_changed: Notify,
     /// Wakes calls that wait for a leader.
     leader_known: Notify,
-    /// Whether the group has been formed. Calls are refused before.
+    /// Whether the group has been formed. Calls and reports are refused before.
     formed: Cell<bool>,
     stopping: Cell<bool>,
 }
@@ -151,10 +151,10 @@
         while !self.inner.stopping.get() {
             ticks.tick().await;
             self.follow_leadership().await;
+            self.tick();
             if self.is_leader_known() {
                 self.inner.leader_known.notify_waiters();
             }
-            self.tick();
         }
         *self.inner.leadership.borrow_mut() = None;
     }
@@ -317,7 +317,8 @@
     }
 
     /// Returns once this instance can carry out calls or name the leader, or after
-    /// [`LEADER_WAIT_MAX`]. Waiting here saves callers from repeating the call during an election.
+    /// [`LEADER_WAIT_MAX`]. Waiting here saves callers from repeating the call during an election, and
+    /// while the group is being formed.
     async fn wait_for_leader(&self) {
         let known = async {
             loop {
@@ -333,7 +334,7 @@
     }
 
     fn is_leader_known(&self) -> bool {
-        let leads = self.inner.leadership.borrow().is_some();
+        let leads = self.inner.leadership.borrow().is_some() && self.inner.formed.get();
         let another_leads =
             self.inner.replica.leading().is_none() && self.inner.replica.leader().is_some();
         leads || another_leads
--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -50,6 +50,8 @@
         let now_ms = util::boot_ms();
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return Err(self.not_leader()) };
+        // A generation of a group that may never serve must not become a fencing token.
+        self.check_formed()?;
         let state = self.inner.replica.state();
         let queues = state.queues();
         let known = leadership.sidecars.get(&report.sidecar);
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -36,19 +36,24 @@
 
 impl Instance {
     async fn start() -> Instance {
+        let instance = Instance::of_group(1).await;
+        instance.answer(Call::Configure(Arc::new(durable::config(2)))).await;
+        instance
+    }
+
+    /// The only voter of a group that should have `voters`, without a configuration.
+    async fn of_group(voters: usize) -> Instance {
         let folder = TempDir::new().unwrap();
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = replica::Settings::new(id::Node(1), any_port, folder.path().to_path_buf());
         let replica = Replica::start(settings).await.unwrap();
         replica.init().await.unwrap();
-        let settings = jobs::Settings { voters: 1, keep_ms: 60_000 };
+        let settings = jobs::Settings { voters, keep_ms: 60_000 };
         let coordinator = Coordinator::new(replica.clone(), settings);
         actix_rt::spawn(coordinator.clone().run());
         let handler = Handler::new(coordinator.clone());
         let server = rpc::serve_to_end(any_port, handler.serve()).await.unwrap();
-        let instance = Instance { replica, coordinator, server, _folder: folder };
-        instance.answer(Call::Configure(Arc::new(durable::config(2)))).await;
-        instance
+        Instance { replica, coordinator, server, _folder: folder }
     }
 
     /// Makes a call again and again until it is answered.
@@ -296,3 +301,22 @@
     instance.coordinator.stop();
     instance.replica.stop().await;
 }
+
+/// Guards against calls and reports that one voter of three accepts because it has waited long: the
+/// loss of its disk, which is tolerated, would lose what it accepted, and sidecars would keep its
+/// fencing tokens.
+#[actix_rt::test]
+async fn a_single_voter_of_three_accepts_nothing() {
+    const WATCHED: Duration = Duration::from_secs(8);
+    let instance = Instance::of_group(3).await;
+    let end = time::Instant::now() + WATCHED;
+    while time::Instant::now() < end {
+        let call = Call::Configure(Arc::new(durable::config(2)));
+        let answer = instance.coordinator.call(call).await;
+        assert!(answer.is_err(), "{answer:?}");
+        let commands = instance.coordinator.report(report(1, 0, 0, None)).await;
+        assert!(commands.is_err(), "{commands:?}");
+    }
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
