Form a cluster only on the word of other instances that none exists

What callers saw: reads of an older configuration than one that had been accepted, for seconds, and tasks of durable jobs that started again, when the first seed's disk was lost while its settings still said that the system starts for the first time.

Cause: platform/src/control.rs formed a cluster if `first_start` was set, the instance was the first seed and its folder was blank. An empty disk was taken for an empty world, and nobody was asked. The new cluster stood beside the living one, with its own leader, terms, versions and fencing tokens.

Ruled out: a stale leader of one cluster. Its reads wait for a majority, and the log of instance 0 has `event=cluster_formed` for a second time.

Change: - `Peer::hello` returns the receiver's standing: cluster, voters by its log, number of committed voters, whether it hears a leader, and whether it too is in its first start. Instances without a leader ask all seeds and all who have asked them, as before. - `coordination::formation` decides by these answers. One member of a cluster forbids it. Otherwise all seeds have to be blank, or after 3 s most of them, and in any case as many instances as a majority of the configured voters. A majority of three seeds alone is too little if two of five voters may lose their disks: two lost disks and a silent seed would pass for a new system. Answers are bound to the time of their request, and a pause of the founder starts the wait again. A blank instance that is not in its first start does not count. - A blank instance that asks a member of a cluster with a majority of committed voters is bound to that cluster, durably. Seeds need not be members (others may have joined first), and would otherwise say truthfully that they belong to none. `init` is refused there from then on. - A learner whose only known voter was a lost disk of the founder, and which hears no leader, counts as silent: that cluster has ended. `event=role` and `event=voter` name the cluster.

Why it works: no cluster accepts anything before a majority of its voters has stored it, and at most a minority of the disks may be lost. So among a majority of would-be voters at least one still knows of a cluster that has accepted something, and it forbids another.

--- a/src/control/replica/core.rs
+++ b/src/control/replica/core.rs
@@ -15,7 +15,10 @@
     storage::{Job, Storage},
 };
 use crate::{
-    coordination::consensus::{Instance, Role, Save},
+    coordination::{
+        consensus::{Instance, Role, Save},
+        formation::Formation,
+    },
     protocol::wire::{
         control::Refusal,
         peer::{Entry, Id, Payload},
@@ -62,8 +65,16 @@
     /// When this instance next checks whether to send its id and addresses to the other instances,
     /// in ms since the replica started.
     pub hello_at: u64,
+    /// Set while this instance may still form a cluster.
+    pub formation: Option<Formation>,
+    /// When the wait for other instances was last logged, in ms since the replica started.
+    pub formation_logged_at: u64,
+    /// Clusters other than the instance's own of which peers have told, as far as they are logged.
+    pub foreign_clusters: BTreeMap<SocketAddr, u64>,
     /// Role that was last logged.
     pub role: Role,
+    /// Whether this instance was last logged as a voter.
+    pub voter: bool,
 }
 
 impl Core {
@@ -92,7 +103,11 @@
             routes: BTreeMap::new(),
             incoming: BTreeMap::new(),
             hello_at: 0,
+            formation: None,
+            formation_logged_at: 0,
+            foreign_clusters: BTreeMap::new(),
             role: Role::Follower,
+            voter: false,
         }
     }
 
@@ -147,7 +162,8 @@
         }
     }
 
-    /// Refuses waiting proposals if this instance no longer leads, and logs a new role.
+    /// Refuses waiting proposals if this instance no longer leads, and logs a new role, or that this
+    /// instance has become a voter or is one no longer.
     pub fn role_changed(&mut self) {
         let role = self.instance.role();
         if role != Role::Leader {
@@ -155,10 +171,16 @@
                 let _ = waiter.send(Err(leadership_lost()));
             }
         }
+        let (term, cluster) = (self.instance.term(), self.instance.cluster().unwrap_or_default());
         if role != self.role {
-            log::info!("event=role role={role:?} term={}", self.instance.term());
+            log::info!("event=role role={role:?} term={term} cluster={cluster:016x}");
             self.role = role;
         }
+        let voter = self.instance.is_voter();
+        if voter != self.voter {
+            log::info!("event=voter voter={voter} term={term} cluster={cluster:016x}");
+            self.voter = voter;
+        }
     }
 
     /// Peer address of an instance: as the instance sent it, or else as the members list it.
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -1,6 +1,7 @@
 //! Drives the consensus protocol: passes messages, storage results and the time to the consensus
 //! state and carries out the actions that it returns.
 
+mod formation;
 mod group;
 
 use std::{
@@ -29,7 +30,7 @@
     error::Result,
     protocol::wire::{
         control::Refusal,
-        peer::{self, Body, Hello, Message, SnapshotChunk, SnapshotMeta},
+        peer::{self, Body, Hello, Message, SnapshotChunk, SnapshotMeta, Standing},
     },
     state::{
         log::{Log, files::Files},
@@ -120,6 +121,7 @@
     let server = rpc::serve(addr, service).await?;
     let driver = inner.driver.as_ref().expect("just set");
     driver.peer_addr.set(server.addr());
+    driver.begin_formation();
     *driver.server.borrow_mut() = Some(server);
     actix_rt::spawn(run(inner.clone(), results));
     Ok(inner)
@@ -157,7 +159,7 @@
         }
         tokio::select! {
             () = driver.wake.notified() => {}
-            _ = ticks.tick() => driver.tick(),
+            _ = ticks.tick() => driver.tick(inner),
             result = results.recv() => match result {
                 Some(result) => driver.handle_result(inner, result),
                 None => return Err("storage thread ended".to_owned()),
@@ -178,13 +180,16 @@
         self.guard("peer_message", || self.step(sender, message));
     }
 
-    /// Handles an introduction of another instance.
-    pub fn receive_hello(&self, hello: Hello) {
+    /// Handles an introduction of another instance. Returns what this one knows of its cluster, or
+    /// `None` if the replica has ended.
+    pub fn receive_hello(&self, hello: Hello) -> Option<Standing> {
         self.guard("peer_hello", || {
             let mut core = self.core.borrow_mut();
             core.routes.insert(hello.id, hello.peer);
             core.instance.hello(hello);
-        });
+            core.instance.standing(self.settings.first_start)
+        })
+        .filter(|_| !self.stopping.get())
     }
 
     /// Handles a chunk of a snapshot. Returns whether the sender shall continue.
@@ -233,7 +238,7 @@
         }
     }
 
-    fn tick(&self) {
+    fn tick(&self, inner: &Rc<Inner>) {
         let now = self.now();
         let mut core = self.core.borrow_mut();
         if !self.takes_part(&core) {
@@ -241,15 +246,20 @@
         }
         core.instance.tick(now);
         if now >= core.hello_at {
-            core.hello_at = now + HEARTBEATS_PER_HELLO * self.settings.timing.heartbeat_ms;
-            self.introduce(&mut core);
+            let heartbeats = match core.formation {
+                Some(_) => 1,
+                None => HEARTBEATS_PER_HELLO,
+            };
+            core.hello_at = now + heartbeats * self.settings.timing.heartbeat_ms;
+            self.introduce(inner, &mut core);
         }
+        self.continue_formation(&mut core, now);
     }
 
     /// Sends an introduction to all known instances while this one has no leader, or is not listed
     /// as a member with its current addresses. A leader introduces itself to itself, so that a
     /// change of its own addresses is recorded.
-    fn introduce(&self, core: &mut Core) {
+    fn introduce(&self, inner: &Rc<Inner>, core: &mut Core) {
         let hello = Hello {
             cluster: core.instance.cluster(),
             id: core.instance.id(),
@@ -279,7 +289,7 @@
         addrs.sort_unstable();
         addrs.dedup();
         for addr in addrs.into_iter().filter(|addr| *addr != hello.peer) {
-            self.peers.hello(addr, hello);
+            self.send_hello(inner, addr, hello);
         }
     }
 
--- a/src/control/replica/driver/group.rs
+++ b/src/control/replica/driver/group.rs
@@ -4,7 +4,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use super::{
-    super::{GroupStatus, control_member, core::Reply, role},
+    super::{
+        GroupStatus, control_member,
+        core::{Core, Reply},
+        role,
+    },
     Driver,
 };
 use crate::{
@@ -28,8 +32,12 @@
 
 impl Driver {
     pub fn init(&self) -> Result<(), Refusal> {
-        let mut core = self.core.borrow_mut();
-        self.check_available(&core)?;
+        self.init_instance(&mut self.core.borrow_mut())
+    }
+
+    /// Forms a cluster with this instance as its only voter.
+    pub(super) fn init_instance(&self, core: &mut Core) -> Result<(), Refusal> {
+        self.check_available(core)?;
         let member = Member {
             id: core.instance.id(),
             peer: self.peer_addr.get(),
@@ -38,7 +46,7 @@
         };
         let formed = core.instance.init(self.now(), rand::random(), member);
         self.wake.notify_one();
-        formed.map_err(|refusal| self.refusal(&core, refusal))
+        formed.map_err(|refusal| self.refusal(core, refusal))
     }
 
     /// Adds the instance that has introduced itself with the peer or control address `addr`.
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -42,6 +42,9 @@
 /// Interval at which a waiting call checks its condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Number of voters that a cluster should have unless the settings say otherwise.
+const VOTERS: usize = 3;
+
 /// Settings of a replica.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -53,6 +56,12 @@
     /// Peer addresses of other instances, to which this one introduces itself while it has no
     /// leader, or is not listed as a member with its current addresses.
     pub peers: Vec<SocketAddr>,
+    /// Whether the system starts for the first time. The instance at the first address of `peers`
+    /// then forms a cluster, unless one exists.
+    pub first_start: bool,
+    /// Number of voters that the cluster should have. No cluster with fewer than a majority of them
+    /// has accepted anything.
+    pub voters: usize,
     pub data_directory: PathBuf,
     pub timing: Timing,
     /// Bytes by which the log must have grown since the last snapshot before the next one is made.
@@ -67,6 +76,8 @@
             peer_addr,
             client_addr: peer_addr,
             peers: Vec::new(),
+            first_start: false,
+            voters: VOTERS,
             data_directory,
             timing: Timing::default(),
             snapshot_bytes: 8 * 1024 * 1024,
@@ -236,11 +247,6 @@
         driver.status(self.inner.applied.get())
     }
 
-    /// Whether this instance does not belong to a cluster yet.
-    pub fn blank(&self) -> bool {
-        matches!(self.status().role, control::Role::Blank)
-    }
-
     /// State of the cluster; empty unless this instance leads.
     pub fn group_status(&self) -> GroupStatus {
         self.inner.driver.as_ref().map_or_else(GroupStatus::default, Driver::group_status)
--- a/src/control/replica/peers.rs
+++ b/src/control/replica/peers.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     error::{Error, Result},
-    protocol::wire::peer::{Body, Hello, Message, ServiceClient, SnapshotChunk},
+    protocol::wire::peer::{Body, Hello, Message, ServiceClient, SnapshotChunk, Standing},
     transport::rpc,
 };
 
@@ -66,24 +66,30 @@
 
     /// Sends a message, which may get lost.
     pub fn send(&self, addr: SocketAddr, sender: SocketAddr, message: Message) {
-        self.spawn(addr, "peer_step", async move |client: ServiceClient| {
+        let call = async move |client: ServiceClient| {
             client.step(rpc::context(CALL_TIMEOUT), sender, message).await
-        });
+        };
+        self.spawn(addr, "peer_step", call, |()| {});
     }
 
-    pub fn hello(&self, addr: SocketAddr, hello: Hello) {
-        self.spawn(addr, "peer_hello", async move |client: ServiceClient| {
+    /// Sends an introduction and passes the answer, if one arrives, to `answered`.
+    pub fn hello(&self, addr: SocketAddr, hello: Hello, answered: impl FnOnce(Standing) + 'static) {
+        let call = async move |client: ServiceClient| {
             client.hello(rpc::context(CALL_TIMEOUT), hello).await
+        };
+        self.spawn(addr, "peer_hello", call, |standing: Option<Standing>| {
+            standing.map(answered);
         });
     }
 
-    fn spawn<F>(
+    fn spawn<T, F>(
         &self,
         addr: SocketAddr,
         step: &'static str,
         call: impl FnOnce(ServiceClient) -> F + 'static,
+        answered: impl FnOnce(T) + 'static,
     ) where
-        F: Future<Output = Result<(), tarpc::client::RpcError>> + 'static,
+        F: Future<Output = Result<T, tarpc::client::RpcError>> + 'static,
     {
         let peer = self.peer(addr);
         if peer.in_flight.get() >= MAX_IN_FLIGHT {
@@ -91,8 +97,9 @@
         }
         peer.in_flight.set(peer.in_flight.get() + 1);
         actix_rt::spawn(async move {
-            if let Err(e) = peer.call(step, call).await {
-                log::debug!("event=peer_call_failed {e}");
+            match peer.call(step, call).await {
+                Ok(answer) => answered(answer),
+                Err(e) => log::debug!("event=peer_call_failed {e}"),
             }
             peer.in_flight.set(peer.in_flight.get() - 1);
         });
--- a/src/control/replica/service.rs
+++ b/src/control/replica/service.rs
@@ -8,7 +8,7 @@
 use tarpc::context::Context;
 
 use super::{Inner, driver::Driver};
-use crate::protocol::wire::peer::{self, Hello, Message, SnapshotChunk};
+use crate::protocol::wire::peer::{self, Hello, Message, SnapshotChunk, Standing};
 
 /// Passes the calls of other instances to the driver. It does not keep the replica alive.
 #[derive(Clone)]
@@ -30,8 +30,8 @@
         self.call(|driver| driver.receive(sender, message));
     }
 
-    async fn hello(self, _: Context, hello: Hello) {
-        self.call(|driver| driver.receive_hello(hello));
+    async fn hello(self, _: Context, hello: Hello) -> Option<Standing> {
+        self.call(|driver| driver.receive_hello(hello)).flatten()
     }
 
     async fn snapshot_chunk(self, _: Context, chunk: SnapshotChunk) -> bool {
--- a/src/coordination/consensus/mod.rs
+++ b/src/coordination/consensus/mod.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     protocol::wire::peer::{
-        Body, Entry, HardState, Hello, Id, Member, Message, Payload, SnapshotMeta,
+        Body, Entry, HardState, Hello, Id, Member, Message, Payload, SnapshotMeta, Standing,
     },
     state::snapshot::Snapshot,
 };
@@ -243,6 +243,12 @@
         Ok(())
     }
 
+    /// Binds this instance to a cluster before the leader has added it, unless it belongs to one.
+    /// It can then neither form a cluster nor join another one.
+    pub fn adopt(&mut self, cluster: u64) {
+        self.hard_state.cluster.get_or_insert(cluster);
+    }
+
     pub fn id(&self) -> Id {
         self.id
     }
@@ -294,6 +300,19 @@
         self.voters().any(|member| member.id == self.id)
     }
 
+    /// What this instance knows of its cluster.
+    pub fn standing(&self, first_start: bool) -> Standing {
+        let committed = self.log.members_at(self.commit_index);
+        Standing {
+            id: self.id,
+            cluster: self.hard_state.cluster,
+            first_start,
+            voters: self.voters().map(|member| member.id).collect(),
+            committed_voters: committed.iter().filter(|member| member.voter).count() as u64,
+            has_leader: self.has_leader(),
+        }
+    }
+
     /// Drops the entries up to `index` from memory. A durable snapshot must cover them.
     pub fn compact(&mut self, index: u64) {
         if index > self.log.base() && index <= self.delivered_index {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 pub mod connection;
 pub mod consensus;
 pub mod dispatch;
+pub mod formation;
 pub mod health;
 pub mod lease;
 pub mod limit;
--- a/src/protocol/wire/peer.rs
+++ b/src/protocol/wire/peer.rs
@@ -13,8 +13,9 @@
 pub trait Service {
     /// Delivers a consensus message. Replies are sent to the address `sender`.
     async fn step(sender: SocketAddr, message: Message);
-    /// Introduces an instance that has no leader, or whose addresses have changed.
-    async fn hello(hello: Hello);
+    /// Introduces an instance that has no leader, or whose addresses have changed. Returns what the
+    /// receiver knows of a cluster; `None` if its replica has ended.
+    async fn hello(hello: Hello) -> Option<Standing>;
     /// Delivers a chunk of a snapshot. Returns whether the sender shall continue.
     async fn snapshot_chunk(chunk: SnapshotChunk) -> bool;
 }
@@ -158,6 +159,22 @@
     pub client: SocketAddr,
 }
 
+/// What an instance knows of the cluster that it belongs to.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    pub id: Id,
+    /// Cluster of the instance; `None` before it joins one.
+    pub cluster: Option<u64>,
+    /// Whether the settings of the instance are those of the first start of the system.
+    pub first_start: bool,
+    /// Voters by its latest membership entry, committed or not.
+    pub voters: Vec<Id>,
+    /// Number of voters by the latest membership entry that it knows to be committed.
+    pub committed_voters: u64,
+    /// Whether it leads, or a leader sent a message within the shortest election timeout.
+    pub has_leader: bool,
+}
+
 /// Chunk of the data of a `Body::Snapshot`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotChunk {
--- /dev/null
+++ b/tests/formation.rs
@@ -0,0 +1,230 @@
+//! Formation of a cluster by the first seed: the decision by itself, and replicas over loopback.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use briargauge::{
+    control::replica::{Replica, Settings},
+    coordination::formation::{Claim, Formation, Step},
+    protocol::{
+        id,
+        wire::{
+            control::{MemberChange, Role},
+            peer::{Id, Standing},
+        },
+    },
+};
+use tempfile::TempDir;
+use tokio::time;
+
+/// Time limit for a condition; only reached by a failing test.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Time in which a founder that hears blank instances decides.
+const WATCHED: Duration = Duration::from_millis(8_000);
+
+const FOUNDER: Id = Id { node: id::Node(1), disk: id::Disk(10) };
+const LOST: Id = Id { node: id::Node(1), disk: id::Disk(11) };
+
+fn addr(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+fn other(node: u64) -> Id {
+    Id { node: id::Node(node), disk: id::Disk(10 * node) }
+}
+
+fn blank(id: Id) -> Standing {
+    Standing {
+        id,
+        cluster: None,
+        first_start: true,
+        voters: Vec::new(),
+        committed_voters: 0,
+        has_leader: false,
+    }
+}
+
+fn member(id: Id, voters: &[Id], has_leader: bool) -> Standing {
+    Standing { cluster: Some(7), voters: voters.to_vec(), has_leader, ..blank(id) }
+}
+
+/// A founder at address 1 with the seeds at addresses 1 to `seeds`.
+fn founder(seeds: u16, voters: usize) -> Formation {
+    let seeds: Vec<SocketAddr> = (1..=seeds).map(addr).collect();
+    Formation::new(0, FOUNDER, addr(1), &seeds, voters)
+}
+
+/// Lets the founder decide every 100 ms from `from` to `to`, each time with these answers, by the port
+/// of the instance. Returns when it formed a cluster, and its last decision.
+fn decide(
+    formation: &mut Formation,
+    (from, to): (u64, u64),
+    answers: &[(u16, Standing)],
+) -> (Option<u64>, Step) {
+    let mut last = Step::WaitForSeeds;
+    for now in (from..=to).step_by(100) {
+        for (at, standing) in answers {
+            formation.record(addr(*at), now, standing);
+        }
+        last = formation.step(now);
+        if last == Step::Form {
+            return (Some(now), last);
+        }
+    }
+    (None, last)
+}
+
+/// Guards against a cluster that is formed although no, or too few, instances have said that they
+/// are blank, and against one that is not formed although enough have.
+#[test]
+fn a_cluster_is_formed_by_a_majority_of_blank_instances() {
+    let answers = [(2, blank(other(2))), (3, blank(other(3))), (4, blank(other(4)))];
+    let formed = |seeds, voters, answers: &[(u16, Standing)]| {
+        decide(&mut founder(seeds, voters), (0, 20_000), answers).0
+    };
+    assert_eq!(formed(1, 1, &[]), Some(0), "a single instance");
+    assert_eq!(formed(1, 3, &[]), None, "a single seed alone, of three voters");
+    assert_eq!(formed(1, 3, &answers[1..2]), Some(0), "a single seed, and another instance");
+    assert_eq!(formed(3, 3, &answers[..2]), Some(0), "all seeds");
+    assert_eq!(formed(3, 3, &answers[..1]), Some(3_000), "one seed of three is silent");
+    assert_eq!(formed(3, 3, &[]), None, "two seeds of three are silent");
+    assert_eq!(formed(3, 5, &answers[..1]), None, "two of five voters could be lost disks");
+    assert_eq!(
+        formed(3, 5, &[answers[0].clone(), answers[2].clone()]),
+        Some(3_000),
+        "three of five"
+    );
+    let same_node = [(2, blank(other(2))), (4, blank(other(2)))];
+    assert_eq!(formed(3, 5, &same_node), None, "one instance at two addresses");
+    let own = [(2, blank(FOUNDER)), (3, blank(other(3)))];
+    assert_eq!(formed(3, 3, &own), Some(0), "the founder's own second address");
+}
+
+/// Guards against a second cluster: one instance that belongs to a cluster must be enough to form none,
+/// and for good, although it falls silent later, answers late, or others restart.
+#[test]
+fn a_member_is_a_veto() {
+    let voters = [LOST, other(2), other(3)];
+    for voter in [member(other(2), &voters, true), member(other(2), &voters, false)] {
+        let mut formation = founder(3, 3);
+        let first = decide(&mut formation, (0, 100), &[(2, voter)]);
+        assert_eq!(first, (None, Step::WaitForMembers));
+        let later = decide(&mut formation, (200, 20_000), &[(3, blank(other(3)))]);
+        assert_eq!(later, (None, Step::WaitForMembers));
+    }
+    let mut formation = founder(3, 3);
+    formation.record(addr(2), 500, &blank(other(2)));
+    formation.record(addr(2), 100, &member(other(2), &[], false));
+    let late = decide(&mut formation, (600, 20_000), &[(3, blank(other(3)))]);
+    assert_eq!(late, (None, Step::WaitForMembers), "an answer that was overtaken");
+    let restarted = Standing { first_start: false, ..blank(other(2)) };
+    let mut formation = founder(3, 3);
+    let lost = decide(&mut formation, (0, 20_000), &[(2, restarted)]);
+    assert_eq!(lost, (None, Step::WaitForMajority), "a blank instance that has started before");
+}
+
+/// Guards against a first start that never succeeds because an instance was being added to a cluster
+/// that ended with the founder's own disk, and against overlooking that the cluster lives.
+#[test]
+fn a_learner_of_a_lost_single_voter_is_no_veto() {
+    let claim = |standing| founder(3, 3).record(addr(2), 0, &standing);
+    assert_eq!(claim(member(other(2), &[LOST], false)), Some(Claim::Abandoned));
+    assert_eq!(claim(member(other(2), &[LOST], true)), Some(Claim::Member), "it has a leader");
+    assert_eq!(claim(member(other(2), &[LOST, other(2)], false)), Some(Claim::Member));
+    assert_eq!(claim(member(other(2), &[LOST, other(3)], false)), Some(Claim::Member));
+    assert_eq!(claim(member(LOST, &[LOST], false)), Some(Claim::Member), "the voter itself");
+    assert_eq!(claim(member(other(2), &[], false)), Some(Claim::Member), "an empty log");
+    let answers = [(2, member(other(2), &[LOST], false)), (3, blank(other(3)))];
+    let formed = decide(&mut founder(3, 3), (0, 20_000), &answers);
+    assert_eq!(formed, (Some(3_000), Step::Form));
+}
+
+/// Guards against a decision by answers from before a pause of the founder, and against one right after
+/// it, before the others could be heard.
+#[test]
+fn a_pause_of_the_founder_starts_the_wait_again() {
+    let answers = [(2, blank(other(2)))];
+    let mut formation = founder(3, 3);
+    assert_eq!(decide(&mut formation, (0, 1_000), &answers).0, None);
+    assert_eq!(formation.step(10_000), Step::WaitForMajority, "the answers are outdated");
+    assert_eq!(decide(&mut formation, (10_100, 20_000), &answers).0, Some(13_000));
+}
+
+/// An address at which nothing listens yet.
+fn free_addr() -> SocketAddr {
+    TcpListener::bind(addr(0)).unwrap().local_addr().unwrap()
+}
+
+fn settings(node: u64, at: SocketAddr, directory: &Path, seeds: &[SocketAddr]) -> Settings {
+    Settings {
+        peers: seeds.to_vec(),
+        first_start: true,
+        client_addr: SocketAddr::from(([127, 0, 0, 2], at.port())),
+        ..Settings::new(id::Node(node), at, directory.to_path_buf())
+    }
+}
+
+/// Waits until `condition` holds; panics after [`LIMIT`].
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    let holds = async {
+        while !condition() {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    time::timeout(LIMIT, holds)
+        .await
+        .unwrap_or_else(|_| panic!("not met within {LIMIT:?}: {what}"));
+}
+
+async fn add(leader: &Replica, added: &Replica) {
+    let addr = added.peer_addr().unwrap();
+    let limit = Instant::now() + LIMIT;
+    while leader.change_members(MemberChange::Add { addr }).await.is_err() {
+        assert!(Instant::now() < limit, "no instance was added");
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    let node = added.status().node;
+    let votes = || leader.status().members.iter().any(|member| member.node == node && member.votes);
+    until("the added instance votes", votes).await;
+}
+
+/// Guards against a second cluster by the word of seeds that are no members: two other instances are
+/// the voters, and the seeds know of the cluster only by asking. They keep it over a restart.
+#[actix_rt::test]
+async fn seeds_that_are_no_members_know_the_cluster() {
+    let directories: Vec<TempDir> = (0..6).map(|_| TempDir::new().unwrap()).collect();
+    let addrs: Vec<SocketAddr> = (0..5).map(|_| free_addr()).collect();
+    let seeds = &addrs[..3];
+    let start = async |number: usize, directory: usize| {
+        let directory = directories[directory].path();
+        Replica::start(settings(number as u64, addrs[number], directory, seeds)).await.unwrap()
+    };
+    let mut replicas = Vec::new();
+    for number in 0..5 {
+        replicas.push(start(number, number).await);
+    }
+    until("the first seed leads", || replicas[0].leading().is_some()).await;
+    add(&replicas[0], &replicas[3]).await;
+    add(&replicas[0], &replicas[4]).await;
+    let is_blank = |replica: &Replica| matches!(replica.status().role, Role::Blank);
+    for seed in &replicas[1..3] {
+        until("a seed has heard of the cluster", || !is_blank(seed)).await;
+        assert!(seed.init().await.is_err(), "an operator's command would form a second cluster");
+    }
+    for replica in &replicas {
+        replica.stop().await;
+    }
+    let seeds = [start(1, 1).await, start(2, 2).await];
+    let founder = start(0, 5).await;
+    let end = Instant::now() + WATCHED;
+    while Instant::now() < end {
+        assert_eq!(founder.leading(), None, "a second cluster");
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    for replica in seeds.iter().chain([&founder]) {
+        replica.stop().await;
+    }
+}
