Calls to leaders and sidecars name the cluster that they are for

Cause: nothing that an entry, a sidecar or an operator's endpoint sent or received named the cluster. Terms, versions, generations and lists of two clusters were compared as one's, and a client that did not reach its own leader took the next address, whoever answered there.

Ruled out: a check at the receiver of answers alone. A call that names no cluster would be carried out by whichever leader it reaches first, so one submission whose answer was lost could be stored in both clusters. Hence every call names the cluster, also the first one: to a client that follows none, a leader of a formed group answers only which cluster it leads (Refusal::OtherCluster), which costs one more round trip at the start of a process. Answers then need no name: they come from the cluster that the call named, and that of an instance does not change in the life of its process.

Change: id::Cluster; Service::call and Service::report take the followed cluster, and the handler refuses before anything else looks at the call. LeaderClient keeps the cluster (cluster::Followed) for its life, goes on to the next address after a refusal of another cluster, and takes no redirect that was given before it followed one. A control instance's client follows the cluster of its disk. Entries name theirs to sidecars: a sidecar that follows another starts nothing and appears as closed, as callers may send a job to entries of both, and an entry whose cluster is gone would go on by its configuration for good.

The messages between processes change, so that processes of both versions don't understand each other.

--- a/src/control/jobs/call.rs
+++ b/src/control/jobs/call.rs
@@ -26,11 +26,7 @@
     /// Carries out a call if this instance leads, and refuses it otherwise.
     pub async fn call(&self, call: Call) -> Result<Answer, Refusal> {
         self.wait_for_leader().await;
-        let term = self.inner.leadership.borrow().as_ref().map(|leadership| leadership.term);
-        let Some(term) = term else { return Err(self.not_leader()) };
-        if !self.inner.formed.get() {
-            return Err(Refusal::NotReady { detail: "the group is being formed".to_owned() });
-        }
+        let term = self.check_formed()?;
         match call {
             Call::Submit { host, path, job } => self.submit(term, host, path, job).await,
             Call::Query { host, path } => self.query(&host, &path).await,
@@ -79,7 +75,7 @@
     }
 
     /// Returns once the state of this instance is confirmed to be current.
-    async fn confirm_current(&self) -> Result<(), Refusal> {
+    pub(super) async fn confirm_current(&self) -> Result<(), Refusal> {
         match self.inner.barrier.wait().await {
             Ok(_) => Ok(()),
             Err(control::Refusal::NotLeader { leader }) => Err(Refusal::NotLeader { leader }),
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -21,7 +21,10 @@
 use crate::{
     control::{barrier::SharedBarrier, replica::Replica},
     coordination::schedule::Scheduler,
-    protocol::wire::queue::{self, Refusal},
+    protocol::{
+        id,
+        wire::queue::{self, Refusal},
+    },
     supervisor, util,
 };
 use batcher::Batcher;
@@ -193,7 +196,8 @@
         let state = self.inner.replica.state();
         let scheduler = Scheduler::new(term, now_ms, state.queues());
         log::info!(
-            "event=leadership term={term} jobs={} inherited={} version={}",
+            "event=leadership term={term} cluster={} jobs={} inherited={} version={}",
+            self.inner.replica.cluster().map_or_else(String::new, |cluster| cluster.to_string()),
             state.queues().open().count(),
             scheduler.inherited(),
             state.queues().config().map_or(0, |config| config.version),
@@ -339,6 +343,32 @@
         leads || another_leads
     }
 
+    /// Refuses a call that does not name the cluster of this instance, before anything else looks at
+    /// it. To a client that follows no cluster yet, only the leader of a formed group names its own.
+    async fn check_cluster(&self, named: Option<id::Cluster>) -> Result<(), Refusal> {
+        match (named, self.inner.replica.cluster()) {
+            (_, None) => Err(self.not_leader()),
+            (Some(named), Some(cluster)) if named == cluster => Ok(()),
+            (Some(_), Some(cluster)) => Err(Refusal::OtherCluster { cluster }),
+            (None, Some(cluster)) => {
+                self.wait_for_leader().await;
+                self.check_formed()?;
+                self.confirm_current().await?;
+                Err(Refusal::OtherCluster { cluster })
+            }
+        }
+    }
+
+    /// Refuses unless this instance leads a group that has been formed. Returns the term.
+    fn check_formed(&self) -> Result<u64, Refusal> {
+        let term = self.inner.leadership.borrow().as_ref().map(|leadership| leadership.term);
+        let Some(term) = term else { return Err(self.not_leader()) };
+        if !self.inner.formed.get() {
+            return Err(Refusal::NotReady { detail: "the group is being formed".to_owned() });
+        }
+        Ok(term)
+    }
+
     fn not_leader(&self) -> Refusal {
         Refusal::NotLeader { leader: self.inner.replica.leader() }
     }
--- a/src/control/jobs/service.rs
+++ b/src/control/jobs/service.rs
@@ -3,7 +3,10 @@
 use tarpc::context::Context;
 
 use super::Coordinator;
-use crate::protocol::wire::queue::{Answer, Call, Commands, Refusal, Report, Service};
+use crate::protocol::{
+    id,
+    wire::queue::{Answer, Call, Commands, Refusal, Report, Service},
+};
 
 /// Serves the calls of one connection.
 #[derive(Clone)]
@@ -18,11 +21,23 @@
 }
 
 impl Service for Handler {
-    async fn call(self, _: Context, call: Call) -> Result<Answer, Refusal> {
+    async fn call(
+        self,
+        _: Context,
+        cluster: Option<id::Cluster>,
+        call: Call,
+    ) -> Result<Answer, Refusal> {
+        self.coordinator.check_cluster(cluster).await?;
         self.coordinator.call(call).await
     }
 
-    async fn report(self, _: Context, report: Report) -> Result<Commands, Refusal> {
+    async fn report(
+        self,
+        _: Context,
+        cluster: Option<id::Cluster>,
+        report: Report,
+    ) -> Result<Commands, Refusal> {
+        self.coordinator.check_cluster(cluster).await?;
         self.coordinator.report(report).await
     }
 }
--- a/src/control/replica/driver/group.rs
+++ b/src/control/replica/driver/group.rs
@@ -9,9 +9,12 @@
 };
 use crate::{
     coordination::consensus::{self, Change, Role},
-    protocol::wire::{
-        control::{self, Refusal},
-        peer::{Hello, Member},
+    protocol::{
+        id,
+        wire::{
+            control::{self, Refusal},
+            peer::{Hello, Member},
+        },
     },
     state::machine,
 };
@@ -87,6 +90,10 @@
         }
     }
 
+    pub fn cluster(&self) -> Option<id::Cluster> {
+        self.core.borrow().instance.cluster().map(id::Cluster)
+    }
+
     pub fn group_status(&self) -> GroupStatus {
         let core = self.core.borrow();
         let instance = &core.instance;
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -236,6 +236,15 @@
         driver.status(self.inner.applied.get())
     }
 
+    /// The cluster that this instance belongs to; `None` before it has formed or joined one.
+    pub fn cluster(&self) -> Option<id::Cluster> {
+        match &self.inner.driver {
+            Some(driver) => driver.cluster(),
+            // Nothing else can belong to the cluster of a single instance without a disk.
+            None => Some(id::Cluster(0)),
+        }
+    }
+
     /// Whether this instance does not belong to a cluster yet.
     pub fn blank(&self) -> bool {
         matches!(self.status().role, control::Role::Blank)
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -24,6 +24,7 @@
         transient::{Key, StartCommand},
     },
     protocol::{
+        id,
         queue::{Attempt, Id},
         wire::work::{self, Renewal, Reply, Revision, ServiceClient, Status},
     },
@@ -182,7 +183,8 @@
             due_ms: channel.lease.get().clock_lower_bound(command.due_ms),
             wait_ms: command.wait_ms,
         };
-        let call = channel.client.run(rpc::context(ATTEMPT_TIMEOUT), request);
+        let cluster = self.inner.leader.cluster();
+        let call = channel.client.run(rpc::context(ATTEMPT_TIMEOUT), cluster, request);
         let terminated = channel.wait_for_termination();
         tokio::pin!(terminated);
         tokio::select! {
@@ -212,7 +214,8 @@
         loop {
             let addr = self.inner.scheduler.borrow().addr(key);
             connection.inner.addr.set(addr);
-            let Some((channel, terminated, status)) = open(addr).await else {
+            let cluster = self.inner.leader.cluster();
+            let Some((channel, terminated, status)) = open(addr, cluster).await else {
                 time::sleep(RECONNECT_DELAY).await;
                 continue;
             };
@@ -260,7 +263,8 @@
             let revision = self.inner.scheduler.borrow().revision(key);
             let lease_until_ms = channel.extend_lease(self.inner.watermark.get());
             let renewal = Renewal { entry: channel.entry, revision, lease_until_ms };
-            match request_status(&channel.client, renewal).await {
+            let cluster = self.inner.leader.cluster();
+            match request_status(&channel.client, cluster, renewal).await {
                 Some((received_ms, status)) => {
                     channel.record_clock(status.clock_ms, received_ms);
                     self.apply_status(key, status);
@@ -273,7 +277,10 @@
 
 /// Opens a connection with a new random [`work::Entry`], so that its renewals do not extend the
 /// leases of earlier openings.
-async fn open(addr: SocketAddr) -> Option<(Channel, watch::Sender<bool>, Status)> {
+async fn open(
+    addr: SocketAddr,
+    cluster: Option<id::Cluster>,
+) -> Option<(Channel, watch::Sender<bool>, Status)> {
     let client = match rpc::connect::<ServiceClient>(addr).await {
         Ok(client) => client,
         Err(e) => {
@@ -283,7 +290,7 @@
     };
     let entry = work::Entry(rand::random());
     let renewal = Renewal { entry, revision: Revision::default(), lease_until_ms: 0 };
-    let (received_ms, status) = request_status(&client, renewal).await?;
+    let (received_ms, status) = request_status(&client, cluster, renewal).await?;
     let (sender, terminated) = watch::channel(false);
     let channel = Channel {
         client,
@@ -295,8 +302,12 @@
 }
 
 /// Renews a lease and requests the status of a sidecar. Also returns when the answer arrived.
-async fn request_status(client: &ServiceClient, renewal: Renewal) -> Option<(u64, Status)> {
-    let answer = client.renew(rpc::context(RENEW_TIMEOUT), renewal);
+async fn request_status(
+    client: &ServiceClient,
+    cluster: Option<id::Cluster>,
+    renewal: Renewal,
+) -> Option<(u64, Status)> {
+    let answer = client.renew(rpc::context(RENEW_TIMEOUT), cluster, renewal);
     match time::timeout(RENEW_TIMEOUT, answer).await {
         Ok(Ok(status)) => Some((util::boot_ms(), status)),
         Ok(Err(e)) => {
@@ -336,7 +347,8 @@
 /// Releases the lease of a broken connection to the process `incarnation` of the sidecar. Returns
 /// whether attempts that were started over it may be left, or `None` without an answer.
 async fn attempts_left(entry: work::Entry, incarnation: u64, addr: SocketAddr) -> Option<bool> {
-    let (channel, _, status) = open(addr).await?;
+    // Only the incarnation and what is left count here, which the sidecar says to every entry.
+    let (channel, _, status) = open(addr, None).await?;
     if status.incarnation != incarnation {
         return Some(!status.clean);
     }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -1,4 +1,7 @@
 //! Client of the leading control instance: finds it and follows it when it changes.
+//!
+//! A client follows one cluster. Each call names it, and instances of other clusters refuse the call,
+//! so that terms, versions, generations and addresses of two clusters never mix.
 
 use std::{
     cell::{Cell, RefCell},
@@ -12,8 +15,13 @@
 use tokio::time;
 
 use crate::{
+    cluster::Followed,
+    control::replica::Replica,
     error::{Error, Result},
-    protocol::wire::queue::{Answer, Call, Commands, Refusal, Report, ServiceClient},
+    protocol::{
+        id,
+        wire::queue::{Answer, Call, Commands, Refusal, Report, ServiceClient},
+    },
     transport::rpc::{self, Link},
 };
 
@@ -50,8 +58,11 @@
 struct Inner {
     /// Configured addresses of control instances, which may be outdated.
     seeds: RefCell<Vec<SocketAddr>>,
-    /// Addresses of the control instances that a leader has sent.
+    /// Addresses of the control instances that a leader of the followed cluster has sent.
     control_addrs: RefCell<Vec<SocketAddr>>,
+    followed: Followed,
+    /// The control instance that the client is part of, if it is part of one.
+    replica: Option<Replica>,
     links: RefCell<IndexMap<SocketAddr, Rc<Link<ServiceClient>>>>,
     /// Instance to call, until it turns out not to lead or not to answer.
     current: Cell<Option<SocketAddr>>,
@@ -66,9 +77,23 @@
 impl LeaderClient {
     /// Starts with `seeds` as the addresses of control instances. They may be outdated.
     pub fn new(seeds: Vec<SocketAddr>) -> LeaderClient {
+        LeaderClient::with_inner(seeds, None)
+    }
+
+    /// A client that is part of a control instance. It follows the cluster of the instance, and while
+    /// the instance belongs to none, the one that answers first.
+    pub fn with_replica(seeds: Vec<SocketAddr>, replica: Replica) -> LeaderClient {
+        let client = LeaderClient::with_inner(seeds, Some(replica));
+        client.cluster();
+        client
+    }
+
+    fn with_inner(seeds: Vec<SocketAddr>, replica: Option<Replica>) -> LeaderClient {
         let inner = Inner {
             seeds: RefCell::new(seeds),
             control_addrs: RefCell::default(),
+            followed: Followed::default(),
+            replica,
             links: RefCell::default(),
             current: Cell::new(None),
             choice_count: Cell::new(rand::random_range(0..1_000)),
@@ -90,6 +115,18 @@
         }
     }
 
+    /// The cluster that the client follows; `None` until a leader has named one. It does not change,
+    /// unless the client is part of a control instance that joins another cluster.
+    pub fn cluster(&self) -> Option<id::Cluster> {
+        let followed = self.inner.followed.get();
+        let own = self.inner.replica.as_ref().and_then(Replica::cluster);
+        let Some(own) = own.filter(|own| followed != Some(*own)) else { return followed };
+        self.inner.followed.set_own(own);
+        self.inner.control_addrs.borrow_mut().clear();
+        self.inner.current.set(None);
+        Some(own)
+    }
+
     /// Whether a leader has answered within `limit`.
     pub fn in_touch(&self, limit: Duration) -> bool {
         self.inner.last_answer.get().is_some_and(|at| at.elapsed() < limit)
@@ -101,12 +138,13 @@
         let mut outcome_unknown = false;
         loop {
             let time_left = end.saturating_duration_since(Instant::now());
+            let cluster = self.cluster();
             let addr = self.choose_addr();
             let try_limit = time_left.min(TRY_TIMEOUT);
             let request = call.clone();
             let answer = self
-                .call_once(addr, "call_leader", try_limit, |client| async move {
-                    client.call(rpc::context(try_limit), request).await
+                .call_once(addr, cluster, "call_leader", try_limit, |client| async move {
+                    client.call(rpc::context(try_limit), cluster, request).await
                 })
                 .await;
             let detail = match answer {
@@ -143,9 +181,10 @@
         report: Report,
         limit: Duration,
     ) -> Result<Result<Commands, Refusal>> {
+        let cluster = self.cluster();
         let addr = self.choose_addr();
-        self.call_once(addr, "report", limit, |client| async move {
-            client.report(rpc::context(limit), report).await
+        self.call_once(addr, cluster, "report", limit, |client| async move {
+            client.report(rpc::context(limit), cluster, report).await
         })
         .await
     }
@@ -164,10 +203,12 @@
         time::sleep(if round_complete { ROUND_DELAY } else { RETRY_DELAY }).await;
     }
 
-    /// Makes a call once, at `addr`, and updates the current instance by its result.
+    /// Makes a call that names `cluster` once, at `addr`, and updates the current instance by its
+    /// result.
     async fn call_once<T, F>(
         &self,
         addr: SocketAddr,
+        cluster: Option<id::Cluster>,
         step: &'static str,
         limit: Duration,
         call: impl FnOnce(ServiceClient) -> F,
@@ -189,9 +230,21 @@
                 source: tarpc::client::RpcError::DeadlineExceeded,
             }),
         };
+        let superseded = self.cluster() != cluster;
         match &result {
+            Ok(Ok(_)) if superseded => {
+                let detail = "the cluster that answered is not followed any more".to_owned();
+                return Ok(Err(Refusal::Unknown { detail }));
+            }
             Ok(Ok(_)) => self.inner.last_answer.set(Some(Instant::now())),
-            Ok(Err(Refusal::NotLeader { leader })) => self.switch_from(addr, *leader),
+            Ok(Err(Refusal::NotLeader { leader })) => {
+                self.switch_from(addr, leader.filter(|_| !superseded));
+            }
+            Ok(Err(Refusal::OtherCluster { cluster })) => {
+                if !self.inner.followed.handle_refusal(addr, *cluster) {
+                    self.switch_from(addr, None);
+                }
+            }
             Ok(Err(_)) => {}
             Err(e) => {
                 log::debug!("event=attempt_failed {e}");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod backend;
 pub mod client;
+mod cluster;
 pub mod cmd;
 pub mod config;
 pub mod control;
--- a/src/protocol/id.rs
+++ b/src/protocol/id.rs
@@ -66,6 +66,18 @@
 #[serde(transparent)]
 pub struct Disk(pub u64);
 
+/// A cluster of control instances. The number is drawn at random when the cluster is formed. Terms,
+/// log indexes, and all numbers that are derived from them, are comparable only within one cluster.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Cluster(pub u64);
+
+impl fmt::Display for Cluster {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 impl fmt::Display for Account {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -6,18 +6,24 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    protocol::queue::{Attempt, Config, Job, Outcome, Phase, Resources},
+    protocol::{
+        id,
+        queue::{Attempt, Config, Job, Outcome, Phase, Resources},
+    },
     transport::rpc,
 };
 
-/// Calls from entries, operators' endpoints and sidecars. Only the leader accepts them.
+/// Calls from entries, operators' endpoints and sidecars. Only the leader accepts them, and only
+/// those that name its own cluster: an answer therefore always comes from the cluster that the caller
+/// follows.
 #[tarpc::service]
 pub trait Service {
-    /// Carries out a call that a caller or an operator made.
-    async fn call(call: Call) -> Result<Answer, Refusal>;
+    /// Carries out a call that a caller or an operator made. `cluster` is the one that the client
+    /// follows, if it follows one yet.
+    async fn call(cluster: Option<id::Cluster>, call: Call) -> Result<Answer, Refusal>;
     /// Handles a sidecar's report. Returns at once if there are commands for the sidecar, otherwise
-    /// after `wait_ms` or when its next report arrives.
-    async fn report(report: Report) -> Result<Commands, Refusal>;
+    /// after `wait_ms` or when its next report arrives. `cluster` is as in `call`.
+    async fn report(cluster: Option<id::Cluster>, report: Report) -> Result<Commands, Refusal>;
 }
 
 /// Why an instance did not return an answer to a call.
@@ -25,6 +31,9 @@
 pub enum Refusal {
     /// The call was not carried out: another instance leads, at the given address if that is known.
     NotLeader { leader: Option<SocketAddr> },
+    /// The call was not carried out and will not be: it names another cluster than `cluster`, to
+    /// which the instance belongs, or none. In the latter case the instance leads.
+    OtherCluster { cluster: id::Cluster },
     /// The call was not carried out and will not be, as the control group is still being formed, or
     /// as the instance could not confirm that its state is current.
     NotReady { detail: String },
--- a/src/protocol/wire/work.rs
+++ b/src/protocol/wire/work.rs
@@ -5,19 +5,21 @@
 
 use crate::{
     protocol::{
+        id,
         queue::{Attempt, Id, Resources},
         wire::queue::{Reason, Server, Start},
     },
     transport::rpc,
 };
 
-/// Calls from entries.
+/// Calls from entries. `cluster` is the one that the entry follows. A sidecar that follows another
+/// one, or none yet, starts nothing for the entry, and appears to it as closed.
 #[tarpc::service]
 pub trait Service {
     /// Renews an entry's lease and returns the status of the sidecar.
-    async fn renew(renewal: Renewal) -> Status;
+    async fn renew(cluster: Option<id::Cluster>, renewal: Renewal) -> Status;
     /// Starts an attempt, and returns when the attempt has ended or will not start.
-    async fn run(command: StartCommand) -> Reply;
+    async fn run(cluster: Option<id::Cluster>, command: StartCommand) -> Reply;
     /// Stops attempts that an entry commanded.
     async fn stop(entry: Entry, attempts: Vec<Attempt>);
     /// Ends an entry's lease and stops its attempts. Returns whether none of them is left.
--- a/src/sidecar/jobs/service.rs
+++ b/src/sidecar/jobs/service.rs
@@ -7,10 +7,11 @@
 use crate::{
     coordination::sidecar::Source,
     protocol::{
+        id,
         queue::{Attempt, Id},
         wire::{
             queue::Reason,
-            work::{Entry, Outcome, Renewal, Reply, Service, StartCommand, Status},
+            work::{Entry, Load, Outcome, Renewal, Reply, Service, StartCommand, Status},
         },
     },
     util,
@@ -33,8 +34,20 @@
     }
 }
 
+impl<B: Backend> Handler<B> {
+    /// Whether the sidecar starts attempts for entries that follow `cluster`.
+    fn serves(&self, cluster: Option<id::Cluster>) -> bool {
+        cluster.is_some() && cluster == self.sidecar.inner.leader.cluster()
+    }
+
+    /// `load` as entries that follow `cluster` see it.
+    fn load_for(&self, cluster: Option<id::Cluster>, load: Load) -> Load {
+        Load { open: load.open && self.serves(cluster), ..load }
+    }
+}
+
 impl<B: Backend> Service for Handler<B> {
-    async fn renew(self, _: Context, renewal: Renewal) -> Status {
+    async fn renew(self, _: Context, cluster: Option<id::Cluster>, renewal: Renewal) -> Status {
         let mut state = self.sidecar.inner.state.borrow_mut();
         let clock_ms = util::boot_ms();
         let server = state.server().filter(|_| renewal.revision != state.revision());
@@ -46,13 +59,20 @@
             incarnation: state.incarnation(),
             clock_ms,
             clean: state.clean(),
-            load: state.load(),
+            load: self.load_for(cluster, state.load()),
             server,
         }
     }
 
-    async fn run(self, _: Context, command: StartCommand) -> Reply {
+    async fn run(self, _: Context, cluster: Option<id::Cluster>, command: StartCommand) -> Reply {
         let inner = &self.sidecar.inner;
+        if !self.serves(cluster) {
+            let named = cluster.map_or_else(|| "none".to_owned(), |cluster| cluster.to_string());
+            log::info!("event=other_cluster run={} cluster={named}", command.start.attempt);
+            let outcome = Outcome::NotStarted(Reason::Unavailable);
+            let load = self.load_for(cluster, inner.state.borrow().load());
+            return Reply { outcome, took_ms: 0, clock_ms: util::boot_ms(), load };
+        }
         let (attempt, entry) = (command.start.attempt, command.entry);
         let (waiter, reply) = oneshot::channel();
         inner.waiters.borrow_mut().insert((entry, attempt), waiter);
@@ -66,7 +86,7 @@
         }
         self.sidecar.carry_out();
         let (outcome, took_ms) = reply.await.unwrap_or((Outcome::NotStarted(Reason::Expired), 0));
-        let load = inner.state.borrow().load();
+        let load = self.load_for(cluster, inner.state.borrow().load());
         Reply { outcome, took_ms, clock_ms: util::boot_ms(), load }
     }
 
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -70,7 +70,7 @@
     /// Makes a call on a connection that closes after `open`, whether it is answered or not.
     async fn call_briefly(&self, call: Call, open: Duration) {
         let client: ServiceClient = rpc::connect(self.server.addr()).await.unwrap();
-        let answer = client.call(rpc::context(LIMIT), call);
+        let answer = client.call(rpc::context(LIMIT), self.replica.cluster(), call);
         // Most calls are not answered in time.
         let _ = time::timeout(open, answer).await;
     }
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -7,7 +7,10 @@
 
 use briargauge::{
     leader::LeaderClient,
-    protocol::wire::queue::{Answer, Call, Commands, Refusal, Report, Service, ServiceClient},
+    protocol::{
+        id,
+        wire::queue::{Answer, Call, Commands, Refusal, Report, Service, ServiceClient},
+    },
     transport::rpc,
 };
 use tarpc::context::Context;
@@ -18,11 +21,16 @@
 struct Leading;
 
 impl Service for Leading {
-    async fn call(self, _: Context, _: Call) -> Result<Answer, Refusal> {
+    async fn call(self, _: Context, _: Option<id::Cluster>, _: Call) -> Result<Answer, Refusal> {
         Ok(Answer::NoConfig)
     }
 
-    async fn report(self, _: Context, _: Report) -> Result<Commands, Refusal> {
+    async fn report(
+        self,
+        _: Context,
+        _: Option<id::Cluster>,
+        _: Report,
+    ) -> Result<Commands, Refusal> {
         Ok(Commands::default())
     }
 }
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -3,7 +3,10 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use briargauge::{
-    protocol::wire::queue::{Answer, Call, Commands, Refusal, Report, Service, ServiceClient},
+    protocol::{
+        id,
+        wire::queue::{Answer, Call, Commands, Refusal, Report, Service, ServiceClient},
+    },
     transport::rpc,
 };
 use tarpc::context::Context;
@@ -22,7 +25,7 @@
 }
 
 impl Service for Handler {
-    async fn call(self, _: Context, _: Call) -> Result<Answer, Refusal> {
+    async fn call(self, _: Context, _: Option<id::Cluster>, _: Call) -> Result<Answer, Refusal> {
         self.begun.notify_one();
         self.proceed.notified().await;
         self.finished_count.set(self.finished_count.get() + 1);
@@ -30,7 +33,12 @@
         Ok(Answer::Accepted)
     }
 
-    async fn report(self, _: Context, _: Report) -> Result<Commands, Refusal> {
+    async fn report(
+        self,
+        _: Context,
+        _: Option<id::Cluster>,
+        _: Report,
+    ) -> Result<Commands, Refusal> {
         unreachable!("not called");
     }
 }
@@ -48,13 +56,13 @@
     let server = rpc::serve_to_end(any_port, handler.clone().serve()).await.unwrap();
 
     let client: ServiceClient = rpc::connect(server.addr()).await.unwrap();
-    let given_up = client.call(rpc::context(Duration::from_millis(50)), Call::ReadConfig);
+    let given_up = client.call(rpc::context(Duration::from_millis(50)), None, Call::ReadConfig);
     let (answer, ()) = futures::join!(given_up, within_limit(&handler.begun));
     assert!(answer.is_err(), "the call has exceeded its deadline");
     handler.proceed.notify_one();
     within_limit(&handler.finished).await;
 
-    let disconnected = client.call(rpc::context(LIMIT), Call::ReadConfig);
+    let disconnected = client.call(rpc::context(LIMIT), None, Call::ReadConfig);
     tokio::select! {
         answer = disconnected => panic!("{answer:?}"),
         () = within_limit(&handler.begun) => {}
