Calls of entries and sidecars to control name the cluster that they are for

What could happen: a sidecar that its own cluster could not reach had its lease renewed by the leader of another one, and an entry its session. The session's number may be live there although its own cluster has fenced it, so that tasks whose job was recorded as failed could go on starting, and rules of the other cluster came into force if their version was higher. Not seen in use: two clusters come to exist here only if `briargauge init` is run again on an empty folder.

Evidence: control::cluster::a_client_calls_no_other_cluster; on (without the argument):

panicked at tests/control/cluster.rs:121:5: Ok(EntryView { confirmed_age_ms: 0, rules: None, servers: Servers { revision: Revision { term: 2, number: 0 }, full: false, changed: [], removed: [] }, shares: [] })

That is, the leader of the other cluster renews the session, as both have the same number.

Change: register, sync_entry, sync_sidecar, admit, finish and lookup take the cluster that the caller follows, and are refused before anything else looks at them if it is another one or none; the leader then names its own. client::Control follows the first one for its life, as LeaderClient does, by the same type. Operators' commands are single calls and name none.

Commands from entries to sidecars need no name here: an entry knows a sidecar's incarnation only from its own cluster, and a sidecar that follows another one is another process with another incarnation.

After: the test passes, and so do the other tests of control, sidecar, entry, api and clusters.

--- a/src/client.rs
+++ b/src/client.rs
@@ -13,8 +13,9 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    cluster::Followed,
     error::{Error, Result},
-    protocol::wire::control,
+    protocol::{id, wire::control},
     transport::rpc,
 };
 
@@ -26,7 +27,8 @@
 /// time.
 const PAUSE: Duration = Duration::from_millis(40);
 const PAUSE_MAX: Duration = Duration::from_millis(300);
-/// Successive redirects to a named leader that are followed without a pause.
+/// Successive redirects to a named leader, and changes of the followed cluster, after which there is
+/// no pause.
 const REDIRECTS_MAX: u32 = 3;
 
 /// Why a call to control has no result.
@@ -69,6 +71,7 @@
         control::Refusal::NotInitialised => {
             "no cluster has been formed: run `briargauge init` once".into()
         }
+        control::Refusal::OtherCluster { cluster } => format!("it belongs to cluster {cluster}"),
         control::Refusal::Stopping => "the instance is stopping".into(),
         control::Refusal::Fenced => "the session has ended".into(),
         control::Refusal::Storage { detail } => format!("the record was not stored: {detail}"),
@@ -86,23 +89,30 @@
     links: RefCell<Vec<Rc<rpc::Link<control::ServiceClient>>>>,
     /// Index of the link to call next, modulo the number of links.
     current: Cell<usize>,
+    followed: Followed,
 }
 
 impl Control {
     /// A client of the instances at `addrs`, of which there must be at least one.
     pub fn new(addrs: &[SocketAddr]) -> Control {
         let links = addrs.iter().map(|addr| rpc::Link::new(*addr)).collect();
-        Control { inner: Rc::new(Inner { links: RefCell::new(links), current: Cell::new(0) }) }
+        let inner = Inner {
+            links: RefCell::new(links),
+            current: Cell::new(0),
+            followed: Followed::default(),
+        };
+        Control { inner: Rc::new(inner) }
     }
 
     /// Makes a call to the leader and repeats it until it is answered or `limit` has passed.
     ///
-    /// The call must be idempotent, because an instance may execute it although its answer is lost.
+    /// The call must be idempotent, because an instance may execute it although its answer is lost. It
+    /// gets the cluster that this client follows, if it follows one yet.
     pub async fn call<T, F>(
         &self,
         step: &'static str,
         limit: Duration,
-        call: impl Fn(control::ServiceClient, context::Context) -> F,
+        call: impl Fn(control::ServiceClient, context::Context, Option<id::Cluster>) -> F,
     ) -> Result<T, Failure>
     where
         F: Future<Output = Result<Result<T, control::Refusal>, RpcError>>,
@@ -122,19 +132,30 @@
                 return Err(maybe_executed.unwrap_or(Failure::NoAnswer(timeout)));
             }
             let context = rpc::context(left.min(ATTEMPT_LIMIT));
-            let failure = match link.call(step, |client| call(client, context)).await {
+            let cluster = self.inner.followed.get();
+            let failure = match link.call(step, |client| call(client, context, cluster)).await {
                 Ok(Ok(answer)) => return Ok(answer),
                 Ok(Err(refusal)) => {
                     let peer = link.addr();
                     match refusal {
-                        control::Refusal::NotLeader { leader: Some(leader) } => {
+                        control::Refusal::NotLeader { leader: Some(leader) }
+                            if self.inner.followed.get() == cluster =>
+                        {
                             self.prefer(leader);
                             redirects += 1;
                             if redirects <= REDIRECTS_MAX {
                                 continue;
                             }
                         }
-                        control::Refusal::NotLeader { leader: None }
+                        control::Refusal::OtherCluster { cluster } => {
+                            if !self.inner.followed.handle_refusal(peer, cluster) {
+                                self.next(&link);
+                            } else if redirects < REDIRECTS_MAX {
+                                redirects += 1;
+                                continue;
+                            }
+                        }
+                        control::Refusal::NotLeader { .. }
                         | control::Refusal::NotInitialised
                         | control::Refusal::Stopping => self.next(&link),
                         control::Refusal::Storage { .. } => {}
--- a/src/cmd/local.rs
+++ b/src/cmd/local.rs
@@ -163,7 +163,7 @@
     let deadline = Instant::now() + READY_LIMIT;
     loop {
         let servers = client
-            .call("members", READY_LIMIT, |c, context| async move { c.servers(context).await })
+            .call("members", READY_LIMIT, |c, context, _| async move { c.servers(context).await })
             .await?;
         if servers.len() >= count || Instant::now() >= deadline {
             return Ok(());
--- a/src/cmd/members.rs
+++ b/src/cmd/members.rs
@@ -39,9 +39,11 @@
         _ => return Err(util::usage("expected nothing, `add ADDR` or `remove NODE DISK`")),
     };
     let client = util::control(&matches)?;
-    util::block_on(client.call("change voters", util::CONTROL_LIMIT, |c, context| async move {
-        c.change_members(context, change).await
-    }))?;
+    util::block_on(client.call(
+        "change voters",
+        util::CONTROL_LIMIT,
+        |c, context, _| async move { c.change_members(context, change).await },
+    ))?;
     println!("accepted");
     Ok(ExitCode::SUCCESS)
 }
--- a/src/cmd/rules.rs
+++ b/src/cmd/rules.rs
@@ -114,7 +114,7 @@
 /// Submits a change. A change with an id that control has already seen gets the answer of the first
 /// submission.
 pub async fn change(client: &client::Control, change: control::Change) -> Result<control::Changed> {
-    let call = client.call("change rules", util::CONTROL_LIMIT, |c, context| {
+    let call = client.call("change rules", util::CONTROL_LIMIT, |c, context, _| {
         let change = change.clone();
         async move { c.change_rules(context, change).await }
     });
@@ -123,7 +123,7 @@
 
 /// The rules in force.
 pub async fn rules(client: &client::Control) -> Result<control::Rules> {
-    let call = client.call("read rules", util::CONTROL_LIMIT, |c, context| async move {
+    let call = client.call("read rules", util::CONTROL_LIMIT, |c, context, _| async move {
         c.rules(context).await
     });
     Ok(call.await?)
@@ -146,7 +146,7 @@
     let limit = u32::try_from(limit.unwrap_or(20)).unwrap_or(u32::MAX);
     let client = util::control(matches)?;
     let changes =
-        util::block_on(client.call("history", util::CONTROL_LIMIT, |c, context| async move {
+        util::block_on(client.call("history", util::CONTROL_LIMIT, |c, context, _| async move {
             c.history(context, limit).await
         }))?;
     if matches.opt_present("json") {
--- a/src/cmd/servers.rs
+++ b/src/cmd/servers.rs
@@ -18,7 +18,7 @@
     let matches = util::parse(&util::control_options(), args)?;
     let client = util::control(&matches)?;
     let mut servers =
-        util::block_on(client.call("members", util::CONTROL_LIMIT, |c, context| async move {
+        util::block_on(client.call("members", util::CONTROL_LIMIT, |c, context, _| async move {
             c.servers(context).await
         }))?;
     servers
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -106,6 +106,18 @@
         }
     }
 
+    /// Refuses a call that does not name the cluster of this instance, before anything else looks at
+    /// it. To a client that follows no cluster yet, only the leader names its own.
+    pub async fn check_cluster(&self, named: Option<id::Cluster>) -> Result<(), Refusal> {
+        let Some(cluster) = self.replica.cluster() else { return Err(self.not_leader()) };
+        match named {
+            Some(named) if named == cluster => return Ok(()),
+            Some(_) => self.meter.count_refusal(&Refusal::OtherCluster { cluster }),
+            None => drop(self.read_barrier().await?),
+        }
+        Err(Refusal::OtherCluster { cluster })
+    }
+
     /// The term that this instance leads. When the term is new, replaces the leader state by an
     /// empty one.
     fn leading_term(&self) -> Result<u64, Refusal> {
--- a/src/control/meter.rs
+++ b/src/control/meter.rs
@@ -80,6 +80,7 @@
     pub fn count_refusal(&self, refusal: &Refusal) {
         let reason = match refusal {
             Refusal::NotLeader { .. } => "not_leader",
+            Refusal::OtherCluster { .. } => "other_cluster",
             Refusal::NotInitialised => "not_initialised",
             Refusal::Stopping => "stopping",
             Refusal::Fenced => "fenced",
--- a/src/control/service.rs
+++ b/src/control/service.rs
@@ -19,48 +19,60 @@
     async fn register(
         self,
         _: Context,
+        cluster: Option<id::Cluster>,
         hello: control::Hello,
     ) -> Result<control::Session, control::Refusal> {
+        self.core.check_cluster(cluster).await?;
         self.core.counted("register", self.core.register(hello)).await
     }
 
     async fn sync_entry(
         self,
         _: Context,
+        cluster: Option<id::Cluster>,
         sync: control::EntrySync,
     ) -> Result<control::EntryView, control::Refusal> {
+        self.core.check_cluster(cluster).await?;
         self.core.counted("sync_entry", self.core.sync_entry(sync)).await
     }
 
     async fn sync_sidecar(
         self,
         _: Context,
+        cluster: Option<id::Cluster>,
         sync: control::SidecarSync,
     ) -> Result<control::SidecarView, control::Refusal> {
+        self.core.check_cluster(cluster).await?;
         self.core.counted("sync_sidecar", self.core.sync_sidecar(sync)).await
     }
 
     async fn admit(
         self,
         _: Context,
+        cluster: Option<id::Cluster>,
         admit: control::Admit,
     ) -> Result<control::Admission, control::Refusal> {
+        self.core.check_cluster(cluster).await?;
         self.core.counted("admit", self.core.admit(admit)).await
     }
 
     async fn finish(
         self,
         _: Context,
+        cluster: Option<id::Cluster>,
         finish: control::Finish,
     ) -> Result<control::Finished, control::Refusal> {
+        self.core.check_cluster(cluster).await?;
         self.core.counted("finish", self.core.finish(finish)).await
     }
 
     async fn lookup(
         self,
         _: Context,
+        cluster: Option<id::Cluster>,
         key: id::Key,
     ) -> Result<control::Admission, control::Refusal> {
+        self.core.check_cluster(cluster).await?;
         self.core.counted("lookup", self.core.lookup(key)).await
     }
 
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -53,27 +53,27 @@
     }
 
     pub async fn admit(&self, admit: &Admit, until: Instant) -> Result<Admission, CallError> {
-        let call = |client: ServiceClient, context| {
+        let call = |client: ServiceClient, context, cluster| {
             let admit = admit.clone();
-            async move { client.admit(context, admit).await }
+            async move { client.admit(context, cluster, admit).await }
         };
         let limit = until.saturating_duration_since(Instant::now());
         Ok(self.group.call("admit", limit, call).await?)
     }
 
     pub async fn finish(&self, finish: &Finish, until: Instant) -> Result<Finished, CallError> {
-        let call = |client: ServiceClient, context| {
+        let call = |client: ServiceClient, context, cluster| {
             let finish = finish.clone();
-            async move { client.finish(context, finish).await }
+            async move { client.finish(context, cluster, finish).await }
         };
         let limit = until.saturating_duration_since(Instant::now());
         Ok(self.group.call("finish", limit, call).await?)
     }
 
     pub async fn lookup(&self, key: &id::Key, until: Instant) -> Result<Admission, CallError> {
-        let call = |client: ServiceClient, context| {
+        let call = |client: ServiceClient, context, cluster| {
             let key = key.clone();
-            async move { client.lookup(context, key).await }
+            async move { client.lookup(context, cluster, key).await }
         };
         let limit = until.saturating_duration_since(Instant::now());
         Ok(self.group.call("lookup", limit, call).await?)
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -51,14 +51,14 @@
     let sent = Cell::new(Instant::now());
     // Each registration draws a new number because it opens a new session.
     let number = rand::random();
-    let call = |client: control::ServiceClient, context| {
+    let call = |client: control::ServiceClient, context, cluster| {
         sent.set(Instant::now());
         let hello = control::Hello {
             addr: core.addr.get(),
             data_centre: core.data_centre.clone(),
             start: number,
         };
-        async move { client.register(context, hello).await }
+        async move { client.register(context, cluster, hello).await }
     };
     match core.control.group.call("register", SYNC_LIMIT, call).await {
         Ok(session) => {
@@ -86,7 +86,7 @@
     let sent = Cell::new(Instant::now());
     let demands = core.engine.take_demands(period);
     let known = *revision;
-    let call = |client: control::ServiceClient, context| {
+    let call = |client: control::ServiceClient, context, cluster| {
         sent.set(Instant::now());
         let sync = control::EntrySync {
             epoch,
@@ -95,7 +95,7 @@
             servers: known,
             demands: demands.clone(),
         };
-        async move { client.sync_entry(context, sync).await }
+        async move { client.sync_entry(context, cluster, sync).await }
     };
     match core.control.group.call("sync", SYNC_LIMIT, call).await.map_err(CallError::from) {
         Ok(view) => {
--- a/src/protocol/wire/control.rs
+++ b/src/protocol/wire/control.rs
@@ -1,6 +1,10 @@
 //! The service that control instances offer. Only the leader accepts calls; other instances return
 //! the address of the leader. Exceptions are `status`, which every instance answers, and `init`,
 //! which only an instance without a cluster accepts.
+//!
+//! Entries and sidecars name the cluster that they follow, if they follow one yet, in each call. The
+//! leader carries out only calls that name its own: epochs, log indexes, versions and leases of two
+//! clusters are not comparable.
 
 use std::net::SocketAddr;
 
@@ -15,19 +19,25 @@
 #[tarpc::service]
 pub trait Service {
     /// Opens a session of an entry.
-    async fn register(hello: Hello) -> Result<Session, Refusal>;
+    async fn register(cluster: Option<id::Cluster>, hello: Hello) -> Result<Session, Refusal>;
     /// Renews an entry's session and returns what has changed for the entry.
-    async fn sync_entry(sync: EntrySync) -> Result<EntryView, Refusal>;
+    async fn sync_entry(
+        cluster: Option<id::Cluster>,
+        sync: EntrySync,
+    ) -> Result<EntryView, Refusal>;
     /// Renews the lease during which a sidecar may start attempts, and the registration of its
     /// backend server if the report contains one. Returns what has changed for the sidecar.
-    async fn sync_sidecar(sync: SidecarSync) -> Result<SidecarView, Refusal>;
+    async fn sync_sidecar(
+        cluster: Option<id::Cluster>,
+        sync: SidecarSync,
+    ) -> Result<SidecarView, Refusal>;
     /// Records a submission before any of its tasks starts. Idempotent for the same key and
     /// execution.
-    async fn admit(admit: Admit) -> Result<Admission, Refusal>;
+    async fn admit(cluster: Option<id::Cluster>, admit: Admit) -> Result<Admission, Refusal>;
     /// Records how a submission ended. Idempotent.
-    async fn finish(finish: Finish) -> Result<Finished, Refusal>;
+    async fn finish(cluster: Option<id::Cluster>, finish: Finish) -> Result<Finished, Refusal>;
     /// Returns the state of the submission with a key.
-    async fn lookup(key: id::Key) -> Result<Admission, Refusal>;
+    async fn lookup(cluster: Option<id::Cluster>, key: id::Key) -> Result<Admission, Refusal>;
     /// Replaces the rules if `base` is the current version. Idempotent for the same change id.
     async fn change_rules(change: Change) -> Result<Changed, Refusal>;
     /// Returns the current rules.
@@ -50,6 +60,9 @@
 pub enum Refusal {
     /// This instance is not the leader. `leader` is the address of the leader, if it is known.
     NotLeader { leader: Option<SocketAddr> },
+    /// The call was not carried out and will not be: it names another cluster than `cluster`, to
+    /// which the instance belongs, or none. In the latter case the instance leads.
+    OtherCluster { cluster: id::Cluster },
     /// No cluster has been formed.
     NotInitialised,
     /// The instance is stopping.
--- a/src/sidecar/sync.rs
+++ b/src/sidecar/sync.rs
@@ -42,10 +42,10 @@
     // Time at which the call that was answered was sent. The lease counts from then.
     let sent_at = Cell::new(0);
     let view = control
-        .call("sync_sidecar", core.settings.control_limit_ms, |client, context| {
+        .call("sync_sidecar", core.settings.control_limit_ms, |client, context, cluster| {
             sent_at.set(core.now());
             let report = core.report();
-            async move { client.sync_sidecar(context, report).await }
+            async move { client.sync_sidecar(context, cluster, report).await }
         })
         .await?;
     core.confirm(sent_at.get(), view);
--- a/tests/control/calls.rs
+++ b/tests/control/calls.rs
@@ -1,6 +1,6 @@
 //! Control instances that run in the test process, and a client for their calls.
 
-use std::{net::SocketAddr, path::Path, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, path::Path, rc::Rc, time::Duration};
 
 use briargauge::{
     config,
@@ -49,16 +49,19 @@
     }
 }
 
-/// A client with its own connection.
-pub struct Client(Rc<rpc::Link<ServiceClient>>);
+/// A client with its own connection, which follows the first cluster that a leader names.
+pub struct Client {
+    link: Rc<rpc::Link<ServiceClient>>,
+    cluster: Cell<Option<id::Cluster>>,
+}
 
 impl Client {
     pub fn new(addr: SocketAddr) -> Client {
-        Client(rpc::Link::new(addr))
+        Client { link: rpc::Link::new(addr), cluster: Cell::new(None) }
     }
 
     pub fn addr(&self) -> SocketAddr {
-        self.0.addr()
+        self.link.addr()
     }
 }
 
@@ -67,7 +70,7 @@
         impl Client {
             $(pub async fn $name(&self, $($arg: $ty)?) -> $answer {
                 let context = rpc::context(LIMIT);
-                self.0
+                self.link
                     .call(stringify!($name), |c| async move { c.$name(context, $($arg)?).await })
                     .await
                     .expect("the call is answered")
@@ -76,20 +79,49 @@
     };
 }
 
+macro_rules! calls_of_followers {
+    ($($name:ident($arg:ident: $ty:ty) -> $answer:ty;)*) => {
+        impl Client {
+            $(pub async fn $name(&self, $arg: $ty) -> $answer {
+                loop {
+                    let (context, cluster) = (rpc::context(LIMIT), self.cluster.get());
+                    let $arg = $arg.clone();
+                    let answer = self
+                        .link
+                        .call(stringify!($name), |c| async move {
+                            c.$name(context, cluster, $arg).await
+                        })
+                        .await
+                        .expect("the call is answered");
+                    match answer {
+                        Err(Refusal::OtherCluster { cluster: named }) if cluster.is_none() => {
+                            self.cluster.set(Some(named));
+                        }
+                        answer => return answer,
+                    }
+                }
+            })*
+        }
+    };
+}
+
 calls! {
     init() -> Result<(), Refusal>;
     status() -> control::Status;
     change_members(change: control::MemberChange) -> Result<(), Refusal>;
+    change_rules(change: control::Change) -> Result<control::Changed, Refusal>;
+    rules() -> Result<control::Rules, Refusal>;
+    history(limit: u32) -> Result<Vec<control::Accepted>, Refusal>;
+    servers() -> Result<Vec<control::Server>, Refusal>;
+}
+
+calls_of_followers! {
     register(hello: control::Hello) -> Result<control::Session, Refusal>;
     sync_entry(sync: control::EntrySync) -> Result<control::EntryView, Refusal>;
     sync_sidecar(sync: control::SidecarSync) -> Result<control::SidecarView, Refusal>;
     admit(admit: control::Admit) -> Result<Admission, Refusal>;
     finish(finish: control::Finish) -> Result<Finished, Refusal>;
     lookup(key: id::Key) -> Result<Admission, Refusal>;
-    change_rules(change: control::Change) -> Result<control::Changed, Refusal>;
-    rules() -> Result<control::Rules, Refusal>;
-    history(limit: u32) -> Result<Vec<control::Accepted>, Refusal>;
-    servers() -> Result<Vec<control::Server>, Refusal>;
 }
 
 /// Calls `ready` until it returns a value. Panics after [`LIMIT`].
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -1,11 +1,17 @@
-//! A cluster of three control instances.
+//! Clusters of control instances.
+
+use std::time::Duration;
 
 use briargauge::{
+    client,
     daemon::Process,
-    protocol::wire::control::{Admission, Changed, MemberChange, Refusal, Role},
+    protocol::wire::control::{Admission, Changed, MemberChange, Refusal, Role, ServiceClient},
 };
 
-use crate::calls::{Client, Instance, admit, change, entry_sync, hello, key, until};
+use crate::{
+    calls::{Client, Instance, LIMIT, admit, change, entry_sync, hello, key, until},
+    registry, sidecar_sync,
+};
 
 /// Makes a call to the instance that leads. It tries the instances in turn until one answers,
 /// because on a busy machine leadership may change at any time.
@@ -91,3 +97,32 @@
         instance.control.stop().await;
     }
 }
+
+/// Guards against a task that runs twice: the leader of another cluster, in which other sessions have
+/// the same numbers, renewed the lease of a sidecar and the session of an entry, which missed that
+/// their own cluster fenced the session.
+#[actix_rt::test]
+async fn a_client_calls_no_other_cluster() {
+    let (first, second) = (Instance::alone().await, Instance::alone().await);
+    let control = client::Control::new(&[first.client.addr(), second.client.addr()]);
+    let register = |c: ServiceClient, context, cluster| async move {
+        c.register(context, cluster, hello(1)).await
+    };
+    let session = control.call("register", LIMIT, register).await.expect("it is answered");
+    let other = second.client.register(hello(2)).await.expect("it is answered");
+    assert_eq!(session, other, "the numbers say nothing of the cluster");
+    first.control.stop().await;
+
+    let limit = Duration::from_secs(2);
+    let sync_entry = |c: ServiceClient, context, cluster| async move {
+        c.sync_entry(context, cluster, entry_sync(session.epoch, 1)).await
+    };
+    let answer = control.call("sync_entry", limit, sync_entry).await;
+    assert!(answer.is_err(), "{answer:?}");
+    let sync_sidecar = |c: ServiceClient, context, cluster| async move {
+        c.sync_sidecar(context, cluster, sidecar_sync(&registry::server(1, 1), None)).await
+    };
+    let answer = control.call("sync_sidecar", limit, sync_sidecar).await;
+    assert!(answer.is_err(), "{answer:?}");
+    second.control.stop().await;
+}
--- a/tests/fake/control.rs
+++ b/tests/fake/control.rs
@@ -198,14 +198,24 @@
 }
 
 impl Service for Handler {
-    async fn register(self, _: Context, hello: Hello) -> Result<Session, Refusal> {
+    async fn register(
+        self,
+        _: Context,
+        _: Option<id::Cluster>,
+        hello: Hello,
+    ) -> Result<Session, Refusal> {
         self.0.check_leading()?;
         let epoch = id::Epoch(self.0.next_index());
         self.0.sessions.borrow_mut().insert(epoch, hello.addr);
         Ok(Session { epoch, lease_ms: self.0.lease_ms.get() })
     }
 
-    async fn sync_entry(self, _: Context, sync: EntrySync) -> Result<EntryView, Refusal> {
+    async fn sync_entry(
+        self,
+        _: Context,
+        _: Option<id::Cluster>,
+        sync: EntrySync,
+    ) -> Result<EntryView, Refusal> {
         self.0.record_call(Call::Sync).await;
         self.0.check_session(sync.epoch)?;
         self.0.syncs.set(self.0.syncs.get() + 1);
@@ -221,14 +231,24 @@
         Ok(EntryView { confirmed_age_ms: self.0.age_ms.get(), rules, servers, shares })
     }
 
-    async fn admit(self, _: Context, admit: Admit) -> Result<Admission, Refusal> {
+    async fn admit(
+        self,
+        _: Context,
+        _: Option<id::Cluster>,
+        admit: Admit,
+    ) -> Result<Admission, Refusal> {
         self.0.check_session(admit.execution.epoch)?;
         let admission = self.0.record(admit);
         self.0.record_call(Call::Admit).await;
         Ok(admission)
     }
 
-    async fn finish(self, _: Context, finish: Finish) -> Result<Finished, Refusal> {
+    async fn finish(
+        self,
+        _: Context,
+        _: Option<id::Cluster>,
+        finish: Finish,
+    ) -> Result<Finished, Refusal> {
         self.0.check_session(finish.epoch)?;
         let finished = {
             let mut jobs = self.0.jobs.borrow_mut();
@@ -247,14 +267,24 @@
         Ok(finished)
     }
 
-    async fn lookup(self, _: Context, key: id::Key) -> Result<Admission, Refusal> {
+    async fn lookup(
+        self,
+        _: Context,
+        _: Option<id::Cluster>,
+        key: id::Key,
+    ) -> Result<Admission, Refusal> {
         self.0.check_leading()?;
         self.0.record_call(Call::Lookup).await;
         let jobs = self.0.jobs.borrow();
         Ok(jobs.get(&key.key).map_or(Admission::Unknown, Control::admission))
     }
 
-    async fn sync_sidecar(self, _: Context, _: SidecarSync) -> Result<SidecarView, Refusal> {
+    async fn sync_sidecar(
+        self,
+        _: Context,
+        _: Option<id::Cluster>,
+        _: SidecarSync,
+    ) -> Result<SidecarView, Refusal> {
         unused()
     }
 
--- a/tests/testbed/control.rs
+++ b/tests/testbed/control.rs
@@ -100,6 +100,7 @@
     async fn sync_sidecar(
         self,
         _: Context,
+        _: Option<id::Cluster>,
         sync: control::SidecarSync,
     ) -> Result<control::SidecarView, Refusal> {
         let answers = {
@@ -125,11 +126,11 @@
     }
 
     unused! {
-        register(control::Hello) -> control::Session;
-        sync_entry(control::EntrySync) -> control::EntryView;
-        admit(control::Admit) -> control::Admission;
-        finish(control::Finish) -> control::Finished;
-        lookup(id::Key) -> control::Admission;
+        register(Option<id::Cluster>, control::Hello) -> control::Session;
+        sync_entry(Option<id::Cluster>, control::EntrySync) -> control::EntryView;
+        admit(Option<id::Cluster>, control::Admit) -> control::Admission;
+        finish(Option<id::Cluster>, control::Finish) -> control::Finished;
+        lookup(Option<id::Cluster>, id::Key) -> control::Admission;
         change_rules(control::Change) -> control::Changed;
         rules() -> control::Rules;
         history(u32) -> Vec<control::Accepted>;
