--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -48,10 +48,10 @@
     /// Handles a report. Returns the completions that have to be stored, if there are any.
     fn handle_report(&self, report: Report) -> Result<Option<Unstored>, Refusal> {
         let now_ms = util::boot_ms();
-        let mut leadership = self.inner.leadership.borrow_mut();
-        let Some(leadership) = leadership.as_mut() else { return Err(self.not_leader()) };
         // A generation of a group that may never serve must not become a fencing token.
         self.check_formed()?;
+        let mut leadership = self.inner.leadership.borrow_mut();
+        let Some(leadership) = leadership.as_mut() else { return Err(self.not_leader()) };
         let state = self.inner.replica.state();
         let queues = state.queues();
         let known = leadership.sidecars.get(&report.sidecar);
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -247,6 +247,15 @@
         driver.status(self.inner.applied.get())
     }
 
+    /// The cluster that this instance belongs to; `None` before it has formed or joined one.
+    pub fn cluster(&self) -> Option<id::Cluster> {
+        match &self.inner.driver {
+            Some(driver) => driver.cluster(),
+            // Nothing else can belong to the cluster of a single instance without a disk.
+            None => Some(id::Cluster(0)),
+        }
+    }
+
     /// State of the cluster; empty unless this instance leads.
     pub fn group_status(&self) -> GroupStatus {
         self.inner.driver.as_ref().map_or_else(GroupStatus::default, Driver::group_status)
