An entry asks a leader before it denies a queue, and after a pause

What callers saw: 404 for a queue that an accepted change had added, as long as the change had not reached the entry, and without a leader for good. A job of a queue that had been withdrawn 2.5 s before the job was sent ran at an entry that had been stopped meanwhile.

Cause: an entry answered by the configuration that it held, of whatever age. Its long poll is answered within 0.4 s, but nothing bounds the age when an answer is lost, the process is paused, or no leader is found.

Hypotheses: (1) the leader answers with a state that lacks accepted changes: ruled out by reading, the barrier starts after the call arrived, and confirmations count from the asker's sending. (2) The entry goes back to an older version: ruled out, it takes higher ones only.

Change: an entry says that a queue does not exist only if a leader has answered a call that was sent after the request arrived; without an answer within 1 s it refuses with 503. Calls share an answer. Queues that it knows are served on without a leader, as traffic must not depend on one. Only if no call to a leader has ended, well or badly, for 1.5 s, which needs a pause of the process, a leader is asked first, for 150 ms at most. The same configuration tells a cancelled job's id.

Why it works: a change that was accepted before the call was sent is in the answer, as the leader confirms its state after the call arrived.

--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -1,9 +1,6 @@
 //! Handles the calls of callers.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use tokio::{sync::oneshot, task, time};
@@ -13,7 +10,7 @@
     coordination::transient::JobOutcome,
     leader::Failure,
     protocol::{
-        queue::{Config, Id, Job, Phase},
+        queue::{Id, Job, Phase},
         wire::queue::{Answer, Call},
     },
     util,
@@ -23,12 +20,6 @@
 const DEADLINE_DEFAULT: Duration = Duration::from_millis(1_500);
 /// Time before a caller's deadline that is reserved for the reply to reach the caller.
 const REPLY_TIME: Duration = Duration::from_millis(150);
-
-/// Longest time that a job waits at an entry that has just started and has no configuration yet.
-/// After this time most jobs can still end before their callers' deadlines.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
-/// Interval at which a waiting job checks for the configuration.
-const CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Turns of the runtime within which a connection that closed before a job was read is dropped: one
 /// each to read its end, to shut it down and to drop its requests.
 const CLOSE_TURNS: u32 = 3;
@@ -48,7 +39,8 @@
     NoJob,
     /// No task was started: no capacity became free in time.
     NotRun,
-    /// No task was started: there is no configuration yet, or the entry is stopping.
+    /// No task was started: the entry has no configuration yet, cannot learn whether there is such a
+    /// queue, or is stopping.
     NotReady,
     /// The caller's deadline has passed. Tasks may have run; those that still do are stopped.
     Expired,
@@ -96,7 +88,7 @@
     /// caller that leaves is not always heard of, and may send the job elsewhere.
     pub async fn run_job(&self, host: &str, path: &str, job: Job, leaves_ms: Option<u64>) -> Ended {
         let arrived_ms = util::boot_ms();
-        let Some(config) = self.wait_for_config().await else { return Ended::NotReady };
+        let Some(config) = self.config_for(host, path).await else { return Ended::NotReady };
         let Some((queue, rest)) = config.route(host, path) else { return Ended::NoQueue };
         let Some(id) = Id::parse(rest) else { return Ended::NoJob };
         if !self.has_time_for(&job) {
@@ -147,19 +139,6 @@
         }
     }
 
-    /// Returns the configuration, and waits up to [`CONFIG_WAIT`] for it on an entry that has just
-    /// started.
-    async fn wait_for_config(&self) -> Option<Arc<Config>> {
-        let end = Instant::now() + CONFIG_WAIT;
-        loop {
-            let config = self.inner.config.borrow().clone();
-            if config.is_some() || Instant::now() >= end {
-                return config;
-            }
-            time::sleep(CONFIG_POLL_INTERVAL).await;
-        }
-    }
-
     /// Whether a job can be expected to end before this entry stops.
     fn has_time_for(&self, job: &Job) -> bool {
         let Some(stops_at) = self.inner.stops_at.get() else { return true };
@@ -175,11 +154,10 @@
         path: String,
         deadline: Option<Duration>,
     ) -> Result<Answer, Failure> {
-        let id = {
-            let config = self.inner.config.borrow();
-            let route = config.as_ref().and_then(|config| config.route(&host, &path));
-            route.and_then(|(_, rest)| Id::parse(rest))
+        let Some(config) = self.config_for(&host, &path).await else {
+            return Err(Failure::NotDone { detail: "the configuration is not known".to_owned() });
         };
+        let id = config.route(&host, &path).and_then(|(_, rest)| Id::parse(rest));
         if let Some(id) = id
             && self.scheduler().cancel(id)
         {
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -2,6 +2,7 @@
 //! the leader of the control instances.
 
 mod call;
+mod config;
 mod connection;
 mod meter;
 
@@ -13,17 +14,20 @@
 };
 
 use indexmap::IndexMap;
-use tokio::{sync::oneshot, time};
+use tokio::{
+    sync::{Mutex, oneshot},
+    time,
+};
 
 use crate::{
     coordination::{
         connection::Watermark,
         transient::{JobOutcome, Key, Scheduler},
     },
-    leader::{Failure, LeaderClient},
+    leader::LeaderClient,
     protocol::{
         queue::{Config, Id},
-        wire::queue::{Answer, Call, View},
+        wire::queue::View,
     },
     supervisor, util,
 };
@@ -31,10 +35,6 @@
 use connection::Connection;
 use meter::Meter;
 
-/// Longest time that the leader waits for changes before it answers a watch call.
-const WATCH_WAIT: Duration = Duration::from_millis(400);
-/// Time limit of a watch call.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval at which queued tasks are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -50,6 +50,9 @@
     watermark: Cell<Watermark>,
     connections: RefCell<IndexMap<Key, Connection>>,
     config: RefCell<Option<Arc<Config>>>,
+    config_check: Cell<config::Check>,
+    /// Locked while a check is in progress beside the watch calls, so that calls share it.
+    config_checking: Mutex<()>,
     /// Version of the newest list of sidecars received.
     sidecar_list_version: Cell<u64>,
     /// Callers that wait for the outcome of a job.
@@ -68,6 +71,8 @@
             watermark: Cell::new(Watermark::new(util::boot_ms())),
             connections: RefCell::default(),
             config: RefCell::default(),
+            config_check: Cell::default(),
+            config_checking: Mutex::default(),
             sidecar_list_version: Cell::new(0),
             waiters: RefCell::default(),
             stops_at: Cell::new(None),
@@ -96,24 +101,6 @@
         self.inner.meter.render()
     }
 
-    /// Keeps the configuration and the list of sidecars up to date.
-    async fn watch(self) {
-        loop {
-            let call = Call::Watch {
-                config: self.inner.config.borrow().as_ref().map_or(0, |config| config.version),
-                sidecars: self.inner.sidecar_list_version.get(),
-                wait_ms: util::millis(WATCH_WAIT),
-            };
-            match self.inner.leader.call(call, WATCH_TIMEOUT).await {
-                Ok(Answer::View(view)) => self.apply_view(view),
-                Ok(answer) => log::error!("event=watch_answer answer={answer:?}"),
-                Err(Failure::NotDone { detail } | Failure::Unknown { detail }) => {
-                    log::info!("event=watch_failed detail={detail:?}");
-                }
-            }
-        }
-    }
-
     fn apply_view(&self, view: View) {
         if let Some(config) = view.config {
             let current = self.inner.config.borrow().as_ref().map_or(0, |config| config.version);
--- /dev/null
+++ b/tests/entry_jobs.rs
@@ -0,0 +1,226 @@
+//! The entry of the job queues, with a leader and a sidecar that the tests control.
+
+use std::{
+    cell::{Cell, RefCell},
+    future,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use briargauge::{
+    entry::jobs::{Ended, Entry},
+    leader::LeaderClient,
+    protocol::{
+        queue::{Attempt, Config, Id, Job, Queue, Resources, Step},
+        wire::{
+            queue::{
+                self, Answer, Call, Commands, Refusal, Report, Server, ServerId, Sidecar, View,
+            },
+            work::{self, Load, Outcome, Renewal, Reply, Revision, StartCommand, Status},
+        },
+    },
+    transport::rpc,
+    util,
+};
+use tarpc::context::Context;
+use tokio::{sync::watch, time};
+
+const HOST: &str = "co-op.example";
+const REVISION: Revision = Revision { incarnation: 1, change: 0 };
+/// Time limit for a condition; only reached by a failing test.
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn any() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn config(version: u64, prefixes: &[&str]) -> Arc<Config> {
+    let queue = |prefix: &&str| Queue {
+        host: HOST.to_owned(),
+        prefix: (*prefix).to_owned(),
+        service: "quotes".to_owned(),
+        max_attempts: 2,
+        timeout_ms: 100,
+        slo_ms: 10_000,
+        ..Queue::default()
+    };
+    let queues = prefixes.iter().map(queue).collect();
+    Arc::new(Config { version, queues, services: Vec::new(), document: String::new() })
+}
+
+fn job() -> Job {
+    let needs = Resources { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 };
+    let step = Step { tasks: 1, needs, estimate_ms: 10_000, ..Step::default() };
+    Job { spec: "spec".to_owned(), steps: vec![step] }
+}
+
+fn server() -> Server {
+    Server {
+        id: ServerId { id: "b".to_owned(), started_at_ms: 1 },
+        service: "quotes".to_owned(),
+        data_centre: "saga".to_owned(),
+        capacity: Resources { cpu_milli: 1_000, memory_mb: 10, accelerators: 0 },
+        labels: Vec::new(),
+        draining: false,
+    }
+}
+
+/// A leading control instance, which knows one sidecar.
+#[derive(Clone)]
+struct Leader {
+    config: Rc<RefCell<Arc<Config>>>,
+    sidecar: SocketAddr,
+    /// Whether calls that wait for changes are left without an answer.
+    losing_waits: Rc<Cell<bool>>,
+    /// Whether another instance leads, which nobody knows.
+    deposed: Rc<Cell<bool>>,
+}
+
+impl queue::Service for Leader {
+    async fn call(self, _: Context, call: Call) -> Result<Answer, Refusal> {
+        let Call::Watch { config, sidecars, wait_ms } = call else { return Ok(Answer::NoJob) };
+        if self.deposed.get() {
+            return Err(Refusal::NotLeader { leader: None });
+        }
+        if self.losing_waits.get() && wait_ms > 0 {
+            future::pending::<()>().await;
+        }
+        let changed = || self.config.borrow().version != config || sidecars != 1;
+        let end = time::Instant::now() + Duration::from_millis(wait_ms);
+        while !changed() && time::Instant::now() < end {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        let newer = self.config.borrow().clone();
+        let sidecar = Sidecar { name: "s".to_owned(), addr: self.sidecar, server: server() };
+        Ok(Answer::View(View {
+            config: (newer.version > config).then_some(newer),
+            sidecars: (sidecars != 1).then(|| (1, vec![sidecar])),
+            control_addrs: Vec::new(),
+        }))
+    }
+
+    async fn report(self, _: Context, _: Report) -> Result<Commands, Refusal> {
+        Ok(Commands::default())
+    }
+}
+
+/// A sidecar whose attempts run until they are stopped.
+#[derive(Clone)]
+struct Worker {
+    starts: Rc<Cell<usize>>,
+    stopped: watch::Sender<Option<Attempt>>,
+}
+
+impl Worker {
+    fn load(&self) -> Load {
+        Load { revision: REVISION, open: true, ..Load::default() }
+    }
+}
+
+impl work::Service for Worker {
+    async fn renew(self, _: Context, renewal: Renewal) -> Status {
+        Status {
+            incarnation: 1,
+            clock_ms: util::boot_ms(),
+            clean: true,
+            load: self.load(),
+            server: (renewal.revision != REVISION).then(server),
+        }
+    }
+
+    async fn run(self, _: Context, command: StartCommand) -> Reply {
+        let attempt = command.start.attempt;
+        self.starts.set(self.starts.get() + 1);
+        let mut stopped = self.stopped.subscribe();
+        let _ = stopped.wait_for(|stopped| *stopped == Some(attempt)).await;
+        Reply {
+            outcome: Outcome::Stopped,
+            took_ms: 0,
+            clock_ms: util::boot_ms(),
+            load: self.load(),
+        }
+    }
+
+    async fn stop(self, _: Context, _: work::Entry, attempts: Vec<Attempt>) {
+        for attempt in attempts {
+            self.stopped.send_replace(Some(attempt));
+        }
+    }
+
+    async fn release(self, _: Context, _: work::Entry) -> bool {
+        true
+    }
+
+    async fn cancel(self, _: Context, _: Id) -> bool {
+        false
+    }
+}
+
+struct World {
+    leader: Leader,
+    worker: Worker,
+    entry: Entry,
+    _servers: [rpc::Server; 2],
+}
+
+impl World {
+    /// An entry that knows the queue `/q/` and is connected to the sidecar.
+    async fn start() -> World {
+        let worker = Worker { starts: Rc::default(), stopped: watch::channel(None).0 };
+        let sidecar = rpc::serve(any(), work::Service::serve(worker.clone())).await.unwrap();
+        let leader = Leader {
+            config: Rc::new(RefCell::new(config(1, &["/q/"]))),
+            sidecar: sidecar.addr(),
+            losing_waits: Rc::default(),
+            deposed: Rc::default(),
+        };
+        let control = rpc::serve(any(), queue::Service::serve(leader.clone())).await.unwrap();
+        let entry = Entry::start(LeaderClient::new(vec![control.addr()]));
+        let world = World { leader, worker, entry, _servers: [sidecar, control] };
+        until("the entry is ready", || world.entry.ready()).await;
+        world
+    }
+
+    /// Runs a job of one task, whose caller leaves after `deadline_ms`.
+    async fn run(&self, path: &str, deadline_ms: u64) -> Ended {
+        let leaves_ms = util::boot_ms() + deadline_ms;
+        self.entry.run_job(HOST, path, job(), Some(leaves_ms)).await
+    }
+}
+
+async fn until(what: &str, condition: impl Fn() -> bool) {
+    let end = time::Instant::now() + LIMIT;
+    while !condition() {
+        assert!(time::Instant::now() < end, "not reached within {LIMIT:?}: {what}");
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against an answer that a queue does not exist, although it was added by an accepted change:
+/// the answer that would have brought the change to the entry was lost.
+#[actix_rt::test]
+async fn a_queue_that_was_just_added_exists_though_the_entry_has_not_heard_of_it() {
+    let world = World::start().await;
+    world.leader.losing_waits.set(true);
+    time::sleep(Duration::from_millis(500)).await;
+    world.leader.config.replace(config(2, &["/q/", "/new/"]));
+    let ended = world.run("/new/0000000000000001", 400).await;
+    assert_eq!((ended, world.worker.starts.get()), (Ended::Expired, 1), "it starts and runs on");
+}
+
+/// Guards against an entry without a leader that answers that a queue does not exist, which may have
+/// been added by an accepted change. Jobs of queues that it knows go on.
+#[actix_rt::test]
+async fn an_entry_without_a_leader_says_of_no_queue_that_it_does_not_exist() {
+    let world = World::start().await;
+    assert_eq!(world.run("/none/0000000000000001", 400).await, Ended::NoQueue);
+    world.leader.deposed.set(true);
+    time::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(world.run("/none/0000000000000002", 400).await, Ended::NotReady);
+    let started = time::Instant::now();
+    assert_eq!(world.run("/q/0000000000000003", 300).await, Ended::Expired);
+    assert_eq!(world.worker.starts.get(), 1);
+    assert!(started.elapsed() < Duration::from_millis(380), "{:?}", started.elapsed());
+}
