An entry repeats a stop until the sidecar has answered

What callers saw: nothing directly. A task could run twice at the same time: its caller had left, or its deadline had passed, and had sent the job to another entry 1.3 s later, while the first attempt ran on.

Cause: the entry asked the sidecar once to stop an attempt and ignored an error. The call's time limit (350 ms) travels with it: tarpc sends what is left of it when the call is written, and the sidecar drops a handler that has not begun when that is over. So a stop is lost if the entry does not run for 350 ms between building and writing it, or the sidecar between reading and handling it. The renewals for the attempt that counts as outstanding then keep it running, without a bound in time.

Evidence: entry_jobs::a_stop_without_an_answer_is_repeated fails on the code before: left 1, right 0 attempts run 600 ms after the lost stop.

Change: the stop is sent again every 20 ms after an error, until it is answered or the connection is broken, whose lease is released and not renewed. The log line is at info now.

--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -39,6 +39,8 @@
 const RENEW_TIMEOUT: Duration = Duration::from_millis(350);
 /// Pause before another try to open a connection.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
+/// Pause before another try to stop an attempt.
+const STOP_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Longest time that a call may wait for the end of an attempt.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(24 * 3600);
 
@@ -133,17 +135,28 @@
         }
     }
 
-    /// Requests that an attempt is stopped. The reply to its start command reports the outcome.
+    /// Requests that an attempt is stopped, until the sidecar has answered or the connection breaks,
+    /// which stops its attempts as well. Meanwhile renewals for other attempts would keep this one.
+    /// The reply to its start command reports the outcome.
     pub fn stop(&self, attempt: Attempt) {
-        let channel = self.inner.channel.borrow().clone();
-        let Some(channel) = channel else { return };
+        let Some(channel) = self.inner.channel.borrow().clone() else { return };
+        let connection = self.clone();
         actix_rt::spawn(async move {
-            let context = rpc::context(RENEW_TIMEOUT);
-            if let Err(e) = channel.client.stop(context, channel.entry, vec![attempt]).await {
-                log::debug!("event=stop_failed run={attempt} error={e:?}");
+            while connection.is_open(channel.entry) {
+                let context = rpc::context(RENEW_TIMEOUT);
+                match channel.client.stop(context, channel.entry, vec![attempt]).await {
+                    Ok(()) => return,
+                    Err(e) => log::info!("event=stop_unanswered run={attempt} error={e:?}"),
+                }
+                time::sleep(STOP_RETRY_DELAY).await;
             }
         });
     }
+
+    /// Whether the opening of the connection that `entry` identifies has not broken.
+    fn is_open(&self, entry: work::Entry) -> bool {
+        self.inner.channel.borrow().as_ref().is_some_and(|channel| channel.entry == entry)
+    }
 }
 
 impl Entry {
--- a/tests/entry_jobs.rs
+++ b/tests/entry_jobs.rs
@@ -109,8 +109,11 @@
 /// A sidecar whose attempts run until they are stopped.
 #[derive(Clone)]
 struct Worker {
+    running: Rc<RefCell<Vec<Attempt>>>,
     starts: Rc<Cell<usize>>,
     stopped: watch::Sender<Option<Attempt>>,
+    /// Number of stop calls that are left without an answer and have no effect.
+    stops_to_lose: Rc<Cell<usize>>,
 }
 
 impl Worker {
@@ -132,9 +135,11 @@
 
     async fn run(self, _: Context, command: StartCommand) -> Reply {
         let attempt = command.start.attempt;
+        self.running.borrow_mut().push(attempt);
         self.starts.set(self.starts.get() + 1);
         let mut stopped = self.stopped.subscribe();
         let _ = stopped.wait_for(|stopped| *stopped == Some(attempt)).await;
+        self.running.borrow_mut().retain(|running| *running != attempt);
         Reply {
             outcome: Outcome::Stopped,
             took_ms: 0,
@@ -144,6 +149,10 @@
     }
 
     async fn stop(self, _: Context, _: work::Entry, attempts: Vec<Attempt>) {
+        if self.stops_to_lose.get() > 0 {
+            self.stops_to_lose.set(self.stops_to_lose.get() - 1);
+            future::pending::<()>().await;
+        }
         for attempt in attempts {
             self.stopped.send_replace(Some(attempt));
         }
@@ -168,7 +177,12 @@
 impl World {
     /// An entry that knows the queue `/q/` and is connected to the sidecar.
     async fn start() -> World {
-        let worker = Worker { starts: Rc::default(), stopped: watch::channel(None).0 };
+        let worker = Worker {
+            running: Rc::default(),
+            starts: Rc::default(),
+            stopped: watch::channel(None).0,
+            stops_to_lose: Rc::default(),
+        };
         let sidecar = rpc::serve(any(), work::Service::serve(worker.clone())).await.unwrap();
         let leader = Leader {
             config: Rc::new(RefCell::new(config(1, &["/q/"]))),
@@ -188,6 +202,10 @@
         let leaves_ms = util::boot_ms() + deadline_ms;
         self.entry.run_job(HOST, path, job(), Some(leaves_ms)).await
     }
+
+    fn running(&self) -> usize {
+        self.worker.running.borrow().len()
+    }
 }
 
 async fn until(what: &str, condition: impl Fn() -> bool) {
@@ -224,3 +242,15 @@
     assert_eq!(world.worker.starts.get(), 1);
     assert!(started.elapsed() < Duration::from_millis(380), "{:?}", started.elapsed());
 }
+
+/// Guards against two runs of a task at the same time: a call to stop an attempt was lost, and the
+/// renewals of its entry let it go on, while its caller had sent the job to another entry.
+#[actix_rt::test]
+async fn a_stop_without_an_answer_is_repeated() {
+    let world = World::start().await;
+    world.worker.stops_to_lose.set(1);
+    assert_eq!(world.run("/q/0000000000000001", 300).await, Ended::Expired);
+    assert_eq!(world.running(), 1, "the stop is lost");
+    time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(world.running(), 0);
+}
