A cancel that a sidecar has not answered is not said to concern an unknown job

Cause: an entry that does not know a job asks all sidecars, and then the leader, which knows durable jobs only. A sidecar without an answer counted as one without attempts of the job.

Evidence: entry_jobs::a_job_is_not_unknown_while_a_sidecar_has_not_answered fails on the code before: Ok(NoJob) in place of an unknown outcome.

Change: if the leader does not know the job, and a sidecar to which a connection is open has not answered, the outcome is unknown (504), and the caller asks again. A sidecar without a connection still counts as one without attempts: it may be gone for good, and cancels of ended jobs have to be answered.

--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -5,7 +5,10 @@
 use futures::future::join_all;
 use tokio::{sync::oneshot, task, time};
 
-use super::{Entry, connection::Connection};
+use super::{
+    Entry,
+    connection::{Cancellation, Connection},
+};
 use crate::{
     coordination::transient::JobOutcome,
     leader::Failure,
@@ -169,16 +172,23 @@
             self.carry_out();
             return Ok(Answer::Accepted);
         }
+        let mut unanswered = false;
         if let Some(id) = id {
             let connections: Vec<Connection> =
                 self.inner.connections.borrow().values().cloned().collect();
             let answers =
                 join_all(connections.iter().map(|connection| connection.cancel(id))).await;
-            if answers.contains(&Some(true)) {
+            if answers.contains(&Cancellation::Attempts) {
                 log::info!("event=canceled job={id} by=sidecars");
                 return Ok(Answer::Accepted);
             }
+            unanswered = answers.contains(&Cancellation::Unanswered);
+        }
+        match self.call(Call::Cancel { host, path }, deadline).await {
+            Ok(Answer::NoJob) if unanswered => {
+                Err(Failure::Unknown { detail: "a sidecar did not answer".to_owned() })
+            }
+            answer => answer,
         }
-        self.call(Call::Cancel { host, path }, deadline).await
     }
 }
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -62,6 +62,17 @@
     renewal_due: Notify,
 }
 
+/// Result of the cancellation of a job at a sidecar.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Cancellation {
+    /// Attempts of the job were there, and are stopped.
+    Attempts,
+    Nothing,
+    NotConnected,
+    /// Attempts may be there and go on.
+    Unanswered,
+}
+
 /// One opening of a [`Connection`], until it breaks.
 #[derive(Clone)]
 struct Channel {
@@ -121,16 +132,17 @@
         Connection { inner: Rc::new(inner) }
     }
 
-    /// Cancels a job of another entry at this sidecar. Returns whether any attempt of it was there,
-    /// or `None` if there is no connection or no answer.
-    pub async fn cancel(&self, job: Id) -> Option<bool> {
-        let channel = self.inner.channel.borrow().clone()?;
+    /// Cancels a job of another entry at this sidecar.
+    pub async fn cancel(&self, job: Id) -> Cancellation {
+        let channel = self.inner.channel.borrow().clone();
+        let Some(channel) = channel else { return Cancellation::NotConnected };
         let answer = channel.client.cancel(rpc::context(RENEW_TIMEOUT), job);
         match time::timeout(RENEW_TIMEOUT, answer).await {
-            Ok(Ok(any)) => Some(any),
+            Ok(Ok(true)) => Cancellation::Attempts,
+            Ok(Ok(false)) => Cancellation::Nothing,
             Ok(Err(_)) | Err(_) => {
                 log::info!("event=cancel_unanswered job={job} sidecar={}", self.inner.addr.get());
-                None
+                Cancellation::Unanswered
             }
         }
     }
--- a/tests/entry_jobs.rs
+++ b/tests/entry_jobs.rs
@@ -11,7 +11,7 @@
 
 use briargauge::{
     entry::jobs::{Ended, Entry},
-    leader::LeaderClient,
+    leader::{Failure, LeaderClient},
     protocol::{
         queue::{Attempt, Config, Id, Job, Queue, Resources, Step},
         wire::{
@@ -112,14 +112,22 @@
     running: Rc<RefCell<Vec<Attempt>>>,
     starts: Rc<Cell<usize>>,
     stopped: watch::Sender<Option<Attempt>>,
-    /// Number of stop calls that are left without an answer and have no effect.
-    stops_to_lose: Rc<Cell<usize>>,
+    /// Number of calls to stop attempts or to cancel a job that are left without an answer and have
+    /// no effect.
+    calls_to_lose: Rc<Cell<usize>>,
 }
 
 impl Worker {
     fn load(&self) -> Load {
         Load { revision: REVISION, open: true, ..Load::default() }
     }
+
+    async fn lose_call(&self) {
+        if self.calls_to_lose.get() > 0 {
+            self.calls_to_lose.set(self.calls_to_lose.get() - 1);
+            future::pending::<()>().await;
+        }
+    }
 }
 
 impl work::Service for Worker {
@@ -149,10 +157,7 @@
     }
 
     async fn stop(self, _: Context, _: work::Entry, attempts: Vec<Attempt>) {
-        if self.stops_to_lose.get() > 0 {
-            self.stops_to_lose.set(self.stops_to_lose.get() - 1);
-            future::pending::<()>().await;
-        }
+        self.lose_call().await;
         for attempt in attempts {
             self.stopped.send_replace(Some(attempt));
         }
@@ -163,6 +168,7 @@
     }
 
     async fn cancel(self, _: Context, _: Id) -> bool {
+        self.lose_call().await;
         false
     }
 }
@@ -181,7 +187,7 @@
             running: Rc::default(),
             starts: Rc::default(),
             stopped: watch::channel(None).0,
-            stops_to_lose: Rc::default(),
+            calls_to_lose: Rc::default(),
         };
         let sidecar = rpc::serve(any(), work::Service::serve(worker.clone())).await.unwrap();
         let leader = Leader {
@@ -248,9 +254,22 @@
 #[actix_rt::test]
 async fn a_stop_without_an_answer_is_repeated() {
     let world = World::start().await;
-    world.worker.stops_to_lose.set(1);
+    world.worker.calls_to_lose.set(1);
     assert_eq!(world.run("/q/0000000000000001", 300).await, Ended::Expired);
     assert_eq!(world.running(), 1, "the stop is lost");
     time::sleep(Duration::from_millis(600)).await;
     assert_eq!(world.running(), 0);
 }
+
+/// Guards against the answer that a job is not known, after which its caller takes it for ended, while
+/// its attempts go on at a sidecar that did not answer.
+#[actix_rt::test]
+async fn a_job_is_not_unknown_while_a_sidecar_has_not_answered() {
+    let world = World::start().await;
+    let cancel =
+        || world.entry.cancel(HOST.to_owned(), "/q/0000000000000001".to_owned(), Some(LIMIT));
+    world.worker.calls_to_lose.set(1);
+    let answer = cancel().await;
+    assert!(matches!(answer, Err(Failure::Unknown { .. })), "{answer:?}");
+    assert!(matches!(cancel().await, Ok(Answer::NoJob)));
+}
