--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -1,19 +1,19 @@
 //! Handles the calls of callers.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use tokio::{sync::oneshot, task, time};
 
-use super::{Entry, connection::Connection};
+use super::{
+    Entry,
+    connection::{Cancellation, Connection},
+};
 use crate::{
     coordination::transient::JobOutcome,
     leader::Failure,
     protocol::{
-        queue::{Config, Id, Job, Phase},
+        queue::{Id, Job, Phase},
         wire::queue::{Answer, Call},
     },
     util,
@@ -23,12 +23,6 @@
 const DEADLINE_DEFAULT: Duration = Duration::from_millis(1_500);
 /// Time before a caller's deadline that is reserved for the reply to reach the caller.
 const REPLY_TIME: Duration = Duration::from_millis(150);
-
-/// Longest time that a job waits at an entry that has just started and has no configuration yet.
-/// After this time most jobs can still end before their callers' deadlines.
-const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
-/// Interval at which a waiting job checks for the configuration.
-const CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Turns of the runtime within which a connection that closed before a job was read is dropped: one
 /// each to read its end, to shut it down and to drop its requests.
 const CLOSE_TURNS: u32 = 3;
@@ -48,7 +42,8 @@
     NoJob,
     /// No task was started: no capacity became free in time.
     NotRun,
-    /// No task was started: there is no configuration yet, or the entry is stopping.
+    /// No task was started: the entry has no configuration yet, cannot learn whether there is such a
+    /// queue, or is stopping.
     NotReady,
     /// The caller's deadline has passed. Tasks may have run; those that still do are stopped.
     Expired,
@@ -96,7 +91,7 @@
     /// caller that leaves is not always heard of, and may send the job elsewhere.
     pub async fn run_job(&self, host: &str, path: &str, job: Job, leaves_ms: Option<u64>) -> Ended {
         let arrived_ms = util::boot_ms();
-        let Some(config) = self.wait_for_config().await else { return Ended::NotReady };
+        let Some(config) = self.config_for(host, path).await else { return Ended::NotReady };
         let Some((queue, rest)) = config.route(host, path) else { return Ended::NoQueue };
         let Some(id) = Id::parse(rest) else { return Ended::NoJob };
         if !self.has_time_for(&job) {
@@ -147,19 +142,6 @@
         }
     }
 
-    /// Returns the configuration, and waits up to [`CONFIG_WAIT`] for it on an entry that has just
-    /// started.
-    async fn wait_for_config(&self) -> Option<Arc<Config>> {
-        let end = Instant::now() + CONFIG_WAIT;
-        loop {
-            let config = self.inner.config.borrow().clone();
-            if config.is_some() || Instant::now() >= end {
-                return config;
-            }
-            time::sleep(CONFIG_POLL_INTERVAL).await;
-        }
-    }
-
     /// Whether a job can be expected to end before this entry stops.
     fn has_time_for(&self, job: &Job) -> bool {
         let Some(stops_at) = self.inner.stops_at.get() else { return true };
@@ -175,11 +157,10 @@
         path: String,
         deadline: Option<Duration>,
     ) -> Result<Answer, Failure> {
-        let id = {
-            let config = self.inner.config.borrow();
-            let route = config.as_ref().and_then(|config| config.route(&host, &path));
-            route.and_then(|(_, rest)| Id::parse(rest))
+        let Some(config) = self.config_for(&host, &path).await else {
+            return Err(Failure::NotDone { detail: "the configuration is not known".to_owned() });
         };
+        let id = config.route(&host, &path).and_then(|(_, rest)| Id::parse(rest));
         if let Some(id) = id
             && self.scheduler().cancel(id)
         {
@@ -191,16 +172,23 @@
             self.carry_out();
             return Ok(Answer::Accepted);
         }
+        let mut unanswered = false;
         if let Some(id) = id {
             let connections: Vec<Connection> =
                 self.inner.connections.borrow().values().cloned().collect();
             let answers =
                 join_all(connections.iter().map(|connection| connection.cancel(id))).await;
-            if answers.contains(&Some(true)) {
+            if answers.contains(&Cancellation::Attempts) {
                 log::info!("event=canceled job={id} by=sidecars");
                 return Ok(Answer::Accepted);
             }
+            unanswered = answers.contains(&Cancellation::Unanswered);
+        }
+        match self.call(Call::Cancel { host, path }, deadline).await {
+            Ok(Answer::NoJob) if unanswered => {
+                Err(Failure::Unknown { detail: "a sidecar did not answer".to_owned() })
+            }
+            answer => answer,
         }
-        self.call(Call::Cancel { host, path }, deadline).await
     }
 }
