Platform: an instance may listen at another address than the one it is reached at

Callers saw nothing of this; it is needed behind address translation, and by tests that put a proxy before a process. Until now `common.ip` was both the address that other instances are told and the one that the peer and RPC services listen at.

The peer address that a control instance introduces itself with, its RPC address and a sidecar's address stay those of `ip`.

--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -96,7 +96,7 @@
     let log_bytes = log.bytes();
     let (storage, results) = storage::start(log);
     let core = Core::new(Instance::new(start, 0), storage, recovered.snapshot, log_bytes);
-    let addr = settings.peer_addr;
+    let (addr, listen) = (settings.peer_addr, settings.listen);
     let driver = Driver {
         core: RefCell::new(core),
         peers: Peers::default(),
@@ -117,9 +117,11 @@
         driver: Some(driver),
     });
     let service = peer::Service::serve(service::Server::new(&inner));
-    let server = rpc::serve(addr, service).await?;
+    let server = rpc::serve(listen.unwrap_or(addr), service).await?;
     let driver = inner.driver.as_ref().expect("just set");
-    driver.peer_addr.set(server.addr());
+    if listen.is_none() {
+        driver.peer_addr.set(server.addr());
+    }
     *driver.server.borrow_mut() = Some(server);
     actix_rt::spawn(run(inner.clone(), results));
     Ok(inner)
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -46,8 +46,11 @@
 #[derive(Debug, Clone)]
 pub struct Settings {
     pub node: id::Node,
-    /// Address to listen on for peers; the port may be 0.
+    /// Address at which peers reach this instance, and to listen on unless `listen` is set; the
+    /// port may be 0.
     pub peer_addr: SocketAddr,
+    /// Address to listen on for peers, if it differs from `peer_addr`.
+    pub listen: Option<SocketAddr>,
     /// Address at which clients reach this instance's control service.
     pub client_addr: SocketAddr,
     /// Peer addresses of other instances, to which this one introduces itself while it has no
@@ -65,6 +68,7 @@
         Settings {
             node,
             peer_addr,
+            listen: None,
             client_addr: peer_addr,
             peers: Vec::new(),
             data_directory,
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -131,10 +131,11 @@
 }
 
 impl<B: Backend> Sidecar<B> {
-    /// Starts the sidecar `name`, which serves entries at `addr`.
+    /// Starts the sidecar `name`, which entries reach at `addr`. It listens at `listen`.
     pub async fn start(
         name: String,
         addr: SocketAddr,
+        listen: SocketAddr,
         max_lease_ms: u64,
         leader: LeaderClient,
         backend: B,
@@ -153,7 +154,7 @@
             server: RefCell::default(),
         };
         let sidecar = Sidecar { inner: Rc::new(inner) };
-        let served = rpc::serve(addr, service::Handler::new(sidecar.clone()).serve()).await?;
+        let served = rpc::serve(listen, service::Handler::new(sidecar.clone()).serve()).await?;
         sidecar.inner.server.replace(Some(served));
         supervisor::spawn("reports", &sidecar, Sidecar::run_reports);
         supervisor::spawn("polls", &sidecar, Sidecar::run_polls);
