--- a/tests/clusters.rs
+++ b/tests/clusters.rs
@@ -181,7 +181,7 @@
     let addr = TcpListener::bind(any_port()).unwrap().local_addr().unwrap();
     let backend = Recorder::default();
     let sidecar =
-        sidecar::jobs::Sidecar::start("s".to_owned(), addr, 1_000, leader, backend.clone());
+        sidecar::jobs::Sidecar::start("s".to_owned(), addr, addr, 1_000, leader, backend.clone());
     sidecar.await.unwrap().announce(server(), any_port(), 1);
     until("the backend server is polled", async || backend.polls.get() > 3).await;
     (addr, backend)
