--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -228,3 +228,27 @@
         replica.stop().await;
     }
 }
+
+/// Guards against a system that never starts because the first seed lost its disk right after it had
+/// formed the cluster. Nothing but that disk belonged to the cluster, so another one is formed.
+#[actix_rt::test]
+async fn a_first_seed_that_lost_its_disk_at_once_forms_a_cluster_again() {
+    let directories: Vec<TempDir> = (0..4).map(|_| TempDir::new().unwrap()).collect();
+    let seeds: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let start = async |number: usize, directory: usize| {
+        let directory = directories[directory].path();
+        Replica::start(settings(number as u64, seeds[number], directory, &seeds)).await.unwrap()
+    };
+    let founder = start(0, 0).await;
+    let others = [start(1, 1).await, start(2, 2).await];
+    until("the first seed leads", || founder.leading().is_some()).await;
+    founder.stop().await;
+    let founder = start(0, 3).await;
+    until("the first seed leads again", || founder.leading().is_some()).await;
+    for other in &others {
+        add(&founder, other).await;
+    }
+    for replica in others.iter().chain([&founder]) {
+        replica.stop().await;
+    }
+}
