Test that removed members with old logs elect nobody

Another way into two groups, looked for beside the formation: two of five members are removed while they are down, all instances stop, and the two come back with one present member, a majority of the members that they know. The present member's log is newer, so it refuses them its vote.

The test passes on the code before. With the comparison of the logs in `up_to_date` taken out it fails: "committed entry 4 changed".

--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -271,6 +271,38 @@
     sim.check_recovery();
 }
 
+/// Guards against a second group by members that were removed and return with their old logs: with one
+/// present member, they are a majority of the members that they know.
+#[test]
+fn removed_members_with_old_logs_elect_nobody() {
+    let mut sim = Simulation::new(5, 4);
+    let leader = sim.wait_for_leader();
+    let removed = [(leader + 1) % 5, (leader + 2) % 5];
+    for at in removed {
+        sim.crash(at, true);
+    }
+    for at in removed {
+        sim.run_until("the leader accepts a change", |sim| {
+            sim.change(leader, at);
+            let id = sim.slots[at].disk.id;
+            sim.members(leader).iter().all(|member| member.id != id)
+        });
+        sim.acknowledge();
+    }
+    for at in 0..5 {
+        sim.crash(at, true);
+    }
+    let present = (leader + 3) % 5;
+    for at in [removed[0], removed[1], present] {
+        sim.restart(at);
+    }
+    for _ in 0..100 {
+        sim.run(50);
+        assert_eq!(sim.leader(), None, "{}", sim.describe());
+    }
+    sim.check_recovery();
+}
+
 /// Guards against a planned stop that leaves the cluster without a leader for an election timeout.
 #[test]
 fn handing_over_leaves_no_gap() {
