Bind a blank instance to a cluster only on the word of a seed

Cause, by a test: an instance also asks those that have asked it. A member of another cluster that has lost its leader asks at the address of an instance that is gone; a blank instance that has taken over that address asked back, and was bound to the foreign cluster for good.

Ruled out: messages of the consensus protocol; they name the disk id that they are meant for.

Change: only answers from the configured seeds bind an instance. Those of others still forbid the formation of a cluster, while they last.

--- a/src/control/replica/driver/formation.rs
+++ b/src/control/replica/driver/formation.rs
@@ -56,7 +56,9 @@
         }
         let majority = self.settings.voters as u64 / 2 + 1;
         let formed = standing.committed_voters >= majority;
-        if let Some(cluster) = standing.cluster.filter(|_| formed)
+        // Others may have asked at an address that this instance has taken over.
+        let is_seed = self.settings.peers.contains(&addr);
+        if let Some(cluster) = standing.cluster.filter(|_| formed && is_seed)
             && self.takes_part(&core)
         {
             log::info!("event=cluster_adopted {}", describe(addr, standing));
--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -252,3 +252,29 @@
         replica.stop().await;
     }
 }
+
+/// Guards against a blank instance that is bound to a foreign cluster, because a member of that cluster
+/// has lost its leader and still asks at an address that the blank instance has taken over.
+#[actix_rt::test]
+async fn a_blank_instance_ignores_a_cluster_that_is_not_its_seeds() {
+    let directories: Vec<TempDir> = (0..3).map(|_| TempDir::new().unwrap()).collect();
+    let addrs: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let start = async |number: usize, seeds: &[SocketAddr]| {
+        let settings = settings(number as u64, addrs[number], directories[number].path(), seeds);
+        Replica::start(settings).await.unwrap()
+    };
+    let foreign = [start(0, &addrs).await, start(1, &addrs).await];
+    foreign[0].init().await.unwrap();
+    add(&foreign[0], &foreign[1]).await;
+    // Until the other voter knows that its vote is committed.
+    time::sleep(Duration::from_millis(500)).await;
+    foreign[0].stop().await;
+    let blank = start(2, &[]).await;
+    let end = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < end {
+        assert!(matches!(blank.status().role, Role::Blank), "{:?}", blank.status());
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    foreign[1].stop().await;
+    blank.stop().await;
+}
