Fence calls with a lease that had no answer

The fencing token rose only when the server was lost under a start, so such a call prolonged the lease of whatever ran by then, although the server had answered newer calls since, and attempts outlived the leases of their entries.

Change: the sidecar raises its fencing token when a start has no answer, and when a poll has none that was sent under the present token after a lease. A server "does nothing for a lower value", so any newer call that reaches it ends the effect of the late ones. A server that no newer call reaches for 2 s has no lease by then. Polls without a lease raise nothing. There are 2^20 tokens in place of 2^10 for one registration; the bound after the last one stays as it was, with one log line.

Ruled out as a cause: that the sidecar's HTTP client reports a started call as not sent. `awc` reports a write or read that fails after the connection was opened as another error (read in its source).

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -38,7 +38,7 @@
 /// started has ended, in ms: 12 s until it is carried out, then a lease.
 pub const LATE_CALL_MAX_MS: u64 = 13_000;
 /// Epochs of the backend server that get fencing tokens of their own under one generation.
-const EPOCHS_MAX: u64 = 1 << 10;
+const EPOCHS_MAX: u64 = 1 << 20;
 
 /// Who commanded an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -106,9 +106,9 @@
     announced: bool,
     /// Fencing token of this process of the sidecar; 0 until a leader has assigned one.
     token: u64,
-    /// Number of times that a backend server has become known to this process or was lost. The
-    /// fencing token rises with it, so that the server refuses delayed calls from before: those to an
-    /// earlier incarnation with its id, and those that got no answer before the loss.
+    /// Number of times that a backend server has become known to this process, was lost, or did not
+    /// answer a call with a lease. The fencing token rises with it, so that the server refuses delayed
+    /// calls from before: those to an earlier incarnation with its id, and those that got no answer.
     epoch: u64,
     /// Version of the description of the backend server.
     revision: Revision,
@@ -245,13 +245,26 @@
     /// higher one.
     fn begin_epoch(&mut self) -> bool {
         if self.epoch == EPOCHS_MAX {
-            log::warn!("event=fencing_tokens_exhausted token={}", self.token);
             return false;
         }
         self.epoch += 1;
+        if self.epoch == EPOCHS_MAX {
+            log::warn!("event=fencing_tokens_exhausted token={}", self.token);
+        }
         true
     }
 
+    /// Raises the fencing token, so that the backend server refuses the calls from before that it has
+    /// not carried out yet: starts, and polls that would prolong its lease. Returns false if there is
+    /// no higher one.
+    fn raise_fence(&mut self, now_ms: u64) -> bool {
+        let raised = self.begin_epoch();
+        if let Some(backend) = self.backend.as_mut().filter(|_| raised) {
+            backend.record_fence(now_ms);
+        }
+        raised
+    }
+
     /// Records the outcome of attempts that have ended at the backend server. Those that were
     /// waiting for free capacity have not started.
     fn end_all(&mut self, assignments: IndexMap<Attempt, Assignment>, proof: Proof) {
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -207,6 +207,10 @@
     lost_at_ms: u64,
     /// Whether any start was called for since the fencing token was raised last.
     start_called: bool,
+    /// Whether any start was called for since the server was lost last.
+    called_since_loss: bool,
+    /// Whether a call with a lease was built since the fencing token was raised last.
+    lease_sent: bool,
     /// Generation of the registration for which the running attempts have been reported.
     pub reported_generation: u64,
     pub assignments: IndexMap<Attempt, Assignment>,
@@ -252,6 +256,8 @@
             fenced_from_ms: now_ms,
             lost_at_ms: 0,
             start_called: false,
+            called_since_loss: false,
+            lease_sent: false,
             reported_generation: 0,
             assignments: IndexMap::new(),
             inherited: IndexMap::new(),
@@ -339,6 +345,7 @@
         let until_ms = now_ms + longest_ms(lease_ms);
         // The server never shortens its lease.
         self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        self.lease_sent = true;
         let since_ms = now_ms.saturating_sub(read_ms) as f64 * CLOCK_SLOWEST;
         Some(clock_ms + since_ms as u64 + lease_ms)
     }
@@ -421,10 +428,28 @@
     }
 
     /// Records that the server counts as lost since `now_ms`. Returns whether starts were called for
-    /// under the present fencing token, which a higher one has to refuse from now on.
+    /// since the loss before, which a higher fencing token has to refuse from now on.
     pub fn record_loss(&mut self, now_ms: u64) -> bool {
         self.lost_at_ms = now_ms;
-        std::mem::take(&mut self.start_called)
+        std::mem::take(&mut self.called_since_loss)
+    }
+
+    /// Whether starts were called for under the present fencing token.
+    pub fn start_called(&self) -> bool {
+        self.start_called
+    }
+
+    /// Records that the fencing token was raised at `now_ms`.
+    pub fn record_fence(&mut self, now_ms: u64) {
+        self.start_called = false;
+        self.lease_sent = false;
+        self.fence_after(now_ms);
+    }
+
+    /// Whether a call that was sent at `sent_ms` may carry a lease and the present fencing token. One
+    /// of the millisecond in which the token was raised may have been sent later.
+    pub fn may_prolong(&self, sent_ms: u64) -> bool {
+        self.lease_sent && self.is_fenced(sent_ms + 1)
     }
 
     /// Records that only the answer to a poll sent later than `now_ms` shows that no start from before
@@ -510,6 +535,7 @@
         assignment.state = State::Sent;
         assignment.called_ms = now_ms;
         self.start_called = true;
+        self.called_since_loss = true;
         self.used.add(&assignment.start.needs);
         Some(assignment.start.clone())
     }
--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -155,6 +155,9 @@
     /// nothing listens at its address. The server counts as lost once its lease has expired or its
     /// process is gone. Only in the second case has it crashed under its attempts.
     pub fn poll_failed(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
+        if !refused {
+            self.fence_unanswered_poll(sent_ms, now_ms);
+        }
         let Some(backend) = &mut self.backend else { return };
         if sent_ms + POLL_AGE_MAX_MS < now_ms {
             log::info!("event=suspended for_ms={}", now_ms - sent_ms);
@@ -194,12 +197,23 @@
         self.actions.report_due = true;
     }
 
+    /// Raises the fencing token after a poll without an answer, unless it carried a lower one or no
+    /// lease was sent under the present one. The server may carry it out late, and would give what runs
+    /// by then a lease that counts from that time.
+    fn fence_unanswered_poll(&mut self, sent_ms: u64, now_ms: u64) {
+        if self.backend.as_ref().is_some_and(|backend| backend.may_prolong(sent_ms)) {
+            self.raise_fence(now_ms);
+        }
+    }
+
     /// Raises the fencing token, so that the lost server refuses starts from before. Without a higher
-    /// one, the time until all late calls have been carried out has to pass.
+    /// one, the time until all late calls have been carried out has to pass after starts under the
+    /// present one.
     fn fence_lost_server(&mut self, now_ms: u64) {
-        let raised = self.begin_epoch();
-        if let Some(backend) = &mut self.backend {
-            backend.fence_after(if raised { now_ms } else { now_ms + LATE_CALL_MAX_MS });
+        let raised = self.raise_fence(now_ms);
+        if let Some(backend) = self.backend.as_mut().filter(|_| !raised) {
+            let late_ms = if backend.start_called() { LATE_CALL_MAX_MS } else { 0 };
+            backend.fence_after(now_ms + late_ms);
         }
     }
 }
--- a/src/coordination/sidecar/start.rs
+++ b/src/coordination/sidecar/start.rs
@@ -125,6 +125,8 @@
             StartResult::Unknown => {
                 assignment.state = State::Unanswered;
                 self.actions.stops.push(attempt);
+                // The start may be carried out late, and prolongs the server's lease.
+                self.raise_fence(now_ms);
             }
         }
     }
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -787,6 +787,51 @@
     assert_eq!(sidecar.take_actions().replies, [stopped]);
 }
 
+/// Guards against an attempt that outlives the lease of its entry: a poll without an answer was carried
+/// out late, and gave the server a lease from then on, although newer calls had reached it.
+#[test]
+fn a_poll_without_an_answer_is_refused_after_any_later_call() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    sidecar.start_answered(1, attempt(1, 1), StartResult::Started);
+    let unanswered = sidecar.poll(100).unwrap();
+    let overlapping = sidecar.poll(240).unwrap();
+    assert_eq!(overlapping.fence, unanswered.fence);
+    sidecar.polled(240, 350, PollReply { clock_ms: 350, ..poll_reply(&[attempt(1, 1)], &[]) });
+    sidecar.poll_failed(100, 400, false);
+    let later = sidecar.poll(401).unwrap();
+    assert!(later.fence > unanswered.fence && later.lease_until_ms.is_some());
+    sidecar.poll_failed(360, 402, false);
+    assert_eq!(sidecar.poll(402).unwrap().fence, later.fence, "it carried the lower token");
+}
+
+/// Guards against the same by a start without an answer.
+#[test]
+fn a_start_without_an_answer_is_refused_after_any_later_call() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 100, attempt(1, 1));
+    let before = sidecar.poll(100).unwrap().fence;
+    sidecar.start_answered(160, attempt(1, 1), StartResult::Unknown);
+    assert_eq!(sidecar.take_actions().stops, [attempt(1, 1)]);
+    assert!(sidecar.poll(160).unwrap().fence > before);
+}
+
+/// Guards against fencing tokens that are used up by polls that cannot prolong a lease.
+#[test]
+fn polls_without_a_lease_do_not_raise_the_fencing_token() {
+    let mut sidecar = sidecar();
+    for sent_ms in [100, 500] {
+        assert!(sidecar.poll(sent_ms).unwrap().lease_until_ms.is_some());
+        sidecar.poll_failed(sent_ms, sent_ms + 300, false);
+    }
+    let fence = sidecar.poll(900).unwrap().fence;
+    for sent_ms in [900, 1_000, 1_100] {
+        assert_eq!(sidecar.poll(sent_ms).unwrap().lease_until_ms, None);
+        sidecar.poll_failed(sent_ms, sent_ms + 50, false);
+        assert_eq!(sidecar.poll(sent_ms + 51).unwrap().fence, fence);
+    }
+}
+
 /// Guards against a task that never starts again because its server stays silent: once all calls have
 /// been carried out and all leases have expired, its attempt has ended.
 #[test]
