Draw silent servers that carry calls out seconds later

The drawn histories with silent servers fail for two reasons. In the history of on, faults (11, 504, 32, 1274), (3, 65502, 1, 0), server 2 is silent from 1,004 ms on, its attempt runs on at 2,305 ms, and no call that it answered has renewed its lease since, so a poll was carried out between 0 and 1.3 s late with its time counted from the arrival.

The present test stays as it was. No call reaches the server for 2 s, it then carries out a start, and the caller, whose deadline has passed, has sent the job to an entry that knows nothing of that start. The entry and sidecar that sent it know; nothing passes that on.

--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -8,13 +8,27 @@
 
 use world::{Drawn, KINDS, KINDS_WITH_CUT_CALLERS, KINDS_WITH_REFUSALS, KINDS_WITH_SILENCE, World};
 
+/// Shortest time by which a call without an answer is carried out late: the platform says seconds, and
+/// that the time in such a call may count from its arrival.
+const LATE_MIN_MS: u64 = 2_000;
+
 /// Plays a history of at most `most` of the drawn faults, each of one of `kinds`.
 fn played(seed: u64, faults: &[Drawn], most: usize, kinds: &[u8]) -> quickcheck::TestResult {
+    played_in(World::new(seed), seed, faults, most, kinds)
+}
+
+fn played_in(
+    world: World,
+    seed: u64,
+    faults: &[Drawn],
+    most: usize,
+    kinds: &[u8],
+) -> quickcheck::TestResult {
     let kept = faults.iter().take(most);
     let kind = |drawn: u8| kinds[usize::from(drawn) % kinds.len()];
     let faults: Vec<Drawn> =
         kept.map(|(drawn, at, target, length)| (kind(*drawn), *at, *target, *length)).collect();
-    match World::new(seed).with_drawn_clocks().play(&faults) {
+    match world.with_drawn_clocks().play(&faults) {
         Ok(_) => quickcheck::TestResult::passed(),
         Err(trace) => quickcheck::TestResult::error(format!("{seed} {faults:?}: {trace}")),
     }
@@ -40,6 +54,11 @@
     played(seed, &faults, 8, &KINDS_WITH_SILENCE)
 }
 
+fn holds_with_silence_of_seconds(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
+    let world = World::new(seed).with_late_calls_after(LATE_MIN_MS);
+    played_in(world, seed, &faults, 8, &KINDS_WITH_SILENCE)
+}
+
 fn holds_with_refusals(seed: u64, faults: Vec<Drawn>) -> quickcheck::TestResult {
     played(seed, &faults, 8, &KINDS_WITH_REFUSALS)
 }
@@ -51,6 +70,13 @@
     draw_histories(2_000, holds_with_silence);
 }
 
+/// The same if such calls are carried out seconds later.
+#[test]
+#[ignore = "known_red"]
+fn no_history_with_silence_of_seconds_runs_a_transient_task_twice_at_the_same_time() {
+    draw_histories(2_000, holds_with_silence_of_seconds);
+}
+
 /// The same if connections to a live backend server are refused, too.
 #[test]
 #[ignore = "known_red"]
--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -370,6 +370,8 @@
     calls_late_ms: Vec<u64>,
     /// Until when a backend server is silent, its polls overtake each other, and calls are refused.
     calls_silent_ms: Vec<u64>,
+    /// Shortest time by which a silent server carries a call out late.
+    silent_late_min_ms: u64,
     polls_overtake_ms: Vec<u64>,
     calls_refused_ms: Vec<u64>,
     /// Until when a process is slow, when it runs next, and when it then reads messages. The entries
@@ -411,6 +413,7 @@
             calls_unanswered_ms: vec![0; SERVERS],
             calls_late_ms: vec![0; SERVERS],
             calls_silent_ms: vec![0; SERVERS],
+            silent_late_min_ms: 0,
             polls_overtake_ms: vec![0; SERVERS],
             calls_refused_ms: vec![0; SERVERS],
             slow_ms: vec![0; ENTRIES + SERVERS],
@@ -437,6 +440,12 @@
         self
     }
 
+    /// Lets silent servers carry calls out late by `least_ms` at least.
+    pub fn with_late_calls_after(mut self, least_ms: u64) -> World {
+        self.silent_late_min_ms = least_ms;
+        self
+    }
+
     /// Draws the clocks of the sidecars and of the backend servers.
     pub fn with_drawn_clocks(mut self) -> World {
         for index in 0..SERVERS {
@@ -1010,7 +1019,7 @@
             return Fate::Refused;
         }
         if self.calls_silent_ms[sidecar] > now_ms {
-            return Fate::Silent(self.draw(SILENT_LATE_MAX_MS));
+            return Fate::Silent(self.silent_late_min_ms + self.draw(SILENT_LATE_MAX_MS));
         }
         let lost = self.calls_lost_ms[sidecar] > now_ms;
         let unanswered = self.calls_unanswered_ms[sidecar] > now_ms;
