Fewer fencing tokens for one registration, so that they stay exact

With 2^24 numbers a term, a token then exceeds 2^53 from term 512 on, and a backend server that reads JSON numbers as floating point would compare rounded tokens. With 2^16 that begins at term 8,192.

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -37,8 +37,9 @@
 /// Longest time from a call without an answer until the backend server has carried it out and what it
 /// started has ended, in ms: 12 s until it is carried out, then a lease.
 pub const LATE_CALL_MAX_MS: u64 = 13_000;
-/// Epochs of the backend server that get fencing tokens of their own under one generation.
-const EPOCHS_MAX: u64 = 1 << 20;
+/// Epochs of the backend server that get fencing tokens of their own under one generation. Tokens stay
+/// exact in JSON readers that use floating point for 8,000 terms of leaders.
+const EPOCHS_MAX: u64 = 1 << 16;
 
 /// Who commanded an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
