Raise the fencing token once for starts without an answer, and also for stopped ones

Each start without an answer raised the token, so that other starts and polls in flight were refused by the server; callers would have seen tasks start late on a slow server. And a start whose attempt had been stopped and was absent from a list before its time limit raised nothing, although the server may carry it out and prolong its lease.

Failed before: starts_without_an_answer_under_one_token_raise_it_once (left 589836, right 589835) and a_start_without_an_answer_is_fenced_although_its_attempt_was_stopped (fence > before).

Now a start raises the token by the rule that polls follow: only if it carried the present one.

--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -156,7 +156,7 @@
     /// connections are refused still, it has crashed under its attempts.
     pub fn poll_failed(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
         if !refused {
-            self.fence_unanswered_poll(sent_ms, now_ms);
+            self.fence_unanswered(sent_ms, now_ms);
         }
         let Some(backend) = &mut self.backend else { return };
         if sent_ms + POLL_AGE_MAX_MS < now_ms {
@@ -192,10 +192,10 @@
         self.actions.report_due = true;
     }
 
-    /// Raises the fencing token after a poll without an answer, unless it carried a lower one or no
-    /// lease was sent under the present one. The server may carry it out late, and would give what runs
-    /// by then a lease that counts from that time.
-    fn fence_unanswered_poll(&mut self, sent_ms: u64, now_ms: u64) {
+    /// Raises the fencing token after a call without an answer, unless it carried a lower one or no
+    /// lease was sent under the present one. The server may carry the call out late, and would give
+    /// what runs by then a lease that counts from that time.
+    pub(super) fn fence_unanswered(&mut self, sent_ms: u64, now_ms: u64) {
         if self.backend.as_ref().is_some_and(|backend| backend.may_prolong(sent_ms)) {
             self.raise_fence(now_ms);
         }
--- a/src/coordination/sidecar/start.rs
+++ b/src/coordination/sidecar/start.rs
@@ -112,7 +112,13 @@
     /// Handles the result of a request to the backend server to start an attempt.
     pub fn start_answered(&mut self, now_ms: u64, attempt: Attempt, result: StartResult) {
         let Some(backend) = &mut self.backend else { return };
-        let Some(assignment) = backend.assignments.get_mut(&attempt) else { return };
+        let Some(assignment) = backend.assignments.get_mut(&attempt) else {
+            // The attempt was stopped meanwhile, but the start may still be carried out late.
+            if result == StartResult::Unknown {
+                self.raise_fence(now_ms);
+            }
+            return;
+        };
         match result {
             StartResult::Started => assignment.confirm_running(),
             StartResult::NotStarted(reason) => {
@@ -124,9 +130,9 @@
             StartResult::Unknown if assignment.state == State::Running => {}
             StartResult::Unknown => {
                 assignment.state = State::Unanswered;
+                let called_ms = assignment.called_ms;
                 self.actions.stops.push(attempt);
-                // The start may be carried out late, and prolongs the server's lease.
-                self.raise_fence(now_ms);
+                self.fence_unanswered(called_ms, now_ms);
             }
         }
     }
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -816,6 +816,38 @@
     assert!(sidecar.poll(160).unwrap().fence > before);
 }
 
+/// Guards against starts that are refused for no reason, since others under the same token had no
+/// answer: one higher token fences them all.
+#[test]
+fn starts_without_an_answer_under_one_token_raise_it_once() {
+    let mut sidecar = sidecar();
+    for task in [1, 2] {
+        let needs = Resources { cpu_milli: 100, memory_mb: 1, accelerators: 0 };
+        let start = Start { needs, ..start(attempt(task, 1)) };
+        sidecar.handle_start(100, ENTRY, start, 100, 600);
+    }
+    assert!(sidecar.poll(100).unwrap().lease_until_ms.is_some());
+    sidecar.start_answered(160, attempt(1, 1), StartResult::Unknown);
+    let raised = sidecar.poll(161).unwrap().fence;
+    sidecar.start_answered(162, attempt(2, 1), StartResult::Unknown);
+    assert_eq!(sidecar.poll(163).unwrap().fence, raised);
+}
+
+/// Guards against a late start that prolongs the lease of its server: its attempt had been stopped and
+/// was absent from a list before the start counted as unanswered.
+#[test]
+fn a_start_without_an_answer_is_fenced_although_its_attempt_was_stopped() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 100, attempt(1, 1));
+    let before = sidecar.poll(100).unwrap().fence;
+    sidecar.stop(attempt(1, 1));
+    sidecar.stop_confirmed(110, attempt(1, 1));
+    sidecar.polled(120, 121, PollReply { clock_ms: 121, ..poll_reply(&[], &[]) });
+    assert!(!sidecar.busy());
+    sidecar.start_answered(160, attempt(1, 1), StartResult::Unknown);
+    assert!(sidecar.poll(161).unwrap().fence > before);
+}
+
 /// Guards against fencing tokens that are used up by polls that cannot prolong a lease.
 #[test]
 fn polls_without_a_lease_do_not_raise_the_fencing_token() {
