Formation: a member that is blank later stays a veto

A member of a cluster that lost its disk answers that it is blank, and that replaced its earlier answer, so the founder could form a second cluster while others of the first one live.

--- a/src/coordination/formation.rs
+++ b/src/coordination/formation.rs
@@ -101,6 +101,12 @@
         let answer = Answer { node: standing.id.node, claim, asked_ms };
         match self.answers.get(&addr) {
             Some(newer) if newer.asked_ms > asked_ms && claim != Claim::Member => None,
+            // A member that is blank now has lost its disk, and others of its cluster may live.
+            Some(Answer { claim: Claim::Member, .. })
+                if matches!(claim, Claim::Blank | Claim::Restarted) =>
+            {
+                None
+            }
             _ => {
                 let earlier = self.answers.insert(addr, answer);
                 earlier.is_none_or(|earlier| earlier.claim != claim).then_some(claim)
--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -120,6 +120,11 @@
     formation.record(addr(2), 100, &member(other(2), &[], false));
     let late = decide(&mut formation, (600, 20_000), &[(3, blank(other(3)))]);
     assert_eq!(late, (None, Step::WaitForMembers), "an answer that was overtaken");
+    let mut formation = founder(3, 3);
+    formation.record(addr(2), 100, &member(other(2), &voters, true));
+    let wiped =
+        decide(&mut formation, (200, 20_000), &[(2, blank(other(2))), (3, blank(other(3)))]);
+    assert_eq!(wiped, (None, Step::WaitForMembers), "its disk was lost, and its cluster may live");
     let restarted = Standing { first_start: false, ..blank(other(2)) };
     let mut formation = founder(3, 3);
     let lost = decide(&mut formation, (0, 20_000), &[(2, restarted)]);
