--- a/tests/entry_jobs.rs
+++ b/tests/entry_jobs.rs
@@ -126,6 +126,7 @@
 struct Worker {
     running: Rc<RefCell<Vec<Attempt>>>,
     starts: Rc<Cell<usize>>,
+    renewals: Rc<Cell<usize>>,
     stopped: watch::Sender<Option<Attempt>>,
     /// Number of calls to stop attempts or to cancel a job that are left without an answer and have
     /// no effect.
@@ -147,6 +148,7 @@
 
 impl work::Service for Worker {
     async fn renew(self, _: Context, _: Option<id::Cluster>, renewal: Renewal) -> Status {
+        self.renewals.set(self.renewals.get() + 1);
         Status {
             incarnation: 1,
             clock_ms: util::boot_ms(),
@@ -201,6 +203,7 @@
         let worker = Worker {
             running: Rc::default(),
             starts: Rc::default(),
+            renewals: Rc::default(),
             stopped: watch::channel(None).0,
             calls_to_lose: Rc::default(),
         };
@@ -215,6 +218,8 @@
         let entry = Entry::start(LeaderClient::new(vec![control.addr()]));
         let world = World { leader, worker, entry, _servers: [sidecar, control] };
         until("the entry is ready", || world.entry.ready()).await;
+        // The first renewal opens the connection, and the second is sent over it.
+        until("the sidecar is connected", || world.worker.renewals.get() > 1).await;
         world
     }
 
