--- a/src/control/replica/driver/formation.rs
+++ b/src/control/replica/driver/formation.rs
@@ -56,7 +56,8 @@
         }
         let majority = self.settings.voters as u64 / 2 + 1;
         let formed = standing.committed_voters >= majority;
-        // Others may have asked at an address that this instance has taken over.
+        // Instances that have introduced themselves here are asked, too, and may belong to another
+        // cluster if this one has got an address of an instance of that cluster.
         let is_seed = self.settings.peers.contains(&addr);
         if let Some(cluster) = standing.cluster.filter(|_| formed && is_seed)
             && self.takes_part(&core)
@@ -75,7 +76,7 @@
         }
         let Some(formation) = &mut core.formation else { return };
         let step = formation.step(now);
-        let (blank, seeds) = (formation.blank(now), formation.seeds());
+        let (blank, seeds) = (formation.blank(now), formation.seed_count());
         let waited_ms = formation.waited_ms(now);
         if step != Step::Form {
             if now >= core.formation_logged_at + LOG_INTERVAL_MS {
--- a/src/coordination/formation.rs
+++ b/src/coordination/formation.rs
@@ -21,9 +21,9 @@
 pub enum Claim {
     /// The instance belongs to no cluster and starts for the first time.
     Blank,
-    /// The instance belongs to no cluster, although the system has started before. Its disk may be
-    /// lost, or it may be new.
-    Restarted,
+    /// The instance belongs to no cluster, and its settings are not those of a first start. Its disk
+    /// may be lost, or it may be new.
+    NotFirstStart,
     /// The instance was being added to a cluster whose only voter was a lost disk of this instance.
     Abandoned,
     /// The instance belongs to a cluster.
@@ -103,7 +103,7 @@
             Some(newer) if newer.asked_ms > asked_ms && claim != Claim::Member => None,
             // A member that is blank now has lost its disk, and others of its cluster may live.
             Some(Answer { claim: Claim::Member, .. })
-                if matches!(claim, Claim::Blank | Claim::Restarted) =>
+                if matches!(claim, Claim::Blank | Claim::NotFirstStart) =>
             {
                 None
             }
@@ -119,7 +119,7 @@
             return Claim::Own;
         }
         if standing.cluster.is_none() {
-            return if standing.first_start { Claim::Blank } else { Claim::Restarted };
+            return if standing.first_start { Claim::Blank } else { Claim::NotFirstStart };
         }
         // A cluster of a single voter ends with that voter's disk. Without a voter in its log, the
         // instance only knows that a cluster exists.
@@ -146,7 +146,7 @@
         }
         let blank_seeds = self.seeds.iter().filter(|seed| self.is_blank(seed, now_ms)).count();
         let waited = now_ms >= self.waiting_since_ms + PATIENCE_MS;
-        let most_seeds = blank_seeds + 1 > self.seeds() / 2;
+        let most_seeds = blank_seeds + 1 > self.seed_count() / 2;
         if blank_seeds == self.seeds.len() || (waited && most_seeds) {
             return Step::Form;
         }
@@ -166,7 +166,7 @@
     }
 
     /// Number of seeds, with this instance.
-    pub fn seeds(&self) -> usize {
+    pub fn seed_count(&self) -> usize {
         1 + self.seeds.len()
     }
 
