--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -198,11 +198,23 @@
                 log::info!("event=announcement_outdated server={}", server.id);
             }
             _ => {
-                log::info!("event=server server={} service={}", server.id, server.service);
-                if let Some(backend) = &mut self.backend
-                    && !backend.lost
-                {
-                    backend.unaccounted = backend.sent();
+                log::info!(
+                    "event=server server={} service={} addr={addr} seq={seq}",
+                    server.id,
+                    server.service
+                );
+                if let Some(backend) = &mut self.backend {
+                    log::warn!(
+                        "event=server_replaced server={} addr={} by={} silent_ms={} sent={}",
+                        backend.server.id,
+                        backend.addr,
+                        server.id,
+                        backend.silent_ms(now_ms).map_or(-1, |silent_ms| silent_ms as i64),
+                        backend.sent().len(),
+                    );
+                    if !backend.lost {
+                        backend.unaccounted = backend.sent();
+                    }
                 }
                 self.record_crash();
                 let earlier = self.backend.take();
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -327,6 +327,11 @@
         self.clock.is_some_and(|(_, read_ms)| read_ms > sent_ms)
     }
 
+    /// Time since the newest answer; `None` before the first one.
+    pub fn silent_ms(&self, now_ms: u64) -> Option<u64> {
+        self.clock.map(|(_, read_ms)| now_ms.saturating_sub(read_ms))
+    }
+
     /// Grants the server a new lease of `lease_ms`, but not beyond `limit_ms`. Returns its expiry on
     /// the server's clock, if that clock is known and the limit has not passed. An unresponsive server
     /// gets no lease, so that its attempts end, nor does one on which foreign attempts may run or
