An announced server replaces the known one only after it has answered at its address

Cause: a sidecar took any announcement with another id and an equal or later start for the next incarnation of its backend server, and ended all attempts of the live one as lost (Proof::Incarnation). Entries and the leader started their tasks elsewhere at once. 100 to 250 ms later the true server's next announcement took its place back, as in the record. With a later start or an address at which nothing listens, the true server stayed hidden for good, as its own announcements counted as outdated. The class: a message that anyone may have written, or that is late, counts as a proof.

Ruled out: real restarts, as the record shows the same time of start before and after, and ids that come back; late announcements of an earlier incarnation, as those have an earlier start and were ignored.

Change: another identity is a candidate, at most eight and for 5 s after its newest announcement. The sidecar calls its address with a poll that names it and carries no lease and no acknowledgement, so that it changes nothing wherever it arrives. An answer of another server (421) or incarnation (born) refutes it. Once it has answered itself, it replaces the known server if that one has ended: the answer came from the same address and was requested after the known one's newest answer, or the known one is gone or unheard for as long as late calls last. Until then the known server keeps its lease, its runs and its commands. The limit of an hour on starts in the future goes: it kept a server with a wrong clock from use, and a candidate with any start changes nothing.

It works since only one process listens at an address: whatever an announcement says, the answer comes from the process that would have to be gone.

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -8,6 +8,7 @@
 //! The backend server in turn holds a lease that the sidecar grants, and ends all its attempts when
 //! that one expires.
 
+mod announce;
 mod backend;
 mod leader;
 mod poll;
@@ -24,6 +25,8 @@
         work::{self, Entry, Load, Revision},
     },
 };
+use announce::Candidate;
+pub use announce::{Check, Identity};
 use backend::{Assignment, BackendServer, Proof, State};
 
 /// Time after the release of a lease within which delayed messages of its connection may still
@@ -85,6 +88,8 @@
     pub stops: Vec<Attempt>,
     /// Outcomes of entries' start commands, with the time from start to end in ms.
     pub replies: Vec<(Entry, Attempt, work::Outcome, u64)>,
+    /// Announced servers, to be called until they are no candidates any more.
+    pub checks: Vec<Identity>,
     /// Whether there is something to report to the leader.
     pub report_due: bool,
 }
@@ -99,11 +104,13 @@
     /// Length of each lease granted to the backend server.
     backend_lease_ms: u64,
     backend: Option<BackendServer>,
+    /// Announced servers that have not answered.
+    candidates: Vec<Candidate>,
     /// How often a backend server has counted as lost or has left.
     losses: u64,
     /// Number of reports built.
     reports: u64,
-    /// Whether any backend server has announced itself since this process started.
+    /// Whether any backend server has answered since this process started.
     announced: bool,
     /// Fencing token of this process of the sidecar; 0 until a leader has assigned one.
     token: u64,
@@ -151,6 +158,7 @@
             incarnation,
             backend_lease_ms,
             backend: None,
+            candidates: Vec::new(),
             losses: 0,
             reports: 0,
             announced: false,
@@ -181,65 +189,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Handles an announcement of the backend server. A new incarnation of the server replaces the
-    /// known one, and the attempts of the replaced one are lost. If it has the same id, it may have
-    /// received calls to start them before it announced itself, so they are reported as lost only
-    /// once it is known that none of them runs.
-    pub fn announce(&mut self, now_ms: u64, server: Server, addr: SocketAddr, seq: u64) {
-        match &mut self.backend {
-            Some(backend) if backend.server.id == server.id => {
-                if backend.update(&server, addr, seq) {
-                    self.revision.change += 1;
-                    self.actions.report_due = true;
-                }
-                self.dispatch(now_ms);
-            }
-            Some(backend) if server.id.started_at_ms < backend.server.id.started_at_ms => {
-                log::info!("event=announcement_outdated server={}", server.id);
-            }
-            _ => {
-                log::info!(
-                    "event=server server={} service={} addr={addr} seq={seq}",
-                    server.id,
-                    server.service
-                );
-                if let Some(backend) = &mut self.backend {
-                    log::warn!(
-                        "event=server_replaced server={} addr={} by={} silent_ms={} sent={}",
-                        backend.server.id,
-                        backend.addr,
-                        server.id,
-                        backend.silent_ms(now_ms).map_or(-1, |silent_ms| silent_ms as i64),
-                        backend.sent().len(),
-                    );
-                    if !backend.lost {
-                        backend.unaccounted = backend.sent();
-                    }
-                }
-                self.record_crash();
-                let earlier = self.backend.take();
-                let mut backend =
-                    BackendServer::new(now_ms, server, addr, seq, self.backend_lease_ms);
-                let lost = earlier.map(|earlier| backend.inherit(earlier)).unwrap_or_default();
-                self.backend = Some(backend);
-                self.end_all(lost, Proof::Incarnation);
-                self.announced = true;
-                self.begin_epoch();
-                self.revision = Revision { incarnation: self.revision.incarnation + 1, change: 0 };
-                self.actions.report_due = true;
-            }
-        }
-    }
-
-    /// Handles the backend server's notice that it has left.
-    pub fn leave(&mut self, id: &str) {
-        if self.backend.as_ref().is_some_and(|backend| backend.server.id.id == id) {
-            log::info!("event=server_left server={id}");
-            self.discard_backend();
-            self.actions.report_due = true;
-        }
-    }
-
     /// Refuses all start commands from now on.
     pub fn drain(&mut self) {
         self.draining = true;
--- /dev/null
+++ b/src/coordination/sidecar/announce.rs
@@ -0,0 +1,207 @@
+//! Announcements of backend servers. Anyone may have written one, and it may be late, so it proves
+//! nothing: another server than the known one is a candidate until the process at its address has
+//! answered as that server.
+
+use std::net::SocketAddr;
+
+use super::{BackendServer, LATE_CALL_MAX_MS, Poll, Sidecar, backend::Proof};
+use crate::protocol::wire::{
+    queue::{Server, ServerId},
+    work::Revision,
+};
+
+/// Most candidates at the same time; of more, the one that was announced the longest ago is dropped.
+const CANDIDATES_MAX: usize = 8;
+/// Time after its newest announcement within which a candidate has to answer, in ms. Servers announce
+/// themselves about every 1,500 ms.
+const CANDIDATE_MAX_MS: u64 = 5_000;
+
+/// What an announcement says.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Announcement {
+    pub server: Server,
+    pub addr: SocketAddr,
+    /// Position among the announcements of its writer.
+    pub seq: u64,
+}
+
+/// An incarnation of a backend server and the address at which it is to answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    pub server: ServerId,
+    pub addr: SocketAddr,
+}
+
+/// Result of a call to the address of a candidate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Check {
+    /// The candidate has answered.
+    Present,
+    /// Another incarnation or another server has answered.
+    Other,
+    NoAnswer,
+}
+
+/// A backend server that was announced and has not answered yet.
+#[derive(Debug)]
+pub(super) struct Candidate {
+    announcement: Announcement,
+    announced_ms: u64,
+}
+
+impl Candidate {
+    fn is(&self, identity: &Identity) -> bool {
+        let Announcement { server, addr, .. } = &self.announcement;
+        server.id == identity.server && *addr == identity.addr
+    }
+}
+
+impl Sidecar {
+    /// Handles an announcement. It may change the state of the known backend server; another server
+    /// becomes a candidate, and changes nothing until [`Sidecar::checked`].
+    pub fn announce(&mut self, now_ms: u64, server: Server, addr: SocketAddr, seq: u64) {
+        let announcement = Announcement { server, addr, seq };
+        let known = self.backend.as_mut();
+        if let Some(known) = known.filter(|known| known.server.id == announcement.server.id) {
+            if known.update(announcement) {
+                self.revision.change += 1;
+                self.actions.report_due = true;
+            }
+            self.dispatch(now_ms);
+        } else {
+            self.add_candidate(now_ms, announcement);
+        }
+    }
+
+    /// Handles the backend server's notice that it has left.
+    pub fn leave(&mut self, id: &str) {
+        if self.backend.as_ref().is_some_and(|backend| backend.server.id.id == id) {
+            log::info!("event=server_left server={id}");
+            self.discard_backend();
+            self.actions.report_due = true;
+        }
+    }
+
+    fn add_candidate(&mut self, now_ms: u64, announcement: Announcement) {
+        let identity = Identity { server: announcement.server.id.clone(), addr: announcement.addr };
+        if let Some(known) = self.candidates.iter_mut().find(|candidate| candidate.is(&identity)) {
+            known.announced_ms = now_ms;
+            if announcement.seq > known.announcement.seq {
+                known.announcement = announcement;
+            }
+            return;
+        }
+        log::info!(
+            "event=server_announced server={} service={} addr={} seq={} known={}",
+            identity.server,
+            announcement.server.service,
+            identity.addr,
+            announcement.seq,
+            self.backend.as_ref().map_or("none".to_owned(), |known| known.server.id.to_string()),
+        );
+        if self.candidates.len() == CANDIDATES_MAX {
+            let oldest = self.candidates.iter().enumerate().min_by_key(|(_, c)| c.announced_ms);
+            if let Some((at, _)) = oldest {
+                self.candidates.remove(at);
+            }
+        }
+        self.candidates.push(Candidate { announcement, announced_ms: now_ms });
+        self.actions.checks.push(identity);
+    }
+
+    /// Whether the server is still a candidate.
+    pub fn is_candidate(&mut self, now_ms: u64, identity: &Identity) -> bool {
+        self.candidates.retain(|candidate| {
+            let recent = candidate.announced_ms + CANDIDATE_MAX_MS > now_ms;
+            if !recent {
+                let Announcement { server, addr, .. } = &candidate.announcement;
+                log::warn!("event=server_never_answered server={} addr={addr}", server.id);
+            }
+            recent
+        });
+        self.candidates.iter().any(|candidate| candidate.is(identity))
+    }
+
+    /// Returns a poll that changes nothing at a server, for a candidate; `None` until a leader has
+    /// assigned a fencing token.
+    pub fn check_call(&self) -> Option<Poll> {
+        let fence = self.fence()?;
+        Some(Poll { fence, acknowledged: 0, lease_until_ms: None })
+    }
+
+    /// Handles the result of a call to the address of a candidate, sent at `sent_ms`. One that has
+    /// answered replaces the known server once that one has certainly ended.
+    pub fn checked(&mut self, sent_ms: u64, now_ms: u64, identity: &Identity, check: Check) {
+        let Some(at) = self.candidates.iter().position(|candidate| candidate.is(identity)) else {
+            return;
+        };
+        match check {
+            Check::NoAnswer => {}
+            Check::Other => {
+                log::warn!(
+                    "event=announcement_refuted server={} addr={}",
+                    identity.server,
+                    identity.addr
+                );
+                self.candidates.remove(at);
+            }
+            Check::Present => {
+                let known = self.backend.as_ref();
+                if known.is_none_or(|known| known.has_ended(sent_ms, now_ms, identity.addr)) {
+                    let Candidate { announcement, .. } = self.candidates.remove(at);
+                    self.adopt(now_ms, announcement);
+                }
+            }
+        }
+    }
+
+    /// Takes over a server that has answered. The attempts of the known one are lost. If it has the same
+    /// id, it may have received calls to start them since it started, so they are reported as lost only
+    /// once it is known that none of them runs.
+    fn adopt(&mut self, now_ms: u64, announcement: Announcement) {
+        let Announcement { server, addr, seq } = &announcement;
+        log::info!(
+            "event=server server={} service={} addr={addr} seq={seq}",
+            server.id,
+            server.service
+        );
+        if let Some(known) = &mut self.backend {
+            log::warn!(
+                "event=server_replaced server={} addr={} by={} silent_ms={} sent={}",
+                known.server.id,
+                known.addr,
+                server.id,
+                now_ms.saturating_sub(known.heard_ms()),
+                known.sent().len(),
+            );
+            if !known.lost {
+                known.unaccounted = known.sent();
+            }
+        }
+        self.record_crash();
+        let earlier = self.backend.take();
+        let mut backend = BackendServer::new(now_ms, announcement, self.backend_lease_ms);
+        if let Some(earlier) = earlier {
+            let lost = backend.inherit(earlier);
+            self.backend = Some(backend);
+            self.end_all(lost, Proof::Incarnation);
+        } else {
+            self.backend = Some(backend);
+        }
+        self.announced = true;
+        self.begin_epoch();
+        self.revision = Revision { incarnation: self.revision.incarnation + 1, change: 0 };
+        self.actions.report_due = true;
+    }
+}
+
+impl BackendServer {
+    /// Whether the server has certainly ended, now that another one has answered a call to `addr` that
+    /// was sent at `sent_ms`. Only one process listens at an address.
+    fn has_ended(&self, sent_ms: u64, now_ms: u64, addr: SocketAddr) -> bool {
+        match self.addr == addr {
+            true => self.heard_ms() < sent_ms,
+            false => self.gone() || self.unheard_since_loss(now_ms) >= LATE_CALL_MAX_MS,
+        }
+    }
+}
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -12,7 +12,7 @@
 
 use indexmap::IndexMap;
 
-use super::{LATE_CALL_MAX_MS, Source};
+use super::{LATE_CALL_MAX_MS, Source, announce::Announcement};
 use crate::protocol::{
     queue::{Attempt, Resources},
     wire::{
@@ -77,11 +77,11 @@
     Lease,
     /// Any call that had no answer has been carried out by now, and what it started has ended.
     LateCalls,
-    /// Nothing listens at the server's address.
+    /// Nothing listens at the server's address, and its lease has expired.
     Refusal,
     /// The server has given notice that it leaves.
     Leave,
-    /// Another incarnation of the server has announced itself.
+    /// Another server or incarnation has answered, at the same address or after the end of the server.
     Incarnation,
     /// The server's list of running attempts, which answers a call with the present fencing token,
     /// omits them.
@@ -183,9 +183,12 @@
 #[derive(Debug)]
 pub(super) struct BackendServer {
     pub server: Server,
+    /// Where it has answered.
     pub addr: SocketAddr,
-    /// Sequence number of the newest announcement.
+    /// Sequence number of the newest announcement in force.
     seq: u64,
+    /// When it answered before it became known.
+    confirmed_ms: u64,
     /// The newest reading of the server's clock, and when it was received on the sidecar's clock.
     clock: Option<(u64, u64)>,
     /// Latest time at which any lease that the server may have got can expire, on the sidecar's clock.
@@ -234,18 +237,15 @@
 }
 
 impl BackendServer {
-    /// An earlier process of the sidecar may have granted the server a lease of `lease_ms` until now.
-    pub fn new(
-        now_ms: u64,
-        server: Server,
-        addr: SocketAddr,
-        seq: u64,
-        lease_ms: u64,
-    ) -> BackendServer {
+    /// A server that has answered. An earlier process of the sidecar may have granted it a lease of
+    /// `lease_ms` until now.
+    pub fn new(now_ms: u64, announcement: Announcement, lease_ms: u64) -> BackendServer {
+        let Announcement { server, addr, seq } = announcement;
         BackendServer {
             server,
             addr,
             seq,
+            confirmed_ms: now_ms,
             clock: None,
             lease_until_ms: now_ms + longest_ms(lease_ms),
             unanswered: 0,
@@ -273,15 +273,16 @@
 
     /// Handles a further announcement of this incarnation. Returns whether its description has
     /// changed.
-    pub fn update(&mut self, server: &Server, addr: SocketAddr, seq: u64) -> bool {
+    pub fn update(&mut self, announcement: Announcement) -> bool {
+        let Announcement { server, addr, seq } = announcement;
         if seq <= self.seq {
             log::info!("event=announcement_outdated server={} seq={seq}", server.id);
             return false;
         }
         self.seq = seq;
         self.addr = addr;
-        let changed = self.server != *server;
-        self.server = server.clone();
+        let changed = self.server != server;
+        self.server = server;
         changed
     }
 
@@ -327,9 +328,14 @@
         self.clock.is_some_and(|(_, read_ms)| read_ms > sent_ms)
     }
 
-    /// Time since the newest answer; `None` before the first one.
-    pub fn silent_ms(&self, now_ms: u64) -> Option<u64> {
-        self.clock.map(|(_, read_ms)| now_ms.saturating_sub(read_ms))
+    /// When the newest answer was received.
+    pub fn heard_ms(&self) -> u64 {
+        self.clock.map_or(self.confirmed_ms, |(_, read_ms)| read_ms.max(self.confirmed_ms))
+    }
+
+    /// Time for which the server has counted as lost, in ms.
+    pub fn unheard_since_loss(&self, now_ms: u64) -> u64 {
+        if self.lost { now_ms.saturating_sub(self.lost_at_ms) } else { 0 }
     }
 
     /// Grants the server a new lease of `lease_ms`, but not beyond `limit_ms`. Returns its expiry on
@@ -467,7 +473,7 @@
     /// Returns the entries' attempts for which the lost server was not heard of for so long that they
     /// have certainly ended. The leader counts this time itself.
     pub fn take_ended_unheard(&mut self, now_ms: u64) -> IndexMap<Attempt, Assignment> {
-        if !self.lost || now_ms < self.lost_at_ms + LATE_CALL_MAX_MS {
+        if self.unheard_since_loss(now_ms) < LATE_CALL_MAX_MS {
             return IndexMap::new();
         }
         let inherited = std::mem::take(&mut self.inherited);
--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -24,15 +24,21 @@
     /// a call without an answer may have been carried out.
     pub fn poll(&mut self, now_ms: u64) -> Option<Poll> {
         let limit_ms = self.backend_lease_limit();
-        let backend = self.backend.as_mut().filter(|_| self.token > 0)?;
+        let fence = self.fence()?;
+        let backend = self.backend.as_mut()?;
         backend.end_lapse(now_ms);
         Some(Poll {
-            fence: self.token * (EPOCHS_MAX + 1) + self.epoch,
+            fence,
             acknowledged: backend.acknowledged(),
             lease_until_ms: backend.lease(now_ms, self.backend_lease_ms, limit_ms),
         })
     }
 
+    /// Returns the fencing token of the calls that are built now.
+    pub(super) fn fence(&self) -> Option<u64> {
+        (self.token > 0).then(|| self.token * (EPOCHS_MAX + 1) + self.epoch)
+    }
+
     /// Returns when a new lease of the backend server has to expire at the latest, so that no
     /// attempt outlasts the lease of its source for long. For an attempt that is being stopped, that
     /// is the lease at the time of the stop. While an attempt without a lease is being stopped, this is
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::{
-    coordination::sidecar::{self, Actions, Poll, PollReply, StartResult},
+    coordination::sidecar::{self, Actions, Check, Identity, Poll, PollReply, StartResult},
     error::Result,
     leader::LeaderClient,
     protocol::{
@@ -47,8 +47,8 @@
 const CLOCK_STEP: Duration = Duration::from_millis(1);
 /// Interval at which leases are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Most by which the clocks of a backend server and its sidecar may differ, in ms.
-const CLOCK_ERROR_MAX_MS: u64 = 3_600_000;
+/// Pause between two calls to an announced server that has not answered.
+const CHECK_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval at which a draining sidecar checks whether its attempts have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -56,6 +56,8 @@
 #[derive(Debug)]
 pub enum PollResult {
     Replied(PollReply),
+    /// Another server or another incarnation replied.
+    Other,
     /// Nothing listens at the server's address.
     Refused,
     /// No valid reply arrived.
@@ -162,19 +164,13 @@
         Ok(sidecar)
     }
 
-    /// Handles an announcement of the backend server. One that started in the future is no server:
-    /// it would keep the true one from being known, which has started before.
+    /// Handles an announcement of a backend server, whoever sent it.
     pub fn announce(&self, server: Server, addr: SocketAddr, seq: u64) {
-        if server.id.started_at_ms > util::unix_ms() + CLOCK_ERROR_MAX_MS {
-            log::warn!("event=announcement_refused server={} reason=future", server.id);
-            return;
-        }
         self.inner.state.borrow_mut().announce(util::boot_ms(), server, addr, seq);
-        self.inner.poll_wake.notify_one();
         self.carry_out();
     }
 
-    /// Handles the departure of the backend server.
+    /// Handles a notice that the backend server leaves, whoever sent it.
     pub fn leave(&self, id: &str) {
         self.inner.state.borrow_mut().leave(id);
         self.carry_out();
@@ -194,7 +190,7 @@
 
     /// Carries out the actions that the state has decided on.
     fn carry_out(&self) {
-        let Actions { starts, stops, replies, report_due } =
+        let Actions { starts, stops, replies, checks, report_due } =
             self.inner.state.borrow_mut().take_actions();
         if !starts.is_empty() {
             self.supersede_idle_poll();
@@ -205,6 +201,9 @@
         for attempt in stops {
             actix_rt::spawn(self.clone().stop_attempt(attempt));
         }
+        for identity in checks {
+            actix_rt::spawn(self.clone().check_candidate(identity));
+        }
         for (entry, attempt, outcome, took_ms) in replies {
             let waiter = self.inner.waiters.borrow_mut().swap_remove(&(entry, attempt));
             if let Some(waiter) = waiter {
@@ -297,6 +296,28 @@
         state.server().map(|(server, addr)| (server.id.clone(), addr))
     }
 
+    /// Calls an announced server until it or another one has answered at its address.
+    async fn check_candidate(self, identity: Identity) {
+        while self.inner.state.borrow_mut().is_candidate(util::boot_ms(), &identity) {
+            let poll = self.inner.state.borrow().check_call();
+            if let Some(poll) = poll {
+                let (sent_ms, Identity { server, addr }) = (util::boot_ms(), &identity);
+                let result = self.inner.backend.poll(*addr, server, &poll, Duration::ZERO).await;
+                let check = match result {
+                    PollResult::Replied(_) => Check::Present,
+                    PollResult::Other => Check::Other,
+                    PollResult::Refused | PollResult::NoReply => Check::NoAnswer,
+                };
+                self.inner.state.borrow_mut().checked(sent_ms, util::boot_ms(), &identity, check);
+                if check == Check::Present {
+                    self.inner.poll_wake.notify_one();
+                }
+                self.carry_out();
+            }
+            time::sleep(CHECK_RETRY_DELAY).await;
+        }
+    }
+
     /// Requests the start of an attempt once, and records the result.
     async fn start_attempt(self, start: Start) {
         let lease = self.inner.state.borrow_mut().poll(util::boot_ms());
--- a/src/sidecar/jobs/poll.rs
+++ b/src/sidecar/jobs/poll.rs
@@ -84,7 +84,7 @@
             PollResult::Replied(reply) => {
                 self.inner.state.borrow_mut().polled(sent_ms, done_ms, reply)
             }
-            PollResult::Refused | PollResult::NoReply => {
+            PollResult::Other | PollResult::Refused | PollResult::NoReply => {
                 self.inner.state.borrow_mut().poll_failed(sent_ms, done_ms, refused);
             }
         }
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -4,7 +4,9 @@
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use briargauge::{
-    coordination::sidecar::{Actions, LATE_CALL_MAX_MS, PollReply, Sidecar, Source, StartResult},
+    coordination::sidecar::{
+        Actions, Check, Identity, LATE_CALL_MAX_MS, PollReply, Sidecar, Source, StartResult,
+    },
     protocol::{
         queue::{self, Attempt, Id, Resources, Task},
         wire::{
@@ -60,11 +62,22 @@
     }
 }
 
+/// Announces a server, which answers at once if it is called.
+fn announce(sidecar: &mut Sidecar, now_ms: u64, server: Server, seq: u64) {
+    let identity = Identity { server: server.id.clone(), addr: addr() };
+    sidecar.announce(now_ms, server, addr(), seq);
+    sidecar.checked(now_ms, now_ms, &identity, Check::Present);
+}
+
 /// A sidecar whose backend server has capacity for one attempt at a time, with an entry's lease
 /// until 10 s.
 fn sidecar() -> Sidecar {
+    sidecar_of(server(1, 1_000))
+}
+
+fn sidecar_of(server: Server) -> Sidecar {
     let mut sidecar = Sidecar::new("s".to_owned(), addr(), 1, LEASE_MS);
-    sidecar.announce(0, server(1, 1_000), addr(), 1);
+    announce(&mut sidecar, 0, server, 1);
     let report = sidecar.report(0);
     sidecar.handle_commands(0, 0, &report, commands(9));
     sidecar.polled(0, 0, poll_reply(&[], &[]));
@@ -99,8 +112,7 @@
 /// started while the one before was being stopped.
 #[test]
 fn an_attempt_waits_until_another_one_of_its_task_has_ended() {
-    let mut sidecar = sidecar();
-    sidecar.announce(0, server(1, 2_000), addr(), 2);
+    let mut sidecar = sidecar_of(server(1, 2_000));
     sidecar.renew(Entry(8), 10_000);
     command(&mut sidecar, 1, attempt(1, 1));
     sidecar.start_answered(2, attempt(1, 1), StartResult::Started);
@@ -250,7 +262,7 @@
 #[test]
 fn a_restarted_sidecar_waits_for_the_lease_that_its_earlier_process_granted() {
     let mut sidecar = Sidecar::new("s".to_owned(), addr(), 2, LEASE_MS);
-    sidecar.announce(5_000, server(1, 1_000), addr(), 1);
+    announce(&mut sidecar, 5_000, server(1, 1_000), 1);
     let report = sidecar.report(0);
     sidecar.handle_commands(5_000, 5_000, &report, commands(9));
     sidecar.poll(5_010);
@@ -331,7 +343,7 @@
 #[test]
 fn a_list_that_may_be_older_does_not_show_that_nothing_runs() {
     let mut sidecar = Sidecar::new("s".to_owned(), addr(), 2, LEASE_MS);
-    sidecar.announce(0, server(1, 1_000), addr(), 1);
+    announce(&mut sidecar, 0, server(1, 1_000), 1);
     let report = sidecar.report(0);
     sidecar.handle_commands(0, 0, &report, commands(9));
     sidecar.polled(1, 3, poll_reply(&[attempt(5, 1)], &[]));
@@ -345,7 +357,7 @@
 #[test]
 fn attempts_of_an_earlier_incarnation_are_stopped_before_any_start() {
     let mut sidecar = Sidecar::new("s".to_owned(), addr(), 2, LEASE_MS);
-    sidecar.announce(0, server(1, 1_000), addr(), 1);
+    announce(&mut sidecar, 0, server(1, 1_000), 1);
     let report = sidecar.report(0);
     sidecar.handle_commands(0, 0, &report, commands(9));
     sidecar.renew(Entry(7), 10_000);
@@ -370,10 +382,90 @@
     command(&mut sidecar, 0, attempt(1, 1));
     let mut other = server(2, 1_000);
     other.id.id = "c".to_owned();
-    sidecar.announce(10, other, addr(), 1);
+    announce(&mut sidecar, 10, other, 1);
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), work::Outcome::Lost, 0)]);
 }
 
+/// The identity of a server with another id at `addr`, and its announcement's effect on `sidecar`.
+fn announce_other(sidecar: &mut Sidecar, now_ms: u64, addr: SocketAddr) -> Identity {
+    let id = ServerId { id: "c".to_owned(), started_at_ms: 1 };
+    sidecar.announce(now_ms, Server { id: id.clone(), ..server(1, 1_000) }, addr, 1);
+    Identity { server: id, addr }
+}
+
+/// Guards against two runs of a task at the same time: an announcement of another writer counted as
+/// the end of a live server and of its attempts.
+#[test]
+fn an_announcement_ends_nothing_before_its_server_has_answered() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    let other = announce_other(&mut sidecar, 10, addr());
+    let checks = vec![other.clone()];
+    assert_eq!(sidecar.take_actions(), Actions { checks, ..Actions::default() });
+    assert_eq!(sidecar.check_call().unwrap().lease_until_ms, None);
+    sidecar.checked(11, 12, &other, Check::NoAnswer);
+    assert_eq!(sidecar.take_actions(), Actions::default());
+    assert!(sidecar.is_candidate(13, &other) && sidecar.poll(13).unwrap().lease_until_ms.is_some());
+    sidecar.checked(13, 14, &other, Check::Other);
+    assert!(!sidecar.is_candidate(15, &other));
+    sidecar.checked(13, 15, &other, Check::Present);
+    assert_eq!(sidecar.take_actions(), Actions::default(), "it was refuted");
+    assert_eq!(sidecar.server().unwrap().0.id, server(1, 1_000).id);
+}
+
+/// Guards against the same by an answer of an earlier server that the known one has overtaken.
+#[test]
+fn an_answer_from_before_the_newest_one_of_the_known_server_replaces_nothing() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    let other = announce_other(&mut sidecar, 10, addr());
+    sidecar.take_actions();
+    sidecar.polled(11, 13, PollReply { clock_ms: 13, ..poll_reply(&[attempt(1, 1)], &[]) });
+    for sent_ms in [11, 13] {
+        sidecar.checked(sent_ms, 14, &other, Check::Present);
+        assert_eq!(sidecar.take_actions(), Actions::default());
+    }
+    sidecar.checked(14, 15, &other, Check::Present);
+    let lost = (Entry(7), attempt(1, 1), work::Outcome::Lost, 0);
+    assert_eq!(sidecar.take_actions().replies, [lost], "the known one cannot answer any more");
+}
+
+/// Guards against the same by a live server at another address. It is used once the known one is gone.
+#[test]
+fn a_server_at_another_address_replaces_the_known_one_only_after_its_end() {
+    let elsewhere: SocketAddr = "127.0.0.1:2".parse().unwrap();
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    let other = announce_other(&mut sidecar, 10, elsewhere);
+    sidecar.take_actions();
+    sidecar.checked(11, 12, &other, Check::Present);
+    assert_eq!(sidecar.take_actions(), Actions::default());
+    for at_ms in [1_200, 1_240] {
+        sidecar.checked(at_ms, at_ms, &other, Check::Present);
+        sidecar.poll_failed(at_ms, at_ms, true);
+    }
+    assert_eq!(sidecar.server().unwrap().1, addr());
+    sidecar.checked(1_241, 1_242, &other, Check::Present);
+    assert_eq!(sidecar.server().unwrap().1, elsewhere);
+}
+
+/// Guards against candidates that are called for good, or that grow without a limit.
+#[test]
+fn a_candidate_that_never_answers_is_dropped() {
+    let mut sidecar = sidecar();
+    let other = announce_other(&mut sidecar, 10, addr());
+    announce_other(&mut sidecar, 1_000, addr());
+    assert_eq!(sidecar.take_actions().checks.len(), 1, "the calls to it go on");
+    assert!(sidecar.is_candidate(5_999, &other));
+    assert!(!sidecar.is_candidate(6_000, &other));
+    let first = announce_other(&mut sidecar, 6_001, addr());
+    for started_at_ms in 2..10 {
+        sidecar.announce(6_001 + started_at_ms, server(started_at_ms, 1), addr(), 1);
+    }
+    assert_eq!(sidecar.take_actions().checks.len(), 9);
+    assert!(!sidecar.is_candidate(6_011, &first), "of many, the oldest is dropped");
+}
+
 /// Guards against the start of an attempt that waited for capacity until after its lease had expired:
 /// a sidecar that goes on after a pause may read an answer to a poll before it checks the leases.
 #[test]
@@ -427,10 +519,10 @@
     assert_eq!(sidecar.take_actions().starts.len(), 1);
     let mut described = server(1, 2_000);
     described.labels.push("rack".to_owned());
-    sidecar.announce(2, described, addr(), 2);
+    announce(&mut sidecar, 2, described, 2);
     sidecar.handle_entry_start(3, command(2));
     assert_eq!(sidecar.take_actions().starts.len(), 1, "it is the same incarnation");
-    sidecar.announce(4, server(2, 1_000), addr(), 1);
+    announce(&mut sidecar, 4, server(2, 1_000), 1);
     sidecar.polled(4, 5, poll_reply(&[], &[]));
     sidecar.take_actions();
     sidecar.handle_entry_start(6, command(3));
@@ -445,10 +537,12 @@
 fn attempts_are_lost_when_a_new_incarnation_of_the_server_runs_nothing() {
     let mut sidecar = sidecar();
     command(&mut sidecar, 0, attempt(1, 1));
-    sidecar.announce(10, server(2, 1_000), addr(), 1);
+    announce(&mut sidecar, 10, server(2, 1_000), 1);
     sidecar.polled(10, 11, poll_reply(&[], &[]));
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), work::Outcome::Lost, 0)]);
     sidecar.announce(11, server(1, 1_000), addr(), 99);
+    let late = Identity { server: server(1, 1_000).id, addr: addr() };
+    sidecar.checked(12, 13, &late, Check::Other);
     let (known, _) = sidecar.server().unwrap();
     assert_eq!(
         known.id.started_at_ms, 2,
@@ -464,7 +558,7 @@
     let mut sidecar = sidecar();
     command(&mut sidecar, 0, attempt(1, 1));
     let before = sidecar.poll(9).unwrap();
-    sidecar.announce(10, server(2, 1_000), addr(), 1);
+    announce(&mut sidecar, 10, server(2, 1_000), 1);
     assert!(sidecar.poll(10).unwrap().fence > before.fence, "later calls for the earlier one fail");
     assert!(!sidecar.release(10, Entry(7)));
     sidecar.polled(10, 11, poll_reply(&[attempt(1, 1)], &[]));
@@ -484,7 +578,7 @@
     sidecar.handle_start(0, Source::Leader, start(attempt(1, 1)), 0, 0);
     sidecar.handle_start(0, ENTRY, start(attempt(2, 1)), 0, 100);
     assert_eq!(sidecar.report(0).undecided, []);
-    sidecar.announce(10, server(2, 1_000), addr(), 1);
+    announce(&mut sidecar, 10, server(2, 1_000), 1);
     assert_eq!(sidecar.report(0).undecided, [attempt(1, 1)]);
     sidecar.polled(10, 11, poll_reply(&[attempt(1, 1)], &[]));
     assert_eq!(sidecar.report(0).undecided, [attempt(1, 1)]);
@@ -498,7 +592,7 @@
     let mut sidecar = sidecar();
     command(&mut sidecar, 0, attempt(1, 1));
     command(&mut sidecar, 0, attempt(2, 1));
-    sidecar.announce(1, server(2, 1_000), addr(), 1);
+    announce(&mut sidecar, 1, server(2, 1_000), 1);
     let refused = work::Outcome::NotStarted(Reason::Unavailable);
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(2, 1), refused, 0)]);
     sidecar.polled(2, 3, poll_reply(&[], &[]));
@@ -736,7 +830,7 @@
     };
     assert_eq!(ended(&refuse), reply(work::Outcome::Lost));
     let replace = |sidecar: &mut Sidecar| {
-        sidecar.announce(1_400, server(2, 1_000), addr(), 1);
+        announce(sidecar, 1_400, server(2, 1_000), 1);
         sidecar.polled(1_401, 1_402, poll_reply(&[], &[]));
     };
     assert_eq!(ended(&replace), reply(work::Outcome::Lost));
@@ -922,7 +1016,7 @@
         let mut sidecar = sidecar();
         command(&mut sidecar, 0, attempt(1, 1));
         sidecar.start_answered(1, attempt(1, 1), StartResult::Started);
-        sidecar.announce(2, Server { draining, ..server(1, 1_000) }, addr(), 2);
+        announce(&mut sidecar, 2, Server { draining, ..server(1, 1_000) }, 2);
         assert!(sidecar.poll(10).unwrap().lease_until_ms.is_some());
         for at_ms in [22, 48, 1_129] {
             sidecar.poll_failed(at_ms, at_ms, true);
@@ -973,7 +1067,7 @@
 fn commands_from_before_a_leave_of_the_server_start_nothing() {
     let started = late_starts_after(|sidecar| {
         sidecar.leave("b");
-        sidecar.announce(5, server(1, 1_000), addr(), 2);
+        announce(sidecar, 5, server(1, 1_000), 2);
     });
     assert_eq!(started, (vec![], 1));
 }
@@ -985,7 +1079,7 @@
 fn a_server_that_was_never_announced_is_unknown_and_not_lost() {
     let mut sidecar = Sidecar::new("s".to_owned(), addr(), 1, LEASE_MS);
     assert_eq!(sidecar.report(0).backend, Backend::Unknown);
-    sidecar.announce(0, server(1, 1_000), addr(), 1);
+    announce(&mut sidecar, 0, server(1, 1_000), 1);
     assert_eq!(sidecar.report(0).backend, Backend::Present(server(1, 1_000)));
     sidecar.leave("b");
     assert_eq!(sidecar.report(0).backend, Backend::Lost);
@@ -993,8 +1087,7 @@
 
 /// A sidecar whose backend server runs an attempt of the leader and one of an entry.
 fn sidecar_with_attempts() -> Sidecar {
-    let mut sidecar = sidecar();
-    sidecar.announce(0, server(1, 1_200), addr(), 2);
+    let mut sidecar = sidecar_of(server(1, 1_200));
     sidecar.handle_start(0, Source::Leader, start(attempt(1, 1)), 0, 0);
     command(&mut sidecar, 0, attempt(2, 1));
     command(&mut sidecar, 0, attempt(3, 1));
@@ -1012,7 +1105,7 @@
     };
     let expected = [(1, server(1, 0).id, vec![attempt(1, 1)], 1)];
     let mut replaced = sidecar_with_attempts();
-    replaced.announce(10, server(2, 1_200), addr(), 1);
+    announce(&mut replaced, 10, server(2, 1_200), 1);
     assert_eq!(crashes(&mut replaced), expected);
     let mut refused = sidecar_with_attempts();
     for at_ms in [1, 41, 1_119] {
@@ -1022,7 +1115,7 @@
     refused.poll_failed(1_160, 1_160, true);
     refused.poll_failed(1_200, 1_200, true);
     assert_eq!(crashes(&mut refused), expected);
-    refused.announce(1_210, server(2, 1_200), addr(), 1);
+    announce(&mut refused, 1_210, server(2, 1_200), 1);
     assert_eq!(crashes(&mut refused), expected, "it is the same crash");
     let mut once_refused = sidecar_with_attempts();
     once_refused.poll_failed(1_160, 1_160, false);
@@ -1031,7 +1124,7 @@
     let mut silent = sidecar_with_attempts();
     silent.poll_failed(60_000, 60_000, false);
     assert_eq!(crashes(&mut silent), [], "it may be cut off");
-    silent.announce(60_001, server(2, 1_200), addr(), 1);
+    announce(&mut silent, 60_001, server(2, 1_200), 1);
     assert_eq!(crashes(&mut silent), expected);
 }
 
@@ -1041,14 +1134,14 @@
 fn a_server_that_leaves_or_was_cut_off_has_not_crashed() {
     let mut left = sidecar_with_attempts();
     left.leave("b");
-    left.announce(10, server(2, 1_200), addr(), 1);
+    announce(&mut left, 10, server(2, 1_200), 1);
     let mut draining = sidecar_with_attempts();
-    draining.announce(1, Server { draining: true, ..server(1, 1_200) }, addr(), 3);
-    draining.announce(10, server(2, 1_200), addr(), 1);
+    announce(&mut draining, 1, Server { draining: true, ..server(1, 1_200) }, 3);
+    announce(&mut draining, 10, server(2, 1_200), 1);
     let mut cut_off = sidecar_with_attempts();
     cut_off.poll_failed(60_000, 60_000, false);
     cut_off.polled(60_001, 60_002, PollReply { clock_ms: 60_000, ..poll_reply(&[], &[]) });
-    cut_off.announce(60_003, server(2, 1_200), addr(), 1);
+    announce(&mut cut_off, 60_003, server(2, 1_200), 1);
     for mut sidecar in [left, draining, cut_off] {
         assert_eq!(sidecar.report(0).crashes, []);
     }
@@ -1059,7 +1152,7 @@
 #[test]
 fn a_crash_is_reported_until_it_is_stored() {
     let mut sidecar = sidecar_with_attempts();
-    sidecar.announce(10, server(2, 1_200), addr(), 1);
+    announce(&mut sidecar, 10, server(2, 1_200), 1);
     let report = sidecar.report(0);
     sidecar.handle_commands(11, 10, &report, Commands { term: 2, ..commands(20) });
     assert_eq!(sidecar.report(0).crashes, report.crashes);
@@ -1074,12 +1167,12 @@
 fn the_newest_announced_capacity_limits_starts() {
     let mut sidecar = sidecar();
     assert_eq!(command(&mut sidecar, 0, attempt(1, 1)).starts.len(), 1);
-    sidecar.announce(1, server(1, 500), addr(), 2);
+    announce(&mut sidecar, 1, server(1, 500), 2);
     sidecar.stop(attempt(1, 1));
     assert_eq!(command(&mut sidecar, 2, attempt(2, 1)).starts.len(), 0);
     sidecar.polled(3, 4, poll_reply(&[], &[(1, attempt(1, 1), queue::Outcome::Stopped)]));
     assert_eq!(sidecar.take_actions().starts, []);
-    sidecar.announce(5, server(1, 600), addr(), 3);
+    announce(&mut sidecar, 5, server(1, 600), 3);
     assert_eq!(sidecar.take_actions().starts, [start(attempt(2, 1))]);
 }
 
@@ -1177,7 +1270,7 @@
     let mut sidecar = sidecar();
     command(&mut sidecar, 0, attempt(1, 1));
     assert!(sidecar.cancel(Id(1)));
-    sidecar.announce(10, server(2, 1_000), addr(), 1);
+    announce(&mut sidecar, 10, server(2, 1_000), 1);
     sidecar.polled(10, 11, poll_reply(&[], &[]));
     let canceled = (Entry(7), attempt(1, 1), work::Outcome::Canceled, 0);
     assert_eq!(sidecar.take_actions().replies, [canceled]);
--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -9,7 +9,7 @@
 use briargauge::{
     coordination::{
         connection::{Lease, Watermark},
-        sidecar::{Poll, PollReply, Sidecar, Source, StartResult},
+        sidecar::{Check, Identity, Poll, PollReply, Sidecar, Source, StartResult},
         transient::{JobOutcome, Key, Scheduler, StartCommand},
     },
     protocol::{
@@ -465,7 +465,10 @@
     fn new_sidecar(&self, index: usize, generation: u64) -> Sidecar {
         let clock_ms = self.sidecar_ms(index);
         let mut sidecar = Sidecar::new(format!("s{index}"), addr(), generation, BACKEND_LEASE_MS);
-        sidecar.announce(clock_ms, server(index, self.servers[index].life), addr(), self.now_ms);
+        let announced = server(index, self.servers[index].life);
+        let identity = Identity { server: announced.id.clone(), addr: addr() };
+        sidecar.announce(clock_ms, announced, addr(), self.now_ms);
+        sidecar.checked(clock_ms, clock_ms, &identity, Check::Present);
         let report = sidecar.report(0);
         let commands = Commands { term: 1, generation, lease_ms: 10_000, ..Commands::default() };
         sidecar.handle_commands(clock_ms, clock_ms, &report, commands);
@@ -1340,7 +1343,12 @@
             Event::Announce { sidecar } => {
                 let announced = server(sidecar, self.servers[sidecar].life);
                 let clock_ms = self.sidecar_ms(sidecar);
+                let identity = Identity { server: announced.id.clone(), addr: addr() };
                 self.sidecars[sidecar].announce(clock_ms, announced, addr(), self.now_ms);
+                self.sidecars[sidecar].checked(clock_ms, clock_ms, &identity, Check::Present);
+                if self.sidecars[sidecar].is_candidate(clock_ms, &identity) {
+                    self.push(self.now_ms + 1, Event::Announce { sidecar });
+                }
                 self.act(sidecar);
             }
             Event::Served { call, answered } => {
