A notice of leaving is the beginning of a drain, not the end of what runs

Callers saw tasks that ran twice at the same time, of durable and transient jobs.

Cause: the sidecar took a notice of leaving under the id of its server for the end of all attempts (Proof::Leave). Such a notice may have another writer, or be late and of an earlier incarnation with the same id; and a true one says that its sender is about to end, not that it has ended.

Ruled out: that the notice could be confirmed by a call. Its sender may still answer after it.

Change: after a notice the server counts as draining: nothing starts, what runs goes on under its leases. An announcement with a higher number ends the drain, so that a live server is used again.

Why it works: the attempts are counted until something else than the notice shows their end.

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -106,7 +106,7 @@
     backend: Option<BackendServer>,
     /// Announced servers that have not answered.
     candidates: Vec<Candidate>,
-    /// How often a backend server has counted as lost or has left.
+    /// How often a backend server has counted as lost.
     losses: u64,
     /// Number of reports built.
     reports: u64,
@@ -195,14 +195,6 @@
         self.actions.report_due = true;
     }
 
-    /// Drops the present incarnation of the backend server: nothing runs there any more.
-    fn discard_backend(&mut self) {
-        let Some(mut backend) = self.backend.take() else { return };
-        self.losses += 1;
-        let ended = backend.mark_lost(Proof::Leave);
-        self.end_all(ended, Proof::Leave);
-    }
-
     /// Raises the fencing token of the calls that are built from now on. Returns false if there is no
     /// higher one.
     fn begin_epoch(&mut self) -> bool {
--- a/src/coordination/sidecar/announce.rs
+++ b/src/coordination/sidecar/announce.rs
@@ -73,12 +73,15 @@
         }
     }
 
-    /// Handles the backend server's notice that it has left.
+    /// Handles a notice that the backend server leaves. It may have another writer, or be of an earlier
+    /// incarnation, so it is the beginning of a drain: nothing starts, and what runs goes on.
     pub fn leave(&mut self, id: &str) {
-        if self.backend.as_ref().is_some_and(|backend| backend.server.id.id == id) {
-            log::info!("event=server_left server={id}");
-            self.discard_backend();
-            self.actions.report_due = true;
+        if let Some(known) = self.backend.as_mut().filter(|known| known.server.id.id == id) {
+            log::info!("event=server_leaving server={}", known.server.id);
+            if known.leave() {
+                self.revision.change += 1;
+                self.actions.report_due = true;
+            }
         }
     }
 
@@ -182,9 +185,10 @@
         let earlier = self.backend.take();
         let mut backend = BackendServer::new(now_ms, announcement, self.backend_lease_ms);
         if let Some(earlier) = earlier {
+            let proof = earlier.end_proof(Proof::Incarnation);
             let lost = backend.inherit(earlier);
             self.backend = Some(backend);
-            self.end_all(lost, Proof::Incarnation);
+            self.end_all(lost, proof);
         } else {
             self.backend = Some(backend);
         }
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -79,7 +79,7 @@
     LateCalls,
     /// Nothing listens at the server's address, and its lease has expired.
     Refusal,
-    /// The server has given notice that it leaves.
+    /// There was a notice that the server leaves, and the same holds as for `Refusal` or `Incarnation`.
     Leave,
     /// Another server or incarnation has answered, at the same address or after the end of the server.
     Incarnation,
@@ -187,6 +187,8 @@
     pub addr: SocketAddr,
     /// Sequence number of the newest announcement in force.
     seq: u64,
+    /// Whether there was a notice that it leaves, and no announcement since.
+    leaving: bool,
     /// When it answered before it became known.
     confirmed_ms: u64,
     /// The newest reading of the server's clock, and when it was received on the sidecar's clock.
@@ -245,6 +247,7 @@
             server,
             addr,
             seq,
+            leaving: false,
             confirmed_ms: now_ms,
             clock: None,
             lease_until_ms: now_ms + longest_ms(lease_ms),
@@ -281,11 +284,23 @@
         }
         self.seq = seq;
         self.addr = addr;
+        self.leaving = false;
         let changed = self.server != server;
         self.server = server;
         changed
     }
 
+    /// Handles a notice that the server leaves. Returns whether its description has changed.
+    pub fn leave(&mut self) -> bool {
+        self.leaving = true;
+        !std::mem::replace(&mut self.server.draining, true)
+    }
+
+    /// Returns `proof` of the end of the server, or that it has left if there was a notice.
+    pub fn end_proof(&self, proof: Proof) -> Proof {
+        if self.leaving { Proof::Leave } else { proof }
+    }
+
     /// Whether attempts may start.
     pub fn may_start(&self) -> bool {
         self.found_clean
--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -175,8 +175,9 @@
         if !backend.poll_failed(now_ms, refused) {
             if backend.gone() {
                 let ended = std::mem::take(&mut backend.inherited);
+                let proof = backend.end_proof(Proof::Refusal);
                 self.record_crash();
-                self.end_all(ended, Proof::Refusal);
+                self.end_all(ended, proof);
             } else {
                 let ended = backend.take_ended_unheard(now_ms);
                 self.end_all(ended, Proof::LateCalls);
