An announcement that contradicts the one in force counts only if its writer goes on

Callers saw a server that was not used any more, or a sidecar that polled another address 25 times a second for good while its server stood unused.

Cause: an announcement of another writer under the id and start of the known server took the place of its description and address at once, if its number was higher; with a very high one, every later announcement of the server counted as outdated for good, also the one of a planned end.

Ruled out: to ask the server, as it answers with its lists and not with its description; to refuse numbers that jump, as a sidecar that starts again or was paused meets any number.

Change: an incarnation keeps the address at which it has answered, and its description but for its state. An announcement with another address is refused. One that contradicts the description, or has a lower number than the one in force, comes into force if its writer goes on for 2 s, which is longer than the interval of announcements, while the other one is silent. Until then the smaller of both capacities limits starts. A description that was announced only once is disputed by another one, and nothing starts until one of them is repeated. A drain counts at once, whatever its number, and ends with a later announcement of the server.

Why it works: the true server goes on to announce itself, and a single message of another writer does not.

--- a/src/coordination/sidecar/announce.rs
+++ b/src/coordination/sidecar/announce.rs
@@ -63,7 +63,7 @@
         let announcement = Announcement { server, addr, seq };
         let known = self.backend.as_mut();
         if let Some(known) = known.filter(|known| known.server.id == announcement.server.id) {
-            if known.update(announcement) {
+            if known.update(now_ms, announcement) {
                 self.revision.change += 1;
                 self.actions.report_due = true;
             }
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -34,6 +34,9 @@
 const REFUSALS_MAX: u32 = 2;
 /// Longest time for which attempts may go on before the server's lease is left to expire, in ms.
 const DRAIN_MAX_MS: u64 = 1_500;
+/// Time for which the writer of a contradicting announcement has to go on until it is believed, in ms.
+/// The server announces itself about every 1,500 ms.
+const CONTEND_MIN_MS: u64 = 2_000;
 /// Pause before the stop of a foreign attempt is requested again, in ms.
 const FOREIGN_STOP_MS: u64 = 300;
 
@@ -187,6 +190,10 @@
     pub addr: SocketAddr,
     /// Sequence number of the newest announcement in force.
     seq: u64,
+    /// Whether its description was announced more than once.
+    repeated: bool,
+    /// An announcement that contradicts the one in force, and when its writer was first heard.
+    contender: Option<(Announcement, u64)>,
     /// Whether there was a notice that it leaves, and no announcement since.
     leaving: bool,
     /// When it answered before it became known.
@@ -247,6 +254,8 @@
             server,
             addr,
             seq,
+            repeated: false,
+            contender: None,
             leaving: false,
             confirmed_ms: now_ms,
             clock: None,
@@ -275,15 +284,63 @@
     }
 
     /// Handles a further announcement of this incarnation. Returns whether its description has
-    /// changed.
-    pub fn update(&mut self, announcement: Announcement) -> bool {
-        let Announcement { server, addr, seq } = announcement;
-        if seq <= self.seq {
-            log::info!("event=announcement_outdated server={} seq={seq}", server.id);
+    /// changed. Its address and all but its state do not change while it lives, so that an announcement
+    /// with another address is of another writer, and so is one of two with different descriptions.
+    pub fn update(&mut self, now_ms: u64, announcement: Announcement) -> bool {
+        if announcement.addr != self.addr {
+            let Announcement { server, addr, .. } = announcement;
+            log::warn!("event=announcement_refuted server={} addr={addr}", server.id);
+            return false;
+        }
+        let draining = announcement.server.draining;
+        let agrees = announcement.server == Server { draining, ..self.server.clone() };
+        if agrees && announcement.seq > self.seq {
+            self.seq = announcement.seq;
+            self.repeated = true;
+            self.contender = None;
+            self.leaving = false;
+            return std::mem::replace(&mut self.server.draining, draining) != draining;
+        }
+        if agrees && announcement.seq == self.seq {
             return false;
         }
+        // A server that drains is left alone, however old the announcement is.
+        let drained = agrees && draining && !std::mem::replace(&mut self.server.draining, true);
+        self.contend(now_ms, announcement) || drained
+    }
+
+    /// Handles an announcement that contradicts the one in force, or is older than that. It comes into
+    /// force if its writer goes on, and that of the one in force does not.
+    fn contend(&mut self, now_ms: u64, announcement: Announcement) -> bool {
+        match &mut self.contender {
+            Some((contender, since_ms)) if contender.server == announcement.server => {
+                if announcement.seq <= contender.seq {
+                    return false;
+                }
+                *contender = announcement;
+                if self.repeated && now_ms < *since_ms + CONTEND_MIN_MS {
+                    return false;
+                }
+            }
+            _ => {
+                log::warn!(
+                    "event=announcement_contradicts server={} service={} draining={} seq={} known_seq={}",
+                    announcement.server.id,
+                    announcement.server.service,
+                    announcement.server.draining,
+                    announcement.seq,
+                    self.seq,
+                );
+                self.contender = Some((announcement, now_ms));
+                return false;
+            }
+        }
+        let Some((Announcement { server, seq, .. }, _)) = self.contender.take() else {
+            return false;
+        };
+        log::warn!("event=description_replaced server={} service={}", server.id, server.service);
         self.seq = seq;
-        self.addr = addr;
+        self.repeated = true;
         self.leaving = false;
         let changed = self.server != server;
         self.server = server;
@@ -301,10 +358,21 @@
         if self.leaving { Proof::Leave } else { proof }
     }
 
+    /// Whether neither of two contradicting descriptions has been announced again.
+    fn disputed(&self) -> bool {
+        let contender = self.contender.as_ref();
+        let describes = |server: &Server| {
+            let Server { service, labels, .. } = &self.server;
+            server.service != *service || server.labels != *labels
+        };
+        !self.repeated && contender.is_some_and(|(contender, _)| describes(&contender.server))
+    }
+
     /// Whether attempts may start.
     pub fn may_start(&self) -> bool {
         self.found_clean
             && !self.lost
+            && !self.disputed()
             && !self.unresponsive()
             && !self.server.draining
             && self.renewal == Renewal::Granted
@@ -531,7 +599,8 @@
     pub fn has_capacity(&self, needs: &Resources) -> bool {
         let mut used = self.used;
         used.add(needs);
-        self.server.capacity.fits(&used)
+        let contender = self.contender.as_ref().map(|(contender, _)| &contender.server);
+        [Some(&self.server), contender].into_iter().flatten().all(|s| s.capacity.fits(&used))
     }
 
     /// Returns the attempts that wait for free capacity, the most urgent first.
