--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -178,6 +178,10 @@
                 let proof = backend.end_proof(Proof::Refusal);
                 self.record_crash();
                 self.end_all(ended, proof);
+                if proof == Proof::Leave {
+                    log::info!("event=server_left");
+                    self.backend = None;
+                }
             } else {
                 let ended = backend.take_ended_unheard(now_ms);
                 self.end_all(ended, Proof::LateCalls);
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -610,6 +610,7 @@
     refuse_until_gone(&mut sidecar);
     let stopped = work::Outcome::Stopped;
     assert_eq!(sidecar.take_actions().replies, [(Entry(7), attempt(1, 1), stopped, 0)]);
+    assert_eq!(sidecar.poll(1_241), None, "nothing is left to call");
 }
 
 /// Lets the calls to a server be refused until its process counts as gone.
