A sidecar calls only servers of its own instance

Callers saw a job answered 504 and a live server that was not used any more.

Cause: the check of an announced server carries the sidecar's fencing token. If the announcement of a server reaches the sidecar of another instance, and that one has the higher token, the server stores it and refuses every call of its own sidecar (409, fence) for good.

Ruled out: a check without a token, as a server that has met one refuses it without saying which incarnation it is.

Change: an announcement with an address of another instance is refused, before and after the server is known. A server runs on the instance of its sidecar.

--- a/src/coordination/sidecar/announce.rs
+++ b/src/coordination/sidecar/announce.rs
@@ -57,9 +57,15 @@
 }
 
 impl Sidecar {
-    /// Handles an announcement. It may change the state of the known backend server; another server
-    /// becomes a candidate, and changes nothing until [`Sidecar::checked`].
+    /// Handles an announcement. It may change the state of the known backend server; another server of
+    /// this instance becomes a candidate, and changes nothing until [`Sidecar::checked`].
     pub fn announce(&mut self, now_ms: u64, server: Server, addr: SocketAddr, seq: u64) {
+        if addr.ip() != self.addr.ip() {
+            // A server elsewhere has a sidecar of its own, and would refuse the calls of that one after
+            // one with a higher fencing token.
+            log::warn!("event=announcement_refused server={} addr={addr}", server.id);
+            return;
+        }
         let announcement = Announcement { server, addr, seq };
         let known = self.backend.as_mut();
         if let Some(known) = known.filter(|known| known.server.id == announcement.server.id) {
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -449,6 +449,16 @@
     assert_eq!(sidecar.server().unwrap().1, elsewhere);
 }
 
+/// Guards against a live server that refuses the calls of its own sidecar: its announcement reached
+/// another one, whose check carried a higher fencing token.
+#[test]
+fn a_server_of_another_instance_is_not_called() {
+    let mut sidecar = sidecar();
+    let elsewhere = announce_other(&mut sidecar, 10, "127.0.0.2:1".parse().unwrap());
+    assert_eq!(sidecar.take_actions(), Actions::default());
+    assert!(!sidecar.is_candidate(11, &elsewhere));
+}
+
 /// Guards against candidates that are called for good, or that grow without a limit.
 #[test]
 fn a_candidate_that_never_answers_is_dropped() {
