A delayed report of an earlier process of a sidecar registers nothing

Callers would see a task of a durable job run twice at the same time, or a server stay unused for a while.

Cause: the leader took every report of another process of a sidecar than the registered one for that of a new process. A delayed report of an earlier process thus took the registration back. If it said that the server was lost, or named another one, the server of the present process was removed, and its tasks started elsewhere at once while they ran on.

Ruled out: an order of processes by the time of their start, as clocks step, and a list of processes that were replaced, as a new leader has none, and would then refuse the present process for good.

Change: the leader answers a report of another process with a generation, and changes nothing. The process registers with its first report that carries this generation, and that report is handled in full. Only a process that was running when the leader answered can send it, so a delayed report changes nothing, and no process is refused for good.

A new process needs as many round trips until its first command as before: the report that lists what runs had to carry the generation already.

--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -123,6 +123,23 @@
         self.generations_in_term += 1;
         self.term * NUMBERS_PER_TERM + self.generations_in_term
     }
+
+    /// Returns the generation under which the process that sent a report may register. It is the same
+    /// for all reports that were sent before the process knew it.
+    fn offer_generation(&mut self, report: &queue::Report) -> u64 {
+        let known = self.sidecars.get(&report.sidecar);
+        let offered = known.and_then(|sidecar| sidecar.generation_of_candidate(report.incarnation));
+        let generation = offered.unwrap_or_else(|| self.next_generation());
+        if let Some(sidecar) = self.sidecars.get_mut(&report.sidecar) {
+            sidecar.set_candidate(report.incarnation, generation);
+        }
+        log::info!(
+            "event=offer sidecar={} session={} link={generation}",
+            report.sidecar,
+            report.incarnation
+        );
+        generation
+    }
 }
 
 impl Coordinator {
--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -1,7 +1,7 @@
 //! Handles the reports of sidecars about the attempts that run and have ended at their backend
 //! servers.
 
-use std::time::Duration;
+use std::{cell::RefMut, time::Duration};
 
 use tokio::time;
 
@@ -10,7 +10,7 @@
     coordination::schedule::Server,
     protocol::{
         queue::{Attempt, Outcome, Phase},
-        wire::queue::{Backend, Commands, Completion, Crash, Refusal, Report, ServerId},
+        wire::queue::{Backend, Commands, Completion, Refusal, Report, ServerId},
     },
     state::machine::queue::{Change, Completion as StoredCompletion, Crash as StoredCrash, Queues},
     util,
@@ -21,6 +21,20 @@
 /// Pause before a refused change is proposed again.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// What a report has led to.
+enum Handled {
+    /// Nothing was changed, as its process has not shown that it runs. The process may register under
+    /// this generation.
+    Offered(u64),
+    /// The sidecar is registered.
+    Registered {
+        /// Whether this report has registered it. The answer then waits for nothing, as the sidecar
+        /// has no lease yet.
+        newly: bool,
+        unstored: Option<Unstored>,
+    },
+}
+
 /// Completions that a report has brought and that have to be stored.
 struct Unstored {
     sidecar: String,
@@ -32,21 +46,24 @@
 impl Coordinator {
     /// Handles a report and returns the commands for its sidecar.
     pub async fn report(&self, report: Report) -> Result<Commands, Refusal> {
-        let name = report.sidecar.clone();
         let wait = Duration::from_millis(report.wait_ms).min(REPORT_WAIT_MAX);
-        let generation = report.generation;
-        let (completions, crashes) = (report.completions.clone(), report.crashes.clone());
         self.wait_for_leader().await;
-        if let Some(unstored) = self.handle_report(report)? {
+        let (newly, unstored) = match self.handle_report(&report)? {
+            Handled::Offered(generation) => return self.offer(generation),
+            Handled::Registered { newly, unstored } => (newly, unstored),
+        };
+        if let Some(unstored) = unstored {
             actix_rt::spawn(self.clone().store_completions(unstored));
         }
         self.assign(util::boot_ms());
-        self.wait_for_commands(&name, generation, wait).await;
-        self.commands(&name, &completions, &crashes)
+        if !newly {
+            self.wait_for_commands(&report.sidecar, report.generation, wait).await;
+        }
+        self.commands(&report)
     }
 
-    /// Handles a report. Returns the completions that have to be stored, if there are any.
-    fn handle_report(&self, report: Report) -> Result<Option<Unstored>, Refusal> {
+    /// Handles a report, and registers its sidecar if that is due.
+    fn handle_report(&self, report: &Report) -> Result<Handled, Refusal> {
         let now_ms = util::boot_ms();
         // A generation of a group that may never serve must not become a fencing token.
         self.check_formed()?;
@@ -55,52 +72,68 @@
         let state = self.inner.replica.state();
         let queues = state.queues();
         let known = leadership.sidecars.get(&report.sidecar);
-        if known.is_some_and(|sidecar| sidecar.is_outdated(&report)) {
+        if known.is_some_and(|sidecar| sidecar.is_outdated(report)) {
             // What it says and still holds is in the newer ones.
             log::info!("event=report_outdated sidecar={} number={}", report.sidecar, report.number);
-            return Ok(None);
+            return Ok(Handled::Registered { newly: false, unstored: None });
+        }
+        if known.is_some_and(|sidecar| sidecar.is_unproven(report)) {
+            return Ok(Handled::Offered(leadership.offer_generation(report)));
         }
         // Before the server is removed, so that none of these tasks starts in between.
         for crash in &report.crashes {
             leadership.scheduler.crashed(now_ms, &report.sidecar, crash, queues);
         }
-        leadership.scheduler.add_undecided(now_ms, &report, queues);
-        self.register(leadership, &report, queues);
+        leadership.scheduler.add_undecided(now_ms, report, queues);
+        let newly = self.register(leadership, report, queues);
+        let unstored = self.handle_contents(now_ms, leadership, report, queues);
+        Ok(Handled::Registered { newly, unstored })
+    }
+
+    /// Handles what a registered sidecar reports. Returns the completions that have to be stored, if
+    /// there are any.
+    fn handle_contents(
+        &self,
+        now_ms: u64,
+        leadership: &mut Leadership,
+        report: &Report,
+        queues: &Queues,
+    ) -> Option<Unstored> {
         let Leadership { scheduler, sidecars, list_changes, .. } = leadership;
-        let Some(sidecar) = sidecars.get_mut(&report.sidecar) else { return Ok(None) };
-        sidecar.record_report(&report);
+        let sidecar = sidecars.get_mut(&report.sidecar)?;
+        sidecar.record_report(report);
         sidecar.report_count.set(sidecar.report_count.get() + 1);
         sidecar.wake.notify_waiters();
         if report.generation == sidecar.generation {
-            scheduler.remove_decided(&report, queues);
+            scheduler.remove_decided(report, queues);
         }
-        let Some((server, key)) = sidecar.server.clone() else { return Ok(None) };
-        if let Backend::Present(info) = report.backend {
+        let (server, key) = sidecar.server.clone()?;
+        if let Backend::Present(info) = &report.backend {
             // The present process of the sidecar knows the server, and stops what an earlier
             // process left running there.
             sidecar.earlier_attempts_ended_ms = None;
             if let Some(server) = scheduler.server_mut(key)
-                && server.info != info
+                && server.info != *info
             {
-                server.describe(info);
+                server.describe(info.clone());
                 *list_changes += 1;
                 self.inner.view_changed.notify_waiters();
             }
         }
         if report.generation != sidecar.generation {
-            return Ok(None);
+            return None;
         }
         sidecar.acknowledge_batches(report.batch);
         let mut completions = Vec::new();
-        for Completion { number, attempt, outcome } in report.completions {
-            if !sidecar.begin_storing(number) {
+        for Completion { number, attempt, outcome } in &report.completions {
+            if !sidecar.begin_storing(*number) {
                 continue;
             }
             let completion =
-                attempt.and_then(|attempt| scheduler.ended(now_ms, key, attempt, outcome, queues));
+                attempt.and_then(|attempt| scheduler.ended(now_ms, key, attempt, *outcome, queues));
             match completion {
-                Some(completion) => completions.push((number, completion)),
-                None => sidecar.mark_stored(number),
+                Some(completion) => completions.push((*number, completion)),
+                None => sidecar.mark_stored(*number),
             }
         }
         for refused in &report.not_started {
@@ -112,23 +145,25 @@
             );
             scheduler.not_started(now_ms, key, refused, queues);
         }
-        if let Some(running) = report.running.filter(|_| !sidecar.synced) {
+        if let Some(running) = report.running.as_ref().filter(|_| !sidecar.synced) {
             log::info!("event=synced sidecar={} running={}", report.sidecar, running.len());
-            scheduler.sync(now_ms, key, &running, queues);
+            scheduler.sync(now_ms, key, running, queues);
             scheduler.recovered(&report.sidecar);
             sidecar.synced = true;
         }
-        let unstored = Unstored { sidecar: report.sidecar, server, completions };
-        Ok((!unstored.completions.is_empty()).then_some(unstored))
+        let unstored = Unstored { sidecar: report.sidecar.clone(), server, completions };
+        (!unstored.completions.is_empty()).then_some(unstored)
     }
 
-    /// Registers a sidecar under a new generation if its process or its backend server is new to
-    /// this leader.
-    fn register(&self, leadership: &mut Leadership, report: &Report, queues: &Queues) {
-        if leadership.sidecars.get(&report.sidecar).is_some_and(|sidecar| sidecar.matches(report)) {
-            return;
+    /// Registers a sidecar if its process or its backend server is new to this leader: under the
+    /// generation that the process has shown, or else a new one. Returns whether it did.
+    fn register(&self, leadership: &mut Leadership, report: &Report, queues: &Queues) -> bool {
+        let known = leadership.sidecars.get(&report.sidecar);
+        if known.is_some_and(|sidecar| sidecar.matches(report)) {
+            return false;
         }
-        let generation = leadership.next_generation();
+        let shown = known.and_then(|sidecar| sidecar.generation_of_candidate(report.incarnation));
+        let generation = shown.unwrap_or_else(|| leadership.next_generation());
         let sidecar = leadership
             .sidecars
             .entry(report.sidecar.clone())
@@ -183,6 +218,7 @@
             report.incarnation,
             report.backend.server().map_or("none", |server| &server.id.id)
         );
+        true
     }
 
     /// Stores completions, then updates the scheduler and assigns the tasks that have become ready.
@@ -333,21 +369,32 @@
         let _ = time::timeout(wait, commands_due).await;
     }
 
-    /// The commands that are due for a sidecar, with a new lease. `completions` and `crashes` are
-    /// those of its report.
-    fn commands(
-        &self,
-        name: &str,
-        completions: &[Completion],
-        crashes: &[Crash],
-    ) -> Result<Commands, Refusal> {
-        let now_ms = util::boot_ms();
-        let mut leadership = self.inner.leadership.borrow_mut();
-        let Some(leadership) = leadership.as_mut() else { return Err(self.not_leader()) };
-        if leadership.confirmed_ms + CONFIRM_MAX_AGE_MS < now_ms {
-            // This instance may be partitioned from the others, and another one may lead.
-            return Err(Refusal::NotLeader { leader: None });
+    /// Returns this instance's leadership unless it may be partitioned from the others, and another
+    /// one may lead.
+    fn confirmed(&self, now_ms: u64) -> Result<RefMut<'_, Leadership>, Refusal> {
+        let leadership = self.inner.leadership.borrow_mut();
+        let leadership = RefMut::filter_map(leadership, Option::as_mut);
+        let leadership = leadership.map_err(|_| self.not_leader())?;
+        match now_ms <= leadership.confirmed_ms + CONFIRM_MAX_AGE_MS {
+            true => Ok(leadership),
+            false => Err(Refusal::NotLeader { leader: None }),
         }
+    }
+
+    /// The answer to a report whose process has not shown that it runs: a generation, without a lease
+    /// or commands.
+    fn offer(&self, generation: u64) -> Result<Commands, Refusal> {
+        let term = self.confirmed(util::boot_ms())?.term;
+        let control_addrs = self.control_addrs();
+        Ok(Commands { term, generation, control_addrs, ..Commands::default() })
+    }
+
+    /// The commands that are due for the sidecar that sent a report, with a new lease.
+    fn commands(&self, report: &Report) -> Result<Commands, Refusal> {
+        let now_ms = util::boot_ms();
+        let mut leadership = self.confirmed(now_ms)?;
+        let leadership = &mut *leadership;
+        let Report { sidecar: name, completions, crashes, .. } = report;
         let control_addrs = self.control_addrs();
         let state = self.inner.replica.state();
         let counts = |attempt: &Attempt| {
--- a/src/control/jobs/sidecar.rs
+++ b/src/control/jobs/sidecar.rs
@@ -1,5 +1,10 @@
 //! Registrations of sidecars with the leader: generations, leases, and commands that are not yet
 //! acknowledged.
+//!
+//! A report says which process of a sidecar has sent it, but not when. One of another process than the
+//! registered one may be of a new process, or a delayed one of an earlier process. The leader answers
+//! it with a generation, and the process registers with a report that carries this generation, which
+//! only a process can send that was running when the leader answered.
 
 use std::{cell::Cell, collections::BTreeSet, net::SocketAddr, rc::Rc};
 
@@ -39,6 +44,9 @@
     pub report_count: Rc<Cell<u64>>,
     /// Number of the newest report of the present incarnation.
     newest_report: u64,
+    /// The process of the sidecar that the leader has answered last among those that have not
+    /// registered since, and the generation in the answer.
+    candidate: Option<(u64, u64)>,
     /// Unacknowledged batches, and when each was last sent; 0 if never.
     batches: Vec<(Batch, u64)>,
     /// Number of the last batch.
@@ -69,6 +77,7 @@
             wake: Rc::default(),
             report_count: Rc::default(),
             newest_report: 0,
+            candidate: None,
             batches: Vec::new(),
             last_batch: 0,
             completions: Completions::default(),
@@ -80,6 +89,7 @@
         if self.incarnation != report.incarnation {
             self.newest_report = 0;
         }
+        self.candidate = None;
         self.incarnation = report.incarnation;
         self.losses = report.losses;
         self.addr = report.addr;
@@ -94,6 +104,22 @@
         self.incarnation == report.incarnation && report.number < self.newest_report
     }
 
+    /// Whether another process of the sidecar has sent the report, and has not shown that it runs.
+    pub fn is_unproven(&self, report: &Report) -> bool {
+        let proven = self.candidate == Some((report.incarnation, report.generation));
+        self.incarnation != report.incarnation && !proven
+    }
+
+    /// The generation that was sent to the process `incarnation`, if it is the candidate.
+    pub fn generation_of_candidate(&self, incarnation: u64) -> Option<u64> {
+        self.candidate.filter(|(process, _)| *process == incarnation).map(|(_, sent)| sent)
+    }
+
+    /// Records that the process `incarnation` is sent a generation.
+    pub fn set_candidate(&mut self, incarnation: u64, generation: u64) {
+        self.candidate = Some((incarnation, generation));
+    }
+
     pub fn record_report(&mut self, report: &Report) {
         self.newest_report = self.newest_report.max(report.number);
     }
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -192,6 +192,77 @@
     instance.replica.stop().await;
 }
 
+/// Reports that an earlier process of a sidecar may have sent before it ended.
+fn claims_of_an_earlier_process() -> Vec<Report> {
+    let mut other_server = report(7, 0, 0, None);
+    if let Backend::Present(server) = &mut other_server.backend {
+        server.id.id = "a".to_owned();
+    }
+    let mut other_start = report(8, 0, 0, None);
+    if let Backend::Present(server) = &mut other_start.backend {
+        server.id.started_at_ms = 0;
+    }
+    vec![
+        Report { backend: Backend::Lost, ..report(6, 0, 0, None) },
+        other_server,
+        other_start,
+        Report { backend: Backend::Unknown, ..report(9, 0, 0, None) },
+        Report { losses: 1, ..report(10, 0, 0, None) },
+        report(11, 0, 0, None),
+    ]
+}
+
+/// Guards against a second run of a task beside the first, and against a server that is not used any
+/// more: a delayed report of an earlier process of a sidecar, which says that its server was lost or
+/// is another one, arrives after the present process has registered.
+#[actix_rt::test]
+async fn a_delayed_report_of_an_earlier_process_of_a_sidecar_changes_nothing() {
+    let instance = Instance::start().await;
+    let report = async |report| instance.coordinator.report(report).await.unwrap();
+    let earlier = report(self::report(1, 0, 0, None)).await.generation;
+    report(self::report(2, 0, earlier, Some(Vec::new()))).await;
+
+    // A new process registers with its second report, and gets work in the answer.
+    instance.answer(submit(Id(1))).await;
+    let present = |report| Report { incarnation: 2, ..report };
+    let generation = report(present(self::report(1, 0, 0, None))).await.generation;
+    assert!(generation > earlier, "a fencing token of its own: {generation}");
+    let listed = present(self::report(2, 0, generation, Some(Vec::new())));
+    let commands = report(listed).await;
+    assert_eq!(commands.generation, generation);
+    let started = starts(&commands);
+    assert_eq!(started.len(), 1);
+
+    // Another server has room for the task.
+    let other = |number, generation, running| {
+        let mut other = self::report(number, 0, generation, running);
+        other.sidecar = "t".to_owned();
+        if let Backend::Present(server) = &mut other.backend {
+            server.id.id = "c".to_owned();
+        }
+        other
+    };
+    let other_generation = report(other(1, 0, None)).await.generation;
+    report(other(2, other_generation, Some(Vec::new()))).await;
+
+    let with_earlier = [0, earlier].into_iter().flat_map(|generation| {
+        claims_of_an_earlier_process()
+            .into_iter()
+            .map(move |report| Report { generation, ..report })
+    });
+    for (number, delayed) in (3..).zip(with_earlier) {
+        let named = format!("{delayed:?}");
+        let answer = report(delayed).await;
+        assert!(answer.batches.is_empty(), "{named}");
+        let elsewhere = starts(&report(other(number, other_generation, None)).await);
+        assert!(elsewhere.is_empty(), "{elsewhere:?} is commanded elsewhere after {named}");
+        let kept = report(present(self::report(number, 0, generation, None))).await;
+        assert_eq!(kept.generation, generation, "{named}");
+    }
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
+
 /// Guards against a second run of a task beside the first: an attempt of the earlier leader that the
 /// new one did not know yet went on under its lease, while the new leader started the task elsewhere.
 #[actix_rt::test]
