A report that waits at the leader is not answered with the commands of another process

Cause: a report that waited for commands was answered by the name of its sidecar. If another process of the sidecar registered meanwhile, the answer carried that one's generation, lease and commands. The leader resends commands after 400 ms, so both processes could start an attempt.

Change: such a report is refused. Its process may register again if it is still running.

--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -420,6 +420,10 @@
             // the sidecar has not reported to it again.
             return Err(self.not_leader());
         };
+        if sidecar.incarnation != report.incarnation {
+            let detail = "another process of the sidecar has registered".to_owned();
+            return Err(Refusal::NotReady { detail });
+        }
         sidecar.lease_until_ms = until_ms;
         // Until the sidecar has listed its attempts, some that an earlier leader commanded may go on
         // under this lease. They end before the inherited tasks are given up.
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -263,6 +263,30 @@
     instance.replica.stop().await;
 }
 
+/// Guards against attempts that two processes of a sidecar start: a report of the earlier one, which
+/// waited for commands, was answered with those of the present one's registration.
+#[actix_rt::test]
+async fn a_process_of_a_sidecar_gets_no_commands_of_another_one() {
+    let instance = Instance::start().await;
+    let report = async |report| instance.coordinator.report(report).await;
+    let earlier = report(self::report(1, 0, 0, None)).await.unwrap().generation;
+    let listed = self::report(2, 0, earlier, Some(Vec::new()));
+    report(listed).await.unwrap();
+    let waiting = report(Report { wait_ms: 500, ..self::report(3, 0, earlier, None) });
+    let replaced = async {
+        time::sleep(Duration::from_millis(50)).await;
+        let present = |report| Report { incarnation: 2, ..report };
+        let first = report(present(self::report(1, 0, 0, None))).await.unwrap();
+        let listed = present(self::report(2, 0, first.generation, Some(Vec::new())));
+        report(listed).await.unwrap().generation
+    };
+    let (answer, generation) = futures::join!(waiting, replaced);
+    let answered = answer.as_ref().map(|commands| commands.generation);
+    assert!(answered != Ok(generation) && answered != Ok(generation + 1), "{answer:?}");
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
+
 /// Guards against a second run of a task beside the first: an attempt of the earlier leader that the
 /// new one did not know yet went on under its lease, while the new leader started the task elsewhere.
 #[actix_rt::test]
