An entry asks which sidecar answers at an address

Callers would see a transient task run twice at the same time, or a job started at a server beside another sidecar than the one that its entry chose.

Cause: an entry knew a sidecar by its address only. If another sidecar had taken over the address, the entry sent it the start commands for the former one, counted its server's room twice, and took its answer that nothing is left at its own server for the end of all attempts at the former one's, before their leases were over.

Evidence: the test fails on the code before, as the task starts at the other sidecar.

Change: a sidecar names itself in the answer that opens a connection. The answer of another one counts as none: the connection is not open, and only the leases end what ran over the former one. A new process of the same sidecar counts as before.

Ruled out for other calls of a connection: it leads to one process until it breaks, and its lease has a random number of its own, which no other entry knows.

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -180,6 +180,10 @@
         }
     }
 
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     pub fn incarnation(&self) -> u64 {
         self.incarnation
     }
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -53,6 +53,8 @@
 }
 
 struct Inner {
+    /// Name of the sidecar.
+    name: String,
     addr: Cell<SocketAddr>,
     key: Key,
     /// `None` while the connection is broken.
@@ -122,8 +124,9 @@
 }
 
 impl Connection {
-    pub fn new(addr: SocketAddr, key: Key) -> Connection {
+    pub fn new(name: String, addr: SocketAddr, key: Key) -> Connection {
         let inner = Inner {
+            name,
             addr: Cell::new(addr),
             key,
             channel: RefCell::new(None),
@@ -240,7 +243,9 @@
             let addr = self.inner.scheduler.borrow().addr(key);
             connection.inner.addr.set(addr);
             let cluster = self.inner.leader.cluster();
-            let Some((channel, terminated, status)) = open(addr, cluster).await else {
+            let Some((channel, terminated, status)) =
+                open(&connection.inner.name, addr, cluster).await
+            else {
                 time::sleep(RECONNECT_DELAY).await;
                 continue;
             };
@@ -252,7 +257,8 @@
             log::info!("event=link_broken sidecar={addr}");
             connection.inner.channel.replace(None);
             self.scheduler().disconnected(key);
-            actix_rt::spawn(wait_for_termination(channel, terminated, incarnation, addr));
+            let process = Process { name: connection.inner.name.clone(), incarnation, addr };
+            actix_rt::spawn(wait_for_termination(channel, terminated, process));
         }
     }
 
@@ -300,9 +306,10 @@
     }
 }
 
-/// Opens a connection with a new random [`work::Entry`], so that its renewals do not extend the
-/// leases of earlier openings.
+/// Opens a connection to the sidecar `name` with a new random [`work::Entry`], so that its renewals do
+/// not extend the leases of earlier openings. Fails if another sidecar answers at the address.
 async fn open(
+    name: &str,
     addr: SocketAddr,
     cluster: Option<id::Cluster>,
 ) -> Option<(Channel, watch::Sender<bool>, Status)> {
@@ -316,6 +323,11 @@
     let entry = work::Entry(rand::random());
     let renewal = Renewal { entry, revision: Revision::default(), lease_until_ms: 0 };
     let (received_ms, status) = request_status(&client, cluster, renewal).await?;
+    if status.sidecar.as_deref() != Some(name) {
+        let other = status.sidecar.as_deref().unwrap_or("none");
+        log::debug!("event=other_sidecar peer={addr} sidecar={name} answered={other}");
+        return None;
+    }
     let (sender, terminated) = watch::channel(false);
     let channel = Channel {
         client,
@@ -343,20 +355,22 @@
     }
 }
 
+/// A process of a sidecar, which a connection was open to.
+struct Process {
+    name: String,
+    incarnation: u64,
+    addr: SocketAddr,
+}
+
 /// Waits until no attempt that was started over a broken connection is running any more, and then
 /// sends `true` to `terminated`. That is so in three cases: a new process of the sidecar reports that
 /// nothing that earlier processes started is left at the backend server; the same process has
 /// released the lease of the connection and confirms that none of its attempts is left; or the lease
 /// of the connection and, after it, the longest lease of the backend server have ended, and no process
 /// of the sidecar has answered that attempts may be left.
-async fn wait_for_termination(
-    channel: Channel,
-    terminated: watch::Sender<bool>,
-    incarnation: u64,
-    addr: SocketAddr,
-) {
+async fn wait_for_termination(channel: Channel, terminated: watch::Sender<bool>, process: Process) {
     loop {
-        match attempts_left(channel.entry, incarnation, addr).await {
+        match attempts_left(channel.entry, &process).await {
             Some(false) => break,
             Some(true) => channel.record_left(),
             None => {}
@@ -369,12 +383,12 @@
     let _ = terminated.send(true);
 }
 
-/// Releases the lease of a broken connection to the process `incarnation` of the sidecar. Returns
-/// whether attempts that were started over it may be left, or `None` without an answer.
-async fn attempts_left(entry: work::Entry, incarnation: u64, addr: SocketAddr) -> Option<bool> {
+/// Releases the lease of a broken connection to a process of a sidecar. Returns whether attempts that
+/// were started over it may be left, or `None` without an answer of the sidecar.
+async fn attempts_left(entry: work::Entry, process: &Process) -> Option<bool> {
     // Only the incarnation and what is left count here, which the sidecar says to every entry.
-    let (channel, _, status) = open(addr, None).await?;
-    if status.incarnation != incarnation {
+    let (channel, _, status) = open(&process.name, process.addr, None).await?;
+    if status.incarnation != process.incarnation {
         return Some(!status.clean);
     }
     let release = channel.client.release(rpc::context(RENEW_TIMEOUT), entry);
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -113,11 +113,11 @@
         log::info!("event=sidecars version={version} count={}", sidecars.len());
         self.inner.sidecar_list_version.set(version);
         for sidecar in sidecars {
-            let addr = sidecar.addr;
+            let (name, addr) = (sidecar.name.clone(), sidecar.addr);
             let key = self.scheduler().describe(sidecar);
             let known = self.inner.connections.borrow().contains_key(&key);
             if !known {
-                let connection = Connection::new(addr, key);
+                let connection = Connection::new(name, addr, key);
                 self.inner.connections.borrow_mut().insert(key, connection.clone());
                 let maintained = (self.clone(), connection);
                 supervisor::spawn("maintain_connection", &maintained, |(entry, connection)| {
--- a/src/protocol/wire/work.rs
+++ b/src/protocol/wire/work.rs
@@ -57,6 +57,9 @@
 /// Status of a sidecar.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
+    /// Name of the sidecar, if the entry has no description of its backend server, as after the
+    /// connection was opened. Another sidecar may have taken over the address.
+    pub sidecar: Option<String>,
     /// Random number drawn when the sidecar's process started.
     pub incarnation: u64,
     /// Time on the sidecar's clock.
--- a/src/sidecar/jobs/service.rs
+++ b/src/sidecar/jobs/service.rs
@@ -11,7 +11,7 @@
         queue::{Attempt, Id},
         wire::{
             queue::Reason,
-            work::{Entry, Load, Outcome, Renewal, Reply, Service, StartCommand, Status},
+            work::{Entry, Load, Outcome, Renewal, Reply, Revision, Service, StartCommand, Status},
         },
     },
     util,
@@ -56,6 +56,7 @@
             state.renew(renewal.entry, renewal.lease_until_ms);
         }
         Status {
+            sidecar: (renewal.revision == Revision::default()).then(|| state.name().to_owned()),
             incarnation: state.incarnation(),
             clock_ms,
             clean: state.clean(),
--- a/tests/entry_jobs.rs
+++ b/tests/entry_jobs.rs
@@ -58,9 +58,10 @@
     Job { spec: "spec".to_owned(), steps: vec![step] }
 }
 
-fn server() -> Server {
+/// The server beside a sidecar.
+fn server(sidecar: &str) -> Server {
     Server {
-        id: ServerId { id: "b".to_owned(), started_at_ms: 1 },
+        id: ServerId { id: format!("b-{sidecar}"), started_at_ms: 1 },
         service: "quotes".to_owned(),
         data_centre: "saga".to_owned(),
         capacity: Resources { cpu_milli: 1_000, memory_mb: 10, accelerators: 0 },
@@ -69,11 +70,11 @@
     }
 }
 
-/// A leading control instance, which knows one sidecar.
+/// A leading control instance, which knows the sidecars `s` and, if there is one, `u`.
 #[derive(Clone)]
 struct Leader {
     config: Rc<RefCell<Arc<Config>>>,
-    sidecar: SocketAddr,
+    sidecars: Rc<RefCell<Vec<SocketAddr>>>,
     /// Whether calls that wait for changes are left without an answer.
     losing_waits: Rc<Cell<bool>>,
     /// Whether another instance leads, which nobody knows.
@@ -97,16 +98,22 @@
         if self.losing_waits.get() && wait_ms > 0 {
             future::pending::<()>().await;
         }
-        let changed = || self.config.borrow().version != config || sidecars != 1;
+        let version = self.sidecars.borrow().len() as u64;
+        let changed = || self.config.borrow().version != config || sidecars != version;
         let end = time::Instant::now() + Duration::from_millis(wait_ms);
         while !changed() && time::Instant::now() < end {
             time::sleep(Duration::from_millis(5)).await;
         }
         let newer = self.config.borrow().clone();
-        let sidecar = Sidecar { name: "s".to_owned(), addr: self.sidecar, server: server() };
+        let describe = |(name, addr): (&str, &SocketAddr)| Sidecar {
+            name: name.to_owned(),
+            addr: *addr,
+            server: server(name),
+        };
+        let list = ["s", "u"].into_iter().zip(&*self.sidecars.borrow()).map(describe).collect();
         Ok(Answer::View(View {
             config: (newer.version > config).then_some(newer),
-            sidecars: (sidecars != 1).then(|| (1, vec![sidecar])),
+            sidecars: (sidecars != version).then_some((version, list)),
             control_addrs: Vec::new(),
         }))
     }
@@ -124,6 +131,8 @@
 /// A sidecar whose attempts run until they are stopped.
 #[derive(Clone)]
 struct Worker {
+    name: &'static str,
+    incarnation: u64,
     running: Rc<RefCell<Vec<Attempt>>>,
     starts: Rc<Cell<usize>>,
     renewals: Rc<Cell<usize>>,
@@ -134,6 +143,31 @@
 }
 
 impl Worker {
+    fn new(name: &'static str, incarnation: u64) -> Worker {
+        Worker {
+            name,
+            incarnation,
+            running: Rc::default(),
+            starts: Rc::default(),
+            renewals: Rc::default(),
+            stopped: watch::channel(None).0,
+            calls_to_lose: Rc::default(),
+        }
+    }
+
+    /// Listens at `addr`, once no other server does.
+    async fn serve(&self, addr: SocketAddr) -> rpc::Server {
+        let served = async {
+            loop {
+                match rpc::serve(addr, work::Service::serve(self.clone())).await {
+                    Ok(server) => return server,
+                    Err(_) => time::sleep(Duration::from_millis(5)).await,
+                }
+            }
+        };
+        time::timeout(LIMIT, served).await.expect("the address is free")
+    }
+
     fn load(&self) -> Load {
         Load { revision: REVISION, open: true, ..Load::default() }
     }
@@ -150,11 +184,12 @@
     async fn renew(self, _: Context, _: Option<id::Cluster>, renewal: Renewal) -> Status {
         self.renewals.set(self.renewals.get() + 1);
         Status {
-            incarnation: 1,
+            sidecar: (renewal.revision == Revision::default()).then(|| self.name.to_owned()),
+            incarnation: self.incarnation,
             clock_ms: util::boot_ms(),
             clean: true,
             load: self.load(),
-            server: (renewal.revision != REVISION).then(server),
+            server: (renewal.revision != REVISION).then(|| server(self.name)),
         }
     }
 
@@ -194,29 +229,26 @@
     leader: Leader,
     worker: Worker,
     entry: Entry,
-    _servers: [rpc::Server; 2],
+    /// Serves the calls to `worker`.
+    sidecar: RefCell<Option<rpc::Server>>,
+    _control: rpc::Server,
 }
 
 impl World {
     /// An entry that knows the queue `/q/` and is connected to the sidecar.
     async fn start() -> World {
-        let worker = Worker {
-            running: Rc::default(),
-            starts: Rc::default(),
-            renewals: Rc::default(),
-            stopped: watch::channel(None).0,
-            calls_to_lose: Rc::default(),
-        };
-        let sidecar = rpc::serve(any(), work::Service::serve(worker.clone())).await.unwrap();
+        let worker = Worker::new("s", 1);
+        let sidecar = worker.serve(any()).await;
         let leader = Leader {
             config: Rc::new(RefCell::new(config(1, &["/q/"]))),
-            sidecar: sidecar.addr(),
+            sidecars: Rc::new(RefCell::new(vec![sidecar.addr()])),
             losing_waits: Rc::default(),
             deposed: Rc::default(),
         };
         let control = rpc::serve(any(), queue::Service::serve(leader.clone())).await.unwrap();
         let entry = Entry::start(LeaderClient::new(vec![control.addr()]));
-        let world = World { leader, worker, entry, _servers: [sidecar, control] };
+        let sidecar = RefCell::new(Some(sidecar));
+        let world = World { leader, worker, entry, sidecar, _control: control };
         until("the entry is ready", || world.entry.ready()).await;
         // The first renewal opens the connection, and the second is sent over it.
         until("the sidecar is connected", || world.worker.renewals.get() > 1).await;
@@ -293,3 +325,32 @@
     assert!(matches!(answer, Err(Failure::Unknown { .. })), "{answer:?}");
     assert!(matches!(cancel().await, Ok(Answer::NoJob)));
 }
+
+/// Guards against two runs of a task at the same time, and against starts at a server that the entry
+/// did not choose: another sidecar has taken over the address of one that is not reached any more, and
+/// says that nothing is left at its own server.
+#[actix_rt::test]
+async fn another_sidecar_at_the_same_address_does_not_count() {
+    /// The lease of the connection and the longest one of the server, less what has passed of the
+    /// former before the connection breaks.
+    const LEASES: Duration = Duration::from_millis(1_500);
+    let world = World::start().await;
+    let job = world.run("/q/0000000000000001", 5_000);
+    let replaced = async {
+        until("the task runs", || world.running() == 1).await;
+        let addr = world.leader.sidecars.borrow()[0];
+        drop(world.sidecar.take());
+        let broken = time::Instant::now();
+        let (other, elsewhere) = (Worker::new("t", 2), Worker::new("u", 3));
+        let _other = other.serve(addr).await;
+        let server = elsewhere.serve(any()).await;
+        world.leader.sidecars.borrow_mut().push(server.addr());
+        until("the task starts again", || other.starts.get() + elsewhere.starts.get() > 0).await;
+        assert_eq!(other.starts.get(), 0, "it starts at a sidecar that the entry does not know");
+        assert!(broken.elapsed() >= LEASES, "it starts after {:?}", broken.elapsed());
+    };
+    tokio::select! {
+        () = replaced => {}
+        ended = job => panic!("{ended:?}"),
+    }
+}
--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -885,6 +885,7 @@
                     state.renew(channel, lease_until_ms);
                 }
                 let status = work::Status {
+                    sidecar: Some(state.name().to_owned()),
                     incarnation: state.incarnation(),
                     clock_ms,
                     clean: state.clean(),
