--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -1185,6 +1185,38 @@
     assert_eq!(started, (vec![], 1));
 }
 
+/// Guards against starts and leases by the word of a leader that another one has replaced, or of an
+/// earlier registration: their answers may arrive late.
+#[test]
+fn commands_of_an_earlier_leader_or_registration_start_nothing() {
+    let later = |generation| Commands { term: 2, ..commands(generation) };
+    let late = [("term", commands(10)), ("generation", later(9))];
+    for (what, late) in late {
+        let mut sidecar = sidecar();
+        for (at_ms, generation) in [(1, 0), (2, 10)] {
+            let report = Report { generation, ..sidecar.report(0) };
+            let answer = Commands { lease_ms: 1_000, ..later(10) };
+            sidecar.handle_commands(at_ms, at_ms, &report, answer);
+        }
+        sidecar.take_actions();
+        let batch = Batch { number: 1, starts: vec![start(attempt(1, 1))], stops: vec![] };
+        let lease_ms = 60_000;
+        let report = sidecar.report(0);
+        let commands = Commands { batches: vec![batch.clone()], lease_ms, ..late };
+        sidecar.handle_commands(3, 3, &report, commands);
+        assert_eq!(sidecar.take_actions().starts, [], "{what}");
+        sidecar.handle_commands(4, 4, &report, Commands { batches: vec![batch], ..later(10) });
+        assert_eq!(sidecar.take_actions().starts.len(), 1, "{what}: of the present leader");
+        sidecar.start_answered(5, attempt(1, 1), StartResult::Started);
+        sidecar.tick(10_005);
+        assert_eq!(
+            sidecar.take_actions().stops,
+            [attempt(1, 1)],
+            "{what}: the lease is not longer"
+        );
+    }
+}
+
 /// Guards against a leader that counts a server as lost because its sidecar has just started:
 /// attempts that the sidecar's earlier process had started continued while the leader started their
 /// tasks again.
