Known failure: an announcement of another writer ends attempts of keyed jobs

The sidecar of the keyed jobs takes any other start or address in POST /announce for a restart of its backend server and abandons what runs there. A fix needs a call that tells which start answers at the address, in the interface that backend servers offer, and is not part of this commit.

--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -537,6 +537,27 @@
     }
 }
 
+/// Guards against a running attempt that counts as ended by the word of another writer: an announcement
+/// that the backend server did not send names another start, or an address where nothing listens.
+#[actix_rt::test]
+#[ignore = "known_red"]
+async fn an_announcement_of_another_writer_ends_no_attempt() {
+    let testbed = Testbed::new().await;
+    let (_closed, closed) = testbed::closed_port();
+    for (seq, addr) in [(1, testbed.backend.http()), (2, closed)] {
+        let announcement = json!({
+            "addr": addr, "start": seq, "slots": 8, "connections": 64,
+            "size": {"cpus": 64, "memory_mb": 131_072, "accelerators": 0}
+        });
+        let others = async {
+            sleep(Duration::from_millis(300)).await;
+            testbed::post(testbed.sidecar.http(), "/announce", announcement).await;
+        };
+        let (reply, ()) = future::join(testbed.run(seq, json!({"work_ms": 900})), others).await;
+        assert!(matches!(reply.result, RunResult::Done { .. }), "announced {addr}: {reply:?}");
+    }
+}
+
 /// Guards against a task that keeps using far more of the worker's resources than it has declared.
 #[actix_rt::test]
 async fn oversized_task_is_throttled_then_stopped() {
