A restart before the cluster is formed no longer ends the first start

What callers saw: nothing, ever. No control instance formed a cluster, so no configuration and no job was accepted, if the first seed, or both others, restarted before.

Cause: whether a blank instance was in its first start was read from the settings. These say so only at the first start of the system, so after a restart an instance whose disk was never lost counted as one that may have lost it, and the first seed no longer tried. Settings of later starts may also list the seeds in another order.

Ruled out: to count blank instances that are not in their first start. They may be lost disks of voters.

Change: in a first start an instance stores in its data directory that this is one, and the seeds of its settings, before it listens (state::origin). Later starts go by that: who founds, who is asked, and the word "blank". It is read only while the instance belongs to no cluster.

Why it is safe: a disk with an origin and no cluster has been in use since the first start, and whatever an instance acknowledges in a cluster is durable after the cluster's number. So it has never voted, which is more than the settings showed. The first seed is the one of the first start on all disks, so no second founder comes from a list in another order. A lost disk has no origin and its settings make none; emptied folders still form nothing.

--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -35,6 +35,7 @@
     state::{
         log::{Log, files::Files},
         machine,
+        origin::Origin,
         snapshot::Snapshot,
     },
     supervisor,
@@ -57,6 +58,8 @@
     core: RefCell<Core>,
     peers: Peers,
     settings: Settings,
+    /// Of an instance that belonged to no cluster at its start.
+    origin: Option<Origin>,
     peer_addr: Cell<SocketAddr>,
     client_addr: Cell<SocketAddr>,
     server: RefCell<Option<rpc::Server>>,
@@ -75,6 +78,10 @@
 /// Recovers the data directory, starts the peer service and spawns [`run`].
 pub(super) async fn start(files: Box<dyn Files>, settings: Settings) -> Result<Rc<Inner>> {
     let (log, recovered) = Log::open(files, settings.node)?;
+    let origin = match recovered.hard_state.cluster {
+        None => open_origin(&*log.files(), &settings)?,
+        Some(_) => None,
+    };
     let mut state = machine::State::default();
     if let Some(snapshot) = &recovered.snapshot {
         state = decode(snapshot).map_err(|reason| crate::error::Error::Corrupt {
@@ -104,6 +111,7 @@
         peer_addr: Cell::new(addr),
         client_addr: Cell::new(settings.client_addr),
         settings,
+        origin,
         server: RefCell::new(None),
         wake: Notify::new(),
         started: Instant::now(),
@@ -129,6 +137,17 @@
     Ok(inner)
 }
 
+/// Loads the origin of a data directory without a cluster; in a first start it is stored first.
+fn open_origin(files: &dyn Files, settings: &Settings) -> Result<Option<Origin>> {
+    let stored = Origin::load(files)?;
+    let is_stored = stored.is_some();
+    let origin = Origin::at_start(stored, settings.first_start, &settings.peers);
+    if let Some(origin) = origin.as_ref().filter(|_| !is_stored) {
+        origin.store(files)?;
+    }
+    Ok(origin)
+}
+
 /// Runs the replica until it is stopped or fails, then waits until the data directory is closed.
 async fn run(inner: Rc<Inner>, mut results: UnboundedReceiver<JobResult>) {
     let driver = inner.driver.as_ref().expect("only replicas with a disk run");
@@ -189,7 +208,7 @@
             let mut core = self.core.borrow_mut();
             core.routes.insert(hello.id, hello.peer);
             core.instance.hello(hello);
-            core.instance.standing(self.settings.first_start)
+            core.instance.standing(self.origin.is_some())
         })
         .filter(|_| !self.stopping.get())
     }
@@ -220,6 +239,12 @@
         result
     }
 
+    /// Addresses of the seeds, as the settings and the origin list them.
+    fn seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        let first = self.origin.iter().flat_map(|origin| &origin.seeds);
+        self.settings.peers.iter().chain(first).copied()
+    }
+
     /// Whether this instance takes part in the protocol. It must not while it cannot store anything.
     fn takes_part(&self, core: &Core) -> bool {
         core.storage_error.is_none() && !core.renewing && !self.stopping.get()
@@ -280,14 +305,8 @@
             return;
         }
         let member_addrs = core.instance.members().iter().map(|m| m.peer);
-        let mut addrs: Vec<SocketAddr> = self
-            .settings
-            .peers
-            .iter()
-            .copied()
-            .chain(member_addrs)
-            .chain(core.routes.values().copied())
-            .collect();
+        let mut addrs: Vec<SocketAddr> =
+            self.seeds().chain(member_addrs).chain(core.routes.values().copied()).collect();
         addrs.sort_unstable();
         addrs.dedup();
         for addr in addrs.into_iter().filter(|addr| *addr != hello.peer) {
--- a/src/control/replica/driver/formation.rs
+++ b/src/control/replica/driver/formation.rs
@@ -20,8 +20,8 @@
     pub(super) fn begin_formation(&self) {
         let mut core = self.core.borrow_mut();
         let (settings, addr, now) = (&self.settings, self.peer_addr.get(), self.now());
-        let is_first = settings.first_start && settings.peers.first() == Some(&addr);
-        if !is_first || core.instance.cluster().is_some() {
+        let Some(origin) = &self.origin else { return };
+        if origin.seeds.first() != Some(&addr) || core.instance.cluster().is_some() {
             return;
         }
         let id = core.instance.id();
@@ -29,10 +29,10 @@
             "event=formation_begun node={} disk={} seeds={:?} voters={}",
             id.node.0,
             id.disk.0,
-            settings.peers,
+            origin.seeds,
             settings.voters
         );
-        core.formation = Some(Formation::new(now, id, addr, &settings.peers, settings.voters));
+        core.formation = Some(Formation::new(now, id, addr, &origin.seeds, settings.voters));
     }
 
     /// Introduces this instance to another one and evaluates the answer.
@@ -58,7 +58,7 @@
         let formed = standing.committed_voters >= majority;
         // Instances that have introduced themselves here are asked, too, and may belong to another
         // cluster if this one has got an address of an instance of that cluster.
-        let is_seed = self.settings.peers.contains(&addr);
+        let is_seed = self.seeds().any(|seed| seed == addr);
         if let Some(cluster) = standing.cluster.filter(|_| formed && is_seed)
             && self.takes_part(&core)
         {
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -60,7 +60,8 @@
     /// leader, or is not listed as a member with its current addresses.
     pub peers: Vec<SocketAddr>,
     /// Whether the system starts for the first time. The instance at the first address of `peers`
-    /// then forms a cluster, unless one exists.
+    /// then forms a cluster, unless one exists. The data directory keeps this and `peers`, so that an
+    /// instance that restarts before a cluster is formed, with other settings, still takes part.
     pub first_start: bool,
     /// Number of voters that the cluster should have. No cluster with fewer than a majority of them
     /// has accepted anything.
--- a/src/coordination/formation.rs
+++ b/src/coordination/formation.rs
@@ -19,10 +19,11 @@
 /// What an answer means for the formation of a cluster.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Claim {
-    /// The instance belongs to no cluster and starts for the first time.
+    /// The instance belongs to no cluster, and its disk is that of the system's first start: it has
+    /// never belonged to one.
     Blank,
-    /// The instance belongs to no cluster, and its settings are not those of a first start. Its disk
-    /// may be lost, or it may be new.
+    /// The instance belongs to no cluster, and its disk is not that of the first start. It may have
+    /// lost that one, or be new.
     NotFirstStart,
     /// The instance was being added to a cluster whose only voter was a lost disk of this instance.
     Abandoned,
--- a/src/protocol/wire/peer.rs
+++ b/src/protocol/wire/peer.rs
@@ -165,7 +165,8 @@
     pub id: Id,
     /// Cluster of the instance; `None` before it joins one.
     pub cluster: Option<u64>,
-    /// Whether the settings of the instance are those of the first start of the system.
+    /// Whether the instance belonged to no cluster at its start, and its data directory has been in use
+    /// since the first start of the system.
     pub first_start: bool,
     /// Voters by its latest membership entry, committed or not.
     pub voters: Vec<Id>,
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod log;
 pub mod machine;
+pub mod origin;
 pub mod snapshot;
--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -1,6 +1,7 @@
 //! Formation of a cluster by the first seed: the decision by itself, and replicas over loopback.
 
 use std::{
+    fs,
     net::{SocketAddr, TcpListener},
     path::Path,
     time::{Duration, Instant},
@@ -16,7 +17,9 @@
             peer::{Id, Standing},
         },
     },
+    state::origin::Origin,
 };
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use tempfile::TempDir;
 use tokio::time;
 
@@ -25,6 +28,9 @@
 /// Time in which a founder that hears blank instances decides.
 const WATCHED: Duration = Duration::from_millis(8_000);
 
+/// Number of drawn histories.
+const HISTORIES: u64 = 20_000;
+
 const FOUNDER: Id = Id { node: id::Node(1), disk: id::Disk(10) };
 const LOST: Id = Id { node: id::Node(1), disk: id::Disk(11) };
 
@@ -158,6 +164,180 @@
     assert_eq!(decide(&mut formation, (10_100, 20_000), &answers).0, Some(13_000));
 }
 
+/// Interval at which simulated instances ask and decide, in ms.
+const TICK_MS: u64 = 75;
+/// Number of ticks in which something happens to the instances.
+const EVENT_TICKS: u64 = 80;
+/// Longest pause, or time without the process, in ticks.
+const LENGTH_MAX_TICKS: u64 = 60;
+/// Number of ticks after the last pause until a cluster must have been formed: 4.5 s.
+const QUIET_TICKS: u64 = 60;
+
+/// A control instance of a simulated first start, without its consensus.
+#[derive(Debug, Clone)]
+struct Simulated {
+    id: Id,
+    origin: Option<Origin>,
+    member: bool,
+    /// Tick at which the process starts.
+    starts: u64,
+    /// Tick until which the running process is suspended.
+    suspended: u64,
+    first_start: bool,
+    running: bool,
+}
+
+/// What happens to an instance at a tick.
+#[derive(Debug, Clone, Copy)]
+struct Event {
+    tick: u64,
+    instance: usize,
+    kind: Kind,
+    /// Length of a pause or of the time until the process starts again, in ticks.
+    length: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// The process ends, and starts again with settings of a first start or others.
+    Restart {
+        first_start: bool,
+    },
+    Suspend,
+    LoseDisk,
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Event {
+        let first_start = bool::arbitrary(g);
+        let restart = Kind::Restart { first_start };
+        Event {
+            tick: u64::arbitrary(g) % EVENT_TICKS,
+            instance: usize::arbitrary(g),
+            kind: *g.choose(&[restart, restart, Kind::Suspend, Kind::LoseDisk]).unwrap(),
+            length: u64::arbitrary(g) % LENGTH_MAX_TICKS,
+        }
+    }
+}
+
+/// Plays a first start of `voters` instances, three of which are seeds. At most `losses` of them lose
+/// their disks. Returns the number of clusters formed, and which instances kept their disks.
+fn first_start(
+    voters: usize,
+    losses: usize,
+    starts: &[u8],
+    events: &[Event],
+) -> (usize, Vec<bool>) {
+    let seeds: Vec<SocketAddr> = (0..3).map(addr).collect();
+    let instance = |number: usize| Simulated {
+        id: other(number as u64 + 1),
+        origin: None,
+        member: false,
+        starts: starts.get(number).map_or(0, |start| u64::from(*start) % 5),
+        suspended: 0,
+        first_start: true,
+        running: false,
+    };
+    let mut instances: Vec<Simulated> = (0..voters).map(instance).collect();
+    let mut formations: Vec<Option<Formation>> = (0..voters).map(|_| None).collect();
+    let mut kept = vec![true; voters];
+    let mut formed = 0;
+    for tick in 0..EVENT_TICKS + LENGTH_MAX_TICKS + QUIET_TICKS {
+        let now = tick * TICK_MS;
+        for event in events.iter().filter(|event| event.tick == tick) {
+            let at = event.instance % voters;
+            let hit = &mut instances[at];
+            let lost = kept.iter().filter(|kept| !**kept).count();
+            match event.kind {
+                Kind::Suspend => hit.suspended = hit.suspended.max(tick + event.length),
+                Kind::LoseDisk if kept[at] && lost >= losses => {}
+                // Nothing is stored by a process that has not started.
+                _ if !hit.running && !matches!(event.kind, Kind::LoseDisk) => {}
+                kind => {
+                    hit.running = false;
+                    hit.starts = tick + 1 + event.length;
+                    hit.first_start = kept[at] && kind == Kind::Restart { first_start: true };
+                    formations[at] = None;
+                    if kind == Kind::LoseDisk {
+                        let disk = id::Disk(hit.id.disk.0 + 1);
+                        hit.id = Id { disk, ..hit.id };
+                        (hit.origin, hit.member, kept[at]) = (None, false, false);
+                    }
+                }
+            }
+        }
+        for at in 0..voters {
+            let starting = &mut instances[at];
+            if !starting.running && starting.starts <= tick {
+                starting.running = true;
+                let mut listed = seeds.clone();
+                if !starting.first_start {
+                    listed.rotate_left(at % 3);
+                }
+                let stored = starting.origin.take();
+                starting.origin = Origin::at_start(stored, starting.first_start, &listed);
+                let origin = starting.origin.as_ref().filter(|_| !starting.member);
+                let own = addr(at as u16);
+                formations[at] = origin
+                    .filter(|origin| origin.seeds.first() == Some(&own))
+                    .map(|origin| Formation::new(now, starting.id, own, &origin.seeds, voters));
+            }
+        }
+        let answers: Vec<(usize, Standing)> = instances
+            .iter()
+            .enumerate()
+            .filter(|(_, asked)| asked.running && asked.suspended <= tick)
+            .map(|(at, asked)| {
+                let standing = match asked.member {
+                    true => member(asked.id, &[asked.id], true),
+                    false => blank(asked.id),
+                };
+                (at, Standing { first_start: asked.origin.is_some(), ..standing })
+            })
+            .collect();
+        for at in 0..voters {
+            if !instances[at].running || instances[at].suspended > tick {
+                continue;
+            }
+            if let Some(formation) = &mut formations[at] {
+                for (from, standing) in answers.iter().filter(|(from, _)| *from != at) {
+                    formation.record(addr(*from as u16), now, standing);
+                }
+                if formation.step(now) == Step::Form {
+                    formations[at] = None;
+                    instances[at].member = true;
+                    formed += 1;
+                }
+            } else if !instances[at].member && (tick + at as u64).is_multiple_of(4) {
+                // It is added by the leader, if that is there.
+                instances[at].member =
+                    answers.iter().any(|(_, standing)| standing.cluster.is_some());
+            }
+        }
+    }
+    (formed, kept)
+}
+
+/// Guards against two clusters, and against a first start without any although the first seed and enough
+/// others keep their disks, in drawn histories of restarts, suspended processes and lost disks.
+#[test]
+fn drawn_first_starts_form_one_cluster() {
+    fn holds(five: bool, starts: Vec<u8>, events: Vec<Event>) -> TestResult {
+        let (voters, losses) = if five { (5, 2) } else { (3, 1) };
+        let (formed, kept) = first_start(voters, losses, &starts, &events);
+        // Without the first seed's disk, or with it and no other seed's, none may be formed.
+        let must_form = kept[0] && (kept[1] || kept[2]);
+        match formed == 1 || (formed == 0 && !must_form) {
+            true => TestResult::passed(),
+            false => TestResult::error(format!("formed={formed} kept={kept:?}")),
+        }
+    }
+    QuickCheck::new()
+        .tests(HISTORIES)
+        .max_tests(2 * HISTORIES)
+        .quickcheck(holds as fn(bool, Vec<u8>, Vec<Event>) -> TestResult);
+}
+
 /// An address at which nothing listens yet.
 fn free_addr() -> SocketAddr {
     TcpListener::bind(addr(0)).unwrap().local_addr().unwrap()
@@ -258,6 +438,82 @@
     }
 }
 
+/// Starts three seeds at their addresses and lets those of `before` restart before all of them run.
+/// Restarted ones have settings that say that this is no first start, and list the seeds in another
+/// order. Returns the clusters to which the seeds belong in the end.
+async fn clusters_after_early_restarts(before: &[usize]) -> Vec<id::Cluster> {
+    let directories: Vec<TempDir> = (0..3).map(|_| TempDir::new().unwrap()).collect();
+    let seeds: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let start = async |number: usize, first_start: bool| {
+        let directory = directories[number].path();
+        let mut listed = seeds.clone();
+        if !first_start {
+            listed.rotate_left(number);
+        }
+        let settings = settings(number as u64, seeds[number], directory, &listed);
+        Replica::start(Settings { first_start, ..settings }).await.unwrap()
+    };
+    for number in before {
+        start(*number, true).await.stop().await;
+    }
+    let mut replicas = Vec::new();
+    for number in 0..3 {
+        replicas.push(start(number, !before.contains(&number)).await);
+    }
+    let leads = |replica: &Replica| replica.leading().is_some();
+    until("a seed leads", || replicas.iter().any(leads)).await;
+    let leader = replicas.iter().find(|replica| leads(replica)).unwrap();
+    for other in &replicas {
+        if other.peer_addr() != leader.peer_addr() {
+            add(leader, other).await;
+        }
+    }
+    let clusters = replicas.iter().filter_map(Replica::cluster).collect();
+    for replica in &replicas {
+        replica.stop().await;
+    }
+    clusters
+}
+
+/// Guards against a system that never starts because seeds restart before the cluster is formed: their
+/// settings then say that this is no first start, and their disks are still those of it.
+#[actix_rt::test]
+async fn seeds_that_restart_before_the_formation_do_not_prevent_it() {
+    for before in [&[0][..], &[1, 2], &[0, 1], &[0, 1, 2]] {
+        let clusters = clusters_after_early_restarts(before).await;
+        assert_eq!(clusters, [clusters[0]; 3], "restarted before: {before:?}");
+    }
+}
+
+/// Guards against a cluster formed by disks that may have been lost: neither a first seed nor others
+/// whose folders were emptied form one, unless their settings are those of a first start.
+#[actix_rt::test]
+async fn emptied_folders_of_a_later_start_form_no_cluster() {
+    let directories: Vec<TempDir> = (0..3).map(|_| TempDir::new().unwrap()).collect();
+    let seeds: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    for lost in [&[0][..], &[1, 2]] {
+        let mut replicas = Vec::new();
+        for number in 0..3 {
+            let directory = directories[number].path();
+            if lost.contains(&number) {
+                fs::remove_dir_all(directory).unwrap();
+            }
+            let first_start = !lost.contains(&number);
+            let settings = settings(number as u64, seeds[number], directory, &seeds);
+            let settings = Settings { first_start, ..settings };
+            replicas.push(Replica::start(settings).await.unwrap());
+        }
+        let end = Instant::now() + WATCHED;
+        while Instant::now() < end {
+            assert!(replicas.iter().all(|replica| replica.cluster().is_none()), "{lost:?}");
+            time::sleep(Duration::from_millis(20)).await;
+        }
+        for replica in &replicas {
+            replica.stop().await;
+        }
+    }
+}
+
 /// Guards against a blank instance that is bound to a foreign cluster, because a member of that cluster
 /// has lost its leader and still asks at an address that the blank instance has taken over.
 #[actix_rt::test]
