--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -514,6 +514,59 @@
     }
 }
 
+/// Guards against a system that never starts because the first seed lost its disk before the group had
+/// other voters, and restarts with settings that say that this is no first start.
+#[actix_rt::test]
+#[ignore = "known_red"]
+async fn a_first_seed_whose_disk_is_lost_early_does_not_stop_the_system() {
+    let directories: Vec<TempDir> = (0..4).map(|_| TempDir::new().unwrap()).collect();
+    let seeds: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let start = async |number: usize, directory: usize, first_start: bool| {
+        let directory = directories[directory].path();
+        let settings = settings(number as u64, seeds[number], directory, &seeds);
+        Replica::start(Settings { first_start, ..settings }).await.unwrap()
+    };
+    let founder = start(0, 0, true).await;
+    let others = [start(1, 1, true).await, start(2, 2, true).await];
+    until("the first seed leads", || founder.leading().is_some()).await;
+    founder.stop().await;
+    let founder = start(0, 3, false).await;
+    let leads = |replica: &Replica| replica.leading().is_some();
+    until("a seed leads", || leads(&founder) || others.iter().any(leads)).await;
+    for replica in others.iter().chain([&founder]) {
+        replica.stop().await;
+    }
+}
+
+/// Guards against a second cluster by the word of the founder's own empty disk: it loses its disk, keeps
+/// the settings of the first start, the only other voter is silent, and the third seed starts late.
+#[actix_rt::test]
+#[ignore = "known_red"]
+async fn a_founder_without_its_disk_and_a_late_seed_form_no_second_cluster() {
+    let directories: Vec<TempDir> = (0..4).map(|_| TempDir::new().unwrap()).collect();
+    let seeds: Vec<SocketAddr> = (0..3).map(|_| free_addr()).collect();
+    let start = async |number: usize, directory: usize| {
+        let directory = directories[directory].path();
+        Replica::start(settings(number as u64, seeds[number], directory, &seeds)).await.unwrap()
+    };
+    let founder = start(0, 0).await;
+    let voter = start(1, 1).await;
+    until("the first seed leads", || founder.leading().is_some()).await;
+    add(&founder, &voter).await;
+    founder.stop().await;
+    voter.stop().await;
+    let founder = start(0, 3).await;
+    let late = start(2, 2).await;
+    let end = Instant::now() + WATCHED;
+    while Instant::now() < end {
+        assert_eq!(founder.cluster(), None, "a second cluster");
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    for replica in [&founder, &late] {
+        replica.stop().await;
+    }
+}
+
 /// Guards against a blank instance that is bound to a foreign cluster, because a member of that cluster
 /// has lost its leader and still asks at an address that the blank instance has taken over.
 #[actix_rt::test]
