Named tests for two histories of announcements

Guarded by an_announcement_under_another_id_does_not_end_an_attempt_that_runs and a_drain_announced_by_another_writer_does_not_last.

--- a/tests/single_run.rs
+++ b/tests/single_run.rs
@@ -103,6 +103,12 @@
     }
 }
 
+fn play_with_drawn_clocks(seed: u64, faults: &[Drawn]) {
+    if let Err(trace) = World::new(seed).with_drawn_clocks().play(faults) {
+        panic!("{trace}");
+    }
+}
+
 /// Guards against two runs of a transient task at the same time on servers that are up, after any
 /// one disruption.
 #[test]
@@ -185,10 +191,21 @@
 /// gave it its whole deadline, and a cut kept the end of the connection from it.
 #[test]
 fn a_request_that_was_read_late_does_not_outlast_its_callers_deadline() {
-    let world = World::new(0).with_drawn_clocks();
-    if let Err(trace) = world.play(&[(16, 0, 68, 1_501), (0, 0, 191, 8_302)]) {
-        panic!("{trace}");
-    }
+    play_with_drawn_clocks(0, &[(16, 0, 68, 1_501), (0, 0, 191, 8_302)]);
+}
+
+/// Guards against an attempt that counts as lost while it runs: another writer announces a server with
+/// another id and the same start.
+#[test]
+fn an_announcement_under_another_id_does_not_end_an_attempt_that_runs() {
+    play_with_drawn_clocks(0, &[(17, 422, 0, 0)]);
+}
+
+/// Guards against a live server that is not used any more after another writer has announced three
+/// times that it drains.
+#[test]
+fn a_drain_announced_by_another_writer_does_not_last() {
+    play_with_drawn_clocks(0, &[(19, 1_373, 0, 21_354)]);
 }
 
 /// Guards against leases that expire between two renewals because the round trip is long: nothing is
