The check of an announced server opens a connection of its own

A server that had started again was used up to 0.6 s late: the checks went over open connections to the process before, and each waited for its time limit. A check that panics drops its candidate, which the next announcement brings back.

--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -96,6 +96,15 @@
         poll: &Poll,
         wait: Duration,
     ) -> impl Future<Output = PollResult>;
+
+    /// Polls without a wait, over a connection of its own: one that is open may lead to a process that
+    /// has ended.
+    fn check(
+        &self,
+        addr: SocketAddr,
+        server: &ServerId,
+        poll: &Poll,
+    ) -> impl Future<Output = PollResult>;
 }
 
 type Waiter = oneshot::Sender<(Outcome, u64)>;
@@ -202,7 +211,11 @@
             actix_rt::spawn(self.clone().stop_attempt(attempt));
         }
         for identity in checks {
-            actix_rt::spawn(self.clone().check_candidate(identity));
+            let sidecar = self.clone();
+            actix_rt::spawn(async move {
+                supervisor::catch("check", sidecar.check_candidate(&identity)).await;
+                sidecar.inner.state.borrow_mut().forget_candidate(&identity);
+            });
         }
         for (entry, attempt, outcome, took_ms) in replies {
             let waiter = self.inner.waiters.borrow_mut().swap_remove(&(entry, attempt));
@@ -297,18 +310,17 @@
     }
 
     /// Calls an announced server until it or another one has answered at its address.
-    async fn check_candidate(self, identity: Identity) {
-        while self.inner.state.borrow_mut().is_candidate(util::boot_ms(), &identity) {
+    async fn check_candidate(&self, identity: &Identity) {
+        while self.inner.state.borrow_mut().is_candidate(util::boot_ms(), identity) {
             let poll = self.inner.state.borrow().check_call();
             if let Some(poll) = poll {
-                let (sent_ms, Identity { server, addr }) = (util::boot_ms(), &identity);
-                let result = self.inner.backend.poll(*addr, server, &poll, Duration::ZERO).await;
-                let check = match result {
+                let (sent_ms, Identity { server, addr }) = (util::boot_ms(), identity);
+                let check = match self.inner.backend.check(*addr, server, &poll).await {
                     PollResult::Replied(_) => Check::Present,
                     PollResult::Other => Check::Other,
                     PollResult::Refused | PollResult::NoReply => Check::NoAnswer,
                 };
-                self.inner.state.borrow_mut().checked(sent_ms, util::boot_ms(), &identity, check);
+                self.inner.state.borrow_mut().checked(sent_ms, util::boot_ms(), identity, check);
                 if check == Check::Present {
                     self.inner.poll_wake.notify_one();
                 }
--- a/tests/clusters.rs
+++ b/tests/clusters.rs
@@ -174,6 +174,10 @@
             completions: Vec::new(),
         })
     }
+
+    async fn check(&self, addr: SocketAddr, server: &ServerId, poll: &Poll) -> PollResult {
+        self.poll(addr, server, poll, Duration::ZERO).await
+    }
 }
 
 /// Starts a sidecar beside a backend server, and waits until it may start attempts there.
