The checks of announced servers go on as soon as there is a fencing token

After a start of everything a sidecar waited up to 100 ms for its next check once a leader had assigned its token.

--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -124,6 +124,8 @@
     report_due: Cell<bool>,
     /// Wakes the task that polls the backend server.
     poll_wake: Notify,
+    /// Wakes the calls to announced servers once a fencing token is assigned.
+    check_wake: Notify,
     /// Whether the newest poll has the long wait that is used while nothing runs.
     idle_poll: Cell<bool>,
     reports_in_flight: Cell<usize>,
@@ -158,6 +160,7 @@
             report_wake: Notify::new(),
             report_due: Cell::new(false),
             poll_wake: Notify::new(),
+            check_wake: Notify::new(),
             idle_poll: Cell::new(false),
             reports_in_flight: Cell::new(0),
             has_leader: Cell::new(false),
@@ -280,6 +283,7 @@
                 self.inner.state.borrow_mut().handle_commands(now_ms, sent_ms, &report, commands);
                 if !fenced {
                     self.inner.poll_wake.notify_one();
+                    self.inner.check_wake.notify_waiters();
                 }
                 self.carry_out();
             }
@@ -326,7 +330,8 @@
                 }
                 self.carry_out();
             }
-            time::sleep(CHECK_RETRY_DELAY).await;
+            // Goes on after a wake-up as well as after the pause.
+            let _ = time::timeout(CHECK_RETRY_DELAY, self.inner.check_wake.notified()).await;
         }
     }
 
