--- /dev/null
+++ b/review/harness/src/cases.rs
@@ -0,0 +1,452 @@
+//! The cases.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    http::Channel,
+    record::Record,
+    runner::Run,
+    system::{self, Role, Shape, System, job_id},
+};
+
+/// The broken rule as it was seen, or `None` if the rule held.
+type Outcome = Result<Option<String>, String>;
+
+const CANCEL_MS: u64 = 3_000;
+const VISIBLE_MS: u64 = 3_000;
+const DRAIN_MS: u64 = 2_000;
+const FINISH_S: u64 = 14;
+const RECOVERY_S: u64 = 12;
+
+pub fn run(case: &str, record: &Record, trouble: bool) -> Outcome {
+    match case {
+        "successor" => successor(record, trouble),
+        "impossible" => impossible(record, trouble),
+        "many-ends" => many_ends(record, trouble),
+        "late-request" => late_request(record, trouble),
+        "canceled-copy" => canceled_copy(record, trouble),
+        "drain" => drain(record, trouble),
+        "pending" => pending(record, trouble),
+        "cuts" => cuts(record, trouble),
+        "suspects" => suspects(record, trouble),
+        _ => Err("no such case".to_owned()),
+    }
+}
+
+fn sleep_ms(ms: u64) {
+    thread::sleep(Duration::from_millis(ms));
+}
+
+/// Waits until `done`, at most for `limit_ms`. Returns whether it is.
+fn wait_for(limit_ms: u64, done: impl Fn() -> bool) -> bool {
+    let end = Instant::now() + Duration::from_millis(limit_ms);
+    while !done() {
+        if Instant::now() > end {
+            return false;
+        }
+        sleep_ms(2);
+    }
+    true
+}
+
+fn job(spec: &str, step: &str, more: &str) -> String {
+    format!("{{\"spec\":\"{spec}\",\"steps\":[{{{step}}}]{more}}}")
+}
+
+/// One control instance is replaced by a new one, whose settings name other seeds than the leader.
+/// Later two others lose their disks. CONFIG: read back at the end, the config doesn't come.
+fn successor(record: &Record, trouble: bool) -> Outcome {
+    let shape = Shape { cores: 5, entries: 1, runners: vec![16_000] };
+    let mut system = System::start(record, shape)?;
+    // The first seed has formed the group and leads it.
+    let (replaced, successor, lost) = (2, 5, [3, 4]);
+    let mut cores = vec![0, 1, replaced, 3, 4];
+    if trouble {
+        system.signal(Role::Control, replaced, "-KILL");
+        system.wait(Role::Control, replaced);
+        sleep_ms(1_000);
+        system.seeds = vec![1, 3, 4];
+        record.add(
+            "platform: a new instance with an empty disk at another address, seeds 1, 3 and 4",
+        );
+        system.spawn(Role::Control, successor, false)?;
+        cores[2] = successor;
+    }
+    sleep_ms(24_000);
+    if !system.configure(&cores, 2, Duration::from_secs(5)) {
+        return Err("the config was not acknowledged".to_owned());
+    }
+    // The final fault: all processes end, and two disks are lost.
+    for core in &cores {
+        system.signal(Role::Control, *core, "-KILL");
+        system.wait(Role::Control, *core);
+    }
+    lost.iter().for_each(|core| system.wipe(*core));
+    sleep_ms(1_000);
+    for core in &cores {
+        system.spawn(Role::Control, *core, false)?;
+    }
+    // `recoveryS`, and then `contactMs` and more for the reading.
+    sleep_ms(RECOVERY_S * 1_000);
+    let end = Instant::now() + Duration::from_secs(20);
+    while Instant::now() < end {
+        for core in &cores {
+            let answer = system.operate(*core, "GET", "").filter(|answer| answer.status() == 200);
+            let version =
+                answer.and_then(|answer| crate::json::parse(&answer.body)?.number("version"));
+            match version {
+                Some(2) => return Ok(None),
+                Some(other) => {
+                    return Ok(Some(format!(
+                        "CONFIG: version {other} is read back, 2 was acknowledged"
+                    )));
+                }
+                None => sleep_ms(200),
+            }
+        }
+    }
+    Ok(Some("CONFIG: version 2 was acknowledged, and no config is read back 12 to 32 s after the machines are back".to_owned()))
+}
+
+/// Jobs that no runner has the room for are among others. LOST: `finish_s` after the end of the
+/// traffic, an accepted job has nothing running for 3 s although its task's turn has come and nearly
+/// all of the capacity is free.
+fn impossible(record: &Record, trouble: bool) -> Outcome {
+    const CPU: u64 = 16_000;
+    const JOBS: u64 = 100;
+    let shape = Shape { cores: 5, entries: 2, runners: vec![CPU; 6] };
+    let system = System::start(record, shape)?;
+    // Three seconds of traffic; one job in twenty needs more than any runner has.
+    let start = Instant::now();
+    let mut accepted = Vec::new();
+    for number in 0..JOBS {
+        let never = trouble && number % 20 == 0;
+        let cpu = if never { CPU + 4_000 } else { 500 };
+        let step = format!("\"replicas\":8,\"cpu\":{cpu},\"memMb\":64,\"estRuntimeMs\":60");
+        let id = job_id(number);
+        if system.submit((number % 2) as usize, &id, &job("run_ms=60", &step, "")) && !never {
+            accepted.push(id);
+        }
+        let due = Duration::from_millis(30 * number);
+        thread::sleep(due.saturating_sub(start.elapsed()));
+    }
+    record.add(format!("the traffic has ended: {} jobs that can be done", accepted.len()));
+    sleep_ms(FINISH_S * 1_000);
+    let before = system.runs().len();
+    sleep_ms(3_000);
+    let runs = system.runs();
+    let working = runs.len() - before;
+    let open: Vec<&String> = accepted
+        .iter()
+        .filter(|id| !matches!(system.state(0, id).as_deref(), Some("completed")))
+        .collect();
+    let idle: Vec<&&String> = open
+        .iter()
+        .filter(|id| !runs.iter().any(|run| run.task.starts_with(id.as_str())))
+        .collect();
+    record.add(format!("open: {}, of which never started: {}", open.len(), idle.len()));
+    record.add(format!("starts in the 3 s: {working}"));
+    // Not part of the check: what a client can do about it.
+    for number in (0..JOBS).filter(|number| trouble && number % 20 == 0) {
+        system.client(0, "DELETE", &job_id(number), 1_500, "");
+    }
+    sleep_ms(2_000);
+    record.add(format!(
+        "starts after these jobs were cancelled: {}",
+        system.runs().len() - runs.len()
+    ));
+    Ok((!idle.is_empty() && working == 0).then(|| {
+        format!(
+            "LOST: {} of {} accepted jobs have never had a task running, {FINISH_S} s after the traffic, and all runners are idle",
+            idle.len(),
+            accepted.len()
+        )
+    }))
+}
+
+/// The process of a sidecar is killed and started again while its runner holds more than 500 ends.
+/// TWICE: a start after a run has ended `done`, if that end is taken note of later.
+fn many_ends(record: &Record, trouble: bool) -> Outcome {
+    const TASKS: usize = 980;
+    let shape = Shape { cores: 5, entries: 1, runners: vec![64_000; 6] };
+    let mut system = System::start(record, shape)?;
+    // The runner that ends a task sooner than declared gets the next ones.
+    let step = "\"replicas\":1,\"cpu\":50,\"memMb\":64,\"estRuntimeMs\":200";
+    if !system.submit(0, &job_id(0), &job("run_ms=20", step, "")) {
+        return Err("a job was not accepted".to_owned());
+    }
+    wait_for(3_000, || system.runs().iter().any(|run| run.ended.is_some()));
+    let at = system.runners.iter().position(|runner| !runner.runs().is_empty());
+    let at = at.ok_or("no runner ran the first job")?;
+    let runner = system.runners[at].clone();
+    wait_for(3_000, || runner.until_beat() < Duration::from_millis(300));
+    wait_for(3_000, || runner.until_beat() > Duration::from_millis(1_480));
+    // Two jobs with tasks of a twentieth of a core, for which that runner has the room.
+    let step = "\"replicas\":490,\"cpu\":50,\"memMb\":64,\"estRuntimeMs\":900";
+    for number in 1..3 {
+        if !system.submit(0, &job_id(number), &job("run_ms=900", step, "")) {
+            return Err("a job was not accepted".to_owned());
+        }
+    }
+    wait_for(3_000, || runner.runs().len() > TASKS);
+    let (active, left) = (runner.active(), runner.until_beat().as_millis());
+    record.add(format!("running: {active}; the next report of {at} comes in {left} ms"));
+    if trouble {
+        wait_for(2_000, || runner.unacknowledged() > 0 || runner.active() < TASKS);
+        system.signal(Role::Sidecar, at, "-KILL");
+        system.wait(Role::Sidecar, at);
+        sleep_ms(100);
+        system.spawn(Role::Sidecar, at, false)?;
+    }
+    wait_for(15_000, || {
+        sleep_ms(200);
+        (1..3).all(|number| system.state(0, &job_id(number)).as_deref() == Some("completed"))
+    });
+    sleep_ms(2_000);
+    Ok(twice(record, &system.runs()))
+}
+
+/// Starts after a run of the same task has ended `done`, and ends that are taken note of.
+fn twice(record: &Record, runs: &[Run]) -> Option<String> {
+    let mut broken = 0;
+    for first in runs {
+        let Some((ended, "done")) = first.ended else { continue };
+        if first.noted.is_none() || first.lapsed {
+            continue;
+        }
+        for again in runs.iter().filter(|again| again.task == first.task && again.started > ended) {
+            broken += 1;
+            if broken <= 10 {
+                record.add(format!(
+                    "twice: {} run {} ended done at {ended}, noted at {:?}; run {} started at {}",
+                    first.task, first.run, first.noted, again.run, again.started
+                ));
+            }
+        }
+    }
+    (broken > 0).then(|| format!("TWICE: {broken} starts after a run of the task had ended done"))
+}
+
+/// An entry gets SIGTERM, and later a request on a channel that is open. LOST: the channel ends
+/// without a complete answer after the request was passed on to a runner.
+fn late_request(record: &Record, trouble: bool) -> Outcome {
+    let shape = Shape { cores: 5, entries: 2, runners: vec![8_000; 2] };
+    let system = System::start(record, shape)?;
+    let io = |e: std::io::Error| e.to_string();
+    let mut channel = Channel::open(system.front(0)).map_err(io)?;
+    let headers = system::client_headers(1_500);
+    channel.send("GET", system::PREFIX, &headers, "").map_err(io)?;
+    let answer = channel.receive(Duration::from_millis(1_500)).map_err(io)?;
+    record.add(format!(
+        "client: GET {} answered {} {}",
+        system::PREFIX,
+        answer.status(),
+        answer.body
+    ));
+    sleep_ms(50);
+    if trouble {
+        system.signal(Role::Entry, 0, "-TERM");
+    }
+    sleep_ms(4_330);
+    // Each runner has the room for one task at a time.
+    let step = "\"replicas\":14,\"cpu\":6200,\"memMb\":64,\"estRuntimeMs\":200";
+    let body = job("run_ms=200", step, ",\"bestEffort\":true");
+    let id = job_id(1);
+    let sent = record.now();
+    record.add(format!("client: POST {}{id} on the open channel", system::PREFIX));
+    if let Err(e) = channel.send("POST", &format!("{}{id}", system::PREFIX), &headers, &body) {
+        return Err(format!("the channel was closed before the request: {e}"));
+    }
+    let answer = channel.receive(Duration::from_millis(2_500));
+    let took = record.now() - sent;
+    let starts = system.runs().iter().filter(|run| run.task.starts_with(&id)).count();
+    match answer {
+        Ok(answer) => {
+            record.add(format!(
+                "client: answered {} {} after {took} ms",
+                answer.status(),
+                answer.body
+            ));
+            Ok(None)
+        }
+        Err(e) if starts == 0 => Err(format!("the request was not read: {:?}", e.kind())),
+        Err(e) => {
+            record
+                .add(format!("client: the channel ended after {took} ms without an answer: {e:?}"));
+            Ok((took < 1_500).then(|| {
+                format!("LOST: the channel ended {took} ms after the request, of which {starts} tasks were started, without an answer")
+            }))
+        }
+    }
+}
+
+/// A copy of a request arrives after its job was cancelled. UNASKED: a task starts later than
+/// `cancel_ms` after the cancelling was acknowledged.
+fn canceled_copy(record: &Record, trouble: bool) -> Outcome {
+    let shape = Shape { cores: 5, entries: 2, runners: vec![16_000; 3] };
+    let system = System::start(record, shape)?;
+    let step = "\"replicas\":4,\"cpu\":500,\"memMb\":64,\"estRuntimeMs\":900";
+    let body = job("run_ms=900", step, ",\"bestEffort\":true");
+    let id = job_id(1);
+    let canceled = thread::scope(|scope| {
+        let post = scope.spawn(|| system.client(0, "POST", &id, 1_500, &body));
+        sleep_ms(300);
+        let delete = system.client(0, "DELETE", &id, 1_500, "");
+        let at = record.now();
+        let _ = post.join();
+        delete.is_some_and(|answer| matches!(answer.status(), 200 | 410)).then_some(at)
+    });
+    let Some(canceled) = canceled else { return Err("the job was not cancelled".to_owned()) };
+    sleep_ms(CANCEL_MS + 1_000);
+    if trouble {
+        record.add("the network delivers a copy of the POST");
+        system.client(1, "POST", &id, 1_500, &body);
+    }
+    sleep_ms(500);
+    let late = system.runs().iter().filter(|run| run.started > canceled + CANCEL_MS).count();
+    Ok((late > 0).then(|| {
+        format!("UNASKED: {late} tasks started later than {CANCEL_MS} ms after the cancelling was acknowledged")
+    }))
+}
+
+/// A runner's room shrinks and it drains. DRAIN: starts later than `drainMs` after the report that
+/// says so was acknowledged.
+fn drain(record: &Record, trouble: bool) -> Outcome {
+    let shape = Shape { cores: 5, entries: 2, runners: vec![16_000; 3] };
+    let system = System::start(record, shape)?;
+    let step = "\"replicas\":4,\"cpu\":500,\"memMb\":64,\"estRuntimeMs\":60";
+    let body = job("run_ms=60", step, ",\"bestEffort\":true");
+    let leaving = &system.runners[0];
+    let drained = thread::scope(|scope| {
+        for client in 0..2 {
+            let (system, body) = (&system, &body);
+            scope.spawn(move || {
+                for number in 0..90 {
+                    system.client(
+                        client,
+                        "POST",
+                        &job_id(1_000 * client as u64 + number),
+                        1_500,
+                        body,
+                    );
+                    sleep_ms(40);
+                }
+            });
+        }
+        sleep_ms(1_500);
+        // The room shrinks by half, and the report that says so is the first that says `draining`.
+        leaving.describe(if trouble { 8_000 } else { 16_000 }, true);
+        let until = leaving.until_beat();
+        thread::sleep(until + Duration::from_millis(100));
+        record.now()
+    });
+    let late: Vec<Run> =
+        leaving.runs().into_iter().filter(|run| run.started > drained + DRAIN_MS).collect();
+    let last = late.last().map_or(0, |run| run.started - drained);
+    Ok((!late.is_empty()).then(|| {
+        format!("DRAIN: {} starts later than {DRAIN_MS} ms after the ack, the last one {last} ms after it", late.len())
+    }))
+}
+
+/// All starts at a runner are refused. MIXED: `pending` is under half of the jobs that were accepted
+/// over `visible_ms` + 2 s before and have not begun.
+fn pending(record: &Record, trouble: bool) -> Outcome {
+    const JOBS: u64 = 10;
+    let mut runners = vec![16_000; 7];
+    runners[6] = 16_000;
+    let system = System::start(record, Shape { cores: 5, entries: 2, runners })?;
+    // The only runner of the third rack.
+    let grey = &system.runners[6];
+    grey.set_unhealthy(trouble);
+    let step =
+        "\"replicas\":1,\"cpu\":500,\"memMb\":64,\"estRuntimeMs\":200,\"requiredLabel\":\"r1-3\"";
+    let body = job("run_ms=200", step, "");
+    for number in 0..JOBS {
+        if !system.submit(0, &job_id(number), &body) {
+            return Err("a job was not accepted".to_owned());
+        }
+    }
+    sleep_ms(VISIBLE_MS + 2_000 + 300);
+    let began: u64 = {
+        let runs = system.runs();
+        (0..JOBS).filter(|n| runs.iter().any(|run| run.task.starts_with(&job_id(*n)))).count()
+            as u64
+    };
+    let answer = system.client(1, "GET", "", 1_500, "").ok_or("no answer to GET PREFIX")?;
+    let pending = crate::json::parse(&answer.body).and_then(|body| body.number("pending"));
+    let pending = pending.ok_or("no number of pending jobs")?;
+    system.state(1, &job_id(0));
+    grey.set_unhealthy(false);
+    let waiting = JOBS - began;
+    Ok((2 * pending < waiting).then(|| {
+        format!("MIXED: pending is {pending}, and {waiting} jobs that were accepted over 5 s before have not begun")
+    }))
+}
+
+/// The path to the runner of a task refuses channels for a while, twice. LOST: the job is shown as
+/// failed without cause: no run of it has ended `failed`, and no runner has crashed.
+fn cuts(record: &Record, trouble: bool) -> Outcome {
+    let shape = Shape { cores: 5, entries: 1, runners: vec![16_000; 6] };
+    let system = System::start(record, shape)?;
+    let step = "\"replicas\":1,\"cpu\":500,\"memMb\":64,\"estRuntimeMs\":4000";
+    let id = job_id(1);
+    if !system.submit(0, &id, &job("run_ms=4000", step, "")) {
+        return Err("the job was not accepted".to_owned());
+    }
+    let mut cut = Vec::new();
+    for _ in 0..2 {
+        let fresh =
+            || system.runners.iter().find(|r| r.active() > 0 && !cut.contains(&r.settings.id));
+        if !wait_for(20_000, || fresh().is_some()) {
+            break;
+        }
+        let Some(runner) = fresh() else { break };
+        sleep_ms(500);
+        if trouble {
+            runner.set_refusing(true);
+            sleep_ms(4_000);
+            runner.set_refusing(false);
+        }
+        cut.push(runner.settings.id.clone());
+    }
+    sleep_ms(6_000);
+    let state = system.state(0, &id);
+    let failed =
+        system.runs().iter().filter(|run| matches!(run.ended, Some((_, "failed")))).count();
+    Ok((state.as_deref() == Some("failed") && failed == 0)
+        .then(|| "LOST: the job is shown as failed, and no run of it has failed".to_owned()))
+}
+
+/// A runner crashes under many tasks of different jobs. LOST: `finish_s` after the end of the traffic
+/// accepted jobs have had nothing running for 3 s, although nearly all of the capacity is free.
+fn suspects(record: &Record, trouble: bool) -> Outcome {
+    let system = System::start(record, Shape { cores: 5, entries: 2, runners: vec![16_000; 7] })?;
+    let step = "\"replicas\":1,\"cpu\":200,\"memMb\":64,\"estRuntimeMs\":2000";
+    for number in 0..80 {
+        if !system.submit((number % 2) as usize, &job_id(number), &job("run_ms=2000", step, "")) {
+            return Err("a job was not accepted".to_owned());
+        }
+    }
+    let busiest = system.runners.iter().max_by_key(|runner| runner.active()).unwrap();
+    record.add(format!("the traffic has ended; the busiest runner runs {}", busiest.active()));
+    if trouble {
+        busiest.crash(4_500);
+    }
+    sleep_ms(FINISH_S * 1_000);
+    let before = system.runs();
+    sleep_ms(3_000);
+    let runs = system.runs();
+    let waits = |number: &u64| {
+        let of_job = |run: &&Run| run.task.starts_with(&job_id(*number));
+        let active = |run: &Run| run.ended.is_none_or(|(_, how)| how == "done");
+        !before.iter().filter(of_job).any(active)
+            && runs.iter().filter(of_job).count() == before.iter().filter(of_job).count()
+    };
+    let waiting = (0..80).filter(waits).count();
+    let most = runs.len() - before.len();
+    record.add(format!("waiting: {waiting}, starts in the 3 s: {most}"));
+    Ok((waiting > 0).then(|| format!("LOST: {waiting} of 80 jobs have had nothing running for 3 s, {FINISH_S} s after the traffic")))
+}
