--- a/review/harness/src/runner.rs
+++ b/review/harness/src/runner.rs
@@ -80,7 +80,7 @@
     seq: u64,
     /// When the next announcement is due.
     beat_at: Option<Instant>,
-    /// Since when starts are answered with 503.
+    /// Whether starts are answered with 503.
     unhealthy: bool,
     channels: Vec<TcpStream>,
 }
@@ -101,8 +101,6 @@
     stopped: AtomicBool,
     /// Whether the path to the runner refuses channels.
     refusing: AtomicBool,
-    /// Whether it has crashed and not started again.
-    down: AtomicBool,
 }
 
 impl Runner {
@@ -117,7 +115,6 @@
             record,
             stopped: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
-            down: AtomicBool::new(false),
         });
         for run in [Runner::listen, Runner::tick, Runner::beat] {
             let runner = runner.clone();
@@ -149,7 +146,6 @@
     /// Crashes, and starts again under its id after `down_ms`.
     pub fn crash(self: &Arc<Runner>, down_ms: u64) {
         self.log("crashes");
-        self.down.store(true, Ordering::SeqCst);
         self.set_refusing(true);
         {
             let mut state = self.state.lock().unwrap();
@@ -166,7 +162,6 @@
             thread::sleep(Duration::from_millis(down_ms));
             *runner.start.lock().unwrap() = Instant::now();
             runner.born.store(unix_ms(), Ordering::SeqCst);
-            runner.down.store(false, Ordering::SeqCst);
             runner.set_refusing(false);
             runner.log("starts again");
         });
@@ -271,7 +266,8 @@
         let Settings { id, service, zone, app, labels, heartbeat_ms, .. } = &self.settings;
         let labels: Vec<String> = labels.iter().map(|label| format!("\"{label}\"")).collect();
         while !self.gone() {
-            if self.down.load(Ordering::SeqCst) {
+            // Reports get lost behind a cut, too.
+            if self.refusing.load(Ordering::SeqCst) {
                 thread::sleep(Duration::from_millis(2));
                 continue;
             }
@@ -298,7 +294,7 @@
                     http::request(self.settings.control, "PUT", &path, headers, &body, limit);
                 match answer {
                     Ok(answer) if answer.status() / 100 == 2 => break true,
-                    _ if self.gone() || self.down.load(Ordering::SeqCst) => break false,
+                    _ if self.gone() || self.refusing.load(Ordering::SeqCst) => break false,
                     _ => thread::sleep(Duration::from_millis(100)),
                 }
                 if self.until_beat().is_zero() {
--- a/review/harness/src/system.rs
+++ b/review/harness/src/system.rs
@@ -252,7 +252,8 @@
         let process = self.processes.iter().rev().find(|p| p.role == role && p.number == number);
         let Some(process) = process else { return };
         self.record.add(format!("platform: {signal} to {role:?} {number}"));
-        let _ = Command::new("kill").args([signal, &process.child.id().to_string()]).status();
+        let command = format!("kill {signal} {}", process.child.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
     /// Waits for the end of a process.
