Log introductions of instances outside the group

An instance that has no leader or is not listed as a member logs event=outside_group with since when, whom it asked and what each answered; one that is asked logs event=introduction with whether it leads and whom it takes for the leader; event=inside_group ends the wait. Both are bounded to one line per 5 s and instance. Answers to introductions say whether the answering instance leads.

Before, cluster_adopted was the last word of an instance outside, and nothing told an introduction that ended at a follower from one that the leader left pending.

--- a/src/control/replica/core.rs
+++ b/src/control/replica/core.rs
@@ -11,6 +11,7 @@
 
 use super::{
     Inner,
+    driver::Introduction,
     peers::IncomingSnapshot,
     storage::{Job, Storage},
 };
@@ -65,6 +66,7 @@
     /// When this instance next checks whether to send its id and addresses to the other instances,
     /// in ms since the replica started.
     pub hello_at: u64,
+    pub introduction: Introduction,
     /// Set while this instance may still form a cluster.
     pub formation: Option<Formation>,
     /// When the wait for other instances was last logged, in ms since the replica started.
@@ -103,6 +105,7 @@
             routes: BTreeMap::new(),
             incoming: BTreeMap::new(),
             hello_at: 0,
+            introduction: Introduction::default(),
             formation: None,
             formation_logged_at: 0,
             foreign_clusters: BTreeMap::new(),
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -3,6 +3,7 @@
 
 mod formation;
 mod group;
+mod introduction;
 
 use std::{
     cell::{Cell, RefCell},
@@ -42,6 +43,7 @@
     transport::rpc,
 };
 pub(super) use group::ChangeResult;
+pub(super) use introduction::Introduction;
 
 /// Entries kept in memory after a snapshot, so that followers that are slightly behind need no
 /// snapshot.
@@ -207,6 +209,7 @@
         self.guard("peer_hello", || {
             let mut core = self.core.borrow_mut();
             core.routes.insert(hello.id, hello.peer);
+            self.log_hello(&mut core, &hello);
             core.instance.hello(hello);
             core.instance.standing(self.origin.is_some())
         })
@@ -283,37 +286,6 @@
         self.continue_formation(&mut core, now);
     }
 
-    /// Sends an introduction to all known instances while this one has no leader, or is not listed
-    /// as a member with its current addresses. A leader introduces itself to itself, so that a
-    /// change of its own addresses is recorded.
-    fn introduce(&self, inner: &Rc<Inner>, core: &mut Core) {
-        let hello = Hello {
-            cluster: core.instance.cluster(),
-            id: core.instance.id(),
-            peer: self.peer_addr.get(),
-            client: self.client_addr.get(),
-        };
-        if core.instance.role() == Role::Leader {
-            return core.instance.hello(hello);
-        }
-        let listed = core
-            .instance
-            .members()
-            .iter()
-            .any(|m| m.id == hello.id && m.peer == hello.peer && m.client == hello.client);
-        if listed && core.instance.leader().is_some() {
-            return;
-        }
-        let member_addrs = core.instance.members().iter().map(|m| m.peer);
-        let mut addrs: Vec<SocketAddr> =
-            self.seeds().chain(member_addrs).chain(core.routes.values().copied()).collect();
-        addrs.sort_unstable();
-        addrs.dedup();
-        for addr in addrs.into_iter().filter(|addr| *addr != hello.peer) {
-            self.send_hello(inner, addr, hello);
-        }
-    }
-
     /// Handles a result of the storage thread.
     fn handle_result(&self, inner: &Inner, result: JobResult) {
         let now = self.now();
--- a/src/control/replica/driver/formation.rs
+++ b/src/control/replica/driver/formation.rs
@@ -46,6 +46,7 @@
 
     fn receive_standing(&self, addr: SocketAddr, asked_ms: u64, standing: &Standing) {
         let mut core = self.core.borrow_mut();
+        self.record_answer(&mut core, addr, standing);
         if let Some(own) = core.instance.cluster() {
             return log_foreign_cluster(&mut core, addr, own, standing);
         }
@@ -109,10 +110,11 @@
 }
 
 fn describe(addr: SocketAddr, standing: &Standing) -> String {
-    let Standing { id, cluster, first_start, voters, committed_voters, has_leader } = standing;
+    let Standing { id, cluster, first_start, voters, committed_voters, leads, has_leader } =
+        standing;
     format!(
         "peer={addr} node={} disk={} cluster={:016x} first_start={first_start} voter={} \
-         voters={} committed_voters={committed_voters} has_leader={has_leader}",
+         voters={} committed_voters={committed_voters} leads={leads} has_leader={has_leader}",
         id.node.0,
         id.disk.0,
         cluster.unwrap_or_default(),
--- /dev/null
+++ b/src/control/replica/driver/introduction.rs
@@ -0,0 +1,202 @@
+//! Introductions: of this instance to others while it is outside the group, and of others to it.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use indexmap::IndexMap;
+
+use super::{super::core::Core, Driver};
+use crate::{
+    coordination::consensus::Role,
+    protocol::wire::peer::{Hello, Id, Standing},
+};
+
+/// Shortest time between two log lines about the same wait, in ms.
+const LOG_INTERVAL_MS: u64 = 5_000;
+/// Time after which an instance without a leader, or not listed as a member, logs that it is outside
+/// the group, in ms. An election is over by then.
+const OUTSIDE_MIN_MS: u64 = 2_000;
+/// Number of asked instances that a log line lists.
+const LISTED_MAX: usize = 8;
+/// Number of other instances whose introductions are remembered for the log.
+const HEARD_MAX: usize = 64;
+
+/// The introductions that an instance has sent since it last was a member with a leader, and when it
+/// last logged those of others.
+#[derive(Debug, Default)]
+pub(in crate::control::replica) struct Introduction {
+    since_ms: Option<u64>,
+    logged_ms: u64,
+    /// The last answer of each instance that was asked.
+    answers: IndexMap<SocketAddr, Option<Answer>>,
+    heard: BTreeMap<Id, u64>,
+}
+
+/// What an instance said of its group.
+#[derive(Debug, Clone, Copy)]
+struct Answer {
+    cluster: Option<u64>,
+    leads: bool,
+    has_leader: bool,
+    voters: usize,
+    at_ms: u64,
+}
+
+impl Introduction {
+    /// Since when the instance has been outside the group, in ms since the replica started.
+    pub fn since_ms(&self) -> Option<u64> {
+        self.since_ms
+    }
+
+    fn begin(&mut self, now_ms: u64) {
+        self.since_ms.get_or_insert(now_ms);
+    }
+
+    /// Ends the wait. Returns how long it took, if that was logged before.
+    fn end(&mut self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.since_ms.take()?;
+        self.answers.clear();
+        (self.logged_ms > since_ms).then(|| now_ms.saturating_sub(since_ms))
+    }
+
+    fn asked(&mut self, addr: SocketAddr) {
+        self.answers.entry(addr).or_default();
+    }
+
+    fn answered(&mut self, now_ms: u64, addr: SocketAddr, standing: &Standing) {
+        let answer = Answer {
+            cluster: standing.cluster,
+            leads: standing.leads,
+            has_leader: standing.has_leader,
+            voters: standing.voters.len(),
+            at_ms: now_ms,
+        };
+        self.answers.insert(addr, Some(answer));
+    }
+
+    /// What to log of the wait now, if anything is due.
+    fn due_line(&mut self, now_ms: u64) -> Option<String> {
+        let outside_ms = now_ms.saturating_sub(self.since_ms?);
+        if outside_ms < OUTSIDE_MIN_MS || now_ms < self.logged_ms + LOG_INTERVAL_MS {
+            return None;
+        }
+        self.logged_ms = now_ms;
+        let answered = self.answers.values().flatten().count();
+        let led = self.answers.values().flatten().filter(|answer| answer.leads).count();
+        let listed: Vec<String> = self
+            .answers
+            .iter()
+            .take(LISTED_MAX)
+            .map(|(addr, answer)| format!("{addr}={}", describe(answer.as_ref(), now_ms)))
+            .collect();
+        Some(format!(
+            "outside_ms={outside_ms} asked={} answered={answered} leaders={led} answers={:?}",
+            self.answers.len(),
+            listed.join(" ")
+        ))
+    }
+
+    /// Whether an introduction of `id` is to be logged.
+    fn log_heard(&mut self, now_ms: u64, id: Id) -> bool {
+        let due = |logged: &u64| now_ms >= logged + LOG_INTERVAL_MS;
+        if !self.heard.get(&id).is_none_or(due) {
+            return false;
+        }
+        if self.heard.len() >= HEARD_MAX {
+            self.heard.retain(|_, logged| !due(logged));
+        }
+        self.heard.len() < HEARD_MAX && {
+            self.heard.insert(id, now_ms);
+            true
+        }
+    }
+}
+
+fn describe(answer: Option<&Answer>, now_ms: u64) -> String {
+    let Some(answer) = answer else { return "none".to_owned() };
+    let role = match answer {
+        Answer { cluster: None, .. } => "blank",
+        Answer { leads: true, .. } => "leader",
+        Answer { has_leader: true, .. } => "has_leader",
+        Answer { .. } => "no_leader",
+    };
+    let age_ms = now_ms.saturating_sub(answer.at_ms);
+    format!("{role},voters:{},age_ms:{age_ms}", answer.voters)
+}
+
+impl Driver {
+    /// Sends an introduction to all known instances while this one has no leader, or is not listed
+    /// as a member with its current addresses. A leader introduces itself to itself, so that a
+    /// change of its own addresses is recorded.
+    pub(super) fn introduce(&self, inner: &std::rc::Rc<super::Inner>, core: &mut Core) {
+        let now = self.now();
+        let hello = Hello {
+            cluster: core.instance.cluster(),
+            id: core.instance.id(),
+            peer: self.peer_addr.get(),
+            client: self.client_addr.get(),
+        };
+        let listed = core
+            .instance
+            .members()
+            .iter()
+            .any(|m| m.id == hello.id && m.peer == hello.peer && m.client == hello.client);
+        let leads = core.instance.role() == Role::Leader;
+        if leads || (listed && core.instance.leader().is_some()) {
+            if let Some(outside_ms) = core.introduction.end(now) {
+                let voter = core.instance.is_voter();
+                log::info!("event=inside_group outside_ms={outside_ms} voter={voter}");
+            }
+        } else {
+            core.introduction.begin(now);
+        }
+        if leads {
+            return core.instance.hello(hello);
+        }
+        if core.introduction.since_ms().is_none() {
+            return;
+        }
+        let member_addrs = core.instance.members().iter().map(|m| m.peer);
+        let mut addrs: Vec<SocketAddr> =
+            self.seeds().chain(member_addrs).chain(core.routes.values().copied()).collect();
+        addrs.sort_unstable();
+        addrs.dedup();
+        for addr in addrs.into_iter().filter(|addr| *addr != hello.peer) {
+            core.introduction.asked(addr);
+            self.send_hello(inner, addr, hello);
+        }
+        if let Some(line) = core.introduction.due_line(now) {
+            let (node, disk) = (hello.id.node.0, hello.id.disk.0);
+            let (role, term) = (core.instance.role(), core.instance.term());
+            let voters = core.instance.standing(false).voters;
+            log::warn!(
+                "event=outside_group node={node} disk={disk} listed={listed} role={role:?} \
+                 term={term} own_voters={} {line}",
+                voters.len()
+            );
+        }
+    }
+
+    /// Records the answer to an introduction of this instance.
+    pub(super) fn record_answer(&self, core: &mut Core, addr: SocketAddr, standing: &Standing) {
+        if core.introduction.since_ms().is_some() {
+            core.introduction.answered(self.now(), addr, standing);
+        }
+    }
+
+    /// Logs the introduction of another instance, at most once per [`LOG_INTERVAL_MS`].
+    pub(super) fn log_hello(&self, core: &mut Core, hello: &Hello) {
+        if !core.introduction.log_heard(self.now(), hello.id) {
+            return;
+        }
+        let leads = core.instance.role() == Role::Leader;
+        let member = core.instance.members().iter().any(|m| m.id == hello.id);
+        let leader = core.leader();
+        log::info!(
+            "event=introduction peer={} node={} disk={} member={member} leads={leads} \
+             leader={leader:?}",
+            hello.peer,
+            hello.id.node.0,
+            hello.id.disk.0
+        );
+    }
+}
--- a/src/protocol/wire/peer.rs
+++ b/src/protocol/wire/peer.rs
@@ -172,6 +172,8 @@
     pub voters: Vec<Id>,
     /// Number of voters by the latest membership entry that it knows to be committed.
     pub committed_voters: u64,
+    /// Whether it leads.
+    pub leads: bool,
     /// Whether it leads, or a leader sent a message within the shortest election timeout.
     pub has_leader: bool,
 }
--- a/tests/formation.rs
+++ b/tests/formation.rs
@@ -49,6 +49,7 @@
         first_start: true,
         voters: Vec::new(),
         committed_voters: 0,
+        leads: false,
         has_leader: false,
     }
 }
