Metrics of the group of control instances on the platform

Operators saw nothing of an instance that stays outside the group: the platform's control instance served /config only.

GET /metrics on the operators' interface now shows, as this instance knows them: whether it leads, whether it votes, its term, members, voters and learners; for how long it has been outside; at the leader the applicants, the unresponsive members and the age of the oldest applicant's first introduction; introductions heard by whether this instance led; changes of the members begun and refused. Gauges that only a leader knows are -1 elsewhere, so that 0 always means none.

--- a/src/control/jobs/members.rs
+++ b/src/control/jobs/members.rs
@@ -93,10 +93,12 @@
             return;
         };
         log::info!("event=voter_change change={change:?} voters={}", status.voters);
-        let replica = self.inner.replica.clone();
+        self.inner.meter.change_begun(&change);
+        let coordinator = self.clone();
         actix_rt::spawn(async move {
             let started_ms = util::boot_ms();
-            if let Err(refusal) = replica.change_members(change).await {
+            if let Err(refusal) = coordinator.inner.replica.change_members(change).await {
+                coordinator.inner.meter.change_refused(&change);
                 let took_ms = util::boot_ms() - started_ms;
                 log::warn!("event=voter_change_refused took_ms={took_ms} refusal={refusal:?}");
             }
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod batcher;
 mod call;
 mod members;
+mod meter;
 mod report;
 mod service;
 mod sidecar;
@@ -28,6 +29,7 @@
     supervisor, util,
 };
 use batcher::Batcher;
+use meter::Meter;
 pub use service::Handler;
 use sidecar::Sidecar;
 
@@ -82,6 +84,7 @@
     /// Whether the group has been formed. Calls and reports are refused before.
     formed: Cell<bool>,
     stopping: Cell<bool>,
+    meter: Meter,
 }
 
 /// State that an instance holds only while it leads.
@@ -155,6 +158,7 @@
             leader_known: Notify::new(),
             formed: Cell::new(false),
             stopping: Cell::new(false),
+            meter: Meter::new(),
         };
         Coordinator { inner: Rc::new(inner) }
     }
@@ -184,6 +188,11 @@
         self.inner.stopping.set(true);
     }
 
+    /// The metrics of the group in the Prometheus text format.
+    pub fn metrics(&self) -> Vec<u8> {
+        self.inner.meter.render(&self.inner.replica)
+    }
+
     /// Assumes or drops the leadership of the jobs when that of the group has changed.
     async fn follow_leadership(&self) {
         let term = self.inner.replica.leading();
--- a/src/control/replica/core.rs
+++ b/src/control/replica/core.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Inner,
-    driver::Introduction,
+    driver::{Heard, Introduction},
     peers::IncomingSnapshot,
     storage::{Job, Storage},
 };
@@ -67,6 +67,7 @@
     /// in ms since the replica started.
     pub hello_at: u64,
     pub introduction: Introduction,
+    pub heard: Heard,
     /// Set while this instance may still form a cluster.
     pub formation: Option<Formation>,
     /// When the wait for other instances was last logged, in ms since the replica started.
@@ -106,6 +107,7 @@
             incoming: BTreeMap::new(),
             hello_at: 0,
             introduction: Introduction::default(),
+            heard: Heard::default(),
             formation: None,
             formation_logged_at: 0,
             foreign_clusters: BTreeMap::new(),
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -3,6 +3,7 @@
 
 mod formation;
 mod group;
+mod heard;
 mod introduction;
 
 use std::{
@@ -43,6 +44,7 @@
     transport::rpc,
 };
 pub(super) use group::ChangeResult;
+pub(super) use heard::Heard;
 pub(super) use introduction::Introduction;
 
 /// Entries kept in memory after a snapshot, so that followers that are slightly behind need no
@@ -210,6 +212,8 @@
             let mut core = self.core.borrow_mut();
             core.routes.insert(hello.id, hello.peer);
             self.log_hello(&mut core, &hello);
+            let leads = core.instance.role() == Role::Leader;
+            core.heard.record(self.now(), hello.id, leads);
             core.instance.hello(hello);
             core.instance.standing(self.origin.is_some())
         })
--- a/src/control/replica/driver/group.rs
+++ b/src/control/replica/driver/group.rs
@@ -5,7 +5,7 @@
 
 use super::{
     super::{
-        GroupStatus, control_member,
+        GroupStatus, Introductions, control_member,
         core::{Core, Reply},
         role,
     },
@@ -111,11 +111,25 @@
         let members = instance.members();
         let unresponsive = members.iter().map(|m| m.id).filter(|id| !instance.is_responsive(id));
         let is_member = |hello: &Hello| members.iter().any(|m| m.id == hello.id);
+        let applicants: Vec<Hello> =
+            instance.applicants().filter(|h| !is_member(h)).copied().collect();
+        let ages = applicants.iter().filter_map(|hello| core.heard.age_ms(self.now(), &hello.id));
         GroupStatus {
             members: members.len(),
             voters: members.iter().filter(|m| m.voter).count(),
             unresponsive: unresponsive.collect(),
-            applicants: instance.applicants().filter(|h| !is_member(h)).copied().collect(),
+            oldest_applicant_ms: ages.max(),
+            applicants,
+        }
+    }
+
+    pub fn introductions(&self) -> Introductions {
+        let core = self.core.borrow();
+        let since_ms = core.introduction.since_ms();
+        Introductions {
+            outside_ms: since_ms.map(|since_ms| self.now().saturating_sub(since_ms)),
+            while_leading: core.heard.while_leading,
+            while_following: core.heard.while_following,
         }
     }
 
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -101,6 +101,20 @@
     pub unresponsive: Vec<Id>,
     /// Instances that have introduced themselves but are not members.
     pub applicants: Vec<Hello>,
+    /// Longest time since the first introduction of one of `applicants`, in ms.
+    pub oldest_applicant_ms: Option<u64>,
+}
+
+/// Introductions of an instance to others, and of others to it.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Introductions {
+    /// How long the instance has had no leader or has not been listed as a member, in ms; `None` if
+    /// it has one and is.
+    pub outside_ms: Option<u64>,
+    /// Number of introductions of others that it heard while it led.
+    pub while_leading: u64,
+    /// Number of introductions of others that it heard while it did not lead.
+    pub while_following: u64,
 }
 
 /// A replica of the state machine. Clones are cheap and refer to the same replica.
@@ -266,6 +280,10 @@
         self.inner.driver.as_ref().map_or_else(GroupStatus::default, Driver::group_status)
     }
 
+    pub fn introductions(&self) -> Introductions {
+        self.inner.driver.as_ref().map_or_else(Introductions::default, Driver::introductions)
+    }
+
     /// Transfers leadership to another voter before a planned stop. Returns once this instance does
     /// not lead, or when no other voter is available or none has taken over in time.
     pub async fn transfer_leadership(&self) {
