A control instance looks for the leader at its own members

An operator's call at a control instance had no answer (503 after the limit) once the settings had been read again and the seeds that they name were all replaced, although the instance was a voter of a serving group.

Cause: its client of the leader knew the seeds, and its own address as one more seed, which a reload dropped. Addresses of the members reach a client with the answer to a watch call, which a control instance never makes. So after a reload it knew nobody but its seeds.

The client of a control instance now also tries the addresses that its replica knows at that moment: its own and those of the members by its log.

--- a/src/control/replica/driver/group.rs
+++ b/src/control/replica/driver/group.rs
@@ -1,7 +1,7 @@
 //! The group of control instances as one replica sees it: its formation, changes of its members, who
 //! leads, and transfers of the leadership.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{iter, net::SocketAddr, time::Duration};
 
 use super::{
     super::{
@@ -102,6 +102,12 @@
         self.core.borrow().instance.cluster().map(id::Cluster)
     }
 
+    pub fn control_addrs(&self) -> Vec<SocketAddr> {
+        let core = self.core.borrow();
+        let members = core.instance.members().iter().map(|m| m.client);
+        iter::once(self.client_addr.get()).chain(members).collect()
+    }
+
     pub fn group_status(&self) -> GroupStatus {
         let core = self.core.borrow();
         let instance = &core.instance;
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -275,6 +275,12 @@
         }
     }
 
+    /// Addresses of the control services that this instance knows: its own, and those of the members
+    /// by its log.
+    pub fn control_addrs(&self) -> Vec<SocketAddr> {
+        self.inner.driver.as_ref().map_or_else(Vec::new, Driver::control_addrs)
+    }
+
     /// State of the cluster; empty unless this instance leads.
     pub fn group_status(&self) -> GroupStatus {
         self.inner.driver.as_ref().map_or_else(GroupStatus::default, Driver::group_status)
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -190,15 +190,13 @@
     }
 
     /// Waits before the next try: shortest if an instance is selected, longer if another one has to
-    /// be chosen, and longest about once per round of the known instances. That is approximate: the
-    /// count of choices starts at a random number, and the longer of the two address lists stands
-    /// for their union.
+    /// be chosen, and longest about once per round of the known instances. That is approximate, as the
+    /// count of choices starts at a random number.
     pub async fn pause(&self) {
         if self.inner.current.get().is_some() {
             return time::sleep(SELECTED_DELAY).await;
         }
-        let known_count =
-            self.inner.seeds.borrow().len().max(self.inner.control_addrs.borrow().len()).max(1);
+        let known_count = self.known().len().max(1);
         let round_complete = self.inner.choice_count.get().is_multiple_of(known_count);
         time::sleep(if round_complete { ROUND_DELAY } else { RETRY_DELAY }).await;
     }
@@ -276,15 +274,21 @@
         }
         let count = self.inner.choice_count.get() + 1;
         self.inner.choice_count.set(count);
-        let control_addrs = self.inner.control_addrs.borrow();
-        let seeds = self.inner.seeds.borrow();
-        let known: IndexSet<SocketAddr> =
-            control_addrs.iter().chain(seeds.iter()).copied().collect();
+        let known = self.known();
         let addr = known[count % known.len()];
         self.inner.current.set(Some(addr));
         addr
     }
 
+    /// Addresses of all instances that are known: by the own replica, by a leader's answer and by the
+    /// settings.
+    fn known(&self) -> IndexSet<SocketAddr> {
+        let own = self.inner.replica.iter().flat_map(Replica::control_addrs);
+        let control_addrs = self.inner.control_addrs.borrow();
+        let seeds = self.inner.seeds.borrow();
+        own.chain(control_addrs.iter().copied()).chain(seeds.iter().copied()).collect()
+    }
+
     fn link(&self, addr: SocketAddr) -> Rc<Link<ServiceClient>> {
         self.inner.links.borrow_mut().entry(addr).or_insert_with(|| Link::new(addr)).clone()
     }
