A member that does not lead refers callers to the members

Entries, sidecars and operators' calls never came to the leader if the only instance that they still knew did not lead, and knew no leader or one that they could not reach: the refusal named the leader or nothing. Addresses of the members came from a leader's answer only.

NotLeader now also carries the members, by the newest membership entry that the refusing instance knows to be committed, with the cluster and the index of the entry; leaders' answers carry the same. A client takes a list only if it is of the cluster that it follows and of a higher index than the one it holds. Committed entries are never replaced, so the index alone orders lists, whoever sends them, and a removed instance that still calls itself a voter cannot bring back an older list. A client that follows no cluster yet takes the first list of any cluster: it only tries the addresses, and each call still names the cluster, or none.

The list names committed members only, where leaders' answers named an uncommitted change as well: a new member is known to clients a few ms later.

Wire change: processes of two versions do not understand each other (docs/platform.md).

--- a/src/control/jobs/call.rs
+++ b/src/control/jobs/call.rs
@@ -70,7 +70,7 @@
         Ok(View {
             config: newer.cloned(),
             sidecars: (version != sidecars).then(|| (version, leadership.sidecar_list())),
-            control_addrs: self.control_addrs(),
+            members: self.inner.replica.members(),
         })
     }
 
@@ -78,14 +78,14 @@
     pub(super) async fn confirm_current(&self) -> Result<(), Refusal> {
         match self.inner.barrier.wait().await {
             Ok(_) => Ok(()),
-            Err(control::Refusal::NotLeader { leader }) => Err(Refusal::NotLeader { leader }),
+            Err(control::Refusal::NotLeader { leader }) => Err(self.led_by(leader)),
             Err(refusal) => Err(Refusal::NotReady { detail: format!("{refusal:?}") }),
         }
     }
 
     async fn propose(&self, change: Change) -> Result<Reply, Refusal> {
         self.inner.batcher.propose(change).await.map_err(|refusal| match refusal {
-            control::Refusal::NotLeader { leader } => Refusal::NotLeader { leader },
+            control::Refusal::NotLeader { leader } => self.led_by(leader),
             refusal => Refusal::Unknown { detail: format!("{refusal:?}") },
         })
     }
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -341,11 +341,6 @@
         }
     }
 
-    /// Addresses at which the control instances serve calls.
-    fn control_addrs(&self) -> Vec<SocketAddr> {
-        self.inner.replica.status().members.iter().map(|member| member.addr).collect()
-    }
-
     /// Returns once this instance can carry out calls or name the leader, or after
     /// [`LEADER_WAIT_MAX`]. Waiting here saves callers from repeating the call during an election, and
     /// while the group is being formed.
@@ -397,6 +392,12 @@
     }
 
     fn not_leader(&self) -> Refusal {
-        Refusal::NotLeader { leader: self.inner.replica.leader() }
+        self.led_by(self.inner.replica.leader())
+    }
+
+    /// The refusal of a call because another instance leads, at `leader` if that is known. It lists
+    /// the members, as the caller may know only instances that are gone, and may not reach the leader.
+    fn led_by(&self, leader: Option<SocketAddr>) -> Refusal {
+        Refusal::NotLeader { leader, members: self.inner.replica.members() }
     }
 }
--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -377,7 +377,7 @@
         let leadership = leadership.map_err(|_| self.not_leader())?;
         match now_ms <= leadership.confirmed_ms + CONFIRM_MAX_AGE_MS {
             true => Ok(leadership),
-            false => Err(Refusal::NotLeader { leader: None }),
+            false => Err(self.led_by(None)),
         }
     }
 
@@ -385,8 +385,8 @@
     /// or commands.
     fn offer(&self, generation: u64) -> Result<Commands, Refusal> {
         let term = self.confirmed(util::boot_ms())?.term;
-        let control_addrs = self.control_addrs();
-        Ok(Commands { term, generation, control_addrs, ..Commands::default() })
+        let members = self.inner.replica.members();
+        Ok(Commands { term, generation, members, ..Commands::default() })
     }
 
     /// The commands that are due for the sidecar that sent a report, with a new lease.
@@ -395,7 +395,7 @@
         let mut leadership = self.confirmed(now_ms)?;
         let leadership = &mut *leadership;
         let Report { sidecar: name, completions, crashes, .. } = report;
-        let control_addrs = self.control_addrs();
+        let members = self.inner.replica.members();
         let state = self.inner.replica.state();
         let counts = |attempt: &Attempt| {
             state.queues().job(attempt.task.job).is_some_and(|record| record.crash_counts(*attempt))
@@ -439,7 +439,7 @@
             completions_fenced,
             crashes_stored,
             batches: if sidecar.synced { sidecar.take_due(now_ms) } else { Vec::new() },
-            control_addrs,
+            members,
         })
     }
 }
--- a/src/control/replica/driver/group.rs
+++ b/src/control/replica/driver/group.rs
@@ -18,6 +18,7 @@
         wire::{
             control::{self, Refusal},
             peer::{Hello, Member},
+            queue::Members,
         },
     },
     state::machine,
@@ -108,6 +109,13 @@
         iter::once(self.client_addr.get()).chain(members).collect()
     }
 
+    pub fn members(&self) -> Option<Members> {
+        let core = self.core.borrow();
+        let cluster = id::Cluster(core.instance.cluster()?);
+        let (index, members) = core.instance.committed_members();
+        Some(Members { cluster, index, addrs: members.iter().map(|m| m.client).collect() })
+    }
+
     pub fn group_status(&self) -> GroupStatus {
         let core = self.core.borrow();
         let instance = &core.instance;
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -27,6 +27,7 @@
         wire::{
             control::{self, MemberChange, Refusal},
             peer::{Hello, Id, Member},
+            queue::Members,
         },
     },
     state::{
@@ -281,6 +282,12 @@
         self.inner.driver.as_ref().map_or_else(Vec::new, Driver::control_addrs)
     }
 
+    /// The members by the newest list that this instance knows to be committed; `None` before it
+    /// belongs to a cluster.
+    pub fn members(&self) -> Option<Members> {
+        self.inner.driver.as_ref()?.members()
+    }
+
     /// State of the cluster; empty unless this instance leads.
     pub fn group_status(&self) -> GroupStatus {
         self.inner.driver.as_ref().map_or_else(GroupStatus::default, Driver::group_status)
--- a/src/coordination/consensus/entries.rs
+++ b/src/coordination/consensus/entries.rs
@@ -93,8 +93,13 @@
 
     /// Members by the latest membership entry up to `index`.
     pub fn members_at(&self, index: u64) -> &[Member] {
+        &self.members_entry_at(index).1
+    }
+
+    /// The latest membership entry up to `index`, with its own index.
+    pub fn members_entry_at(&self, index: u64) -> &(u64, Vec<Member>) {
         let found = self.members.iter().rev().find(|(at, _)| *at <= index);
-        &found.unwrap_or(&self.members[0]).1
+        found.unwrap_or(&self.members[0])
     }
 
     /// Index and term of the last entry up to `index` whose term is at most `term`; the base if
--- a/src/coordination/consensus/mod.rs
+++ b/src/coordination/consensus/mod.rs
@@ -289,6 +289,12 @@
         self.log.members()
     }
 
+    /// Members by the latest membership entry that is known to be committed, and its index.
+    pub fn committed_members(&self) -> (u64, &[Member]) {
+        let (index, members) = self.log.members_entry_at(self.commit_index);
+        (*index, members)
+    }
+
     /// Metadata for a snapshot of the state after `index`; `None` if `index` is not in the log.
     pub fn meta(&self, index: u64) -> Option<SnapshotMeta> {
         let term = self.log.term(index)?;
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -20,7 +20,7 @@
     error::{Error, Result},
     protocol::{
         id,
-        wire::queue::{Answer, Call, Commands, Refusal, Report, ServiceClient},
+        wire::queue::{Answer, Call, Commands, Members, Refusal, Report, ServiceClient},
     },
     transport::rpc::{self, Link},
 };
@@ -58,8 +58,8 @@
 struct Inner {
     /// Configured addresses of control instances, which may be outdated.
     seeds: RefCell<Vec<SocketAddr>>,
-    /// Addresses of the control instances that a leader of the followed cluster has sent.
-    control_addrs: RefCell<Vec<SocketAddr>>,
+    /// The newest list of control instances that any process has sent.
+    members: RefCell<Option<Members>>,
     followed: Followed,
     /// The control instance that the client is part of, if it is part of one.
     replica: Option<Replica>,
@@ -91,7 +91,7 @@
     fn with_inner(seeds: Vec<SocketAddr>, replica: Option<Replica>) -> LeaderClient {
         let inner = Inner {
             seeds: RefCell::new(seeds),
-            control_addrs: RefCell::default(),
+            members: RefCell::default(),
             followed: Followed::default(),
             replica,
             links: RefCell::default(),
@@ -107,12 +107,29 @@
         *self.inner.seeds.borrow_mut() = seeds;
     }
 
-    /// Stores the addresses of the control instances that a leader sent.
-    pub fn set_control_addrs(&self, control_addrs: Vec<SocketAddr>) {
-        if !control_addrs.is_empty() && *self.inner.control_addrs.borrow() != control_addrs {
-            log::info!("event=members members={control_addrs:?}");
-            *self.inner.control_addrs.borrow_mut() = control_addrs;
+    /// Stores a list of control instances that another process sent, if it is newer than the one
+    /// known. A client that follows no cluster yet takes the first list, of any cluster: its addresses
+    /// are only tried.
+    pub fn learn(&self, members: &Members) {
+        let followed = self.cluster();
+        if members.addrs.is_empty() || followed.is_some_and(|cluster| cluster != members.cluster) {
+            return;
         }
+        let mut known = self.inner.members.borrow_mut();
+        let newer = known.as_ref().is_none_or(|known| match known.cluster == members.cluster {
+            true => known.index < members.index,
+            false => followed.is_some(),
+        });
+        if newer {
+            log::info!("event=members index={} members={:?}", members.index, members.addrs);
+            *known = Some(members.clone());
+        }
+    }
+
+    /// The newest list of the followed cluster's control instances that is known, to be passed on.
+    pub fn members(&self) -> Option<Members> {
+        let followed = self.cluster()?;
+        self.inner.members.borrow().clone().filter(|members| members.cluster == followed)
     }
 
     /// The cluster that the client follows; `None` until a leader has named one. It does not change,
@@ -122,7 +139,6 @@
         let own = self.inner.replica.as_ref().and_then(Replica::cluster);
         let Some(own) = own.filter(|own| followed != Some(*own)) else { return followed };
         self.inner.followed.set_own(own);
-        self.inner.control_addrs.borrow_mut().clear();
         self.inner.current.set(None);
         Some(own)
     }
@@ -149,7 +165,9 @@
                 .await;
             let detail = match answer {
                 Ok(Ok(Answer::View(view))) => {
-                    self.set_control_addrs(view.control_addrs.clone());
+                    if let Some(members) = &view.members {
+                        self.learn(members);
+                    }
                     return Ok(Answer::View(view));
                 }
                 Ok(Ok(answer)) => return Ok(answer),
@@ -235,7 +253,10 @@
                 return Ok(Err(Refusal::Unknown { detail }));
             }
             Ok(Ok(_)) => self.inner.last_answer.set(Some(Instant::now())),
-            Ok(Err(Refusal::NotLeader { leader })) => {
+            Ok(Err(Refusal::NotLeader { leader, members })) => {
+                if let Some(members) = members {
+                    self.learn(members);
+                }
                 self.switch_from(addr, leader.filter(|_| !superseded));
             }
             Ok(Err(Refusal::OtherCluster { cluster })) => {
@@ -280,13 +301,16 @@
         addr
     }
 
-    /// Addresses of all instances that are known: by the own replica, by a leader's answer and by the
+    /// Addresses of all instances that are known: by the own replica, by the newest list and by the
     /// settings.
     fn known(&self) -> IndexSet<SocketAddr> {
         let own = self.inner.replica.iter().flat_map(Replica::control_addrs);
-        let control_addrs = self.inner.control_addrs.borrow();
+        let followed = self.inner.followed.get();
+        let list = self.inner.members.borrow();
+        let list = list.iter().filter(|list| followed.is_none_or(|f| f == list.cluster));
+        let listed = list.flat_map(|list| &list.addrs);
         let seeds = self.inner.seeds.borrow();
-        own.chain(control_addrs.iter().copied()).chain(seeds.iter().copied()).collect()
+        own.chain(listed.copied()).chain(seeds.iter().copied()).collect()
     }
 
     fn link(&self, addr: SocketAddr) -> Rc<Link<ServiceClient>> {
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -30,7 +30,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The call was not carried out: another instance leads, at the given address if that is known.
-    NotLeader { leader: Option<SocketAddr> },
+    /// `members` is as in [`View`].
+    NotLeader { leader: Option<SocketAddr>, members: Option<Members> },
     /// The call was not carried out and will not be: it names another cluster than `cluster`, to
     /// which the instance belongs, or none. In the latter case the instance leads.
     OtherCluster { cluster: id::Cluster },
@@ -98,8 +99,20 @@
     pub config: Option<Arc<Config>>,
     /// Version of the list of sidecars, and the list.
     pub sidecars: Option<(u64, Vec<Sidecar>)>,
-    /// Addresses of the control instances.
-    pub control_addrs: Vec<SocketAddr>,
+    /// The control instances that the answering one knows.
+    pub members: Option<Members>,
+}
+
+/// The control instances of a cluster. Processes pass the newest list that they know on, so that one
+/// that knows only instances that are gone learns of the present ones from any other process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members {
+    pub cluster: id::Cluster,
+    /// Index of the committed log entry that the list is from. Of two lists of a cluster, the one with
+    /// the higher index is newer.
+    pub index: u64,
+    /// Where they serve calls.
+    pub addrs: Vec<SocketAddr>,
 }
 
 /// A sidecar and its backend server.
@@ -270,8 +283,8 @@
     /// Numbers of the report's crashes that are stored, or need not be. The sidecar may drop them.
     pub crashes_stored: Vec<u64>,
     pub batches: Vec<Batch>,
-    /// Addresses of the control instances.
-    pub control_addrs: Vec<SocketAddr>,
+    /// As in [`View`].
+    pub members: Option<Members>,
 }
 
 /// Numbered group of commands, which is sent again until a report says that it was handled.
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -277,7 +277,9 @@
                 if !self.inner.has_leader.replace(true) {
                     log::info!("event=leader_found term={}", commands.term);
                 }
-                self.inner.leader.set_control_addrs(commands.control_addrs.clone());
+                if let Some(members) = &commands.members {
+                    self.inner.leader.learn(members);
+                }
                 let fenced = self.inner.state.borrow().has_fencing_token();
                 let now_ms = util::boot_ms();
                 self.inner.state.borrow_mut().handle_commands(now_ms, sent_ms, &report, commands);
--- a/tests/clusters.rs
+++ b/tests/clusters.rs
@@ -26,7 +26,10 @@
         queue::{Attempt, Config, Id, Resources},
         wire::{
             control::MemberChange,
-            queue::{Answer, Backend, Call, Report, Server, ServerId, Service as _, Start},
+            queue::{
+                Answer, Backend, Call, Refusal, Report, Server, ServerId, Service as _,
+                ServiceClient, Start,
+            },
         },
     },
     sidecar::{self, jobs::PollResult},
@@ -245,6 +248,34 @@
     }
 }
 
+/// Guards against callers that know one member only, which knows no leader, and that never hear of the
+/// others.
+#[actix_rt::test]
+async fn a_member_without_a_leader_names_the_members() {
+    let first = Instance::cluster(config(5)).await;
+    let joining = Instance::blank(2, vec![first.replica.peer_addr().unwrap()]).await;
+    let addr = joining.replica.peer_addr().unwrap();
+    first.replica.change_members(MemberChange::Add { addr }).await.unwrap();
+    let mut addrs = [first.addr(), joining.addr()];
+    addrs.sort_unstable();
+    let cluster = first.replica.cluster();
+    let client: ServiceClient = rpc::connect(joining.addr()).await.unwrap();
+    let named = async || {
+        let answer = client.call(rpc::context(LIMIT), cluster, Call::ReadConfig).await.unwrap();
+        let Err(Refusal::NotLeader { leader, members }) = answer else { panic!("{answer:?}") };
+        let mut members = members.expect("it belongs to a cluster");
+        members.addrs.sort_unstable();
+        (leader, members)
+    };
+    until("it knows both members", async || named().await.1.addrs == addrs).await;
+    let (leader, members) = named().await;
+    assert_eq!((leader, Some(members.cluster)), (Some(first.addr()), cluster));
+    first.stop().await;
+    until("it knows no leader", async || named().await.0.is_none()).await;
+    assert_eq!(named().await, (None, members));
+    joining.stop().await;
+}
+
 /// Guards against a kept job that runs twice: the leader of another cluster, whose terms and
 /// generations are higher, registered a sidecar and commanded starts there.
 #[actix_rt::test]
--- a/tests/entry_jobs.rs
+++ b/tests/entry_jobs.rs
@@ -93,7 +93,7 @@
         }
         let Call::Watch { config, sidecars, wait_ms } = call else { return Ok(Answer::NoJob) };
         if self.deposed.get() {
-            return Err(Refusal::NotLeader { leader: None });
+            return Err(Refusal::NotLeader { leader: None, members: None });
         }
         if self.losing_waits.get() && wait_ms > 0 {
             future::pending::<()>().await;
@@ -114,7 +114,7 @@
         Ok(Answer::View(View {
             config: (newer.version > config).then_some(newer),
             sidecars: (sidecars != version).then_some((version, list)),
-            control_addrs: Vec::new(),
+            members: None,
         }))
     }
 
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -9,7 +9,7 @@
     leader::LeaderClient,
     protocol::{
         id,
-        wire::queue::{Answer, Call, Commands, Refusal, Report, Service, ServiceClient},
+        wire::queue::{Answer, Call, Commands, Members, Refusal, Report, Service, ServiceClient},
     },
     transport::rpc,
 };
@@ -35,6 +35,96 @@
     }
 }
 
+/// The cluster of [`Member`].
+const CLUSTER: id::Cluster = id::Cluster(1);
+const OTHER_CLUSTER: id::Cluster = id::Cluster(2);
+/// Time limit of calls that are answered.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// A member of a cluster that leads, or else knows no leader and refers to other members.
+#[derive(Clone)]
+struct Member {
+    referral: Option<Members>,
+}
+
+impl Service for Member {
+    async fn call(
+        self,
+        _: Context,
+        cluster: Option<id::Cluster>,
+        _: Call,
+    ) -> Result<Answer, Refusal> {
+        match self.referral {
+            Some(_) => Err(Refusal::NotLeader { leader: None, members: self.referral }),
+            None if cluster == Some(CLUSTER) => Ok(Answer::NoConfig),
+            None => Err(Refusal::OtherCluster { cluster: CLUSTER }),
+        }
+    }
+
+    async fn report(
+        self,
+        _: Context,
+        _: Option<id::Cluster>,
+        _: Report,
+    ) -> Result<Commands, Refusal> {
+        Ok(Commands::default())
+    }
+}
+
+async fn serve(referral: Option<Members>) -> rpc::Server {
+    rpc::serve(loopback(), Member { referral }.serve()).await.unwrap()
+}
+
+fn members(cluster: id::Cluster, index: u64, addrs: &[SocketAddr]) -> Members {
+    Members { cluster, index, addrs: addrs.to_vec() }
+}
+
+/// Guards against a client that never finds the leader, although an instance that it knows knows the
+/// members: every other address that the client had was replaced, and the one that is left knows no
+/// leader or one that the client cannot reach.
+#[test]
+fn a_client_follows_the_referral_of_a_member_that_does_not_lead() {
+    actix_rt::System::new().block_on(async {
+        let leading = serve(None).await;
+        let referral = members(CLUSTER, 7, &[leading.addr()]);
+        let following = serve(Some(referral.clone())).await;
+        let client = LeaderClient::new(vec![following.addr()]);
+        let answer = client.call(Call::ReadConfig, CALL_LIMIT).await;
+        assert!(matches!(answer, Ok(Answer::NoConfig)), "{answer:?}");
+        assert_eq!(client.members(), Some(referral));
+    });
+}
+
+/// Guards against a client that goes back to an older list, or takes that of another cluster, whose
+/// indexes say nothing of its own.
+#[test]
+fn a_client_keeps_the_newest_list_of_its_cluster() {
+    actix_rt::System::new().block_on(async {
+        let leading = serve(None).await;
+        let addrs = [leading.addr()];
+        let client = LeaderClient::new(addrs.to_vec());
+        // Before it follows a cluster, it tries any list but passes none on.
+        client.learn(&members(OTHER_CLUSTER, 9, &addrs));
+        assert_eq!(client.members(), None);
+        let answer = client.call(Call::ReadConfig, CALL_LIMIT).await;
+        assert!(matches!(answer, Ok(Answer::NoConfig)), "{answer:?}");
+        assert_eq!(client.members(), None);
+        let newest = members(CLUSTER, 5, &addrs);
+        client.learn(&newest);
+        for other in [
+            members(CLUSTER, 4, &[loopback()]),
+            members(OTHER_CLUSTER, 9, &[loopback()]),
+            members(CLUSTER, 6, &[]),
+        ] {
+            client.learn(&other);
+            assert_eq!(client.members().as_ref(), Some(&newest), "after {other:?}");
+        }
+        let newer = members(CLUSTER, 6, &[loopback()]);
+        client.learn(&newer);
+        assert_eq!(client.members(), Some(newer));
+    });
+}
+
 fn loopback() -> SocketAddr {
     "127.0.0.1:0".parse().unwrap()
 }
