--- a/src/leader.rs
+++ b/src/leader.rs
@@ -20,7 +20,7 @@
     error::{Error, Result},
     protocol::{
         id,
-        wire::queue::{Answer, Call, Commands, Refusal, Report, ServiceClient},
+        wire::queue::{Answer, Call, Commands, Members, Refusal, Report, ServiceClient},
     },
     transport::rpc::{self, Link},
 };
@@ -58,8 +58,8 @@
 struct Inner {
     /// Configured addresses of control instances, which may be outdated.
     seeds: RefCell<Vec<SocketAddr>>,
-    /// Addresses of the control instances that a leader of the followed cluster has sent.
-    control_addrs: RefCell<Vec<SocketAddr>>,
+    /// The newest list of control instances that any process has sent.
+    members: RefCell<Option<Members>>,
     followed: Followed,
     /// The control instance that the client is part of, if it is part of one.
     replica: Option<Replica>,
@@ -91,7 +91,7 @@
     fn with_inner(seeds: Vec<SocketAddr>, replica: Option<Replica>) -> LeaderClient {
         let inner = Inner {
             seeds: RefCell::new(seeds),
-            control_addrs: RefCell::default(),
+            members: RefCell::default(),
             followed: Followed::default(),
             replica,
             links: RefCell::default(),
@@ -107,12 +107,29 @@
         *self.inner.seeds.borrow_mut() = seeds;
     }
 
-    /// Stores the addresses of the control instances that a leader sent.
-    pub fn set_control_addrs(&self, control_addrs: Vec<SocketAddr>) {
-        if !control_addrs.is_empty() && *self.inner.control_addrs.borrow() != control_addrs {
-            log::info!("event=members members={control_addrs:?}");
-            *self.inner.control_addrs.borrow_mut() = control_addrs;
+    /// Stores a list of control instances that another process sent, if it is newer than the one
+    /// known. A client that follows no cluster yet takes the first list, of any cluster: its addresses
+    /// are only tried.
+    pub fn learn(&self, members: &Members) {
+        let followed = self.cluster();
+        if members.addrs.is_empty() || followed.is_some_and(|cluster| cluster != members.cluster) {
+            return;
         }
+        let mut known = self.inner.members.borrow_mut();
+        let newer = known.as_ref().is_none_or(|known| match known.cluster == members.cluster {
+            true => known.index < members.index,
+            false => followed.is_some(),
+        });
+        if newer {
+            log::info!("event=members index={} members={:?}", members.index, members.addrs);
+            *known = Some(members.clone());
+        }
+    }
+
+    /// The newest list of the followed cluster's control instances that is known, to be passed on.
+    pub fn members(&self) -> Option<Members> {
+        let followed = self.cluster()?;
+        self.inner.members.borrow().clone().filter(|members| members.cluster == followed)
     }
 
     /// The cluster that the client follows; `None` until a leader has named one. It does not change,
@@ -122,7 +139,6 @@
         let own = self.inner.replica.as_ref().and_then(Replica::cluster);
         let Some(own) = own.filter(|own| followed != Some(*own)) else { return followed };
         self.inner.followed.set_own(own);
-        self.inner.control_addrs.borrow_mut().clear();
         self.inner.current.set(None);
         Some(own)
     }
@@ -149,7 +165,9 @@
                 .await;
             let detail = match answer {
                 Ok(Ok(Answer::View(view))) => {
-                    self.set_control_addrs(view.control_addrs.clone());
+                    if let Some(members) = &view.members {
+                        self.learn(members);
+                    }
                     return Ok(Answer::View(view));
                 }
                 Ok(Ok(answer)) => return Ok(answer),
@@ -190,15 +208,13 @@
     }
 
     /// Waits before the next try: shortest if an instance is selected, longer if another one has to
-    /// be chosen, and longest about once per round of the known instances. That is approximate: the
-    /// count of choices starts at a random number, and the longer of the two address lists stands
-    /// for their union.
+    /// be chosen, and longest about once per round of the known instances. That is approximate, as the
+    /// count of choices starts at a random number.
     pub async fn pause(&self) {
         if self.inner.current.get().is_some() {
             return time::sleep(SELECTED_DELAY).await;
         }
-        let known_count =
-            self.inner.seeds.borrow().len().max(self.inner.control_addrs.borrow().len()).max(1);
+        let known_count = self.known().len().max(1);
         let round_complete = self.inner.choice_count.get().is_multiple_of(known_count);
         time::sleep(if round_complete { ROUND_DELAY } else { RETRY_DELAY }).await;
     }
@@ -237,7 +253,10 @@
                 return Ok(Err(Refusal::Unknown { detail }));
             }
             Ok(Ok(_)) => self.inner.last_answer.set(Some(Instant::now())),
-            Ok(Err(Refusal::NotLeader { leader })) => {
+            Ok(Err(Refusal::NotLeader { leader, members })) => {
+                if let Some(members) = members {
+                    self.learn(members);
+                }
                 self.switch_from(addr, leader.filter(|_| !superseded));
             }
             Ok(Err(Refusal::OtherCluster { cluster })) => {
@@ -276,15 +295,24 @@
         }
         let count = self.inner.choice_count.get() + 1;
         self.inner.choice_count.set(count);
-        let control_addrs = self.inner.control_addrs.borrow();
-        let seeds = self.inner.seeds.borrow();
-        let known: IndexSet<SocketAddr> =
-            control_addrs.iter().chain(seeds.iter()).copied().collect();
+        let known = self.known();
         let addr = known[count % known.len()];
         self.inner.current.set(Some(addr));
         addr
     }
 
+    /// Addresses of all instances that are known: by the own replica, by the newest list and by the
+    /// settings.
+    fn known(&self) -> IndexSet<SocketAddr> {
+        let own = self.inner.replica.iter().flat_map(Replica::control_addrs);
+        let followed = self.inner.followed.get();
+        let list = self.inner.members.borrow();
+        let list = list.iter().filter(|list| followed.is_none_or(|f| f == list.cluster));
+        let listed = list.flat_map(|list| &list.addrs);
+        let seeds = self.inner.seeds.borrow();
+        own.chain(listed.copied()).chain(seeds.iter().copied()).collect()
+    }
+
     fn link(&self, addr: SocketAddr) -> Rc<Link<ServiceClient>> {
         self.inner.links.borrow_mut().entry(addr).or_insert_with(|| Link::new(addr)).clone()
     }
