An instance that stops hands its vote to a learner

Cause: in a planned replacement the successor starts first and the old instance then gets SIGTERM. Nothing told the leader that this one stops for good or for long: the successor waited beside a complete group until the old instance had been silent for 600 ms and unresponsive for 1.5 s, and the group had four voters meanwhile.

Change: a stopping instance that does not lead (the leader transfers the leadership first) tells the leader that it leaves, and repeats that until it does not vote, or the leader has no learner, or 1 s is over. The leader removes a leaving voter at once if a learner has caught up, which then becomes a voter. The announcement counts for 500 ms, so that an instance that starts again is not taken for one that stops. Without a learner a restart takes no longer than before.

--- a/src/control/replica/driver/group.rs
+++ b/src/control/replica/driver/group.rs
@@ -134,6 +134,7 @@
             voter: m.voter,
             responsive: instance.is_responsive(&m.id),
             standby: instance.is_standby(&m.id),
+            leaving: instance.is_leaving(&m.id),
         };
         let applicants = instance.applicants().filter(|(hello, _)| !is_member(hello));
         Group {
--- a/src/control/replica/driver/introduction.rs
+++ b/src/control/replica/driver/introduction.rs
@@ -159,6 +159,7 @@
             id: core.instance.id(),
             peer: self.peer_addr.get(),
             client: self.client_addr.get(),
+            leaving: false,
         }
     }
 
@@ -173,6 +174,30 @@
         }
     }
 
+    /// Asks the leader to let a learner vote in place of this instance. Returns whether that may still
+    /// happen.
+    pub async fn request_replacement(&self) -> bool {
+        let (leader, hello) = {
+            let core = self.core.borrow();
+            let leader = core.instance.leader();
+            let leader = core.instance.members().iter().find(|m| Some(m.id) == leader).copied();
+            (leader, Hello { leaving: true, ..self.own_hello(&core) })
+        };
+        let Some(leader) = leader else { return true };
+        if leader.id == hello.id {
+            return false;
+        }
+        let Some(standing) = self.peers.ask(leader.peer, hello).await else { return true };
+        let votes = standing.voters.contains(&hello.id);
+        let learners = standing.members.len() > standing.voters.len();
+        log::info!(
+            "event=replacement_requested leader={} leads={} votes={votes} learners={learners}",
+            leader.peer,
+            standing.leads
+        );
+        !standing.leads || (votes && learners)
+    }
+
     /// Records the answer to an introduction of this instance.
     pub(super) fn record_answer(&self, core: &mut Core, addr: SocketAddr, standing: &Standing) {
         if core.introduction.since_ms().is_some() {
@@ -189,11 +214,12 @@
         let member = core.instance.members().iter().any(|m| m.id == hello.id);
         let leader = core.leader();
         log::info!(
-            "event=introduction peer={} node={} disk={} member={member} leads={leads} \
+            "event=introduction peer={} node={} disk={} leaving={} member={member} leads={leads} \
              leader={leader:?}",
             hello.peer,
             hello.id.node.0,
-            hello.id.disk.0
+            hello.id.disk.0,
+            hello.leaving
         );
     }
 }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -43,6 +43,8 @@
 /// Longest time that a call waits for a new cluster's first commit, or for a membership change to
 /// be accepted.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time that a stopping instance waits for a learner to vote in its place.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which a waiting call checks its condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -309,6 +311,20 @@
         }
     }
 
+    /// Asks the leader to let a learner vote in place of this instance, which is about to stop. Returns
+    /// once this one does not vote, or when no learner can replace it, or none has in time.
+    pub async fn leave(&self) {
+        let Some(driver) = &self.inner.driver else { return };
+        let replaced = async {
+            while driver.request_replacement().await {
+                time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        if time::timeout(LEAVE_TIMEOUT, replaced).await.is_err() {
+            log::warn!("event=not_replaced waited_ms={}", LEAVE_TIMEOUT.as_millis());
+        }
+    }
+
     pub fn introductions(&self) -> Introductions {
         self.inner.driver.as_ref().map_or_else(Introductions::default, Driver::introductions)
     }
--- a/src/control/replica/peers.rs
+++ b/src/control/replica/peers.rs
@@ -82,6 +82,18 @@
         });
     }
 
+    /// Sends an introduction and waits for the answer. Returns `None` if there is none.
+    pub async fn ask(&self, addr: SocketAddr, hello: Hello) -> Option<Standing> {
+        let call = async move |client: ServiceClient| {
+            client.hello(rpc::context(CALL_TIMEOUT), hello).await
+        };
+        let answer = self.peer(addr).call("peer_hello", call).await;
+        answer.unwrap_or_else(|e| {
+            log::info!("event=peer_call_failed {e}");
+            None
+        })
+    }
+
     fn spawn<T, F>(
         &self,
         addr: SocketAddr,
--- a/src/coordination/consensus/leader.rs
+++ b/src/coordination/consensus/leader.rs
@@ -64,6 +64,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.id);
         self.applicants.clear();
+        self.leaving.clear();
         self.progress.clear();
         self.heartbeat_at = self.now;
         // Entries of earlier terms can be committed only together with one of this term.
--- a/src/coordination/consensus/members.rs
+++ b/src/coordination/consensus/members.rs
@@ -7,6 +7,10 @@
 /// four intervals between introductions, of which some may be lost.
 const APPLICANT_MAX_AGE_MS: u64 = 1_500;
 
+/// Time for which the announcement of a member that it stops counts, in ms. It is repeated until the
+/// member stops, and one that starts again must not be taken for one that stops.
+const LEAVING_MAX_AGE_MS: u64 = 500;
+
 /// An instance that has introduced itself to this leader.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Applicant {
@@ -57,13 +61,21 @@
     }
 
     /// Handles the introduction of an instance that has no leader, or is not listed as a member
-    /// with its current addresses. Only a leader keeps it; a leader also introduces itself.
+    /// with its current addresses, or stops. Only a leader keeps it; a leader also introduces itself.
     pub fn hello(&mut self, hello: Hello) {
         let ours = hello.cluster.is_none() || hello.cluster == self.hard_state.cluster;
         let other_disk = hello.id.node == self.id.node && hello.id != self.id;
         if self.role != Role::Leader || !ours || other_disk {
             return;
         }
+        if hello.leaving {
+            self.applicants.remove(&hello.id.node.0);
+            if self.log.members().iter().any(|m| m.id == hello.id) {
+                self.leaving.insert(hello.id, self.now);
+            }
+            return;
+        }
+        self.leaving.remove(&hello.id);
         let now = self.now;
         let applicant = self.applicants.entry(hello.id.node.0);
         applicant
@@ -81,6 +93,11 @@
             .map(|applicant| (&applicant.hello, self.now - applicant.first_at))
     }
 
+    /// Whether a member has announced to this leader that it stops.
+    pub fn is_leaving(&self, id: &Id) -> bool {
+        self.leaving.get(id).is_some_and(|at| self.now <= at + LEAVING_MAX_AGE_MS)
+    }
+
     /// Whether another membership change may begin: this leader has committed an entry of its term,
     /// and the latest membership entry is committed.
     fn ready_for_member_change(&self) -> bool {
@@ -88,6 +105,7 @@
     }
 
     fn propose_members(&mut self, members: Vec<Member>) -> u64 {
+        self.leaving.retain(|id, _| members.iter().any(|m| m.id == *id));
         let index = self.append(Payload::Members(members));
         self.track_members();
         self.advance_commit();
@@ -129,7 +147,7 @@
     /// Whether a learner could vote at once.
     pub fn is_standby(&self, id: &Id) -> bool {
         let learner = self.log.members().iter().any(|m| m.id == *id && !m.voter);
-        learner && self.caught_up(id)
+        learner && self.caught_up(id) && !self.is_leaving(id)
     }
 
     /// Removes an unresponsive member that another member of its node replaces. A voter is removed
--- a/src/coordination/consensus/mod.rs
+++ b/src/coordination/consensus/mod.rs
@@ -175,6 +175,8 @@
     transfer: Option<(Id, u64)>,
     /// Instances that have introduced themselves to this leader, by node.
     applicants: BTreeMap<u64, Applicant>,
+    /// Members that have announced to this leader that they stop, and when they last did.
+    leaving: BTreeMap<Id, u64>,
     /// Number of voters from which on learners stay learners.
     max_voters: usize,
     output: Output,
@@ -221,6 +223,7 @@
             barriers: Vec::new(),
             transfer: None,
             applicants: BTreeMap::new(),
+            leaving: BTreeMap::new(),
             max_voters: usize::MAX,
             output: Output::default(),
             messages_after_save: Vec::new(),
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -31,6 +31,8 @@
     pub responsive: bool,
     /// Whether it is a learner that could vote at once.
     pub standby: bool,
+    /// Whether it has announced that it stops.
+    pub leaving: bool,
 }
 
 /// An instance that asks to be added.
@@ -101,23 +103,24 @@
 
     /// Removes a learner that is gone, so that it takes no place.
     fn learner_removal(&self, now_ms: u64, group: &Group) -> Option<Change> {
-        let gone = |m: &&Member| !m.voter && self.is_gone(now_ms, &m.id);
+        let gone = |m: &&Member| !m.voter && (m.leaving || self.is_gone(now_ms, &m.id));
         group.members.iter().find(gone).map(|member| Change::Remove(member.id))
     }
 
-    /// Removes a voter that is gone while a learner can vote in its place.
+    /// Removes a voter that stops or is gone while a learner can vote in its place.
     fn voter_removal(&self, now_ms: u64, wanted_voters: usize, group: &Group) -> Option<Change> {
         let standby = group.members.iter().any(|member| member.standby);
         if !standby || group.voters() < wanted_voters {
             return None;
         }
         let voter = |id: &Id| group.members.iter().find(|m| m.id == *id && m.voter);
+        let leaving = group.members.iter().find(|member| member.voter && member.leaving);
         let gone = self
             .unresponsive
             .iter()
             .filter(|(id, _)| self.is_gone(now_ms, id))
             .find_map(|(id, _)| voter(id));
-        gone.map(|member| Change::Remove(member.id))
+        leaving.or(gone).map(|member| Change::Remove(member.id))
     }
 
     fn is_gone(&self, now_ms: u64, id: &Id) -> bool {
--- a/src/protocol/wire/peer.rs
+++ b/src/protocol/wire/peer.rs
@@ -13,8 +13,8 @@
 pub trait Service {
     /// Delivers a consensus message. Replies are sent to the address `sender`.
     async fn step(sender: SocketAddr, message: Message);
-    /// Introduces an instance that has no leader, or whose addresses have changed. Returns what the
-    /// receiver knows of a cluster; `None` if its replica has ended.
+    /// Introduces an instance that has no leader, or whose addresses have changed, or that leaves its
+    /// cluster. Returns what the receiver knows of a cluster; `None` if its replica has ended.
     async fn hello(hello: Hello) -> Option<Standing>;
     /// Delivers a chunk of a snapshot. Returns whether the sender shall continue.
     async fn snapshot_chunk(chunk: SnapshotChunk) -> bool;
@@ -157,6 +157,8 @@
     pub id: Id,
     pub peer: SocketAddr,
     pub client: SocketAddr,
+    /// Whether the instance stops, so that a learner should vote in its place.
+    pub leaving: bool,
 }
 
 /// What an instance knows of the cluster that it belongs to.
--- a/tests/consensus/simulation.rs
+++ b/tests/consensus/simulation.rs
@@ -633,5 +633,5 @@
 }
 
 fn hello(id: Id, cluster: Option<u64>) -> Hello {
-    Hello { cluster, id, peer: addr(id), client: addr(id) }
+    Hello { cluster, id, peer: addr(id), client: addr(id), leaving: false }
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -360,6 +360,34 @@
     group.stop().await;
 }
 
+/// Guards against a group that lacks a voter for seconds after a planned stop, although a learner could
+/// vote at once, and against a stop that waits although nobody could.
+#[actix_rt::test]
+async fn a_planned_stop_hands_the_vote_to_a_learner() {
+    let mut group = Group::form().await;
+    group.wait_for_leader().await;
+    let stopping = group.followers()[0];
+    let begun = Instant::now();
+    group.get(stopping).unwrap().replica.leave().await;
+    assert!(begun.elapsed() < Duration::from_millis(500), "{:?}", begun.elapsed());
+    assert!(group.votes(stopping), "there is no learner");
+
+    let seeds = group.addrs();
+    let newcomer = group.start(&seeds).await;
+    let learns = |group: &Group| {
+        let seen = group.leader().map(|leader| leader.replica.group());
+        seen.is_some_and(|seen| seen.members.iter().any(|member| member.standby))
+    };
+    group.wait("the newcomer could vote", Instant::now() + LIMIT, learns).await;
+    assert!(!group.votes(newcomer));
+    group.get(stopping).unwrap().replica.leave().await;
+    group.kill(stopping).await;
+    let limit = Instant::now() + Duration::from_millis(500);
+    group.wait("the newcomer votes", limit, |group| group.votes(newcomer)).await;
+    group.check_stands(Instant::now()).await;
+    group.stop().await;
+}
+
 /// Lets `count` replacements die as soon as the leader knows them, then waits for one that lives and
 /// started with them.
 async fn join_beside_dead_replacements(count: usize) {
