Simulate replacements of control instances in series (two tests fail)

Drawn schedules now do, between crashes, losses of power of all, lost disks, frozen instances and cuts, with the leader's Monitor deciding on the members. A place counts as lost from the loss of its instance until 4 s after the start of the next one; five voters tolerate two, and no more are lost for good. Splits and crashes beyond that are drawn too, and restart the 4 s. The invariants are the simulation's: committed entries don't change, one leader a term, no stale read. In the end, 4 s after the last fault or start, the leader's voters are the five instances that are alive and a change commits.

The first drawn failure was a fault of the test: a third instance that crashed while two replacements were joining left no majority, and their 4 s ran on. They now start again in that time.

--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -29,6 +29,7 @@
     supervisor, util,
 };
 use batcher::Batcher;
+pub use members::Monitor;
 use meter::Meter;
 pub use service::Handler;
 use sidecar::Sidecar;
--- a/tests/consensus.rs
+++ b/tests/consensus.rs
@@ -1,5 +1,7 @@
 //! The consensus protocol under random and chosen schedules of faults.
 
+#[path = "consensus/replacement.rs"]
+mod replacement;
 #[path = "consensus/simulation.rs"]
 mod simulation;
 #[path = "consensus/single_instance.rs"]
--- /dev/null
+++ b/tests/consensus/replacement.rs
@@ -0,0 +1,472 @@
+//! Replacements of instances in series, in drawn schedules with other faults. The leader maintains the
+//! members. An instance asks only those that it can know.
+
+use std::collections::BTreeSet;
+
+use briargauge::{
+    control::{jobs::Monitor, replica::GroupStatus},
+    coordination::consensus::{Change, Instance, Refusal, Role},
+    protocol::wire::{
+        control::MemberChange,
+        peer::{Hello, Id},
+    },
+};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+use crate::simulation::{self, Simulation, TICK_MS};
+
+const VOTERS: usize = 5;
+/// Number of instances that may be lost at the same time.
+const LOSSES: usize = 2;
+/// Target: time after which an instance that has started, or can be reached again, counts as a member.
+const CATCH_UP_MS: u64 = 4_000;
+/// Time from the loss of an instance to the start of its replacement.
+const START_DELAY_MS: u64 = 1_000;
+/// Interval between two introductions.
+const HELLO_INTERVAL_MS: u64 = 300;
+/// Time for which a change of the members is tried again.
+const CHANGE_LIMIT_MS: u64 = 10_000;
+/// Number of drawn schedules.
+const SCHEDULES: u64 = 300;
+
+/// Which instances one asks that is outside the group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Seeds {
+    All,
+    /// Three that it was told at its start, of which two were not gone, the members that it knows, and
+    /// those that have sent it a message. The leader need not be among them.
+    Three,
+}
+
+/// A step of a schedule. Numbers of places are taken modulo the number of voters.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Run(u8),
+    /// An instance is gone for good. Another one takes its place later and asks seeds by the second
+    /// number.
+    Replace(u8, u8),
+    LoseDisk(u8),
+    Crash(u8, bool),
+    Restart(u8),
+    Freeze(u8),
+    Thaw(u8),
+    Cut(u8, u8),
+    Isolate(u8),
+    Heal,
+    /// All lose power. The bits say who has stored the unfinished save.
+    PowerLoss(u8),
+    Propose,
+    Transfer,
+    Compact(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let (a, b) = (u8::arbitrary(g), u8::arbitrary(g));
+        match u8::arbitrary(g) % 40 {
+            0..14 => Step::Run(a),
+            14..20 => Step::Replace(a, b),
+            20 => Step::LoseDisk(a),
+            21..23 => Step::Crash(a, b < 128),
+            23..25 => Step::Restart(a),
+            25 => Step::Freeze(a),
+            26 => Step::Thaw(a),
+            27..29 => Step::Cut(a, b),
+            29 => Step::Isolate(a),
+            30..33 => Step::Heal,
+            33..35 => Step::PowerLoss(a),
+            35..38 => Step::Propose,
+            38 => Step::Transfer,
+            _ => Step::Compact(a),
+        }
+    }
+}
+
+/// The machine that one of the voters runs on, and those that replace it.
+struct Place {
+    /// Position of the instance in the simulation.
+    at: usize,
+    /// When the replacement of the instance starts, and the number that its seeds follow from.
+    next: Option<(u64, u8)>,
+    /// Whether the instance is down, frozen or cut off.
+    faulty: bool,
+    /// From when on the instance counts as a member if nothing happens.
+    whole_at: u64,
+}
+
+struct Group {
+    sim: Simulation,
+    seeds: Seeds,
+    places: Vec<Place>,
+    /// The instances that each instance was told to ask.
+    known: Vec<BTreeSet<usize>>,
+    monitors: Vec<Option<(u64, Monitor)>>,
+    /// Changes that leaders try, each with its end.
+    changes: Vec<(usize, MemberChange, u64)>,
+}
+
+impl Group {
+    fn new(seed: u64, seeds: Seeds) -> Group {
+        let mut sim = Simulation::new(VOTERS, seed);
+        sim.introduces = false;
+        let place = |at| Place { at, next: None, faulty: false, whole_at: 0 };
+        let known = |at| (0..3).filter(|seed| *seed != at).collect();
+        let mut group = Group {
+            sim,
+            seeds,
+            places: (0..VOTERS).map(place).collect(),
+            known: (0..VOTERS).map(known).collect(),
+            monitors: (0..VOTERS).map(|_| None).collect(),
+            changes: Vec::new(),
+        };
+        group.run_until("a leader commits", 2_000, |group| group.commits());
+        group
+    }
+
+    /// Whether one more proposal is acknowledged within two ticks.
+    fn commits(&mut self) -> bool {
+        let before = self.sim.acknowledged;
+        let Some(leader) = self.sim.leader() else { return false };
+        self.sim.propose(leader);
+        self.tick();
+        self.tick();
+        self.sim.acknowledged > before
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end = self.sim.now + ms;
+        while self.sim.now < end {
+            self.tick();
+        }
+    }
+
+    fn run_until(&mut self, what: &str, ms: u64, mut condition: impl FnMut(&mut Group) -> bool) {
+        let end = self.sim.now + ms;
+        while !condition(self) {
+            assert!(self.sim.now < end, "not within {ms} ms: {what}\n{}", self.describe());
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        for place in 0..VOTERS {
+            if let Some((_, draw)) =
+                self.places[place].next.filter(|(start, _)| *start <= self.sim.now)
+            {
+                self.start(place, draw);
+            }
+        }
+        self.sim.run(TICK_MS);
+        // Nobody joins without a majority.
+        if (0..VOTERS).filter(|place| self.is_missing(*place)).count() > LOSSES {
+            self.restart_clocks();
+        }
+        for at in 0..self.sim.slots.len() {
+            // Instances introduce themselves at different times.
+            if (self.sim.now / TICK_MS + at as u64).is_multiple_of(HELLO_INTERVAL_MS / TICK_MS) {
+                self.introduce(at);
+            }
+            self.maintain_members(at);
+        }
+    }
+
+    /// Starts the replacement of the instance of a place.
+    fn start(&mut self, place: usize, draw: u8) {
+        let at = self.sim.add();
+        let mut seeds: Vec<usize> = self.places.iter().map(|place| place.at).collect();
+        seeds.retain(|seed| !self.sim.is_gone(*seed));
+        if self.seeds == Seeds::Three {
+            let first = draw as usize % seeds.len();
+            seeds.rotate_left(first);
+            seeds.truncate(2);
+            seeds.push(draw as usize / VOTERS % at);
+        }
+        self.known.push(seeds.into_iter().collect());
+        self.monitors.push(None);
+        let whole_at = self.sim.now + CATCH_UP_MS;
+        self.places[place] = Place { at, next: None, faulty: false, whole_at };
+    }
+
+    /// Sends an introduction while the instance has no leader or is not listed as a member.
+    fn introduce(&mut self, at: usize) {
+        let Some(instance) = self.sim.running(at) else { return };
+        let listed = instance.members().iter().any(|member| member.id == instance.id());
+        if instance.role() == Role::Leader || (listed && instance.leader().is_some()) {
+            return;
+        }
+        let hello = simulation::hello(instance.id(), instance.cluster());
+        let members = instance.members().iter().map(|member| member.id.node.0 as usize);
+        let mut asked: BTreeSet<usize> = members.collect();
+        asked.extend(self.sim.slots[at].heard.iter().chain(&self.known[at]));
+        if self.seeds == Seeds::All {
+            asked.extend(0..self.sim.slots.len());
+        }
+        asked.remove(&at);
+        for to in asked {
+            if self.sim.is_cut(at, to) {
+                continue;
+            }
+            if let Some(other) = self.sim.running(to) {
+                other.hello(hello);
+                self.sim.slots[to].heard.insert(at);
+            }
+        }
+    }
+
+    /// Lets a leader decide about its members and carry out what it has decided.
+    fn maintain_members(&mut self, at: usize) {
+        let now = self.sim.now;
+        let Some(instance) = self.sim.running(at).filter(|i| i.role() == Role::Leader) else {
+            self.monitors[at] = None;
+            self.changes.retain(|(leader, ..)| *leader != at);
+            return;
+        };
+        let term = instance.term();
+        if self.monitors[at].as_ref().is_none_or(|(known, _)| *known != term) {
+            self.monitors[at] = Some((term, Monitor::new(now)));
+        }
+        let Some((_, monitor)) = &mut self.monitors[at] else { return };
+        let due = monitor.next_change(now, VOTERS, &status(instance));
+        self.changes.extend(due.map(|change| (at, change, now + CHANGE_LIMIT_MS)));
+        let mut tried = Vec::new();
+        for (leader, change, end) in std::mem::take(&mut self.changes) {
+            if leader != at {
+                tried.push((leader, change, end));
+                continue;
+            }
+            let Some(instance) = self.sim.running(at) else { continue };
+            let change_of = match change {
+                MemberChange::Add { addr } => {
+                    instance.applicants().find(|hello| hello.peer == addr).copied().map(Change::Add)
+                }
+                MemberChange::Remove { node, disk } => Some(Change::Remove(Id { node, disk })),
+            };
+            let busy = match change_of.map(|change| instance.change(change)) {
+                Some(Err(Refusal::Busy(_))) | None => true,
+                Some(_) => false,
+            };
+            if busy && now < end {
+                tried.push((leader, change, end));
+            }
+            self.sim.process_output(at);
+        }
+        self.changes = tried;
+    }
+
+    /// Whether an instance is lost, or is not reachable, or was not [`CATCH_UP_MS`] ago.
+    fn is_missing(&self, place: usize) -> bool {
+        let place = &self.places[place];
+        place.faulty || place.next.is_some() || self.sim.now < place.whole_at
+    }
+
+    /// Whether an instance may be lost for good.
+    fn may_lose(&self, lost: usize) -> bool {
+        let others = (0..VOTERS).filter(|place| *place != lost);
+        others.filter(|place| self.is_missing(*place)).count() < LOSSES
+    }
+
+    /// Marks an instance as reachable, or not. Those that were not whole need their time again.
+    fn set_faulty(&mut self, place: usize, faulty: bool) {
+        if self.places[place].faulty || faulty {
+            self.places[place].whole_at = self.sim.now + CATCH_UP_MS;
+        }
+        self.places[place].faulty = faulty;
+        self.restart_clocks();
+    }
+
+    fn restart_clocks(&mut self) {
+        let now = self.sim.now;
+        for place in self.places.iter_mut().filter(|place| now < place.whole_at) {
+            place.whole_at = now + CATCH_UP_MS;
+        }
+    }
+
+    fn heal(&mut self) {
+        self.sim.heal();
+        for place in 0..VOTERS {
+            let down = self.sim.running(self.places[place].at).is_none();
+            self.set_faulty(place, down);
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        let place = |number: u8| number as usize % VOTERS;
+        match step {
+            Step::Run(time) => self.run(u64::from(time) * 12),
+            Step::Replace(lost, draw) => {
+                let lost = place(lost);
+                if self.places[lost].next.is_none() && self.may_lose(lost) {
+                    self.sim.remove(self.places[lost].at);
+                    self.places[lost].next = Some((self.sim.now + START_DELAY_MS, draw));
+                    self.restart_clocks();
+                }
+            }
+            Step::LoseDisk(lost) => {
+                let lost = place(lost);
+                if self.places[lost].next.is_none() && self.may_lose(lost) {
+                    self.sim.wipe(self.places[lost].at);
+                    self.sim.restart(self.places[lost].at);
+                    self.places[lost].faulty = true;
+                    self.set_faulty(lost, false);
+                }
+            }
+            Step::Crash(at, stored) => {
+                self.sim.crash(self.places[place(at)].at, stored);
+                self.set_faulty(place(at), true);
+            }
+            Step::Restart(at) => {
+                self.sim.restart(self.places[place(at)].at);
+                self.set_faulty(place(at), false);
+            }
+            Step::Freeze(at) => {
+                self.sim.freeze(self.places[place(at)].at, true);
+                self.set_faulty(place(at), true);
+            }
+            Step::Thaw(at) => {
+                self.sim.freeze(self.places[place(at)].at, false);
+                let down = self.sim.running(self.places[place(at)].at).is_none();
+                self.set_faulty(place(at), down);
+            }
+            Step::Cut(from, to) => {
+                self.sim.cut(self.places[place(from)].at, self.places[place(to)].at);
+                self.set_faulty(place(from), true);
+                self.set_faulty(place(to), true);
+            }
+            Step::Isolate(at) => {
+                self.sim.isolate(self.places[place(at)].at);
+                self.set_faulty(place(at), true);
+            }
+            Step::Heal => self.heal(),
+            Step::PowerLoss(stored) => {
+                for number in 0..VOTERS {
+                    let at = self.places[number].at;
+                    self.sim.crash(at, stored >> number & 1 == 1);
+                    self.sim.restart(at);
+                }
+                self.heal();
+            }
+            Step::Propose => {
+                if let Some(leader) = self.sim.leader() {
+                    self.sim.propose(leader);
+                }
+            }
+            Step::Transfer => {
+                if let Some(leader) = self.sim.leader() {
+                    self.sim.transfer(leader);
+                }
+            }
+            Step::Compact(at) => self.sim.compact(self.places[place(at)].at),
+        }
+    }
+
+    /// Ends all faults, and checks that five voters stand and a change commits in time.
+    fn check_recovery(&mut self) {
+        self.sim.end_faults();
+        let starts = self.places.iter().filter_map(|place| place.next.map(|(start, _)| start));
+        let started = starts.max().unwrap_or(self.sim.now).max(self.sim.now);
+        let left = started + CATCH_UP_MS - self.sim.now;
+        self.run_until("five voters stand and a change commits", left, |group| {
+            group.stands() && group.commits()
+        });
+    }
+
+    /// Whether the leader's voters are the instances at all places.
+    fn stands(&self) -> bool {
+        let Some(leader) = self.sim.leader() else { return false };
+        let voters = self.sim.members(leader).iter().filter(|member| member.voter);
+        let voters: BTreeSet<Id> = voters.map(|member| member.id).collect();
+        let places = self.places.iter();
+        let present = places.map(|place| self.sim.slots[place.at].disk.id).collect();
+        self.places.iter().all(|place| place.next.is_none()) && voters == present
+    }
+
+    fn describe(&self) -> String {
+        let places: Vec<usize> = self.places.iter().map(|place| place.at).collect();
+        format!("now={} places={places:?}\n{}", self.sim.now, self.sim.describe())
+    }
+}
+
+fn status(instance: &Instance) -> GroupStatus {
+    let members = instance.members();
+    let unresponsive = members.iter().map(|m| m.id).filter(|id| !instance.is_responsive(id));
+    let is_member = |hello: &Hello| members.iter().any(|m| m.id == hello.id);
+    GroupStatus {
+        members: members.len(),
+        voters: members.iter().filter(|m| m.voter).count(),
+        unresponsive: unresponsive.collect(),
+        applicants: instance.applicants().filter(|hello| !is_member(hello)).copied().collect(),
+        oldest_applicant_ms: None,
+    }
+}
+
+/// A fault schedule and the seed of the simulation that runs it.
+#[derive(Debug, Clone)]
+struct Schedule {
+    seed: u8,
+    steps: Vec<Step>,
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Schedule {
+        Schedule { seed: u8::arbitrary(g), steps: Vec::arbitrary(g) }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Schedule>> {
+        let seed = self.seed;
+        Box::new(self.steps.shrink().map(move |steps| Schedule { seed, steps }))
+    }
+}
+
+fn run_schedule(seeds: Seeds, schedule: &Schedule) {
+    let mut group = Group::new(schedule.seed.into(), seeds);
+    for step in &schedule.steps {
+        group.step(*step);
+    }
+    group.check_recovery();
+}
+
+fn check_random_schedules(property: fn(Schedule) -> bool, seed: u64) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, seed)).tests(SCHEDULES).quickcheck(property);
+}
+
+/// Guards against lost entries, two leaders in a term, and a group that is not whole again in time
+/// after replacements in series, if every instance outside asks all others.
+#[test]
+fn replacements_that_know_all_others_join() {
+    let property = |schedule| {
+        run_schedule(Seeds::All, &schedule);
+        true
+    };
+    check_random_schedules(property, 11);
+}
+
+/// Guards against the same failures if an instance outside asks only those
+/// that it can know, with three seeds, one of which may be gone.
+#[test]
+#[ignore = "known_red"]
+fn replacements_that_know_three_seeds_join() {
+    let property = |schedule| {
+        run_schedule(Seeds::Three, &schedule);
+        true
+    };
+    check_random_schedules(property, 12);
+}
+
+/// Guards against a replacement that stays outside because the only fault is that its seeds don't lead.
+#[test]
+#[ignore = "known_red"]
+fn replacements_in_series_whose_seeds_do_not_lead_join() {
+    for seed in 0..20 {
+        let mut group = Group::new(seed, Seeds::Three);
+        for number in 0..10 {
+            let leader = group.sim.leader();
+            let follows = |place: &Place| Some(place.at) != leader;
+            let lost = (0..VOTERS).filter(|at| follows(&group.places[*at])).nth(number % 4);
+            let lost = lost.expect("four follow") as u8;
+            group.step(Step::Replace(lost, seed as u8 + 10 * number as u8));
+            group.run(START_DELAY_MS);
+            group.run_until("the replacement joins", CATCH_UP_MS, |group| group.stands());
+        }
+        group.check_recovery();
+    }
+}
--- a/tests/consensus/simulation.rs
+++ b/tests/consensus/simulation.rs
@@ -18,7 +18,7 @@
 
 pub const CLUSTER: u64 = 77;
 /// Step of the simulated clock.
-const TICK_MS: u64 = 15;
+pub const TICK_MS: u64 = 15;
 
 /// A simulated data directory.
 #[derive(Clone)]
@@ -63,6 +63,10 @@
     pub disk: Disk,
     /// `None` while crashed.
     pub instance: Option<Instance>,
+    /// Whether the machine is gone for good.
+    gone: bool,
+    /// Instances that have sent this one a message since its start.
+    pub heard: BTreeSet<usize>,
     frozen: bool,
     /// Whether the disk refuses writes.
     full: bool,
@@ -79,9 +83,29 @@
     barriers: BTreeMap<u64, u64>,
 }
 
+impl Slot {
+    fn new(id: Id) -> Slot {
+        Slot {
+            disk: Disk::new(id),
+            instance: None,
+            gone: false,
+            heard: BTreeSet::new(),
+            frozen: false,
+            full: false,
+            failing: false,
+            saving: None,
+            applied: (0, 0),
+            proposals: BTreeSet::new(),
+            barriers: BTreeMap::new(),
+        }
+    }
+}
+
 /// A cluster of instances with its network, and the facts that the invariants are checked against.
 pub struct Simulation {
     pub now: u64,
+    /// Whether every instance without a leader introduces itself to all others.
+    pub introduces: bool,
     pub slots: Vec<Slot>,
     network: VecDeque<Message>,
     /// Directions, from one instance to another, in which messages are dropped.
@@ -104,20 +128,11 @@
 impl Simulation {
     /// Starts a cluster of `count` voters.
     pub fn new(count: usize, seed: u64) -> Simulation {
-        let slot = |node: usize| Slot {
-            disk: Disk::new(Id { node: id::Node(node as u64), disk: id::Disk(1 + node as u64) }),
-            instance: None,
-            frozen: false,
-            full: false,
-            failing: false,
-            saving: None,
-            applied: (0, 0),
-            proposals: BTreeSet::new(),
-            barriers: BTreeMap::new(),
-        };
+        let id = |node: usize| Id { node: id::Node(node as u64), disk: id::Disk(1 + node as u64) };
         let mut sim = Simulation {
             now: 0,
-            slots: (0..count).map(slot).collect(),
+            introduces: true,
+            slots: (0..count).map(|node| Slot::new(id(node))).collect(),
             network: VecDeque::new(),
             cuts: BTreeSet::new(),
             next: 1_000 + (seed << 32),
@@ -162,7 +177,7 @@
         let seed = self.next_number();
         let now = self.now;
         let slot = &mut self.slots[at];
-        if slot.instance.is_some() {
+        if slot.instance.is_some() || slot.gone {
             return;
         }
         let start = InitialState {
@@ -188,6 +203,7 @@
             slot.disk.store(&save);
         }
         slot.instance = None;
+        slot.heard.clear();
         slot.failing = false;
         slot.proposals.clear();
         slot.barriers.clear();
@@ -217,12 +233,38 @@
         if !member_lists.iter().all(survives) {
             return false;
         }
+        self.wipe(at);
+        self.restart(at);
+        true
+    }
+
+    /// Crashes an instance and replaces its data directory by an empty one.
+    pub fn wipe(&mut self, at: usize) {
+        let id = self.slots[at].disk.id;
         self.lost_ids.insert(id);
         self.crash(at, false);
         let disk = id::Disk(self.next_number());
         self.slots[at].disk = Disk::new(Id { node: id.node, disk });
+    }
+
+    /// Ends an instance and its machine for good.
+    pub fn remove(&mut self, at: usize) {
+        self.crash(at, false);
+        self.slots[at].gone = true;
+        self.lost_ids.insert(self.slots[at].disk.id);
+    }
+
+    pub fn is_gone(&self, at: usize) -> bool {
+        self.slots[at].gone
+    }
+
+    /// Starts an empty instance on another machine. Returns its position.
+    pub fn add(&mut self) -> usize {
+        let at = self.slots.len();
+        let disk = id::Disk(self.next_number());
+        self.slots.push(Slot::new(Id { node: id::Node(at as u64), disk }));
         self.restart(at);
-        true
+        at
     }
 
     /// Replaces the data directory of an instance by an older copy.
@@ -242,6 +284,10 @@
         self.cuts.insert((from, to));
     }
 
+    pub fn is_cut(&self, from: usize, to: usize) -> bool {
+        self.cuts.contains(&(from, to))
+    }
+
     pub fn isolate(&mut self, at: usize) {
         for other in 0..self.slots.len() {
             self.cuts.extend([(at, other), (other, at)]);
@@ -329,7 +375,7 @@
         instance.compact(index.saturating_sub(2));
     }
 
-    fn running(&mut self, at: usize) -> Option<&mut Instance> {
+    pub fn running(&mut self, at: usize) -> Option<&mut Instance> {
         let slot = &mut self.slots[at];
         slot.instance.as_mut().filter(|_| !slot.frozen && !slot.failing)
     }
@@ -405,8 +451,10 @@
         if self.slots[at].failing {
             return self.refuse(&message);
         }
+        let from = message.from.node.0 as usize;
         if let Some(instance) = self.running(at) {
             instance.step(now, message).expect("instances send no malformed messages");
+            self.slots[at].heard.insert(from);
             self.process_output(at);
         }
     }
@@ -442,7 +490,9 @@
                 }
                 (0..self.slots.len()).for_each(|at| self.sync(at));
             }
-            self.send_introductions();
+            if self.introduces {
+                self.send_introductions();
+            }
         }
     }
 
@@ -524,7 +574,7 @@
     }
 
     /// Carries out the actions that an instance returns and checks the invariants.
-    fn process_output(&mut self, at: usize) {
+    pub fn process_output(&mut self, at: usize) {
         let slot = &mut self.slots[at];
         let Some(instance) = slot.instance.as_mut().filter(|_| !slot.frozen) else { return };
         let output = instance.take_output();
@@ -624,7 +674,7 @@
     (digest ^ step).wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
 
-fn addr(id: Id) -> SocketAddr {
+pub fn addr(id: Id) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1 + id.node.0 as u16))
 }
 
@@ -632,6 +682,6 @@
     Member { id, peer: addr(id), client: addr(id), voter }
 }
 
-fn hello(id: Id, cluster: Option<u64>) -> Hello {
+pub fn hello(id: Id, cluster: Option<u64>) -> Hello {
     Hello { cluster, id, peer: addr(id), client: addr(id) }
 }
