Entries and sidecars tell each other of the control instances

An entry and a sidecar that were paused while all three control instances were replaced never found the new ones: in the test both were without a leader 5 s after they ran again, the sidecar took no work and the entry served by the old configuration. The same holds for a cut, and for a sidecar that starts again with settings that name only instances that are gone.

Cause: a process asked the addresses of the last leader's answer and those of its settings, and nobody else. Sidecars and entries that had stayed in touch knew the new members, and were connected to it.

Renewals of an entry's lease and their answers now carry the newest list of members that each side knows, from the opening of a connection on and at least every 0.9 s. The receiver takes it by the rule of LeaderClient::learn: only of the cluster that it follows, and only a newer one.

Not covered: an entry that starts with settings that name only instances that are gone. It knows nobody else, and waits for its settings.

--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -26,7 +26,10 @@
     protocol::{
         id,
         queue::{Attempt, Id},
-        wire::work::{self, Renewal, Reply, Revision, ServiceClient, Status},
+        wire::{
+            queue::Members,
+            work::{self, Renewal, Reply, Revision, ServiceClient, Status},
+        },
     },
     transport::rpc,
     util,
@@ -244,7 +247,7 @@
             connection.inner.addr.set(addr);
             let cluster = self.inner.leader.cluster();
             let Some((channel, terminated, status)) =
-                open(&connection.inner.name, addr, cluster).await
+                open(&connection.inner.name, addr, cluster, self.inner.leader.members()).await
             else {
                 time::sleep(RECONNECT_DELAY).await;
                 continue;
@@ -263,7 +266,10 @@
     }
 
     fn apply_status(&self, key: Key, status: Status) {
-        let Status { load, server, .. } = status;
+        let Status { load, server, members, .. } = status;
+        if let Some(members) = members {
+            self.inner.leader.learn(&members);
+        }
         if let Some(server) = server {
             log::info!("event=server_described server={} revision={:?}", server.id, load.revision);
             self.scheduler().describe_server(key, load.revision, server);
@@ -293,7 +299,8 @@
             skipped = 0;
             let revision = self.inner.scheduler.borrow().revision(key);
             let lease_until_ms = channel.extend_lease(self.inner.watermark.get());
-            let renewal = Renewal { entry: channel.entry, revision, lease_until_ms };
+            let members = self.inner.leader.members();
+            let renewal = Renewal { entry: channel.entry, revision, lease_until_ms, members };
             let cluster = self.inner.leader.cluster();
             match request_status(&channel.client, cluster, renewal).await {
                 Some((received_ms, status)) => {
@@ -312,6 +319,7 @@
     name: &str,
     addr: SocketAddr,
     cluster: Option<id::Cluster>,
+    members: Option<Members>,
 ) -> Option<(Channel, watch::Sender<bool>, Status)> {
     let client = match rpc::connect::<ServiceClient>(addr).await {
         Ok(client) => client,
@@ -321,7 +329,7 @@
         }
     };
     let entry = work::Entry(rand::random());
-    let renewal = Renewal { entry, revision: Revision::default(), lease_until_ms: 0 };
+    let renewal = Renewal { entry, revision: Revision::default(), lease_until_ms: 0, members };
     let (received_ms, status) = request_status(&client, cluster, renewal).await?;
     if status.sidecar.as_deref() != Some(name) {
         let other = status.sidecar.as_deref().unwrap_or("none");
@@ -387,7 +395,7 @@
 /// were started over it may be left, or `None` without an answer of the sidecar.
 async fn attempts_left(entry: work::Entry, process: &Process) -> Option<bool> {
     // Only the incarnation and what is left count here, which the sidecar says to every entry.
-    let (channel, _, status) = open(&process.name, process.addr, None).await?;
+    let (channel, _, status) = open(&process.name, process.addr, None, None).await?;
     if status.incarnation != process.incarnation {
         return Some(!status.clean);
     }
--- a/src/protocol/wire/work.rs
+++ b/src/protocol/wire/work.rs
@@ -7,7 +7,7 @@
     protocol::{
         id,
         queue::{Attempt, Id, Resources},
-        wire::queue::{Reason, Server, Start},
+        wire::queue::{Members, Reason, Server, Start},
     },
     transport::rpc,
 };
@@ -45,13 +45,15 @@
 }
 
 /// Renews an entry's lease.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
     pub entry: Entry,
     /// Version of the description that the entry has.
     pub revision: Revision,
     /// Expiry of the lease on the sidecar's clock; 0 while that clock is not known.
     pub lease_until_ms: u64,
+    /// The control instances that the entry knows. The sidecar may know only ones that are gone.
+    pub members: Option<Members>,
 }
 
 /// Status of a sidecar.
@@ -70,6 +72,8 @@
     pub load: Load,
     /// Description of the backend server, if the entry has another version of it.
     pub server: Option<Server>,
+    /// The control instances that the sidecar knows. The entry may know only ones that are gone.
+    pub members: Option<Members>,
 }
 
 /// Load of a backend server.
--- a/src/sidecar/jobs/service.rs
+++ b/src/sidecar/jobs/service.rs
@@ -48,6 +48,10 @@
 
 impl<B: Backend> Service for Handler<B> {
     async fn renew(self, _: Context, cluster: Option<id::Cluster>, renewal: Renewal) -> Status {
+        let leader = &self.sidecar.inner.leader;
+        if let Some(members) = &renewal.members {
+            leader.learn(members);
+        }
         let mut state = self.sidecar.inner.state.borrow_mut();
         let clock_ms = util::boot_ms();
         let server = state.server().filter(|_| renewal.revision != state.revision());
@@ -62,6 +66,7 @@
             clean: state.clean(),
             load: self.load_for(cluster, state.load()),
             server,
+            members: leader.members(),
         }
     }
 
--- a/tests/entry_jobs.rs
+++ b/tests/entry_jobs.rs
@@ -190,6 +190,7 @@
             clean: true,
             load: self.load(),
             server: (renewal.revision != REVISION).then(|| server(self.name)),
+            members: None,
         }
     }
 
--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -974,6 +974,7 @@
                     clean: state.clean(),
                     load: state.load(),
                     server: state.server().map(|(server, _)| server.clone()),
+                    members: None,
                 };
                 self.send_to_entry(entry, sidecar, Message::Status { channel, sent_ms, status });
             }
