--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -29,7 +29,6 @@
     supervisor, util,
 };
 use batcher::Batcher;
-pub use members::Monitor;
 use meter::Meter;
 pub use service::Handler;
 use sidecar::Sidecar;
