Tasks beyond the first 500 ends start again after a restart of the sidecar

Callers saw tasks of kept jobs run again after they had ended (TWICE): a server had more than 500 ends when the process of its sidecar was killed.

Cause: an answer to a poll holds 500 ends. The next process of the sidecar took an answer without foreign attempts for all there is to know, and reported an empty list of running attempts beside the first 500 ends. The leader dropped the attempts that were not in the list and started their tasks again. A stopped attempt and one at a lost server were taken for absent in the same way.

Ruled out: paging through the ends before they are reported. The server returns the next ones only once these are acknowledged, and an acknowledged end that no leader has stored would be lost. Fencing what is not listed: the ends behind the first page would not count.

Change: an answer that may leave out ends is marked as truncated, counted before odd rows are left out. Until a fenced answer that is not, the sidecar reports ends but no running attempts, takes no attempt for absent, and polls without a wait.

The leader drops an attempt only if a whole list omits it, and by then every end has been reported in the same or an earlier report.

--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -69,7 +69,11 @@
     /// Time of the reply on the server's clock.
     pub clock_ms: u64,
     pub running: Vec<Attempt>,
+    /// The first completions that are not acknowledged.
     pub completions: Vec<Completion>,
+    /// Whether the server may hold more completions than the answer has room for. Those of attempts
+    /// that are not in `running` may be among them.
+    pub truncated: bool,
 }
 
 /// Result of a request to start an attempt.
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -214,6 +214,9 @@
     gone_at_ms: Option<u64>,
     /// Whether a poll has listed no foreign attempt since the server became known or was last lost.
     pub found_clean: bool,
+    /// Whether, since then, such a poll has also returned all completions. Before, an attempt that does
+    /// not run may have ended with one that is not known here.
+    pub accounted: bool,
     /// Time from which polls carry the present fencing token. The list in the answer to an earlier
     /// one may be older than a start that is carried out late.
     fenced_from_ms: u64,
@@ -268,6 +271,7 @@
             lost: false,
             gone_at_ms: None,
             found_clean: false,
+            accounted: false,
             fenced_from_ms: now_ms,
             lost_at_ms: 0,
             start_called: false,
@@ -530,6 +534,7 @@
         self.lost = true;
         self.unaccounted = self.sent();
         self.found_clean = false;
+        self.accounted = false;
         self.reported_generation = 0;
         self.used = Resources::default();
         let assigned = std::mem::take(&mut self.assignments);
--- a/src/coordination/sidecar/leader.rs
+++ b/src/coordination/sidecar/leader.rs
@@ -54,7 +54,9 @@
             losses: self.losses,
             generation: self.generation,
             running: clean
-                .filter(|backend| backend.reported_generation != self.generation)
+                .filter(|backend| {
+                    backend.accounted && backend.reported_generation != self.generation
+                })
                 .map(BackendServer::of_leader),
             undecided: self.backend.as_ref().map_or_else(Vec::new, BackendServer::undecided),
             completions: clean
--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -55,7 +55,9 @@
 
     /// Whether a poll may ask the backend server to delay its answer until an attempt has ended.
     pub fn may_wait(&self) -> bool {
-        self.backend.as_ref().is_some_and(|backend| backend.found_clean && !backend.unresponsive())
+        self.backend.as_ref().is_some_and(|backend| {
+            backend.found_clean && backend.accounted && !backend.unresponsive()
+        })
     }
 
     /// Handles the backend server's answer to a poll that was sent at `sent_ms`. An answer that
@@ -77,7 +79,7 @@
             self.complete(now_ms, completion);
         }
         if age == Age::Newer {
-            self.compare_running(sent_ms, now_ms, &reply.running);
+            self.compare_running(sent_ms, now_ms, &reply.running, reply.truncated);
         }
         self.dispatch(now_ms);
     }
@@ -113,8 +115,9 @@
 
     /// Compares the attempts that run with those that are assigned. Stops running ones that are not
     /// assigned, and removes assigned ones that were stopped and do not run. The list of running
-    /// attempts answers a poll that was sent at `sent_ms`.
-    fn compare_running(&mut self, sent_ms: u64, now_ms: u64, running: &[Attempt]) {
+    /// attempts answers a poll that was sent at `sent_ms`. If that answer was `truncated`, it does not
+    /// show how the attempts ended that are not in the list.
+    fn compare_running(&mut self, sent_ms: u64, now_ms: u64, running: &[Attempt], truncated: bool) {
         let Some(backend) = &mut self.backend else { return };
         let mut foreign = 0;
         for attempt in running {
@@ -131,16 +134,20 @@
             }
         }
         let shows_clean = foreign == 0 && backend.is_fenced(sent_ms);
-        let absent_earlier = match shows_clean && !backend.found_clean {
+        if shows_clean && !backend.found_clean {
+            backend.found_clean = true;
+            self.actions.report_due = true;
+        }
+        let absent_earlier = match shows_clean && !truncated && !backend.accounted {
             true => {
-                backend.found_clean = true;
+                backend.accounted = true;
                 self.actions.report_due = true;
                 std::mem::take(&mut backend.inherited)
             }
             false => IndexMap::new(),
         };
         self.end_all(absent_earlier, Proof::List);
-        let Some(backend) = &mut self.backend else { return };
+        let Some(backend) = self.backend.as_mut().filter(|_| !truncated) else { return };
         let absent: Vec<Attempt> = backend.absent_after_stop(sent_ms, running);
         for attempt in absent {
             if let Some(assignment) =
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -171,7 +171,8 @@
     /// All attempts that the leader commanded and that run, or may be running. `None` once the
     /// leader has received them under this generation, while no backend server is present, and
     /// while attempts that are not assigned at the sidecar may still run, such as those that an
-    /// earlier process of the sidecar started.
+    /// earlier process of the sidecar started, or may have ended with completions that it has not
+    /// received yet.
     pub running: Option<Vec<Attempt>>,
     /// Attempts that the leader commanded and that may run or start at the backend server although it
     /// was lost or has started again: a call that it has not answered may be carried out late.
--- a/tests/clusters.rs
+++ b/tests/clusters.rs
@@ -172,6 +172,7 @@
             clock_ms: util::boot_ms(),
             running,
             completions: Vec::new(),
+            truncated: false,
         })
     }
 
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -66,6 +66,7 @@
         clock_ms: 5,
         running: running.to_vec(),
         completions: completions.iter().map(completion).collect(),
+        truncated: false,
     }
 }
 
@@ -1367,6 +1368,56 @@
     assert_eq!(sidecar.report(0).crashes, []);
 }
 
+/// Guards against tasks that start again after they have ended: the first answer that a new process of
+/// the sidecar reads has no room for all ends, and the others count as absent.
+#[test]
+fn a_truncated_list_does_not_show_which_attempts_have_ended() {
+    let mut sidecar = Sidecar::new("s".to_owned(), addr(), 1, LEASE_MS);
+    announce(&mut sidecar, 0, server(1, 1_000), 1);
+    let report = sidecar.report(0);
+    sidecar.handle_commands(0, 0, &report, commands(9));
+    let first = poll_reply(&[], &[(1, attempt(1, 1), queue::Outcome::Done)]);
+    sidecar.polled(1, 2, PollReply { truncated: true, ..first });
+    let report = sidecar.report(0);
+    assert_eq!((report.running, report.completions.len()), (None, 1));
+    assert!(!sidecar.may_wait(), "the next answer is wanted at once");
+    let second = poll_reply(&[], &[(2, attempt(2, 1), queue::Outcome::Done)]);
+    sidecar.polled(3, 4, PollReply { clock_ms: 6, ..second });
+    let report = sidecar.report(0);
+    assert_eq!((report.running, report.completions.len()), (Some(vec![]), 2));
+}
+
+/// Guards against the same for an attempt that was called for and stopped: its end may be one of those
+/// for which the answer has no room.
+#[test]
+fn a_truncated_list_does_not_show_that_a_stopped_attempt_never_ran() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    sidecar.start_answered(5, attempt(1, 1), StartResult::Unknown);
+    sidecar.stop_confirmed(10, attempt(1, 1));
+    sidecar.take_actions();
+    let truncated = PollReply { clock_ms: 13, truncated: true, ..poll_reply(&[], &[]) };
+    sidecar.polled(12, 13, truncated);
+    assert_eq!(sidecar.take_actions().replies, []);
+    let rest = poll_reply(&[], &[(1, attempt(1, 1), queue::Outcome::Done)]);
+    sidecar.polled(14, 15, PollReply { clock_ms: 15, ..rest });
+    let done = (Entry(7), attempt(1, 1), work::Outcome::Done, 15);
+    assert_eq!(sidecar.take_actions().replies, [done]);
+}
+
+/// Guards against the same for an attempt that may run at a server that was lost.
+#[test]
+fn a_truncated_list_does_not_show_that_an_attempt_on_a_lost_server_has_ended() {
+    let mut sidecar = sidecar_with_unanswered_start();
+    sidecar.take_actions();
+    let truncated = PollReply { clock_ms: 1_313, truncated: true, ..poll_reply(&[], &[]) };
+    sidecar.polled(1_312, 1_313, truncated);
+    assert_eq!(sidecar.take_actions().replies, []);
+    sidecar.polled(1_320, 1_321, PollReply { clock_ms: 1_321, ..poll_reply(&[], &[]) });
+    let stopped = (Entry(7), attempt(1, 1), work::Outcome::Stopped, 0);
+    assert_eq!(sidecar.take_actions().replies, [stopped]);
+}
+
 /// Guards against starts beyond a capacity that has shrunk: an attempt that is being stopped still
 /// uses its share.
 #[test]
--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -1201,6 +1201,7 @@
                     clock_ms: server_ms,
                     running: server.running.keys().copied().collect(),
                     completions: server.completions.iter().filter(listed).cloned().collect(),
+                    truncated: false,
                 };
                 Answer::Poll(Some(reply).filter(|_| server.id == known.server))
             }
