A job fails as its servers refused connections and had not crashed

Callers saw a kept job as failed, although no run of it had failed and no server had crashed (LOST): connections to the server under its only task were refused for 4 s, twice.

Cause: two refused connections after the end of the server's lease counted as a crash in the replicated record, and the second isolated one fails the job. The count stayed when the same incarnation answered again.

Ruled out: to report crashes only once they are confirmed, as the task would start beside others meanwhile and what was lost at the same time would be forgotten; a replicated record that takes a count back.

Change: a crash that refused connections suggest is reported as unconfirmed. The leader makes the task a suspect and stores nothing. Another incarnation confirms it, an answer of the same one takes it back. Whether it was isolated is judged by when it was first reported.

--- a/src/coordination/schedule/isolation.rs
+++ b/src/coordination/schedule/isolation.rs
@@ -6,10 +6,10 @@
 use super::{Key, Rank, RetryCause, Scheduler, Server, suspect};
 use crate::{
     protocol::{
-        queue::{Phase, Step, Task},
+        queue::{Attempt, Phase, Step, Task},
         wire::queue,
     },
-    state::machine::queue::{Crash, Queues},
+    state::machine::queue::{Crash, ISOLATED_CRASHES_MAX, Queues},
 };
 
 /// Number of declared run times by which a suspect yields to those that are due later: short ones
@@ -22,18 +22,25 @@
         self.suspects.up(sidecar);
     }
 
-    /// Handles a report that the server of a sidecar crashed. The tasks of its attempts start again
-    /// only after [`Scheduler::crash_stored`].
+    /// Handles a report that the server of a sidecar crashed, or may have. Once the crash is confirmed,
+    /// the tasks of its attempts start again only after [`Scheduler::crash_stored`]; before, they are
+    /// suspects.
     pub fn crashed(&mut self, now_ms: u64, sidecar: &str, crash: &queue::Crash, queues: &Queues) {
         let alone = crash.attempts.len() == 1 && crash.others == 0;
         for attempt in &crash.attempts {
             if !queues.job(attempt.task.job).is_some_and(|record| record.crash_counts(*attempt))
-                || !self.suspects.report(now_ms, *attempt, &crash.server, alone)
+                || !self.suspects.report(now_ms, sidecar, crash, *attempt, alone)
             {
                 continue;
             }
             self.suspects.lost(now_ms, crash.server.clone());
             self.remove_ready(attempt.task);
+            if !crash.confirmed {
+                self.set_apart_under(attempt.task, *attempt);
+                if self.may_retry(attempt.task, queues) {
+                    self.make_ready(attempt.task);
+                }
+            }
             let server = self.attempts.get(attempt).map(|placed| placed.server);
             if let Some(server) = server.and_then(|key| self.servers.get(key.0))
                 && server.apart()
@@ -43,6 +50,27 @@
         }
     }
 
+    /// Starts nothing more on servers that run attempts of a suspect, but for `crashed`. An earlier
+    /// leader may have started them.
+    fn set_apart_under(&mut self, suspect: Task, crashed: Attempt) {
+        let attempts: Vec<Attempt> = self.attempts_of(suspect).filter(|a| *a != crashed).collect();
+        for attempt in attempts {
+            let Some(placement) = self.attempts.get_mut(&attempt) else { continue };
+            let Some(server) = self.servers.get_mut(placement.server.0) else { continue };
+            server.remove_attempt(&attempt, &placement.needs);
+            placement.needs = server.info.capacity;
+            server.add_attempt(&attempt, &placement.needs);
+            server.set_apart(true);
+        }
+    }
+
+    /// Takes back what a report of a sidecar shows to have been no crash.
+    pub fn withdraw_crashes(&mut self, report: &queue::Report) {
+        for task in self.suspects.withdraw(&report.sidecar, &report.crashes) {
+            self.clear(task);
+        }
+    }
+
     /// Returns the reported crashes that are to be stored now.
     pub fn crashes_due(&mut self, now_ms: u64) -> Vec<Crash> {
         self.suspects.due(now_ms)
@@ -115,6 +143,11 @@
                     self.remove_ready(task);
                     continue;
                 };
+                let unconfirmed = self.suspects.unconfirmed(now_ms, task);
+                if unconfirmed > 0 && unconfirmed + crashes(task, queues) >= ISOLATED_CRASHES_MAX {
+                    // Whether the task has crashed as many servers as are allowed is about to show.
+                    continue;
+                }
                 let step = &record.job.steps[usize::from(task.step)];
                 let mut key = self.free_apart(now_ms, &service, step);
                 let may_take = taken < most || taken < most_idle && !others_wait;
--- a/src/coordination/schedule/suspect.rs
+++ b/src/coordination/schedule/suspect.rs
@@ -8,7 +8,7 @@
 use crate::{
     protocol::{
         queue::{Attempt, Id, Task},
-        wire::queue::ServerId,
+        wire::queue::{self as wire, ServerId},
     },
     state::machine::queue::Crash,
 };
@@ -36,23 +36,29 @@
     (most, servers.saturating_sub(spare).max(most))
 }
 
-/// A reported crash that is not stored yet. Its task does not start before it is.
+/// A reported crash that is not stored yet. Once it is confirmed, its task does not start before it is.
 #[derive(Debug)]
 struct Report {
+    /// The sidecar that reports it.
+    sidecar: String,
     server: ServerId,
     /// Whether nothing else ran at the server.
     alone: bool,
     reported_ms: u64,
-    /// When it is to be stored.
+    /// From when it may be stored.
     due_ms: u64,
+    /// Whether nothing but the attempt explains the crash; not known before `due_ms`.
+    isolated: Option<bool>,
+    /// Whether it is certain that the server has ended. It is not stored before.
+    confirmed: bool,
     storing: bool,
 }
 
 /// The suspects and the crashes that made them so.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    /// For each suspect, the crashed servers that no other task explains; `None` stands for crashes
-    /// that an earlier leader stored.
+    /// For each suspect, the servers that have crashed, or may have, and that no other task explains;
+    /// `None` stands for crashes that an earlier leader stored.
     tasks: BTreeMap<Task, IndexSet<Option<ServerId>>>,
     reports: BTreeMap<Attempt, Report>,
     /// Servers lost lately.
@@ -72,18 +78,28 @@
         self.tasks.contains_key(&task)
     }
 
-    /// Whether a reported crash under an attempt of the task is not stored yet.
+    /// Whether a confirmed crash under an attempt of the task is not stored yet.
     pub fn awaits_storage(&self, task: Task) -> bool {
-        self.reports.range(super::attempts_range(task)).next().is_some()
+        self.reports.range(super::attempts_range(task)).any(|(_, report)| report.confirmed)
     }
 
-    /// Whether a task of the job is a suspect, or a reported crash under one is not stored yet.
+    /// Number of crashes under attempts of the task that are not confirmed, without those that were
+    /// reported so long ago that nothing waits for what they are.
+    pub fn unconfirmed(&self, now_ms: u64, task: Task) -> usize {
+        let of_task = self.reports.range(super::attempts_range(task));
+        let waits =
+            |report: &Report| !report.confirmed && now_ms < report.reported_ms + DOWN_MAX_MS;
+        of_task.filter(|(_, report)| waits(report)).count()
+    }
+
+    /// Whether a task of the job is a suspect, or a confirmed crash under one is not stored yet.
     pub fn concerns(&self, job: Id) -> bool {
         let task = Task { job, step: 0, index: 0 };
         let suspect = self.tasks.range(task..).next().map(|(task, _)| task.job);
         let first = Attempt { task, number: 0 };
-        let reported = self.reports.range(first..).next().map(|(attempt, _)| attempt.task.job);
-        suspect == Some(job) || reported == Some(job)
+        let mut of_job =
+            self.reports.range(first..).take_while(|(attempt, _)| attempt.task.job == job);
+        suspect == Some(job) || of_job.any(|(_, report)| report.confirmed)
     }
 
     /// Records the loss of a server, for whatever reason.
@@ -110,30 +126,65 @@
         self.down.values().filter(|(name, _)| name == service).count()
     }
 
-    /// Records a reported crash. Returns false if that was done before. If it may decide that the
-    /// job fails, it is stored only once servers lost by a common cause have been reported too.
+    /// Records a report of a crash under an attempt, which was alone at the server or not. Returns
+    /// false if that was done before. Until the crash is confirmed, it only makes the task a suspect. If
+    /// it may decide that the job fails, it is stored only once servers lost by a common cause have
+    /// been reported too.
     pub fn report(
         &mut self,
         now_ms: u64,
+        sidecar: &str,
+        crash: &wire::Crash,
         attempt: Attempt,
-        server: &ServerId,
         alone: bool,
     ) -> bool {
-        if self.reports.contains_key(&attempt) {
-            return false;
+        if let Some(known) = self.reports.get_mut(&attempt) {
+            return crash.confirmed && !std::mem::replace(&mut known.confirmed, true);
         }
-        let wait_ms = if alone && self.contains(attempt.task) { COMMON_CAUSE_MS } else { 0 };
+        let decides = alone && self.contains(attempt.task) || !crash.confirmed;
         let report = Report {
-            server: server.clone(),
+            sidecar: sidecar.to_owned(),
+            server: crash.server.clone(),
             alone,
             reported_ms: now_ms,
-            due_ms: now_ms + wait_ms,
+            due_ms: now_ms + if decides { COMMON_CAUSE_MS } else { 0 },
+            isolated: None,
+            confirmed: crash.confirmed,
             storing: false,
         };
         self.reports.insert(attempt, report);
+        if !crash.confirmed {
+            self.tasks.entry(attempt.task).or_default().insert(Some(crash.server.clone()));
+        }
         true
     }
 
+    /// Takes back the crashes that are not confirmed and that a sidecar does not report any more: the
+    /// server has answered again, or the process of the sidecar that took it for gone has ended. Returns
+    /// the tasks that are no suspects any more.
+    pub fn withdraw(&mut self, sidecar: &str, reported: &[wire::Crash]) -> Vec<Task> {
+        let mut withdrawn = Vec::new();
+        self.reports.retain(|attempt, report| {
+            let kept = report.confirmed
+                || report.sidecar != sidecar
+                || reported.iter().any(|crash| crash.attempts.contains(attempt));
+            if !kept {
+                withdrawn.push((*attempt, report.server.clone()));
+            }
+            kept
+        });
+        let mut cleared = Vec::new();
+        for (attempt, server) in withdrawn {
+            log::info!("event=crash_withdrawn run={attempt} server={server}");
+            let Some(servers) = self.tasks.get_mut(&attempt.task) else { continue };
+            if servers.swap_remove(&Some(server)) && servers.is_empty() {
+                self.tasks.remove(&attempt.task);
+                cleared.push(attempt.task);
+            }
+        }
+        cleared
+    }
+
     /// Returns the crashes that are to be stored now.
     pub fn due(&mut self, now_ms: u64) -> Vec<Crash> {
         let mut due = Vec::new();
@@ -141,15 +192,18 @@
             if report.storing || report.due_ms > now_ms {
                 continue;
             }
-            report.storing = true;
             let near = |at_ms: u64| at_ms.abs_diff(report.reported_ms) <= COMMON_CAUSE_MS;
-            let others = self
-                .losses
-                .iter()
-                .filter(|(at_ms, server)| near(*at_ms) && *server != report.server)
-                .count();
-            let isolated = report.alone && others < COMMON_CAUSE_SERVERS;
-            due.push(Crash { attempt: *attempt, isolated });
+            let others = || {
+                let lost = self.losses.iter().filter(|(_, server)| *server != report.server);
+                lost.filter(|(at_ms, _)| near(*at_ms)).count()
+            };
+            let isolated =
+                report.isolated.unwrap_or_else(|| report.alone && others() < COMMON_CAUSE_SERVERS);
+            report.isolated = Some(isolated);
+            if report.confirmed {
+                report.storing = true;
+                due.push(Crash { attempt: *attempt, isolated });
+            }
         }
         due
     }
@@ -164,6 +218,7 @@
     /// Removes a task that is done or whose job has ended.
     pub fn remove(&mut self, task: Task) {
         self.tasks.remove(&task);
+        self.reports.retain(|attempt, report| attempt.task != task || report.confirmed);
     }
 
     /// Records that `task` has crashed servers, which explains these crashes. Returns the tasks that
--- a/src/coordination/sidecar/announce.rs
+++ b/src/coordination/sidecar/announce.rs
@@ -203,7 +203,10 @@
                 known.unaccounted = known.sent();
             }
         }
-        self.record_crash();
+        self.record_crash(true);
+        if let Some(known) = self.backend.as_ref().map(|known| known.server.id.clone()) {
+            self.confirm_crash(&known);
+        }
         let earlier = self.backend.take();
         let mut backend = BackendServer::new(now_ms, first, self.backend_lease_ms);
         for later in announcements {
--- a/src/coordination/sidecar/leader.rs
+++ b/src/coordination/sidecar/leader.rs
@@ -4,13 +4,14 @@
 use super::{BackendServer, Sidecar, Source};
 use crate::protocol::{
     queue::Attempt,
-    wire::queue::{Backend, Commands, Crash, Report, Server},
+    wire::queue::{Backend, Commands, Crash, Report, Server, ServerId},
 };
 
 impl Sidecar {
     /// Records, for the leader, a crash of the present incarnation of the backend server under the
-    /// attempts that were sent to it. A draining server is about to leave, and its end is no crash.
-    pub(super) fn record_crash(&mut self) {
+    /// attempts that were sent to it; `confirmed` if another one has answered. A draining server is
+    /// about to leave, and its end is no crash.
+    pub(super) fn record_crash(&mut self, confirmed: bool) {
         let Some(backend) = &mut self.backend else { return };
         let lost = std::mem::take(&mut backend.unaccounted);
         let attempts: Vec<Attempt> = lost
@@ -27,12 +28,29 @@
             server: backend.server.id.clone(),
             others: (lost.len() - attempts.len()) as u32,
             attempts,
+            confirmed,
         });
         self.actions.report_due = true;
     }
 
+    /// Records that the crash of `server` is certain, if one was recorded.
+    pub(super) fn confirm_crash(&mut self, server: &ServerId) {
+        for crash in self.crashes.iter_mut().filter(|crash| crash.server == *server) {
+            crash.confirmed = true;
+        }
+    }
+
+    /// Takes back the crash of `server`, which has answered again.
+    pub(super) fn withdraw_crash(&mut self, server: &ServerId) {
+        let withdrawn = |crash: &mut Crash| crash.server == *server && !crash.confirmed;
+        for crash in self.crashes.extract_if(.., withdrawn) {
+            log::info!("event=crash_withdrawn server={server} runs={}", crash.attempts.len());
+        }
+    }
+
     /// Builds a report to the leader, which may delay its answer by `wait_ms`. It lists no attempts
-    /// and no completions while foreign attempts may still run.
+    /// and no completions while foreign attempts may still run, and no attempts while some may have
+    /// ended with completions that are not known here.
     pub fn report(&mut self, wait_ms: u64) -> Report {
         self.reports += 1;
         let backend = self.backend.as_ref().filter(|backend| !backend.lost);
--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -72,7 +72,9 @@
         if age == Age::Newer && std::mem::take(&mut backend.lost) {
             // The server was cut off or stalled, and has not crashed.
             backend.unaccounted.clear();
-            log::info!("event=server_reachable server={}", backend.server.id);
+            let server = backend.server.id.clone();
+            log::info!("event=server_reachable server={server}");
+            self.withdraw_crash(&server);
             self.actions.report_due = true;
         }
         for completion in reply.completions {
@@ -174,7 +176,7 @@
 
     /// Handles a poll, sent at `sent_ms`, that the backend server did not answer; `refused` if
     /// nothing listens at its address. The server counts as lost once its lease has expired. If
-    /// connections are refused still, it has crashed under its attempts.
+    /// connections are refused still, it may have crashed under its attempts.
     pub fn poll_failed(&mut self, sent_ms: u64, now_ms: u64, refused: bool) {
         if !refused {
             self.fence_unanswered(sent_ms, now_ms);
@@ -191,7 +193,7 @@
             if backend.gone() {
                 let ended = std::mem::take(&mut backend.inherited);
                 let proof = backend.end_proof(Proof::Refusal);
-                self.record_crash();
+                self.record_crash(false);
                 self.end_all(ended, proof);
                 if proof == Proof::Leave
                     && let Some(backend) = self.backend.take()
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -208,7 +208,7 @@
     pub reason: Reason,
 }
 
-/// A crash of a backend server under attempts that the leader commanded.
+/// A crash of a backend server under attempts that the leader commanded, or what may be one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// Numbers the crashes that one process of the sidecar reports.
@@ -218,6 +218,9 @@
     pub attempts: Vec<Attempt>,
     /// Number of entries' attempts that had been sent to the server and had not ended.
     pub others: u32,
+    /// Whether another incarnation or server has answered since. Before, connections are refused, which a
+    /// path that is cut does as well; if the server answers again, the crash is not reported any more.
+    pub confirmed: bool,
 }
 
 /// Why an attempt did not start.
--- a/src/state/machine/queue.rs
+++ b/src/state/machine/queue.rs
@@ -9,7 +9,7 @@
 use crate::protocol::queue::{Attempt, Config, Id, Job, Outcome, Phase, Task};
 
 /// Number of crashes under attempts of a task at which its job fails if the last was isolated.
-const ISOLATED_CRASHES_MAX: usize = 2;
+pub const ISOLATED_CRASHES_MAX: usize = 2;
 /// Number of crashes under attempts of a task at which its job fails in any case.
 const CRASHES_MAX: usize = 4;
 
