A stopped entry ends connections without an answer

Callers saw a connection end without an answer 1,175 ms after their call, 325 ms before their deadline (LOST): the entry had been stopped 4.33 s before, had accepted the job and had started 12 of its 14 tasks.

Cause: a stopping entry judged by a job's longest chain whether it has the time, although only two of its tasks could run at a time. And when the time of the process was over, nothing answered what was left.

Ruled out: a longer wait, as SIGKILL follows; 503 for what is under way, as that says that nothing ran.

--- a/src/coordination/transient.rs
+++ b/src/coordination/transient.rs
@@ -222,6 +222,19 @@
         !self.jobs.is_empty()
     }
 
+    /// Returns the declared time of a job on the capacity that is free now, in ms: that of its longest
+    /// chain, and for each step that of its tasks in turn on the slots that are free. Where none is, one
+    /// counts, since attempts of others end.
+    pub fn declared_ms(&self, service: &str, job: &queue::Job) -> u64 {
+        let in_turn_ms = |step: &Step| {
+            let servers = self.servers.iter().filter(|(_, server)| server.serves(service, step));
+            let slots = servers
+                .fold(0, |slots: u64, (_, server)| slots.saturating_add(server.free_slots(step)));
+            u64::from(step.tasks) * u64::from(step.estimate_ms) / slots.max(1)
+        };
+        job.chain_ms() + job.steps.iter().map(in_turn_ms).sum::<u64>()
+    }
+
     /// Adds a job. If a job with this id was removed while attempts of it had not ended, their tasks
     /// become ready when they end.
     pub fn submit(&mut self, now_ms: u64, id: Id, queue: &Queue, job: queue::Job) {
--- a/src/coordination/transient/server.rs
+++ b/src/coordination/transient/server.rs
@@ -129,12 +129,17 @@
 
     /// Whether `task`, which belongs to `step`, may start here once there is free capacity.
     pub fn suits(&self, now_ms: u64, service: &str, task: Task, step: &Step) -> bool {
+        self.serves(service, step)
+            && self.pace.may_start(now_ms, self.own.len())
+            && step.max_per_server.is_none_or(|most| self.count(task) < usize::from(most))
+    }
+
+    /// Whether the server accepts start commands of the service and suits the step.
+    pub fn serves(&self, service: &str, step: &Step) -> bool {
         let server = &self.sidecar.server;
         self.is_open()
             && server.service == service
-            && self.pace.may_start(now_ms, self.own.len())
             && step.required_label.as_ref().is_none_or(|label| server.labels.contains(label))
-            && step.max_per_server.is_none_or(|most| self.count(task) < usize::from(most))
     }
 
     /// Number of this entry's attempts of the task's step here.
@@ -164,6 +169,14 @@
         limit.fits(&used)
     }
 
+    /// Number of tasks of `step` for which there is free capacity here.
+    pub fn free_slots(&self, step: &Step) -> u64 {
+        let mut free = self.sidecar.server.capacity;
+        free.sub(&self.used());
+        let slots = free.count(&step.needs);
+        step.max_per_server.map_or(slots, |most| slots.min(most.into()))
+    }
+
     /// Returns the expected run time of a task of `step` here, divided by the declared one.
     fn slowdown(&self, step: &Step) -> f64 {
         let rack_factor = pace::rack_factor(step, &self.sidecar.server.labels);
--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -27,7 +27,7 @@
 /// each to read its end, to shut it down and to drop its requests.
 const CLOSE_TURNS: u32 = 3;
 /// A stopping entry accepts a job only if the time left exceeds this multiple of the job's declared
-/// time plus [`STOP_TIME_SLACK`].
+/// time on the free capacity, plus [`STOP_TIME_SLACK`].
 const STOP_TIME_FACTOR: u64 = 2;
 /// Time added to the multiple of a job's declared time.
 const STOP_TIME_SLACK: Duration = Duration::from_millis(700);
@@ -94,7 +94,7 @@
         let Some(config) = self.config_for(host, path).await else { return Ended::NotReady };
         let Some((queue, rest)) = config.route(host, path) else { return Ended::NoQueue };
         let Some(id) = Id::parse(rest) else { return Ended::NoJob };
-        if !self.has_time_for(&job) {
+        if !self.has_time_for(&queue.service, &job) {
             log::info!("event=refused job={id} reason=stopping chain_ms={}", job.chain_ms());
             return Ended::NotReady;
         }
@@ -142,11 +142,13 @@
         }
     }
 
-    /// Whether a job can be expected to end before this entry stops.
-    fn has_time_for(&self, job: &Job) -> bool {
-        let Some(stops_at) = self.inner.stops_at.get() else { return true };
+    /// Whether a job of a service can be expected to end before this entry stops.
+    fn has_time_for(&self, service: &str, job: &Job) -> bool {
+        let Some(stops_at) = *self.inner.stops_at.borrow() else { return true };
         let time_left = stops_at.saturating_duration_since(Instant::now());
-        Duration::from_millis(job.chain_ms() * STOP_TIME_FACTOR) + STOP_TIME_SLACK < time_left
+        let declared_ms = self.scheduler().declared_ms(service, job);
+        Duration::from_millis(declared_ms.saturating_mul(STOP_TIME_FACTOR)) + STOP_TIME_SLACK
+            < time_left
     }
 
     /// Cancels a job. A transient job of another entry is cancelled through the sidecars, a durable
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -15,7 +15,7 @@
 
 use indexmap::IndexMap;
 use tokio::{
-    sync::{Mutex, oneshot},
+    sync::{Mutex, oneshot, watch},
     time,
 };
 
@@ -35,6 +35,8 @@
 use connection::Connection;
 use meter::Meter;
 
+/// Time before the end of the process that is reserved for the last answers to reach their callers.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Interval at which queued tasks are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -58,7 +60,7 @@
     /// Callers that wait for the outcome of a job.
     waiters: RefCell<IndexMap<Id, Vec<oneshot::Sender<JobOutcome>>>>,
     /// When the process ends; `None` unless it is stopping.
-    stops_at: Cell<Option<Instant>>,
+    stops_at: watch::Sender<Option<Instant>>,
     meter: Meter,
 }
 
@@ -75,7 +77,7 @@
             config_checking: Mutex::default(),
             sidecar_list_version: Cell::new(0),
             waiters: RefCell::default(),
-            stops_at: Cell::new(None),
+            stops_at: watch::Sender::new(None),
             meter: Meter::new(),
         };
         let entry = Entry { inner: Rc::new(inner) };
@@ -87,13 +89,25 @@
     /// Whether callers should send calls to this entry.
     pub fn ready(&self) -> bool {
         let configured = self.inner.config.borrow().is_some();
-        configured && self.inner.stops_at.get().is_none()
+        configured && self.inner.stops_at.borrow().is_none()
     }
 
     /// Marks the entry as stopping: callers should use another one. The process ends after
     /// `time_left`.
     pub fn close(&self, time_left: Duration) {
-        self.inner.stops_at.set(Some(Instant::now() + time_left));
+        self.inner.stops_at.send_replace(Some(Instant::now() + time_left));
+    }
+
+    /// Returns when what has no answer yet has to get one, as the process is about to end.
+    pub async fn wait_for_end(&self) {
+        let mut stops_at = self.inner.stops_at.subscribe();
+        // The sender lives as long as this entry.
+        if let Ok(stops_at) = stops_at.wait_for(Option::is_some).await.map(|at| *at)
+            && let Some(stops_at) = stops_at
+        {
+            let answer_at = stops_at.checked_sub(ANSWER_TIME).unwrap_or(stops_at);
+            time::sleep_until(answer_at.into()).await;
+        }
     }
 
     /// The metrics in the Prometheus text format.
--- a/src/protocol/queue.rs
+++ b/src/protocol/queue.rs
@@ -157,6 +157,14 @@
             && needs.accelerators <= self.accelerators
     }
 
+    /// Returns how many times these resources cover `needs`.
+    pub fn count(&self, needs: &Resources) -> u64 {
+        let times = |of: u64, need: u64| of.checked_div(need).unwrap_or(u64::MAX);
+        times(self.cpu_milli, needs.cpu_milli)
+            .min(times(self.memory_mb, needs.memory_mb))
+            .min(times(self.accelerators, needs.accelerators))
+    }
+
     /// Adds `other`; no resource exceeds the largest number.
     pub fn add(&mut self, other: &Resources) {
         self.cpu_milli = self.cpu_milli.saturating_add(other.cpu_milli);
--- a/tests/transient.rs
+++ b/tests/transient.rs
@@ -90,6 +90,27 @@
     commands.iter().map(|command| (command.start.attempt.task.job.0, command.server)).collect()
 }
 
+/// Guards against a job that a stopping entry accepts although its tasks have to run in turn: only its
+/// longest chain was counted.
+#[test]
+fn the_declared_time_counts_the_tasks_for_which_no_capacity_is_free() {
+    let (mut scheduler, keys) = scheduler(&[("a", 2), ("b", 2)]);
+    let declared_ms =
+        |scheduler: &Scheduler, job: &Job| scheduler.declared_ms(&queue().service, job);
+    assert_eq!(declared_ms(&scheduler, &job(1, 200)), 250);
+    assert_eq!(declared_ms(&scheduler, &job(14, 200)), 900);
+    let used = Resources { cpu_milli: 2_000, memory_mb: 2, accelerators: 0 };
+    scheduler.update_load(0, keys[0], &Load { used, ..OPEN });
+    assert_eq!(declared_ms(&scheduler, &job(14, 200)), 1_600);
+    scheduler.update_load(0, keys[1], &Load { used, ..OPEN });
+    assert_eq!(declared_ms(&scheduler, &job(14, 200)), 3_000, "one after the other");
+    let mut alone = job(14, 200);
+    alone.steps[0].max_per_server = Some(1);
+    scheduler.update_load(0, keys[0], &OPEN);
+    scheduler.update_load(0, keys[1], &OPEN);
+    assert_eq!(declared_ms(&scheduler, &alone), 1_600);
+}
+
 /// Pattern: a burst. Guards against starting jobs in the order of their arrival: short jobs would
 /// be late because they wait behind long ones that have time left.
 #[test]
