--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -184,7 +184,8 @@
     /// All attempts that the leader commanded and that run, or may be running. `None` once the
     /// leader has received them under this generation, while no backend server is present, and
     /// while attempts that are not assigned at the sidecar may still run, such as those that an
-    /// earlier process of the sidecar started.
+    /// earlier process of the sidecar started, or may have ended with completions that it has not
+    /// received yet.
     pub running: Option<Vec<Attempt>>,
     /// Attempts that the leader commanded and that may run or start at the backend server although it
     /// was lost or has started again: a call that it has not answered may be carried out late.
@@ -220,7 +221,7 @@
     pub reason: Reason,
 }
 
-/// A crash of a backend server under attempts that the leader commanded.
+/// A crash of a backend server under attempts that the leader commanded, or what may be one.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// Numbers the crashes that one process of the sidecar reports.
@@ -230,6 +231,9 @@
     pub attempts: Vec<Attempt>,
     /// Number of entries' attempts that had been sent to the server and had not ended.
     pub others: u32,
+    /// Whether another incarnation or server has answered since. Before, connections are refused, which a
+    /// path that is cut does as well; if the server answers again, the crash is not reported any more.
+    pub confirmed: bool,
 }
 
 /// Why an attempt did not start.
