A lost voter is replaced 1.0 s after its last answer

Callers: none seen; found by the simulation of replacements.

Cause: each leader waited 2.1 s (0.6 s until a member counts as unresponsive, then 1.5 s) before it replaced a voter, whatever the earlier leader had known. A hand-over 0.85 s after the start of a replacement and the loss of the next leader 1.6 s later left the replacement without a vote 4 s after its start; two losses after that, which are tolerated, ended the group.

Change: a voter is replaced after 0.4 s of being unresponsive. The long wait guarded a voter that was only paused from being removed with nothing in its place; now a learner takes the vote at once, and the paused one returns as a learner. Dead learners still wait 1.5 s. A learner with another disk of a voter's node replaces that voter only: the monitor removed another one for it, which left four voters for longer.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -7,8 +7,11 @@
     protocol::wire::peer::{Hello, Id},
 };
 
-/// Time for which a member must be unresponsive before it is removed, in ms.
-const UNRESPONSIVE_LIMIT_MS: u64 = 1_500;
+/// Time for which a voter must be unresponsive before a learner replaces it, in ms. Each new leader
+/// waits anew, and a voter that was only paused returns as a learner.
+const VOTER_LIMIT_MS: u64 = 400;
+/// Time for which a learner must be unresponsive before it is removed, in ms.
+const LEARNER_LIMIT_MS: u64 = 1_500;
 /// Shortest time between two membership changes, in ms.
 const CHANGE_INTERVAL_MS: u64 = 200;
 /// Number of learners beyond the wanted voters. Two, so that one that fails delays no other one.
@@ -103,28 +106,33 @@
 
     /// Removes a learner that is gone, so that it takes no place.
     fn learner_removal(&self, now_ms: u64, group: &Group) -> Option<Change> {
-        let gone = |m: &&Member| !m.voter && (m.leaving || self.is_gone(now_ms, &m.id));
+        let gone =
+            |m: &&Member| !m.voter && (m.leaving || self.is_gone(now_ms, &m.id, LEARNER_LIMIT_MS));
         group.members.iter().find(gone).map(|member| Change::Remove(member.id))
     }
 
     /// Removes a voter that stops or is gone while a learner can vote in its place.
     fn voter_removal(&self, now_ms: u64, wanted_voters: usize, group: &Group) -> Option<Change> {
-        let standby = group.members.iter().any(|member| member.standby);
+        let voter = |id: &Id| group.members.iter().find(|m| m.id == *id && m.voter);
+        // A learner with another disk of a voter's node can only replace that voter.
+        let replaces = |learner: &Member| {
+            group.members.iter().any(|m| m.voter && m.id.node == learner.id.node)
+        };
+        let standby = group.members.iter().any(|member| member.standby && !replaces(member));
         if !standby || group.voters() < wanted_voters {
             return None;
         }
-        let voter = |id: &Id| group.members.iter().find(|m| m.id == *id && m.voter);
         let leaving = group.members.iter().find(|member| member.voter && member.leaving);
         let gone = self
             .unresponsive
             .iter()
-            .filter(|(id, _)| self.is_gone(now_ms, id))
+            .filter(|(id, _)| self.is_gone(now_ms, id, VOTER_LIMIT_MS))
             .find_map(|(id, _)| voter(id));
         leaving.or(gone).map(|member| Change::Remove(member.id))
     }
 
-    fn is_gone(&self, now_ms: u64, id: &Id) -> bool {
-        let overdue = |since: &u64| since + UNRESPONSIVE_LIMIT_MS <= now_ms;
+    fn is_gone(&self, now_ms: u64, id: &Id, limit_ms: u64) -> bool {
+        let overdue = |since: &u64| since + limit_ms <= now_ms;
         self.unresponsive.iter().any(|(known, since)| known == id && overdue(since))
     }
 }
