--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -4,6 +4,7 @@
 mod batcher;
 mod call;
 mod members;
+mod meter;
 mod report;
 mod service;
 mod sidecar;
@@ -28,6 +29,7 @@
     supervisor, util,
 };
 use batcher::Batcher;
+use meter::Meter;
 pub use service::Handler;
 use sidecar::Sidecar;
 
@@ -82,6 +84,7 @@
     /// Whether the group has been formed. Calls and reports are refused before.
     formed: Cell<bool>,
     stopping: Cell<bool>,
+    meter: Meter,
 }
 
 /// State that an instance holds only while it leads.
@@ -155,6 +158,7 @@
             leader_known: Notify::new(),
             formed: Cell::new(false),
             stopping: Cell::new(false),
+            meter: Meter::new(),
         };
         Coordinator { inner: Rc::new(inner) }
     }
@@ -184,6 +188,11 @@
         self.inner.stopping.set(true);
     }
 
+    /// The metrics of the group in the Prometheus text format.
+    pub fn metrics(&self) -> Vec<u8> {
+        self.inner.meter.render(&self.inner.replica)
+    }
+
     /// Assumes or drops the leadership of the jobs when that of the group has changed.
     async fn follow_leadership(&self) {
         let term = self.inner.replica.leading();
@@ -332,11 +341,6 @@
         }
     }
 
-    /// Addresses at which the control instances serve calls.
-    fn control_addrs(&self) -> Vec<SocketAddr> {
-        self.inner.replica.status().members.iter().map(|member| member.addr).collect()
-    }
-
     /// Returns once this instance can carry out calls or name the leader, or after
     /// [`LEADER_WAIT_MAX`]. Waiting here saves callers from repeating the call during an election, and
     /// while the group is being formed.
@@ -388,6 +392,12 @@
     }
 
     fn not_leader(&self) -> Refusal {
-        Refusal::NotLeader { leader: self.inner.replica.leader() }
+        self.led_by(self.inner.replica.leader())
+    }
+
+    /// The refusal of a call because another instance leads, at `leader` if that is known. It lists
+    /// the members, as the caller may know only instances that are gone, and may not reach the leader.
+    fn led_by(&self, leader: Option<SocketAddr>) -> Refusal {
+        Refusal::NotLeader { leader, members: self.inner.replica.members() }
     }
 }
--- a/src/control/replica/driver/group.rs
+++ b/src/control/replica/driver/group.rs
@@ -1,11 +1,11 @@
 //! The group of control instances as one replica sees it: its formation, changes of its members, who
 //! leads, and transfers of the leadership.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{iter, net::SocketAddr, time::Duration};
 
 use super::{
     super::{
-        GroupStatus, control_member,
+        GroupStatus, Introductions, control_member,
         core::{Core, Reply},
         role,
     },
@@ -18,6 +18,7 @@
         wire::{
             control::{self, Refusal},
             peer::{Hello, Member},
+            queue::Members,
         },
     },
     state::machine,
@@ -102,6 +103,19 @@
         self.core.borrow().instance.cluster().map(id::Cluster)
     }
 
+    pub fn control_addrs(&self) -> Vec<SocketAddr> {
+        let core = self.core.borrow();
+        let members = core.instance.members().iter().map(|m| m.client);
+        iter::once(self.client_addr.get()).chain(members).collect()
+    }
+
+    pub fn members(&self) -> Option<Members> {
+        let core = self.core.borrow();
+        let cluster = id::Cluster(core.instance.cluster()?);
+        let (index, members) = core.instance.committed_members();
+        Some(Members { cluster, index, addrs: members.iter().map(|m| m.client).collect() })
+    }
+
     pub fn group_status(&self) -> GroupStatus {
         let core = self.core.borrow();
         let instance = &core.instance;
@@ -111,11 +125,25 @@
         let members = instance.members();
         let unresponsive = members.iter().map(|m| m.id).filter(|id| !instance.is_responsive(id));
         let is_member = |hello: &Hello| members.iter().any(|m| m.id == hello.id);
+        let applicants: Vec<Hello> =
+            instance.applicants().filter(|h| !is_member(h)).copied().collect();
+        let ages = applicants.iter().filter_map(|hello| core.heard.age_ms(self.now(), &hello.id));
         GroupStatus {
             members: members.len(),
             voters: members.iter().filter(|m| m.voter).count(),
             unresponsive: unresponsive.collect(),
-            applicants: instance.applicants().filter(|h| !is_member(h)).copied().collect(),
+            oldest_applicant_ms: ages.max(),
+            applicants,
+        }
+    }
+
+    pub fn introductions(&self) -> Introductions {
+        let core = self.core.borrow();
+        let since_ms = core.introduction.since_ms();
+        Introductions {
+            outside_ms: since_ms.map(|since_ms| self.now().saturating_sub(since_ms)),
+            while_leading: core.heard.while_leading,
+            while_following: core.heard.while_following,
         }
     }
 
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -27,6 +27,7 @@
         wire::{
             control::{self, MemberChange, Refusal},
             peer::{Hello, Id, Member},
+            queue::Members,
         },
     },
     state::{
@@ -101,6 +102,20 @@
     pub unresponsive: Vec<Id>,
     /// Instances that have introduced themselves but are not members.
     pub applicants: Vec<Hello>,
+    /// Longest time since the first introduction of one of `applicants`, in ms.
+    pub oldest_applicant_ms: Option<u64>,
+}
+
+/// Introductions of an instance to others, and of others to it.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Introductions {
+    /// How long the instance has had no leader or has not been listed as a member, in ms; `None` if
+    /// it has one and is.
+    pub outside_ms: Option<u64>,
+    /// Number of introductions of others that it heard while it led.
+    pub while_leading: u64,
+    /// Number of introductions of others that it heard while it did not lead.
+    pub while_following: u64,
 }
 
 /// A replica of the state machine. Clones are cheap and refer to the same replica.
@@ -261,11 +276,27 @@
         }
     }
 
+    /// Addresses of the control services that this instance knows: its own, and those of the members
+    /// by its log.
+    pub fn control_addrs(&self) -> Vec<SocketAddr> {
+        self.inner.driver.as_ref().map_or_else(Vec::new, Driver::control_addrs)
+    }
+
+    /// The members by the newest list that this instance knows to be committed; `None` before it
+    /// belongs to a cluster.
+    pub fn members(&self) -> Option<Members> {
+        self.inner.driver.as_ref()?.members()
+    }
+
     /// State of the cluster; empty unless this instance leads.
     pub fn group_status(&self) -> GroupStatus {
         self.inner.driver.as_ref().map_or_else(GroupStatus::default, Driver::group_status)
     }
 
+    pub fn introductions(&self) -> Introductions {
+        self.inner.driver.as_ref().map_or_else(Introductions::default, Driver::introductions)
+    }
+
     /// Transfers leadership to another voter before a planned stop. Returns once this instance does
     /// not lead, or when no other voter is available or none has taken over in time.
     pub async fn transfer_leadership(&self) {
