--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,11 +3,13 @@
 
 pub mod connection;
 pub mod consensus;
+pub mod contact;
 pub mod dispatch;
 pub mod formation;
 pub mod health;
 pub mod lease;
 pub mod limit;
+pub mod membership;
 pub mod naive;
 pub mod pace;
 pub mod queue;
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -66,6 +66,7 @@
         clock_ms: 5,
         running: running.to_vec(),
         completions: completions.iter().map(completion).collect(),
+        truncated: false,
     }
 }
 
@@ -1302,14 +1303,15 @@
 
 /// Guards against a task that takes down server after server: a crash is reported with the attempts
 /// that had been sent to the server, whether it is found by refused connections or by a new
-/// incarnation, and also if the server did not answer before.
+/// incarnation, and also if the server did not answer before. Refused connections do not confirm it.
 #[test]
 fn attempts_that_were_sent_to_a_crashed_server_are_reported() {
     let crashes = |sidecar: &mut Sidecar| {
         let crashes = sidecar.report(0).crashes.into_iter();
-        crashes.map(|c| (c.number, c.server, c.attempts, c.others)).collect::<Vec<_>>()
+        crashes.map(|c| (c.number, c.server, c.attempts, c.others, c.confirmed)).collect::<Vec<_>>()
     };
-    let expected = [(1, server(1, 0).id, vec![attempt(1, 1)], 1)];
+    let reported = |confirmed| [(1, server(1, 0).id, vec![attempt(1, 1)], 1, confirmed)];
+    let expected = reported(true);
     let mut replaced = sidecar_with_attempts();
     announce(&mut replaced, 10, server(2, 1_200), 1);
     assert_eq!(crashes(&mut replaced), expected);
@@ -1320,7 +1322,7 @@
     assert_eq!(crashes(&mut refused), [], "its lease may run until 1,120 ms");
     refused.poll_failed(1_160, 1_160, true);
     refused.poll_failed(1_200, 1_200, true);
-    assert_eq!(crashes(&mut refused), expected);
+    assert_eq!(crashes(&mut refused), reported(false));
     announce(&mut refused, 1_210, server(2, 1_200), 1);
     assert_eq!(crashes(&mut refused), expected, "it is the same crash");
     let mut once_refused = sidecar_with_attempts();
@@ -1353,6 +1355,22 @@
     }
 }
 
+/// Guards against a job that is shown as failed although no server has crashed: connections were
+/// refused by a path that was cut, and the crash stayed reported when the server answered again.
+#[test]
+fn a_crash_is_taken_back_when_the_same_incarnation_answers_again() {
+    let mut sidecar = sidecar_with_attempts();
+    for at_ms in [1_119, 1_160, 1_200] {
+        sidecar.poll_failed(at_ms, at_ms, true);
+    }
+    let reported: Vec<bool> = sidecar.report(0).crashes.iter().map(|c| c.confirmed).collect();
+    assert_eq!(reported, [false]);
+    sidecar.polled(1_300, 1_301, PollReply { clock_ms: 1_301, ..poll_reply(&[], &[]) });
+    assert_eq!(sidecar.report(0).crashes, []);
+    announce(&mut sidecar, 1_310, server(2, 1_200), 1);
+    assert_eq!(sidecar.report(0).crashes, [], "nothing was sent to it since");
+}
+
 /// Guards against a crash that is never counted because a report or its answer was lost or the
 /// leader has changed: it is reported until a leader has stored it.
 #[test]
@@ -1367,6 +1385,56 @@
     assert_eq!(sidecar.report(0).crashes, []);
 }
 
+/// Guards against tasks that start again after they have ended: the first answer that a new process of
+/// the sidecar reads has no room for all ends, and the others count as absent.
+#[test]
+fn a_truncated_list_does_not_show_which_attempts_have_ended() {
+    let mut sidecar = Sidecar::new("s".to_owned(), addr(), 1, LEASE_MS);
+    announce(&mut sidecar, 0, server(1, 1_000), 1);
+    let report = sidecar.report(0);
+    sidecar.handle_commands(0, 0, &report, commands(9));
+    let first = poll_reply(&[], &[(1, attempt(1, 1), queue::Outcome::Done)]);
+    sidecar.polled(1, 2, PollReply { truncated: true, ..first });
+    let report = sidecar.report(0);
+    assert_eq!((report.running, report.completions.len()), (None, 1));
+    assert!(!sidecar.may_wait(), "the next answer is wanted at once");
+    let second = poll_reply(&[], &[(2, attempt(2, 1), queue::Outcome::Done)]);
+    sidecar.polled(3, 4, PollReply { clock_ms: 6, ..second });
+    let report = sidecar.report(0);
+    assert_eq!((report.running, report.completions.len()), (Some(vec![]), 2));
+}
+
+/// Guards against the same for an attempt that was called for and stopped: its end may be one of those
+/// for which the answer has no room.
+#[test]
+fn a_truncated_list_does_not_show_that_a_stopped_attempt_never_ran() {
+    let mut sidecar = sidecar();
+    command(&mut sidecar, 0, attempt(1, 1));
+    sidecar.start_answered(5, attempt(1, 1), StartResult::Unknown);
+    sidecar.stop_confirmed(10, attempt(1, 1));
+    sidecar.take_actions();
+    let truncated = PollReply { clock_ms: 13, truncated: true, ..poll_reply(&[], &[]) };
+    sidecar.polled(12, 13, truncated);
+    assert_eq!(sidecar.take_actions().replies, []);
+    let rest = poll_reply(&[], &[(1, attempt(1, 1), queue::Outcome::Done)]);
+    sidecar.polled(14, 15, PollReply { clock_ms: 15, ..rest });
+    let done = (Entry(7), attempt(1, 1), work::Outcome::Done, 15);
+    assert_eq!(sidecar.take_actions().replies, [done]);
+}
+
+/// Guards against the same for an attempt that may run at a server that was lost.
+#[test]
+fn a_truncated_list_does_not_show_that_an_attempt_on_a_lost_server_has_ended() {
+    let mut sidecar = sidecar_with_unanswered_start();
+    sidecar.take_actions();
+    let truncated = PollReply { clock_ms: 1_313, truncated: true, ..poll_reply(&[], &[]) };
+    sidecar.polled(1_312, 1_313, truncated);
+    assert_eq!(sidecar.take_actions().replies, []);
+    sidecar.polled(1_320, 1_321, PollReply { clock_ms: 1_321, ..poll_reply(&[], &[]) });
+    let stopped = (Entry(7), attempt(1, 1), work::Outcome::Stopped, 0);
+    assert_eq!(sidecar.take_actions().replies, [stopped]);
+}
+
 /// Guards against starts beyond a capacity that has shrunk: an attempt that is being stopped still
 /// uses its share.
 #[test]
--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -974,6 +974,7 @@
                     clean: state.clean(),
                     load: state.load(),
                     server: state.server().map(|(server, _)| server.clone()),
+                    members: None,
                 };
                 self.send_to_entry(entry, sidecar, Message::Status { channel, sent_ms, status });
             }
@@ -1201,6 +1202,7 @@
                     clock_ms: server_ms,
                     running: server.running.keys().copied().collect(),
                     completions: server.completions.iter().filter(listed).cloned().collect(),
+                    truncated: false,
                 };
                 Answer::Poll(Some(reply).filter(|_| server.id == known.server))
             }
