A client tries a new list of members before other addresses

Cause: a client went on in its round, from a random start, over all addresses that it knew. Each silent one took 0.7 s, and longer for a report.

When a client learns a list that does not contain the instance that it calls, its next choice is a random one of the list. A call in progress still ends first.

What is left is the call in progress.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -109,7 +109,8 @@
 
     /// Stores a list of control instances that another process sent, if it is newer than the one
     /// known. A client that follows no cluster yet takes the first list, of any cluster: its addresses
-    /// are only tried.
+    /// are only tried. The next choice of an instance is one of a new list, as the other addresses may be
+    /// silent.
     pub fn learn(&self, members: &Members) {
         let followed = self.cluster();
         if members.addrs.is_empty() || followed.is_some_and(|cluster| cluster != members.cluster) {
@@ -120,9 +121,20 @@
             true => known.index < members.index,
             false => followed.is_some(),
         });
-        if newer {
-            log::info!("event=members index={} members={:?}", members.index, members.addrs);
-            *known = Some(members.clone());
+        if !newer {
+            return;
+        }
+        log::info!("event=members index={} members={:?}", members.index, members.addrs);
+        *known = Some(members.clone());
+        drop(known);
+        let listed = |addr: &SocketAddr| members.addrs.contains(addr);
+        if !self.inner.current.get().as_ref().is_some_and(listed) {
+            self.inner.current.set(None);
+            let known = self.known();
+            let addr = members.addrs[rand::random_range(0..members.addrs.len())];
+            let at = known.get_index_of(&addr).expect("the list is known");
+            // Each choice first adds 1.
+            self.inner.choice_count.set(at + known.len() - 1);
         }
     }
 
--- a/tests/leader.rs
+++ b/tests/leader.rs
@@ -95,6 +95,28 @@
     });
 }
 
+/// Guards against a client that tries silent addresses of its settings, 0.7 s each and longer for a
+/// sidecar's report, before those of a list that it has just been sent.
+#[test]
+fn a_client_tries_a_new_list_before_silent_seeds() {
+    const LIMIT: Duration = Duration::from_millis(300);
+    actix_rt::System::new().block_on(async {
+        let leading = serve(None).await;
+        // They accept connections, and never answer.
+        let silent = [(); 3].map(|()| std::net::TcpListener::bind(loopback()).unwrap());
+        let seeds = silent.each_ref().map(|listener| listener.local_addr().unwrap());
+        // The first instance to call is random, so some callers start at the leading one.
+        for _ in 0..10 {
+            let client = LeaderClient::new(seeds.to_vec());
+            client.learn(&members(CLUSTER, 1, &[leading.addr()]));
+            let started = Instant::now();
+            let answer = client.call(Call::ReadConfig, CALL_LIMIT).await;
+            assert!(matches!(answer, Ok(Answer::NoConfig)), "{answer:?}");
+            assert!(started.elapsed() < LIMIT, "{:?}", started.elapsed());
+        }
+    });
+}
+
 /// Guards against a client that goes back to an older list, or takes that of another cluster, whose
 /// indexes say nothing of its own.
 #[test]
