Log an instance outside the group from its third second on

The first line came 5 s after the start, not 2 s: the time of the last line began at 0 and was compared with the interval between two lines.

--- a/src/control/replica/driver/introduction.rs
+++ b/src/control/replica/driver/introduction.rs
@@ -28,7 +28,7 @@
 #[derive(Debug, Default)]
 pub(in crate::control::replica) struct Introduction {
     since_ms: Option<u64>,
-    logged_ms: u64,
+    logged_ms: Option<u64>,
     /// The last answer of each instance that was asked.
     answers: IndexMap<SocketAddr, Option<Answer>>,
 }
@@ -57,7 +57,7 @@
     fn end(&mut self, now_ms: u64) -> Option<u64> {
         let since_ms = self.since_ms.take()?;
         self.answers.clear();
-        (self.logged_ms > since_ms).then(|| now_ms.saturating_sub(since_ms))
+        self.logged_ms.take().map(|_| now_ms.saturating_sub(since_ms))
     }
 
     fn asked(&mut self, addr: SocketAddr) {
@@ -78,10 +78,11 @@
     /// What to log of the wait now, if anything is due.
     fn due_line(&mut self, now_ms: u64) -> Option<String> {
         let outside_ms = now_ms.saturating_sub(self.since_ms?);
-        if outside_ms < OUTSIDE_MIN_MS || now_ms < self.logged_ms + LOG_INTERVAL_MS {
+        let logged_lately = self.logged_ms.is_some_and(|at| now_ms < at + LOG_INTERVAL_MS);
+        if outside_ms < OUTSIDE_MIN_MS || logged_lately {
             return None;
         }
-        self.logged_ms = now_ms;
+        self.logged_ms = Some(now_ms);
         let answered = self.answers.values().flatten().count();
         let led = self.answers.values().flatten().filter(|answer| answer.leads).count();
         let listed: Vec<String> = self
