Tests of replicas listen at IP addresses of their own

Cause: the port lies in the range of outgoing connections, and one of another process at 127.0.0.1 took it meanwhile; shown with a script (an outgoing connection from a port refuses a listener at 127.0.0.1, also with SO_REUSEADDR, and none at 127.7.0.1). Each address now has an IP address of its own.

--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -5,6 +5,8 @@
     future::Future,
     net::{SocketAddr, TcpListener},
     path::Path,
+    process,
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
@@ -35,9 +37,14 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-/// An address at which nothing listens yet.
+/// An address at which nothing listens yet. Its IP address is of its own, as another process may use the
+/// port at 127.0.0.1 meanwhile, also for a connection to elsewhere.
 fn free_addr() -> SocketAddr {
-    TcpListener::bind(addr(0)).unwrap().local_addr().unwrap()
+    static COUNT: AtomicU16 = AtomicU16::new(0);
+    let [high, low] = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = (process::id() % 200) as u8 + 10;
+    let any_port = SocketAddr::from(([127, process, high, low], 0));
+    TcpListener::bind(any_port).unwrap().local_addr().unwrap()
 }
 
 /// A running control instance, without its client services.
