Log an introduction again when the listener has begun to lead; contact former members each second

A former member that returns counts as whole after 4 s; the leader now looks for it every 1 s instead of 2 s.

--- a/src/control/replica/driver/heard.rs
+++ b/src/control/replica/driver/heard.rs
@@ -16,8 +16,8 @@
     pub while_leading: u64,
     /// Number of introductions that it heard while it did not lead.
     pub while_following: u64,
-    /// When an introduction of each instance was last logged.
-    logged: BTreeMap<Id, u64>,
+    /// When an introduction of each instance was last logged, and whether this one led then.
+    logged: BTreeMap<Id, (u64, bool)>,
 }
 
 impl Heard {
@@ -27,11 +27,12 @@
             true => self.while_leading += 1,
             false => self.while_following += 1,
         }
-        self.logged.retain(|_, logged_ms| now_ms < *logged_ms + LOG_INTERVAL_MS);
-        if self.logged.len() >= LOGGED_MAX || self.logged.contains_key(&id) {
+        self.logged.retain(|_, (logged_ms, _)| now_ms < *logged_ms + LOG_INTERVAL_MS);
+        let known = self.logged.get(&id).map(|(_, led)| *led);
+        if known == Some(leads) || (known.is_none() && self.logged.len() >= LOGGED_MAX) {
             return false;
         }
-        self.logged.insert(id, now_ms);
+        self.logged.insert(id, (now_ms, leads));
         true
     }
 }
--- a/src/control/replica/driver/introduction.rs
+++ b/src/control/replica/driver/introduction.rs
@@ -22,7 +22,7 @@
 /// Number of asked instances that a log line lists.
 const LISTED_MAX: usize = 8;
 /// Interval at which a leader introduces itself to former members, in ms.
-const FORMER_INTERVAL_MS: u64 = 2_000;
+const FORMER_INTERVAL_MS: u64 = 1_000;
 
 /// The introductions that an instance has sent since it last was a member with a leader.
 #[derive(Debug, Default)]
--- a/tests/consensus/replacement.rs
+++ b/tests/consensus/replacement.rs
@@ -17,7 +17,7 @@
 
 const VOTERS: usize = 5;
 /// Interval at which a leader introduces itself to former members.
-const FORMER_INTERVAL_MS: u64 = 2_000;
+const FORMER_INTERVAL_MS: u64 = 1_000;
 /// Number of instances that may be lost at the same time.
 const LOSSES: usize = 2;
 /// Target: time after which an instance that has started, or can be reached again, counts as a member.
