Findings of the review: contacts stay within a system, stops do not come back

A leader took in blank instances of another system. It introduced itself to the last address of a former member; a first seed of another system that has that address now asked it back, and was added as a learner, as every applicant is. An introduction now states its purpose: to join, to ask, to leave, or to find a certain former member, which nobody else asks back. An instance without a cluster joins only through its seeds and those they named, only asks others, names the cluster of its seeds, and takes no referral from another one. 2. An instance that had handed over its vote was added again 0.5 s later, while its open calls ended: it introduces itself to nobody any more once it leaves. 3. Of two instances that stopped together, the leader handed over to the other, which ended as the leader: leaving voters are not chosen, and a stop that finds itself leading hands over again. 4. The applicant with the lowest id always came first, so two that cannot be reached could keep a third out for 60 s: the one that has waited longest comes first, and one that was removed waits anew. Its age counts from its latest series of introductions. 8. A lost voter goes before a leaving one when one learner can vote.

--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -35,7 +35,7 @@
     error::Result,
     protocol::wire::{
         control::Refusal,
-        peer::{self, Body, Hello, Message, SnapshotChunk, SnapshotMeta, Standing},
+        peer::{self, Body, Hello, Message, Purpose, SnapshotChunk, SnapshotMeta, Standing},
     },
     state::{
         log::{Log, files::Files},
@@ -74,6 +74,8 @@
     wake: Notify,
     started: Instant,
     stopping: Cell<bool>,
+    /// Set once this instance, which is about to stop, has asked for a learner in its place.
+    leaving: Cell<bool>,
     /// Set once the data directory is closed.
     closed: Cell<bool>,
     /// Set after a panic, which may have left `core` half changed.
@@ -125,6 +127,7 @@
         wake: Notify::new(),
         started: Instant::now(),
         stopping: Cell::new(false),
+        leaving: Cell::new(false),
         closed: Cell::new(false),
         panicked: Cell::new(false),
         failed: Notify::new(),
@@ -157,6 +160,15 @@
     Ok(origin)
 }
 
+/// Whether the sender of an introduction is to be asked what it knows. A leader that looks for a former
+/// member may have reached an instance of another system at its address.
+fn is_route(hello: &Hello, own: &peer::Id) -> bool {
+    match hello.purpose {
+        Purpose::Find(id) => id == *own,
+        Purpose::Join | Purpose::Ask | Purpose::Leave => true,
+    }
+}
+
 /// Addresses of the seeds, as the settings and the origin list them.
 fn seeds(peers: &[SocketAddr], origin: Option<&Origin>) -> Vec<SocketAddr> {
     let first = origin.iter().flat_map(|origin| &origin.seeds);
@@ -221,7 +233,9 @@
     pub fn receive_hello(&self, hello: Hello) -> Option<Standing> {
         self.guard("peer_hello", || {
             let mut core = self.core.borrow_mut();
-            core.routes.insert(hello.id, hello.peer);
+            if is_route(&hello, &core.instance.id()) {
+                core.routes.insert(hello.id, hello.peer);
+            }
             self.record_hello(&mut core, &hello);
             core.instance.hello(hello);
             let mut standing = core.instance.standing(self.origin.is_some());
@@ -273,7 +287,9 @@
 
     fn step(&self, sender: SocketAddr, message: Message) {
         let mut core = self.core.borrow_mut();
-        core.routes.insert(message.from, sender);
+        if message.to == core.instance.id() {
+            core.routes.insert(message.from, sender);
+        }
         if self.takes_part(&core) {
             let from = message.from;
             if let Err(refusal) = core.instance.step(self.now(), message) {
--- a/src/control/replica/driver/formation.rs
+++ b/src/control/replica/driver/formation.rs
@@ -48,7 +48,7 @@
         let mut core = self.core.borrow_mut();
         self.record_answer(&mut core, addr, standing);
         let own = core.instance.cluster();
-        if core.contacts.refer(addr, own, standing) > 0 {
+        if core.contacts.refer(addr, own, standing) {
             core.hello_at = self.now();
         }
         if let Some(own) = core.instance.cluster() {
--- a/src/control/replica/driver/introduction.rs
+++ b/src/control/replica/driver/introduction.rs
@@ -11,7 +11,7 @@
 };
 use crate::{
     coordination::consensus::Role,
-    protocol::wire::peer::{Hello, Standing},
+    protocol::wire::peer::{Hello, Purpose, Standing},
 };
 
 /// Shortest time between two log lines about the same wait, in ms.
@@ -137,11 +137,20 @@
             return;
         }
         core.introduction.begin(now);
-        let mut addrs = core.contacts.candidates();
+        if self.leaving.get() {
+            return;
+        }
+        let candidates = core.contacts.candidates();
+        let mut addrs = candidates.clone();
         addrs.extend(core.routes.values().copied());
         for addr in addrs.into_iter().filter(|addr| *addr != hello.peer) {
+            // Without a cluster, any leader would add this instance.
+            let purpose = match hello.cluster.is_some() || candidates.contains(&addr) {
+                true => Purpose::Join,
+                false => Purpose::Ask,
+            };
             core.introduction.asked(addr);
-            self.send_hello(inner, addr, hello);
+            self.send_hello(inner, addr, Hello { purpose, ..hello });
         }
         if let Some(line) = core.introduction.due_line(now) {
             let (node, disk) = (hello.id.node.0, hello.id.disk.0);
@@ -156,11 +165,11 @@
 
     fn own_hello(&self, core: &Core) -> Hello {
         Hello {
-            cluster: core.instance.cluster(),
+            cluster: core.instance.cluster().or(core.contacts.cluster()),
             id: core.instance.id(),
             peer: self.peer_addr.get(),
             client: self.client_addr.get(),
-            leaving: false,
+            purpose: Purpose::Join,
         }
     }
 
@@ -170,23 +179,28 @@
             return;
         }
         core.former_hello_at = now + FORMER_INTERVAL_MS;
-        for addr in core.contacts.former(now) {
-            self.send_hello(inner, addr, hello);
+        for (id, addr) in core.contacts.former(now) {
+            self.send_hello(inner, addr, Hello { purpose: Purpose::Find(id), ..hello });
         }
     }
 
-    /// Asks the leader to let a learner vote in place of this instance. Returns whether that may still
-    /// happen.
+    /// Asks the leader to let a learner vote in place of this instance, which introduces itself to nobody
+    /// any more. Returns whether that may still happen.
     pub async fn request_replacement(&self) -> bool {
+        self.leaving.set(true);
         let (leader, hello) = {
             let core = self.core.borrow();
+            let members = core.instance.members();
+            if !core.instance.is_voter() || members.iter().all(|member| member.voter) {
+                return false;
+            }
             let leader = core.instance.leader();
-            let leader = core.instance.members().iter().find(|m| Some(m.id) == leader).copied();
-            (leader, Hello { leaving: true, ..self.own_hello(&core) })
+            let leader = members.iter().find(|m| Some(m.id) == leader).copied();
+            (leader, Hello { purpose: Purpose::Leave, ..self.own_hello(&core) })
         };
         let Some(leader) = leader else { return true };
         if leader.id == hello.id {
-            return false;
+            return true;
         }
         let Some(standing) = self.peers.ask(leader.peer, hello).await else { return true };
         let votes = standing.voters.contains(&hello.id);
@@ -215,12 +229,12 @@
         let member = core.instance.members().iter().any(|m| m.id == hello.id);
         let leader = core.leader();
         log::info!(
-            "event=introduction peer={} node={} disk={} leaving={} member={member} leads={leads} \
+            "event=introduction peer={} node={} disk={} purpose={:?} member={member} leads={leads} \
              leader={leader:?}",
             hello.peer,
             hello.id.node.0,
             hello.id.disk.0,
-            hello.leaving
+            hello.purpose
         );
     }
 }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -311,12 +311,15 @@
         }
     }
 
-    /// Asks the leader to let a learner vote in place of this instance, which is about to stop. Returns
-    /// once this one does not vote, or when no learner can replace it, or none has in time.
+    /// Hands over the leadership, if this instance leads, and asks the leader to let a learner vote in
+    /// place of this one, which is about to stop. Returns once this one neither leads nor votes, or when
+    /// nobody can take its place, or none has in time.
     pub async fn leave(&self) {
         let Some(driver) = &self.inner.driver else { return };
+        self.transfer_leadership().await;
         let replaced = async {
             while driver.request_replacement().await {
+                self.transfer_leadership().await;
                 time::sleep(POLL_INTERVAL).await;
             }
         };
--- a/src/coordination/consensus/entries.rs
+++ b/src/coordination/consensus/entries.rs
@@ -86,9 +86,9 @@
         &self.members.last().expect("never empty").1
     }
 
-    /// The member lists since the base, the latest last.
-    pub fn member_lists(&self) -> impl DoubleEndedIterator<Item = &[Member]> + Clone {
-        self.members.iter().map(|(_, members)| members.as_slice())
+    /// The member lists since the base, each with its index, the latest last.
+    pub fn member_lists(&self) -> impl Iterator<Item = (u64, &[Member])> {
+        self.members.iter().map(|(index, members)| (*index, members.as_slice()))
     }
 
     /// Index of the latest membership entry.
--- a/src/coordination/consensus/leader.rs
+++ b/src/coordination/consensus/leader.rs
@@ -343,7 +343,7 @@
         self.check_accepts_calls()?;
         let candidates = self.voters().map(|m| m.id).filter(|id| *id != self.id);
         let target = candidates
-            .filter(|id| self.is_responsive(id))
+            .filter(|id| self.is_responsive(id) && !self.is_leaving(id))
             .max_by_key(|id| self.progress.get(id).map_or(0, |p| p.match_index));
         let Some(target) = target else {
             return Err(Refusal::Invalid("no other voter answers".to_owned()));
--- a/src/coordination/consensus/members.rs
+++ b/src/coordination/consensus/members.rs
@@ -1,6 +1,6 @@
 //! Membership changes: one member at a time, and each change is committed before the next begins.
 
-use super::{Change, Hello, Id, Instance, Member, Payload, Refusal, Role};
+use super::{Change, Hello, Id, Instance, Member, Payload, Purpose, Refusal, Role};
 use crate::protocol::id;
 
 /// Time after its last introduction for which an instance counts as an applicant, in ms. It exceeds
@@ -19,6 +19,12 @@
     last_at: u64,
 }
 
+impl Applicant {
+    fn is_current(&self, now: u64) -> bool {
+        now <= self.last_at + APPLICANT_MAX_AGE_MS
+    }
+}
+
 impl Instance {
     /// Begins a change that an operator requests. Returns the index of its log entry, or `None` if
     /// the change is already in force. An added instance is a learner and becomes a voter as soon
@@ -26,7 +32,7 @@
     pub fn change(&mut self, change: Change) -> Result<Option<u64>, Refusal> {
         self.check_accepts_calls()?;
         if !self.ready_for_member_change() {
-            return Err(Refusal::Busy("another change of the voters is in progress".to_owned()));
+            return Err(Refusal::Busy("another change of the members is in progress".to_owned()));
         }
         let mut members = self.log.members().to_vec();
         match change {
@@ -42,7 +48,7 @@
                     return invalid("the leader cannot be removed: stop it or hand over first");
                 }
                 if !members.iter().any(|m| m.id == id) {
-                    return invalid("no such voter");
+                    return invalid("no such member");
                 }
                 members.retain(|m| m.id != id);
                 if !self.has_responsive_majority(&members) {
@@ -60,36 +66,39 @@
         self.max_voters = max_voters;
     }
 
-    /// Handles the introduction of an instance that has no leader, or is not listed as a member
-    /// with its current addresses, or stops. Only a leader keeps it; a leader also introduces itself.
+    /// Handles the introduction of an instance. Only a leader keeps it; a leader also introduces itself.
     pub fn hello(&mut self, hello: Hello) {
         let ours = hello.cluster.is_none() || hello.cluster == self.hard_state.cluster;
         let other_disk = hello.id.node == self.id.node && hello.id != self.id;
         if self.role != Role::Leader || !ours || other_disk {
             return;
         }
-        if hello.leaving {
-            self.applicants.remove(&hello.id.node.0);
-            if self.log.members().iter().any(|m| m.id == hello.id) {
-                self.leaving.insert(hello.id, self.now);
+        match hello.purpose {
+            Purpose::Join => self.add_applicant(hello),
+            Purpose::Leave => {
+                self.applicants.remove(&hello.id.node.0);
+                if self.log.members().iter().any(|m| m.id == hello.id) {
+                    self.leaving.insert(hello.id, self.now);
+                }
             }
-            return;
+            Purpose::Ask | Purpose::Find(_) => {}
         }
+    }
+
+    fn add_applicant(&mut self, hello: Hello) {
         self.leaving.remove(&hello.id);
         let now = self.now;
-        let applicant = self.applicants.entry(hello.id.node.0);
-        applicant
-            .and_modify(|known| (known.hello, known.last_at) = (hello, now))
-            .or_insert(Applicant { hello, first_at: now, last_at: now });
+        let known = self.applicants.get(&hello.id.node.0).filter(|known| known.is_current(now));
+        let first_at = known.map_or(now, |known| known.first_at);
+        self.applicants.insert(hello.id.node.0, Applicant { hello, first_at, last_at: now });
     }
 
     /// Instances that keep introducing themselves to this leader, each with the time since its first
     /// introduction, in ms.
     pub fn applicants(&self) -> impl Iterator<Item = (&Hello, u64)> {
-        let current = |applicant: &&Applicant| self.now <= applicant.last_at + APPLICANT_MAX_AGE_MS;
         self.applicants
             .values()
-            .filter(current)
+            .filter(|applicant| applicant.is_current(self.now))
             .map(|applicant| (&applicant.hello, self.now - applicant.first_at))
     }
 
--- a/src/coordination/consensus/mod.rs
+++ b/src/coordination/consensus/mod.rs
@@ -24,7 +24,8 @@
 
 use crate::{
     protocol::wire::peer::{
-        Body, Entry, HardState, Hello, Id, Member, Message, Payload, SnapshotMeta, Standing,
+        Body, Entry, HardState, Hello, Id, Member, Message, Payload, Purpose, SnapshotMeta,
+        Standing,
     },
     state::snapshot::Snapshot,
 };
@@ -302,8 +303,8 @@
         (*index, members)
     }
 
-    /// Member lists that are in memory, the latest last.
-    pub fn member_lists(&self) -> impl DoubleEndedIterator<Item = &[Member]> + Clone {
+    /// Member lists that are in memory, each with its index, the latest last.
+    pub fn member_lists(&self) -> impl Iterator<Item = (u64, &[Member])> {
         self.log.member_lists()
     }
 
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -128,7 +128,7 @@
             .iter()
             .filter(|(id, _)| self.is_gone(now_ms, id, VOTER_LIMIT_MS))
             .find_map(|(id, _)| voter(id));
-        leaving.or(gone).map(|member| Change::Remove(member.id))
+        gone.or(leaving).map(|member| Change::Remove(member.id))
     }
 
     fn is_gone(&self, now_ms: u64, id: &Id, limit_ms: u64) -> bool {
@@ -144,6 +144,8 @@
         return None;
     }
     let is_new = |hello: &Hello| group.members.iter().all(|m| m.id.node != hello.id.node);
-    let applicant = group.applicants.iter().find(|applicant| is_new(&applicant.hello))?;
+    // One that was removed because it could not be reached waits anew, behind the others.
+    let new = group.applicants.iter().filter(|applicant| is_new(&applicant.hello));
+    let applicant = new.max_by_key(|applicant| applicant.waited_ms)?;
     Some(Change::Add(applicant.hello))
 }
--- a/src/protocol/wire/peer.rs
+++ b/src/protocol/wire/peer.rs
@@ -13,8 +13,8 @@
 pub trait Service {
     /// Delivers a consensus message. Replies are sent to the address `sender`.
     async fn step(sender: SocketAddr, message: Message);
-    /// Introduces an instance that has no leader, or whose addresses have changed, or that leaves its
-    /// cluster. Returns what the receiver knows of a cluster; `None` if its replica has ended.
+    /// Introduces an instance, see [`Purpose`]. Returns what the receiver knows of a cluster; `None` if
+    /// its replica has ended.
     async fn hello(hello: Hello) -> Option<Standing>;
     /// Delivers a chunk of a snapshot. Returns whether the sender shall continue.
     async fn snapshot_chunk(chunk: SnapshotChunk) -> bool;
@@ -149,16 +149,28 @@
     }
 }
 
-/// Introduction of an instance that has no leader, or whose addresses have changed.
+/// Why an instance introduces itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Purpose {
+    /// It has no leader, or is not listed as a member with its current addresses.
+    Join,
+    /// It only asks what the receiver knows, as that one may belong to another system.
+    Ask,
+    /// It stops, so that a learner should vote in its place.
+    Leave,
+    /// It leads, and looks for this former member, which may have been removed while it was cut off.
+    Find(Id),
+}
+
+/// Introduction of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
-    /// Cluster of the instance; `None` before it joins one.
+    /// Cluster of the instance or, before it belongs to one, of its seeds; `None` if neither is known.
     pub cluster: Option<u64>,
     pub id: Id,
     pub peer: SocketAddr,
     pub client: SocketAddr,
-    /// Whether the instance stops, so that a learner should vote in its place.
-    pub leaving: bool,
+    pub purpose: Purpose,
 }
 
 /// What an instance knows of the cluster that it belongs to.
--- a/tests/consensus/replacement.rs
+++ b/tests/consensus/replacement.rs
@@ -9,7 +9,7 @@
         contact::Book,
         membership::{self, Applicant, Monitor},
     },
-    protocol::wire::peer::{self, Hello, Id, Standing},
+    protocol::wire::peer::{self, Hello, Id, Purpose, Standing},
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -221,8 +221,8 @@
         let inside = leads || (listed && instance.leader().is_some());
         if leads && self.former_hello_at[at] <= now {
             self.former_hello_at[at] = now + FORMER_INTERVAL_MS;
-            for former in self.books[at].former(now) {
-                self.ask(at, position(&former), hello);
+            for (id, addr) in self.books[at].former(now) {
+                self.ask(at, position(&addr), Hello { purpose: Purpose::Find(id), ..hello });
             }
         }
         if inside {
@@ -252,7 +252,11 @@
         if standing.members.is_empty() {
             standing.members = self.books[to].referred().collect();
         }
-        self.sim.slots[to].heard.insert(at);
+        if hello.purpose == Purpose::Join
+            || hello.purpose == Purpose::Find(self.sim.slots[to].disk.id)
+        {
+            self.sim.slots[to].heard.insert(at);
+        }
         (!self.sim.is_cut(to, at)).then_some(standing)
     }
 
--- a/tests/consensus/simulation.rs
+++ b/tests/consensus/simulation.rs
@@ -10,7 +10,9 @@
     coordination::consensus::{Change, InitialState, Instance, Mark, Role, Save, Timing},
     protocol::{
         id,
-        wire::peer::{Body, Entry, HardState, Hello, Id, Member, Message, Payload, SnapshotMeta},
+        wire::peer::{
+            Body, Entry, HardState, Hello, Id, Member, Message, Payload, Purpose, SnapshotMeta,
+        },
     },
     state::snapshot::Snapshot,
 };
@@ -683,5 +685,5 @@
 }
 
 pub fn hello(id: Id, cluster: Option<u64>) -> Hello {
-    Hello { cluster, id, peer: addr(id), client: addr(id), leaving: false }
+    Hello { cluster, id, peer: addr(id), client: addr(id), purpose: Purpose::Join }
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -193,6 +193,15 @@
         }
     }
 
+    /// Waits until a learner could vote.
+    async fn wait_for_standby(&self) {
+        let standby = |group: &Group| {
+            let seen = group.leader().map(|leader| leader.replica.group());
+            seen.is_some_and(|seen| seen.members.iter().any(|member| member.standby))
+        };
+        self.wait("a learner could vote", Instant::now() + LIMIT, standby).await;
+    }
+
     /// Waits until a change is acknowledged.
     async fn commit(&self, limit: Instant) {
         let hello = control::Hello { addr: addr(1), data_centre: "saga".to_owned(), start: 1 };
@@ -381,11 +390,7 @@
 
     let seeds = group.addrs();
     let newcomer = group.start(&seeds).await;
-    let learns = |group: &Group| {
-        let seen = group.leader().map(|leader| leader.replica.group());
-        seen.is_some_and(|seen| seen.members.iter().any(|member| member.standby))
-    };
-    group.wait("the newcomer could vote", Instant::now() + LIMIT, learns).await;
+    group.wait_for_standby().await;
     assert!(!group.votes(newcomer));
     group.get(stopping).unwrap().replica.leave().await;
     group.kill(stopping).await;
@@ -450,3 +455,102 @@
     group.check_stands(started).await;
     group.stop().await;
 }
+
+/// Guards against a leader that takes a blank instance of another system, which has got the address of
+/// a former member.
+#[actix_rt::test]
+async fn a_leader_takes_no_blank_instance_of_another_system() {
+    let mut group = Group::form().await;
+    group.wait_for_leader().await;
+    let lost = group.followers()[0];
+    group.lose(lost).await;
+    let seeds = group.addrs();
+    let started = Instant::now();
+    group.start(&seeds).await;
+    group.check_stands(started).await;
+    let own = group.leader().unwrap().replica.cluster();
+    time::sleep(Duration::from_secs(1)).await;
+
+    // The first instances of another system, which are seeds of each other.
+    let other: Vec<SocketAddr> = vec![lost, free_addr(), free_addr()];
+    let mut others = Vec::new();
+    let directories: Vec<TempDir> = (0..3).map(|_| TempDir::new().unwrap()).collect();
+    for (i, at) in other.iter().enumerate() {
+        let node = 101 + i as u64;
+        others.push(Instance::start(node, *at, directories[i].path(), &other).await);
+        time::sleep(Duration::from_millis(1_500)).await;
+    }
+    time::sleep(Duration::from_secs(8)).await;
+    let seen: Vec<_> = others.iter().map(|o| (o.id.0, o.replica.cluster())).collect();
+    let members: Vec<u64> = group
+        .leader()
+        .unwrap()
+        .replica
+        .status()
+        .members
+        .iter()
+        .map(|member| member.node.0)
+        .collect();
+    assert!(members.iter().all(|node| *node < 100), "{members:?}");
+    assert!(seen.iter().all(|(_, cluster)| *cluster != own), "{seen:?}");
+    for instance in others {
+        instance.kill().await;
+    }
+    group.stop().await;
+}
+
+/// Guards against a stopping instance that is added again while its open calls end.
+#[actix_rt::test]
+async fn an_instance_that_stops_is_not_added_again() {
+    let mut group = Group::form().await;
+    group.wait_for_leader().await;
+    let seeds = group.addrs();
+    let newcomer = group.start(&seeds).await;
+    group.wait_for_standby().await;
+    let stopping = group.followers().into_iter().find(|at| *at != newcomer).unwrap();
+    group.get(stopping).unwrap().replica.leave().await;
+    let id = group.get(stopping).unwrap().id;
+    let drained = Instant::now() + Duration::from_secs(1);
+    while Instant::now() < drained {
+        let members = group.leader().unwrap().replica.status().members;
+        let again = members.iter().any(|m| (m.node, m.disk) == id && !m.votes);
+        assert!(!again, "added again {:?} before the end", drained - Instant::now());
+        time::sleep(POLL).await;
+    }
+    group.stop().await;
+}
+
+/// Guards against an instance outside a group whose stop waits for a vote that it does not have.
+#[actix_rt::test]
+async fn a_blank_instance_stops_at_once() {
+    let mut group = Group { alive: Vec::new(), directories: Vec::new() };
+    let at = group.start(&[free_addr()]).await;
+    let begun = Instant::now();
+    group.get(at).unwrap().replica.leave().await;
+    assert!(begun.elapsed() < Duration::from_millis(500), "{:?}", begun.elapsed());
+    group.stop().await;
+}
+
+/// Guards against an instance that stops as the leader, without handing over, because it was chosen as the
+/// next leader while it waited for a learner to vote in its place.
+#[actix_rt::test]
+async fn an_instance_that_stops_does_not_take_over_the_leadership() {
+    let mut group = Group::form().await;
+    group.wait_for_leader().await;
+    let seeds = group.addrs();
+    let newcomer = group.start(&seeds).await;
+    group.wait_for_standby().await;
+    let leader = group.wait_for_leader().await;
+    let voters: Vec<&Instance> = group.alive.iter().filter(|i| i.addr != newcomer).collect();
+    let stop = async |instance: &Instance| {
+        instance.replica.leave().await;
+        instance.leads()
+    };
+    let first = voters.iter().find(|instance| instance.addr == leader).unwrap();
+    let others: Vec<&&Instance> =
+        voters.iter().filter(|instance| instance.addr != leader).collect();
+    let second = others.iter().max_by_key(|instance| instance.id).unwrap();
+    let (a, b) = tokio::join!(stop(first), stop(second));
+    assert!(!a && !b, "leads at its end: first {a}, second {b}");
+    group.stop().await;
+}
