--- a/src/control/replica/driver/introduction.rs
+++ b/src/control/replica/driver/introduction.rs
@@ -117,29 +117,37 @@
     /// change of its own addresses is recorded, and to former members, which may have been removed
     /// while they were cut off.
     pub(super) fn introduce(&self, inner: &Rc<Inner>, core: &mut Core) {
-        let now = self.now();
         let hello = self.own_hello(core);
-        let members = core.instance.members();
-        core.contacts.update_members(now, core.instance.member_lists());
-        let listed = members
+        core.contacts.update_members(self.now(), core.instance.member_lists());
+        let listed = core
+            .instance
+            .members()
             .iter()
             .any(|m| m.id == hello.id && m.peer == hello.peer && m.client == hello.client);
         let leads = core.instance.role() == Role::Leader;
         if leads || (listed && core.instance.leader().is_some()) {
-            if let Some(outside_ms) = core.introduction.end(now) {
-                let voter = core.instance.is_voter();
-                log::info!("event=inside_group outside_ms={outside_ms} voter={voter}");
-            }
+            self.end_introduction(core);
             if leads {
                 core.instance.hello(hello);
                 self.contact_former(inner, core, hello);
             }
             return;
         }
-        core.introduction.begin(now);
-        if self.leaving.get() {
-            return;
+        core.introduction.begin(self.now());
+        if !self.leaving.get() {
+            self.send_introductions(inner, core, hello);
+            self.log_outside(core, listed);
+        }
+    }
+
+    fn end_introduction(&self, core: &mut Core) {
+        if let Some(outside_ms) = core.introduction.end(self.now()) {
+            let voter = core.instance.is_voter();
+            log::info!("event=inside_group outside_ms={outside_ms} voter={voter}");
         }
+    }
+
+    fn send_introductions(&self, inner: &Rc<Inner>, core: &mut Core, hello: Hello) {
         let candidates = core.contacts.candidates();
         let mut addrs = candidates.clone();
         addrs.extend(core.routes.values().copied());
@@ -152,15 +160,19 @@
             core.introduction.asked(addr);
             self.send_hello(inner, addr, Hello { purpose, ..hello });
         }
-        if let Some(line) = core.introduction.due_line(now) {
-            let (node, disk) = (hello.id.node.0, hello.id.disk.0);
-            let (role, term) = (core.instance.role(), core.instance.term());
-            let voters = core.instance.members().iter().filter(|member| member.voter).count();
-            log::warn!(
-                "event=outside_group node={node} disk={disk} listed={listed} role={role:?} \
-                 term={term} own_voters={voters} {line}"
-            );
-        }
+    }
+
+    fn log_outside(&self, core: &mut Core, listed: bool) {
+        let Some(line) = core.introduction.due_line(self.now()) else { return };
+        let instance = &core.instance;
+        let (id, role, term) = (instance.id(), instance.role(), instance.term());
+        let voters = instance.members().iter().filter(|member| member.voter).count();
+        log::warn!(
+            "event=outside_group node={} disk={} listed={listed} role={role:?} term={term} \
+             own_voters={voters} {line}",
+            id.node.0,
+            id.disk.0
+        );
     }
 
     fn own_hello(&self, core: &Core) -> Hello {
