--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -117,6 +117,15 @@
         group
     }
 
+    /// Forms a group that has lost a follower, and returns the address of that one too.
+    async fn without_a_follower() -> (Group, SocketAddr) {
+        let mut group = Group::form().await;
+        group.wait_for_leader().await;
+        let lost = group.followers()[0];
+        group.lose(lost).await;
+        (group, lost)
+    }
+
     async fn start_at(&mut self, at: SocketAddr, seeds: &[SocketAddr]) -> SocketAddr {
         let directory = TempDir::new().unwrap();
         let node = self.directories.len() as u64 + 1;
@@ -274,10 +283,7 @@
 /// Guards against a replacement that stays outside the group because none of its seeds leads.
 #[actix_rt::test]
 async fn a_replacement_whose_seeds_do_not_lead_joins() {
-    let mut group = Group::form().await;
-    group.wait_for_leader().await;
-    let lost = group.followers()[0];
-    group.lose(lost).await;
+    let (mut group, _) = Group::without_a_follower().await;
     let seeds = group.followers();
     assert_eq!(seeds.len(), 3);
     let started = Instant::now();
@@ -290,10 +296,7 @@
 /// does not lead, is lost 1 s after its start.
 #[actix_rt::test]
 async fn a_replacement_whose_seeds_are_lost_later_joins() {
-    let mut group = Group::form().await;
-    group.wait_for_leader().await;
-    let lost = group.followers()[0];
-    group.lose(lost).await;
+    let (mut group, lost) = Group::without_a_follower().await;
     let seed = group.followers()[0];
     let started = Instant::now();
     let newcomer = group.start(&[lost, free_addr(), seed]).await;
@@ -307,10 +310,7 @@
 /// the only seed that is alive is the earlier leader.
 #[actix_rt::test]
 async fn a_replacement_joins_although_the_leader_changes() {
-    let mut group = Group::form().await;
-    group.wait_for_leader().await;
-    let lost = group.followers()[0];
-    group.lose(lost).await;
+    let (mut group, lost) = Group::without_a_follower().await;
     let old = group.wait_for_leader().await;
     let started = Instant::now();
     group.start(&[old, lost, free_addr()]).await;
@@ -330,10 +330,7 @@
 /// it starts, and the other does not lead.
 #[actix_rt::test]
 async fn a_replacement_joins_although_the_leader_is_lost() {
-    let mut group = Group::form().await;
-    group.wait_for_leader().await;
-    let lost = group.followers()[0];
-    group.lose(lost).await;
+    let (mut group, lost) = Group::without_a_follower().await;
     let old = group.wait_for_leader().await;
     let seed = group.followers()[0];
     let started = Instant::now();
@@ -403,10 +400,7 @@
 /// Lets `count` replacements die as soon as the leader knows them, then waits for one that lives and
 /// started with them.
 async fn join_beside_dead_replacements(count: usize) {
-    let mut group = Group::form().await;
-    group.wait_for_leader().await;
-    let lost = group.followers()[0];
-    group.lose(lost).await;
+    let (mut group, _) = Group::without_a_follower().await;
     let seeds = group.addrs();
     let started = Instant::now();
     for _ in 0..count {
@@ -460,10 +454,7 @@
 /// a former member.
 #[actix_rt::test]
 async fn a_leader_takes_no_blank_instance_of_another_system() {
-    let mut group = Group::form().await;
-    group.wait_for_leader().await;
-    let lost = group.followers()[0];
-    group.lose(lost).await;
+    let (mut group, lost) = Group::without_a_follower().await;
     let seeds = group.addrs();
     let started = Instant::now();
     group.start(&seeds).await;
