Rules: edits of one line move to protocol::rule

Cause: the leader is to drain data centres by the same rule and the same edit as `briargauge drain`. Change: rule::Edit tells an edit that changes nothing from one that is not valid; Rules::drained_data_centres, rule::is_data_centre.

--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -4,7 +4,7 @@
     client, cmd,
     cmd::util,
     error::{self, Result},
-    protocol::{rule, wire::control},
+    protocol::{rule::Edit, wire::control},
 };
 
 pub const USAGE: &str = "
@@ -48,40 +48,16 @@
     util::block_on(change(&client, &operator, &edit))
 }
 
-/// A change of one line of the rules.
-enum Edit {
-    Add(String),
-    /// Removes the lines that have these words before their comment.
-    Remove(String),
-}
-
-impl Edit {
-    /// Returns the rules `text` with this change, or an error if the result is not valid.
-    fn apply(&self, text: &str) -> Result<String> {
-        let lines = text.lines().map(str::to_owned);
-        let lines: Vec<String> = match self {
-            Edit::Add(line) => lines.chain([line.clone()]).collect(),
-            Edit::Remove(words) => {
-                let remains = |line: &String| rule_words(line) != rule_words(words);
-                let remaining: Vec<String> = lines.filter(remains).collect();
-                if remaining.len() == text.lines().count() {
-                    return Err(util::usage(format!("there is no rule `{words}`")));
-                }
-                remaining
-            }
-        };
-        let text = lines.join("\n") + "\n";
-        rule::Rules::parse(&text).map_err(|faults| {
-            let reason = faults.to_string();
-            error::InputSnafu { step: "check rules", at: "drain", reason }.build()
-        })?;
-        Ok(text)
-    }
-}
-
-/// The words of a line before its comment.
-fn rule_words(line: &str) -> Vec<&str> {
-    line.split('#').next().unwrap_or_default().split_whitespace().collect()
+/// Returns the rules `text` after the change.
+fn apply(edit: &Edit, text: &str) -> Result<String> {
+    let changed = edit.apply(text).map_err(|faults| {
+        let reason = faults.to_string();
+        error::InputSnafu { step: "check rules", at: "drain", reason }.build()
+    })?;
+    changed.ok_or_else(|| match edit {
+        Edit::Add(line) => util::usage(format!("there is a rule for the target of `{line}`")),
+        Edit::Remove(words) => util::usage(format!("there is no rule `{words}`")),
+    })
 }
 
 async fn change(client: &client::Control, operator: &str, edit: &Edit) -> Result<ExitCode> {
@@ -92,7 +68,7 @@
             id: format!("{:016x}", rand::random::<u64>()),
             operator: operator.to_owned(),
             base: rules.version,
-            text: edit.apply(&rules.text)?,
+            text: apply(edit, &rules.text)?,
         };
         match cmd::rules::change(client, change).await? {
             control::Changed::Accepted { version } => {
--- a/src/protocol/rule.rs
+++ b/src/protocol/rule.rs
@@ -24,6 +24,7 @@
 //! The result of parsing depends on the text alone, because each control instance decides by it
 //! whether a change is accepted, and all must decide alike.
 
+mod edit;
 mod parse;
 mod print;
 
@@ -36,6 +37,7 @@
 use indexmap::IndexMap;
 
 use crate::protocol::job;
+pub use edit::Edit;
 
 /// Name in rules that apply to every client account without a rule of its own for the same setting.
 pub const ANY: &str = "*";
@@ -54,6 +56,11 @@
     Drain(Target),
 }
 
+/// Whether a rule can contain `name` as that of a data centre.
+pub fn is_data_centre(name: &str) -> bool {
+    parse::is_name(name)
+}
+
 /// A setting of a client account.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Setting {
@@ -260,6 +267,13 @@
             || self.drained_servers.contains(&addr)
     }
 
+    /// Names of the data centres that rules drain, in ascending order.
+    pub fn drained_data_centres(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.drained_centres.iter().cloned().collect();
+        names.sort_unstable();
+        names
+    }
+
     /// Where tasks of a kind may run; `None` if they may run anywhere.
     pub fn placement(&self, kind: &str) -> Option<&Placement> {
         self.placements.get(kind)
--- a/src/protocol/rule/parse.rs
+++ b/src/protocol/rule/parse.rs
@@ -37,6 +37,12 @@
     if faults.is_empty() { Ok(rules) } else { Err(Faults(faults)) }
 }
 
+/// Whether `word` is a single word that may be a name.
+pub fn is_name(word: &str) -> bool {
+    let reserved = |c: char| c.is_whitespace() || c.is_control() || c == '#';
+    !word.is_empty() && word.len() <= NAME_MAX_BYTES && !word.contains(reserved)
+}
+
 fn line(number: usize, text: &str) -> Result<Line, String> {
     let text = text.trim();
     if text.is_empty() {
--- a/tests/rule.rs
+++ b/tests/rule.rs
@@ -2,7 +2,7 @@
 
 use briargauge::protocol::{
     job,
-    rule::{Preference, Rules},
+    rule::{self, Edit, Preference, Rules},
 };
 use insta::assert_snapshot;
 use quickcheck::{Arbitrary, Gen, quickcheck};
@@ -197,3 +197,38 @@
         Rules::parse(&rules.to_string()).as_ref() == Ok(&rules)
     }
 }
+
+/// Guards against an edit that adds a rule again, which is not valid, that removes other lines than those
+/// meant, or that cannot be told from one that changes nothing.
+#[test]
+fn an_edit_changes_one_rule_or_nothing() {
+    let add = |line: &str| Edit::Add(line.to_owned());
+    let remove = |words: &str| Edit::Remove(words.to_owned());
+    let text = "drain data-centre Saga # ito: power\n# Saga\ndrain   rack Saga/r1 # ito: switch";
+    assert_eq!(add("drain data-centre Saga # emi: again").apply(text), Ok(None));
+    assert_eq!(remove("drain data-centre Kurume").apply(text), Ok(None));
+    let ended = remove("drain data-centre Saga").apply(text).unwrap().unwrap();
+    assert_eq!(ended, "# Saga\ndrain   rack Saga/r1 # ito: switch\n");
+    let begun = add("drain data-centre Saga # emi: again").apply(&ended).unwrap().unwrap();
+    assert_eq!(begun, format!("{ended}drain data-centre Saga # emi: again\n"));
+    assert_eq!(Rules::parse(&begun).unwrap().drained_data_centres(), ["Saga"]);
+    let invalid = add("drain data-centre Kurume").apply(text).unwrap_err();
+    assert_eq!(invalid.0[0].line, 4, "{invalid}");
+    assert_eq!(add("drain data-centre Saga # a: b").apply("").unwrap().unwrap().lines().count(), 1);
+}
+
+/// Guards against a name that makes other rules than the one meant, or none.
+#[test]
+fn names_of_data_centres_are_single_words() {
+    let long = "x".repeat(rule::NAME_MAX_BYTES);
+    for name in ["Saga", "saga/r1", "łódź", "*", "a%20b", &long] {
+        assert!(rule::is_data_centre(name), "{name:?}");
+        let text = format!("drain data-centre {name} # who: why\n");
+        assert_eq!(Rules::parse(&text).unwrap().drained_data_centres(), [name]);
+    }
+    let too_long = "x".repeat(rule::NAME_MAX_BYTES + 1);
+    let invalid = ["", "a b", "a#b", "a\nb", "a\u{85}b", "a\u{a0}b", "a\0b", &too_long];
+    for name in invalid {
+        assert!(!rule::is_data_centre(name), "{name:?}");
+    }
+}
