Drains of data centres, from the operators' address to the sidecars

Cause: operators empty a data centre before planned work there; nothing answered the order. Nothing is assigned to a drained server, its sidecar refuses starts and waiting attempts, and an entry refuses jobs at once that have not run and can run nowhere else. What runs runs on.

--- a/src/control/jobs/call.rs
+++ b/src/control/jobs/call.rs
@@ -22,6 +22,14 @@
 /// Time for which further changes are collected before a watch call is answered.
 const COLLECT_TIME: Duration = Duration::from_millis(15);
 
+/// Versions of what an entry knows, as in [`Call::Watch`].
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    config: u64,
+    sidecars: u64,
+    drains: u64,
+}
+
 impl Coordinator {
     /// Carries out a call if this instance leads, and refuses it otherwise.
     pub async fn call(&self, call: Call) -> Result<Answer, Refusal> {
@@ -32,14 +40,16 @@
             Call::Query { host, path } => self.query(&host, &path).await,
             Call::Cancel { host, path } => self.cancel(&host, &path).await,
             Call::Configure(config) => self.configure(config).await,
-            Call::Watch { config, sidecars, wait_ms } => {
+            Call::Watch { config, sidecars, wait_ms, drains } => {
+                let known = Known { config, sidecars, drains };
                 let wait = Duration::from_millis(wait_ms).min(WATCH_WAIT_MAX);
-                if time::timeout(wait, self.wait_for_change(config, sidecars)).await.is_ok() {
+                if time::timeout(wait, self.wait_for_change(known)).await.is_ok() {
                     time::sleep(COLLECT_TIME).await;
                 }
                 self.confirm_current().await?;
-                self.view(config, sidecars).map(Answer::View)
+                self.view(known).map(Answer::View)
             }
+            Call::Drain { data_centre, drained } => self.drain(&data_centre, drained).await,
             Call::ReadConfig => {
                 self.confirm_current().await?;
                 let state = self.inner.replica.state();
@@ -49,28 +59,30 @@
     }
 
     /// Returns once [`Coordinator::view`] has something to return, or this instance does not lead.
-    async fn wait_for_change(&self, config: u64, sidecars: u64) {
+    async fn wait_for_change(&self, known: Known) {
         loop {
             let view_changed = self.inner.view_changed.notified();
-            match self.view(config, sidecars) {
-                Ok(View { config: None, sidecars: None, .. }) => view_changed.await,
+            match self.view(known) {
+                Ok(View { config: None, sidecars: None, drains: None, .. }) => view_changed.await,
                 Ok(_) | Err(_) => return,
             }
         }
     }
 
-    /// The configuration if it is newer than version `config`, and the list of sidecars if its
-    /// version is not `sidecars`.
-    fn view(&self, config: u64, sidecars: u64) -> Result<View, Refusal> {
+    /// The configuration and the drains if they are newer than those known, and the list of sidecars
+    /// if it has another version.
+    fn view(&self, known: Known) -> Result<View, Refusal> {
         let leadership = self.inner.leadership.borrow();
         let Some(leadership) = leadership.as_ref() else { return Err(self.not_leader()) };
         let state = self.inner.replica.state();
-        let newer = state.queues().config().filter(|stored| stored.version > config);
+        let newer = state.queues().config().filter(|stored| stored.version > known.config);
         let version = leadership.sidecar_list_version();
+        let drains = self.inner.drains.borrow();
         Ok(View {
             config: newer.cloned(),
-            sidecars: (version != sidecars).then(|| (version, leadership.sidecar_list())),
+            sidecars: (version != known.sidecars).then(|| (version, leadership.sidecar_list())),
             members: self.inner.replica.members(),
+            drains: (drains.version > known.drains).then(|| drains.clone()),
         })
     }
 
--- a/src/control/jobs/meter.rs
+++ b/src/control/jobs/meter.rs
@@ -6,7 +6,10 @@
     control::replica::{Introductions, Replica},
     coordination::consensus::Change,
     metric,
-    protocol::wire::control::{Role, Status},
+    protocol::wire::{
+        control::{Role, Status},
+        queue::Drains,
+    },
 };
 
 /// Value of a gauge that only a leader knows, at another instance.
@@ -24,6 +27,7 @@
     unresponsive: IntGauge,
     oldest_applicant_age_ms: IntGauge,
     outside_ms: IntGauge,
+    drained_data_centres: IntGauge,
     heard_while_leading: IntCounter,
     heard_while_following: IntCounter,
     changes: IntCounterVec,
@@ -32,11 +36,7 @@
 impl Meter {
     pub fn new() -> Meter {
         let registry = Registry::new();
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("metric names are valid");
-            registry.register(Box::new(gauge.clone())).expect("each metric is registered once");
-            gauge
-        };
+        let gauge = |name: &str, help: &str| metric::gauge(&registry, name, help);
         let heard = metric::counter(
             &registry,
             "briargauge_control_introductions_total",
@@ -74,6 +74,7 @@
                 "Time that this instance has had no leader or has not been a member; 0 if it has \
                  one and is.",
             ),
+            drained_data_centres: gauge(metric::DRAINED, metric::DRAINED_HELP),
             heard_while_leading: heard.with_label_values(&["true"]),
             heard_while_following: heard.with_label_values(&["false"]),
             changes: metric::counter(
@@ -96,7 +97,8 @@
     }
 
     /// The metrics in the Prometheus text format.
-    pub fn render(&self, replica: &Replica) -> Vec<u8> {
+    pub fn render(&self, replica: &Replica, drains: &Drains) -> Vec<u8> {
+        self.drained_data_centres.set(drains.data_centres.len() as i64);
         let Status { role, term, node, disk, members, .. } = replica.status();
         let leads = role == Role::Leader;
         let voters = members.iter().filter(|member| member.votes).count();
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -3,6 +3,7 @@
 
 mod batcher;
 mod call;
+mod drain;
 mod members;
 mod meter;
 mod report;
@@ -16,15 +17,18 @@
     time::Duration,
 };
 
-use indexmap::IndexMap;
-use tokio::{sync::Notify, time};
+use indexmap::{IndexMap, IndexSet};
+use tokio::{
+    sync::{Mutex, Notify},
+    time,
+};
 
 use crate::{
     control::{barrier::SharedBarrier, replica::Replica},
     coordination::{membership::Monitor, schedule::Scheduler},
     protocol::{
         id,
-        wire::queue::{self, Refusal},
+        wire::queue::{self, Drains, Refusal},
     },
     supervisor, util,
 };
@@ -75,7 +79,7 @@
     leadership: RefCell<Option<Leadership>>,
     /// Whether a confirmation of leadership is in progress.
     confirming: Cell<bool>,
-    /// Wakes the watch calls of entries after a change of the configuration, and after a sidecar
+    /// Wakes the watch calls of entries after a change of the configuration or the drains, and after a sidecar
     /// was registered or its backend server has changed. The loss of a backend server whose lease
     /// has expired wakes no call: it is sent with the next answer.
     view_changed: Notify,
@@ -84,6 +88,12 @@
     /// Whether the group has been formed. Calls and reports are refused before.
     formed: Cell<bool>,
     stopping: Cell<bool>,
+    /// The drains by the rules that this instance has applied.
+    drains: RefCell<Drains>,
+    /// Locked while an order to drain a data centre is carried out.
+    drain_turn: Mutex<()>,
+    /// The data centres that may be drained; `None` if any may be.
+    data_centres: RefCell<Option<IndexSet<String>>>,
     meter: Meter,
 }
 
@@ -161,6 +171,9 @@
             leader_known: Notify::new(),
             formed: Cell::new(false),
             stopping: Cell::new(false),
+            drains: RefCell::default(),
+            drain_turn: Mutex::default(),
+            data_centres: RefCell::default(),
             meter: Meter::new(),
         };
         Coordinator { inner: Rc::new(inner) }
@@ -193,7 +206,7 @@
 
     /// The metrics of the group in the Prometheus text format.
     pub fn metrics(&self) -> Vec<u8> {
-        self.inner.meter.render(&self.inner.replica)
+        self.inner.meter.render(&self.inner.replica, &self.inner.drains.borrow())
     }
 
     /// Assumes or drops the leadership of the jobs when that of the group has changed.
@@ -222,8 +235,10 @@
 
     fn assume_leadership(&self, term: u64, confirmed_ms: u64) {
         let now_ms = util::boot_ms();
+        self.follow_rules();
         let state = self.inner.replica.state();
-        let scheduler = Scheduler::new(term, now_ms, state.queues());
+        let mut scheduler = Scheduler::new(term, now_ms, state.queues());
+        scheduler.set_drains(self.inner.drains.borrow().clone());
         log::info!(
             "event=leadership term={term} cluster={} jobs={} inherited={} version={}",
             self.inner.replica.cluster().map_or_else(String::new, |cluster| cluster.to_string()),
@@ -252,6 +267,7 @@
     }
 
     fn tick(&self) {
+        self.follow_rules();
         let now_ms = util::boot_ms();
         let Some(confirmed_ms) =
             self.inner.leadership.borrow().as_ref().map(|leadership| leadership.confirmed_ms)
--- a/src/control/jobs/report.rs
+++ b/src/control/jobs/report.rs
@@ -57,7 +57,7 @@
         }
         self.assign(util::boot_ms());
         if !newly {
-            self.wait_for_commands(&report.sidecar, report.generation, wait).await;
+            self.wait_for_commands(&report, wait).await;
         }
         self.commands(&report)
     }
@@ -113,10 +113,7 @@
             // The present process of the sidecar knows the server, and stops what an earlier
             // process left running there.
             sidecar.earlier_attempts_ended_ms = None;
-            if let Some(server) = scheduler.server_mut(key)
-                && server.info != *info
-            {
-                server.describe(info.clone());
+            if scheduler.describe(key, info) {
                 *list_changes += 1;
                 self.inner.view_changed.notify_waiters();
             }
@@ -333,9 +330,11 @@
         }
     }
 
-    /// Returns when commands are due, completions were stored, a newer report has arrived, or
-    /// `wait` is over.
-    async fn wait_for_commands(&self, name: &str, generation: u64, wait: Duration) {
+    /// Returns when commands are due, completions were stored, a newer report has arrived, there are
+    /// newer drains than the report names, or `wait` is over.
+    async fn wait_for_commands(&self, report: &Report, wait: Duration) {
+        let Report { sidecar: name, generation, drains, .. } = report;
+        let has_newer_drains = || self.inner.drains.borrow().version > *drains;
         let (wake, report_count, stored) = {
             let leadership = self.inner.leadership.borrow();
             let Some(sidecar) =
@@ -343,7 +342,10 @@
             else {
                 return;
             };
-            if sidecar.generation != generation || sidecar.has_due(util::boot_ms()) {
+            if sidecar.generation != *generation
+                || sidecar.has_due(util::boot_ms())
+                || has_newer_drains()
+            {
                 return;
             }
             (sidecar.wake.clone(), sidecar.report_count.clone(), sidecar.completions_stored())
@@ -360,7 +362,8 @@
                 };
                 let now_ms = util::boot_ms();
                 let due = sidecar.has_due(now_ms)
-                    || sidecar.generation != generation
+                    || sidecar.generation != *generation
+                    || has_newer_drains()
                     || sidecar.completions_stored() != stored;
                 if report_count.get() != count_before || due {
                     return;
@@ -387,7 +390,8 @@
     fn offer(&self, generation: u64) -> Result<Commands, Refusal> {
         let term = self.confirmed(util::boot_ms())?.term;
         let members = self.inner.replica.members();
-        Ok(Commands { term, generation, members, ..Commands::default() })
+        let drains = self.inner.drains.borrow().clone();
+        Ok(Commands { term, generation, members, drains, ..Commands::default() })
     }
 
     /// The commands that are due for the sidecar that sent a report, with a new lease.
@@ -444,6 +448,7 @@
             crashes_stored,
             batches: if sidecar.synced { sidecar.take_due(now_ms) } else { Vec::new() },
             members,
+            drains: self.inner.drains.borrow().clone(),
         })
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 pub mod consensus;
 pub mod contact;
 pub mod dispatch;
+pub mod drain;
 pub mod formation;
 pub mod health;
 pub mod lease;
--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -4,6 +4,7 @@
 //! in the replicated [`Queues`]. Which server runs an attempt is not replicated: a new leader
 //! receives it from the sidecars' reports.
 
+mod drain;
 mod fence;
 mod isolation;
 mod server;
@@ -107,6 +108,7 @@
     suspects: Suspects,
     /// Tasks that an earlier leader may have started and that may still run somewhere.
     inherited: IndexSet<Task>,
+    drains: queue::Drains,
 }
 
 impl Scheduler {
@@ -125,6 +127,7 @@
             ready_suspects: IndexMap::new(),
             suspects: Suspects::default(),
             inherited: IndexSet::new(),
+            drains: queue::Drains::default(),
         };
         for (id, record) in queues.open() {
             scheduler.add(now_ms, id, record, true);
@@ -210,7 +213,8 @@
 
     /// Adds a backend server. It gets no attempts until [`Scheduler::sync`] has set which run
     /// there.
-    pub fn add_server(&mut self, server: Server) -> Key {
+    pub fn add_server(&mut self, mut server: Server) -> Key {
+        server.set_drained(&self.drains);
         Key(self.servers.insert(server))
     }
 
@@ -228,6 +232,7 @@
         let Some(server) = self.servers.get_mut(key.0) else { return };
         self.suspects.lost(now_ms, server.info.id.clone());
         server.restart(info);
+        server.set_drained(&self.drains);
     }
 
     /// Sets which attempts run on a backend server, which gets attempts from then on. Attempts that
--- a/src/coordination/schedule/isolation.rs
+++ b/src/coordination/schedule/isolation.rs
@@ -138,7 +138,9 @@
                 (Reverse(crashes(*task, queues)), due_ms + wait_ms)
             });
             let down = self.suspects.down(now_ms, &service);
-            let servers = self.servers.iter().filter(|(_, s)| s.info.service == service).count();
+            let of_service =
+                |server: &Server| server.info.service == service && !server.is_drained();
+            let servers = self.servers.iter().filter(|(_, server)| of_service(server)).count();
             let apart = self.servers_apart(&service).count();
             let others_wait = self.others_wait(&service);
             let (most, most_idle) = suspect::servers_max(servers + down);
--- a/src/coordination/schedule/server.rs
+++ b/src/coordination/schedule/server.rs
@@ -7,7 +7,7 @@
     coordination::pace::{self, Pace},
     protocol::{
         queue::{Attempt, Id, Outcome, Resources, Step},
-        wire::queue::{self, Batch, Reason, Start},
+        wire::queue::{self, Batch, Drains, Reason, Start},
     },
 };
 
@@ -19,6 +19,8 @@
     synced: bool,
     /// Whether only suspects start here, one at a time.
     apart: bool,
+    /// Whether its data centre is drained: nothing is started here.
+    drained: bool,
     used: Resources,
     attempts: IndexMap<Attempt, ()>,
     /// Speed and health, estimated from the attempts that have ended.
@@ -34,6 +36,7 @@
             info,
             synced: false,
             apart: false,
+            drained: false,
             attempts: IndexMap::new(),
             pace: Pace::default(),
             outbox: Batch::default(),
@@ -61,7 +64,7 @@
     }
 
     /// Replaces the description of the server.
-    pub fn describe(&mut self, info: queue::Server) {
+    pub(super) fn describe(&mut self, info: queue::Server) {
         if self.info.capacity != info.capacity {
             log::warn!("event=capacity_changed server={}", info.id.id);
         }
@@ -80,12 +83,22 @@
     pub(super) fn suits(&self, service: &str, step: &Step) -> bool {
         self.synced
             && !self.info.draining
+            && !self.drained
             && self.info.service == service
             && self.info.capacity.fits(&step.needs)
             && step.max_per_server != Some(0)
             && step.required_label.as_ref().is_none_or(|label| self.info.labels.contains(label))
     }
 
+    /// Whether the data centre of the server is drained.
+    pub fn is_drained(&self) -> bool {
+        self.drained
+    }
+
+    pub(super) fn set_drained(&mut self, drains: &Drains) {
+        self.drained = drains.includes(&self.info.data_centre);
+    }
+
     /// Whether only suspects start here.
     pub fn apart(&self) -> bool {
         self.apart
--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -10,6 +10,7 @@
 
 mod announce;
 mod backend;
+mod drain;
 mod leader;
 mod poll;
 mod start;
@@ -21,7 +22,7 @@
 use crate::protocol::{
     queue::{Attempt, Id},
     wire::{
-        queue::{Batch, Completion, Crash, NotStarted, Reason, Server, Start},
+        queue::{Batch, Completion, Crash, Drains, NotStarted, Reason, Server, Start},
         work::{self, Entry, Load, Revision},
     },
 };
@@ -149,6 +150,7 @@
     released: IndexMap<Entry, u64>,
     /// Whether all start commands are refused, and the server is reported as draining.
     draining: bool,
+    drains: Drains,
     actions: Actions,
 }
 
@@ -180,6 +182,7 @@
             leases: IndexMap::new(),
             released: IndexMap::new(),
             draining: false,
+            drains: Drains::default(),
             actions: Actions::default(),
         }
     }
@@ -309,7 +312,7 @@
         };
         Load {
             revision: self.revision,
-            open: backend.may_start() && !self.draining,
+            open: backend.may_start() && !self.is_closed(),
             lost: backend.lost,
             used: backend.used,
             queued: backend.waiting_resources(),
--- a/src/coordination/sidecar/leader.rs
+++ b/src/coordination/sidecar/leader.rs
@@ -85,6 +85,7 @@
             crashes: self.crashes.clone(),
             batch: self.batch,
             wait_ms,
+            drains: self.drains.version,
         }
     }
 
@@ -96,7 +97,9 @@
         report: &Report,
         commands: Commands,
     ) {
-        // What a leader has stored stays stored, whichever term and generation it answers under.
+        // Drains have versions of their own, and what a leader has stored stays stored, whichever term
+        // and generation it answers under.
+        self.update_drains(now_ms, &commands.drains);
         self.crashes.retain(|crash| !commands.crashes_stored.contains(&crash.number));
         if commands.term < self.term || commands.generation < self.generation {
             log::info!("event=commands_outdated term={} known={}", commands.term, self.term);
--- a/src/coordination/sidecar/start.rs
+++ b/src/coordination/sidecar/start.rs
@@ -30,7 +30,7 @@
         let assignment = Assignment::new(source, start, due_ms, until_ms);
         let refusal = match &self.backend {
             None => Some(Reason::Unavailable),
-            Some(backend) if !backend.may_start() || self.draining => Some(Reason::Unavailable),
+            Some(backend) if !backend.may_start() || self.is_closed() => Some(Reason::Unavailable),
             Some(backend) if backend.assignments.contains_key(&attempt) => Some(Reason::Expired),
             Some(backend) if backend.waiting_count() >= WAITING_MAX => Some(Reason::NoCapacity),
             Some(_) => None,
@@ -75,8 +75,9 @@
             .into_iter()
             .map(|attempt| (attempt, lease_until(&attempt)))
             .collect();
+        let closed = self.is_closed();
         let Some(backend) = &mut self.backend else { return };
-        let may_start = backend.may_start() && !self.draining;
+        let may_start = backend.may_start() && !closed;
         let mut refused = Vec::new();
         for (attempt, lease_until_ms) in waiting {
             let assignment = &backend.assignments[&attempt];
--- a/src/coordination/transient.rs
+++ b/src/coordination/transient.rs
@@ -7,6 +7,7 @@
 //! this entry has commanded since.
 
 mod crash;
+mod drain;
 mod job;
 mod ready;
 mod server;
@@ -20,7 +21,7 @@
 use crate::protocol::{
     queue::{self, Attempt, Id, Queue, Step, Task},
     wire::{
-        queue::{self as wire_queue, Reason, Sidecar, Start},
+        queue::{self as wire_queue, Drains, Reason, Sidecar, Start},
         work::{Load, Outcome, Reply, Revision},
     },
 };
@@ -88,7 +89,7 @@
     Completed,
     Failed,
     Canceled,
-    /// No start was commanded, and none will be.
+    /// Nothing of it has run, and nothing will.
     NotRun,
 }
 
@@ -109,6 +110,7 @@
     held_until_ms: u64,
     /// Servers that were lost lately with attempts of this entry, and when.
     losses: IndexMap<Key, u64>,
+    drains: Drains,
     actions: Actions,
 }
 
@@ -134,12 +136,16 @@
     pub fn describe(&mut self, sidecar: Sidecar) -> Key {
         match self.names.get(&sidecar.name) {
             Some(&key) => {
-                self.servers[key.0].describe(sidecar);
+                let server = &mut self.servers[key.0];
+                server.describe(sidecar);
+                server.set_drained(&self.drains);
                 key
             }
             None => {
                 let name = sidecar.name.clone();
-                let key = Key(self.servers.insert(Server::new(sidecar)));
+                let mut server = Server::new(sidecar);
+                server.set_drained(&self.drains);
+                let key = Key(self.servers.insert(server));
                 self.names.insert(name, key);
                 key
             }
@@ -180,6 +186,7 @@
         let server = &mut self.servers[key.0];
         server.revision = revision;
         server.describe_server(info);
+        server.set_drained(&self.drains);
     }
 
     /// Version of the description of a backend server, as its sidecar numbers them.
@@ -234,6 +241,7 @@
         self.abandoned.retain(|task, placement| task.job != id || !job.adopt(*placement));
         self.jobs.insert(id, job);
         self.make_steps_ready(id);
+        self.refuse_if_drained(id);
         self.assign(now_ms);
     }
 
@@ -343,6 +351,7 @@
                 return;
             }
             Outcome::NotStarted(Reason::Expired) => task.number += NUMBER_STEP,
+            Outcome::NotStarted(Reason::Unavailable) => job.starts_open -= 1,
             Outcome::Stopped | Outcome::Lost(_) | Outcome::NotStarted(_) => {}
         }
         let ready = ready_of(&mut self.ready, job);
@@ -350,6 +359,9 @@
             job.make_ready(attempt.task);
             ready.update(id, job);
         }
+        if outcome == Outcome::NotStarted(Reason::Unavailable) {
+            self.refuse_if_drained(id);
+        }
     }
 
     /// Stops stalled attempts, refuses jobs that have waited too long, and assigns ready tasks.
@@ -484,6 +496,7 @@
         progress.placement =
             Some(Placement { attempt, server: key, commanded_ms: now_ms, stopping: false });
         job.start_commanded = true;
+        job.starts_open += 1;
         let start = Start { attempt, needs: step.needs, spec: job.spec.clone() };
         self.servers[key.0].add_attempt(attempt, step.needs);
         let due_ms = job.latest_start_ms;
--- a/src/coordination/transient/job.rs
+++ b/src/coordination/transient/job.rs
@@ -65,6 +65,9 @@
     pub remaining: usize,
     /// Whether the start of a task has ever been commanded, even if it did not start.
     pub start_commanded: bool,
+    /// Number of commanded starts, without those that the sidecar refused because its server takes no
+    /// work.
+    pub starts_open: u32,
 }
 
 impl Job {
@@ -86,6 +89,7 @@
             remaining: tasks.len(),
             tasks,
             start_commanded: false,
+            starts_open: 0,
             submitted: Arc::new(job),
         }
     }
@@ -129,6 +133,7 @@
         task.number = attempt.number;
         task.placement = Some(Placement { stopping: true, ..placement });
         self.start_commanded = true;
+        self.starts_open += 1;
         true
     }
 
@@ -151,6 +156,11 @@
         self.step(task).map_or(0, |step| step.estimate_ms)
     }
 
+    /// Whether nothing of the job has run, and nothing of it may run any more.
+    pub fn has_not_run(&self) -> bool {
+        self.starts_open == 0
+    }
+
     /// Whether the job would not be on time even if it started now.
     pub fn is_late(&self, now_ms: u64) -> bool {
         self.latest_start_ms + LATE_SLACK_MS < now_ms
--- a/src/coordination/transient/server.rs
+++ b/src/coordination/transient/server.rs
@@ -7,7 +7,7 @@
     protocol::{
         queue::{Attempt, Resources, Step, Task},
         wire::{
-            queue::{self, Reason, ServerId, Sidecar},
+            queue::{self, Drains, Reason, ServerId, Sidecar},
             work::{Load, Outcome, Revision},
         },
     },
@@ -41,6 +41,8 @@
     open: bool,
     /// Whether that incarnation counts as lost.
     lost: bool,
+    /// Whether its data centre is drained: nothing is commanded here.
+    drained: bool,
     /// Resources of attempts of others that run or wait there.
     others: Resources,
     /// Resources of the attempts that this entry has commanded.
@@ -65,6 +67,7 @@
             outdated: false,
             open: false,
             lost: false,
+            drained: false,
             others: Resources::default(),
             own: IndexMap::new(),
             own_total: Resources::default(),
@@ -138,7 +141,16 @@
 
     /// Whether the server accepts start commands at all.
     pub fn is_open(&self) -> bool {
-        self.connected && self.open && !self.sidecar.server.draining
+        self.connected && self.open && !self.sidecar.server.draining && !self.drained
+    }
+
+    /// Whether the data centre of the server is drained.
+    pub fn is_drained(&self) -> bool {
+        self.drained
+    }
+
+    pub fn set_drained(&mut self, drains: &Drains) {
+        self.drained = drains.includes(&self.sidecar.server.data_centre);
     }
 
     /// Whether `task`, which belongs to `step`, may start here once there is free capacity.
@@ -150,9 +162,18 @@
 
     /// Whether the server accepts start commands of the service and suits the step.
     pub fn serves(&self, service: &str, step: &Step) -> bool {
+        self.is_open() && self.is_of_kind(service, step)
+    }
+
+    /// Whether the server could run the step if it were open and free.
+    pub fn matches(&self, service: &str, step: &Step) -> bool {
+        self.is_of_kind(service, step) && self.sidecar.server.capacity.fits(&step.needs)
+    }
+
+    /// Whether the server is of the service and has the label that the step requires.
+    fn is_of_kind(&self, service: &str, step: &Step) -> bool {
         let server = &self.sidecar.server;
-        self.is_open()
-            && server.service == service
+        server.service == service
             && step.required_label.as_ref().is_none_or(|label| server.labels.contains(label))
     }
 
--- a/src/entry/jobs/config.rs
+++ b/src/entry/jobs/config.rs
@@ -123,6 +123,7 @@
             config: self.config().map_or(0, |config| config.version),
             sidecars: self.inner.sidecar_list_version.get(),
             wait_ms: util::millis(wait),
+            drains: self.inner.scheduler.borrow().drains().version,
         };
         let sent_ms = util::boot_ms();
         let answer = self.inner.leader.call(call, limit).await;
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -27,7 +27,7 @@
         id,
         queue::{Attempt, Id},
         wire::{
-            queue::Members,
+            queue::{Drains, Members},
             work::{self, Renewal, Reply, Revision, ServiceClient, Status},
         },
     },
@@ -79,6 +79,13 @@
     Unanswered,
 }
 
+/// What an entry passes on to sidecars.
+#[derive(Debug, Default)]
+struct Known {
+    members: Option<Members>,
+    drains: Drains,
+}
+
 /// One opening of a [`Connection`], until it breaks.
 #[derive(Clone)]
 struct Channel {
@@ -247,7 +254,7 @@
             connection.inner.addr.set(addr);
             let cluster = self.inner.leader.cluster();
             let Some((channel, terminated, status)) =
-                open(&connection.inner.name, addr, cluster, self.inner.leader.members()).await
+                open(&connection.inner.name, addr, cluster, self.known()).await
             else {
                 time::sleep(RECONNECT_DELAY).await;
                 continue;
@@ -265,6 +272,17 @@
         }
     }
 
+    fn known(&self) -> Known {
+        let drains = self.inner.scheduler.borrow().drains().clone();
+        Known { members: self.inner.leader.members(), drains }
+    }
+
+    /// Renews all leases at once, also idle ones, to pass on what sidecars may not know yet.
+    pub(super) fn renew_all(&self) {
+        let connections = self.inner.connections.borrow();
+        connections.values().for_each(|connection| connection.inner.renewal_due.notify_one());
+    }
+
     fn apply_status(&self, key: Key, status: Status) {
         let Status { load, server, members, .. } = status;
         if let Some(members) = members {
@@ -299,8 +317,9 @@
             skipped = 0;
             let revision = self.inner.scheduler.borrow().revision(key);
             let lease_until_ms = channel.extend_lease(self.inner.watermark.get());
-            let members = self.inner.leader.members();
-            let renewal = Renewal { entry: channel.entry, revision, lease_until_ms, members };
+            let Known { members, drains } = self.known();
+            let entry = channel.entry;
+            let renewal = Renewal { entry, revision, lease_until_ms, members, drains };
             let cluster = self.inner.leader.cluster();
             match request_status(&channel.client, cluster, renewal).await {
                 Some((received_ms, status)) => {
@@ -319,7 +338,7 @@
     name: &str,
     addr: SocketAddr,
     cluster: Option<id::Cluster>,
-    members: Option<Members>,
+    known: Known,
 ) -> Option<(Channel, watch::Sender<bool>, Status)> {
     let client = match rpc::connect::<ServiceClient>(addr).await {
         Ok(client) => client,
@@ -329,7 +348,9 @@
         }
     };
     let entry = work::Entry(rand::random());
-    let renewal = Renewal { entry, revision: Revision::default(), lease_until_ms: 0, members };
+    let Known { members, drains } = known;
+    let revision = Revision::default();
+    let renewal = Renewal { entry, revision, lease_until_ms: 0, members, drains };
     let (received_ms, status) = request_status(&client, cluster, renewal).await?;
     if status.sidecar.as_deref() != Some(name) {
         let other = status.sidecar.as_deref().unwrap_or("none");
@@ -395,7 +416,7 @@
 /// were started over it may be left, or `None` without an answer of the sidecar.
 async fn attempts_left(entry: work::Entry, process: &Process) -> Option<bool> {
     // Only the incarnation and what is left count here, which the sidecar says to every entry.
-    let (channel, _, status) = open(&process.name, process.addr, None, None).await?;
+    let (channel, _, status) = open(&process.name, process.addr, None, Known::default()).await?;
     if status.incarnation != process.incarnation {
         return Some(!status.clean);
     }
--- a/src/entry/jobs/meter.rs
+++ b/src/entry/jobs/meter.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, time::Duration};
 
-use prometheus::{HistogramVec, IntCounterVec, Registry};
+use prometheus::{HistogramVec, IntCounterVec, IntGauge, Registry};
 
 use crate::{coordination::transient::JobOutcome, metric};
 
@@ -12,6 +12,7 @@
     queues: RefCell<metric::LabelSet>,
     response: HistogramVec,
     jobs: IntCounterVec,
+    drained_data_centres: IntGauge,
 }
 
 impl Meter {
@@ -29,7 +30,8 @@
             "Jobs by how they ended.",
             &["queue", "outcome"],
         );
-        Meter { registry, queues: RefCell::default(), response, jobs }
+        let drained_data_centres = metric::gauge(&registry, metric::DRAINED, metric::DRAINED_HELP);
+        Meter { registry, queues: RefCell::default(), response, jobs, drained_data_centres }
     }
 
     /// Records the outcome of a job and its response time.
@@ -46,6 +48,10 @@
         self.jobs.with_label_values(&[queue, label]).inc();
     }
 
+    pub fn set_drained(&self, data_centres: usize) {
+        self.drained_data_centres.set(data_centres as i64);
+    }
+
     pub fn render(&self) -> Vec<u8> {
         metric::render(&self.registry)
     }
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -27,7 +27,7 @@
     leader::LeaderClient,
     protocol::{
         queue::{Config, Id},
-        wire::queue::View,
+        wire::queue::{Sidecar, View},
     },
     supervisor, util,
 };
@@ -123,7 +123,19 @@
                 self.inner.config.replace(Some(config));
             }
         }
-        let Some((version, sidecars)) = view.sidecars else { return };
+        if let Some((version, sidecars)) = view.sidecars {
+            self.apply_list(version, sidecars);
+        }
+        if let Some(drains) = view.drains
+            && self.scheduler().update_drains(util::boot_ms(), &drains)
+        {
+            self.inner.meter.set_drained(drains.data_centres.len());
+            self.renew_all();
+        }
+        self.carry_out();
+    }
+
+    fn apply_list(&self, version: u64, sidecars: Vec<Sidecar>) {
         log::info!("event=sidecars version={version} count={}", sidecars.len());
         self.inner.sidecar_list_version.set(version);
         for sidecar in sidecars {
@@ -139,7 +151,8 @@
                 });
             }
         }
-        self.carry_out();
+        // Further servers may be ones that a waiting job needs, all of which are drained.
+        self.scheduler().refuse_drained();
     }
 
     async fn tick(self) {
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
 /// Maximum number of distinct values that each get their own label. Further values share the label
@@ -11,6 +11,9 @@
 pub const LABELS_MAX: usize = 1_000;
 /// Label of all values after the first [`LABELS_MAX`] ones.
 pub const OTHER: &str = "other";
+/// Name and help text of the gauge of drained data centres, which several programs have.
+pub const DRAINED: &str = "briargauge_drained_data_centres";
+pub const DRAINED_HELP: &str = "Data centres that are drained, as this instance knows.";
 /// Upper bounds of latency buckets, in seconds.
 pub const SECONDS: [f64; 12] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
 
@@ -51,6 +54,13 @@
     counter
 }
 
+/// Registers a gauge.
+pub fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("metric names are valid");
+    registry.register(Box::new(gauge.clone())).expect("each metric is registered once");
+    gauge
+}
+
 /// All metrics of `registry` as text.
 pub fn render(registry: &Registry) -> Vec<u8> {
     let mut out = Vec::new();
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -63,11 +63,19 @@
     Configure(Arc<Config>),
     ReadConfig,
     /// Returns an entry's view of the system once it differs from the given versions of the
-    /// configuration and the list of sidecars, or after `wait_ms`.
+    /// configuration, the list of sidecars and the drains, or after `wait_ms`.
     Watch {
         config: u64,
         sidecars: u64,
         wait_ms: u64,
+        /// Version of the known [`Drains`], of which newer ones are returned.
+        drains: u64,
+    },
+    /// Begins or ends the drain of a data centre. An order that was carried out before changes
+    /// nothing.
+    Drain {
+        data_centre: String,
+        drained: bool,
     },
 }
 
@@ -91,6 +99,8 @@
     NoConfig,
     /// The job was refused, as the backend servers cannot complete it in time.
     Busy,
+    /// There is no data centre of this name.
+    NoDataCentre,
 }
 
 /// An entry's view of the system; `None` for a part that has not changed.
@@ -101,6 +111,24 @@
     pub sidecars: Option<(u64, Vec<Sidecar>)>,
     /// The control instances that the answering one knows.
     pub members: Option<Members>,
+    pub drains: Option<Drains>,
+}
+
+/// The drained data centres: nothing starts on their backend servers, and what runs there runs on.
+/// Processes pass the newest version that they know on.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drains {
+    /// Version of the rules that say so; 0 if none is known. Of two versions of a cluster, the higher
+    /// one is newer.
+    pub version: u64,
+    /// Names in ascending order.
+    pub data_centres: Vec<String>,
+}
+
+impl Drains {
+    pub fn includes(&self, data_centre: &str) -> bool {
+        self.data_centres.iter().any(|drained| drained == data_centre)
+    }
 }
 
 /// The control instances of a cluster. Processes pass the newest list that they know on, so that one
@@ -202,6 +230,8 @@
     pub batch: u64,
     /// How long the leader may delay its answer.
     pub wait_ms: u64,
+    /// Version of the [`Drains`] that the sidecar knows. The leader answers at once if it has newer ones.
+    pub drains: u64,
 }
 
 /// Numbered record that an attempt has ended at a backend server.
@@ -304,6 +334,8 @@
     pub batches: Vec<Batch>,
     /// As in [`View`].
     pub members: Option<Members>,
+    /// The leader's newest ones.
+    pub drains: Drains,
 }
 
 /// Numbered group of commands, which is sent again until a report says that it was handled.
--- a/src/protocol/wire/work.rs
+++ b/src/protocol/wire/work.rs
@@ -7,7 +7,7 @@
     protocol::{
         id,
         queue::{Attempt, Id, Resources},
-        wire::queue::{Members, Reason, Server, Start},
+        wire::queue::{Drains, Members, Reason, Server, Start},
     },
     transport::rpc,
 };
@@ -54,6 +54,8 @@
     pub lease_until_ms: u64,
     /// The control instances that the entry knows. The sidecar may know only ones that are gone.
     pub members: Option<Members>,
+    /// The newest ones that the entry knows. The sidecar may have no path to the leader.
+    pub drains: Drains,
 }
 
 /// Status of a sidecar.
--- a/src/sidecar/jobs/service.rs
+++ b/src/sidecar/jobs/service.rs
@@ -52,8 +52,13 @@
         if let Some(members) = &renewal.members {
             leader.learn(members);
         }
-        let mut state = self.sidecar.inner.state.borrow_mut();
         let clock_ms = util::boot_ms();
+        // Versions are comparable only within one cluster.
+        if self.serves(cluster) {
+            self.sidecar.inner.state.borrow_mut().update_drains(clock_ms, &renewal.drains);
+            self.sidecar.carry_out();
+        }
+        let mut state = self.sidecar.inner.state.borrow_mut();
         let server = state.server().filter(|_| renewal.revision != state.revision());
         let server = server.map(|(server, _)| server.clone());
         if renewal.lease_until_ms > clock_ms {
--- a/tests/clusters.rs
+++ b/tests/clusters.rs
@@ -134,7 +134,7 @@
 
     /// Names of the sidecars that the leader knows.
     async fn sidecars(&self) -> Vec<String> {
-        let call = Call::Watch { config: 0, sidecars: 0, wait_ms: 0 };
+        let call = Call::Watch { config: 0, sidecars: 0, wait_ms: 0, drains: 0 };
         let Answer::View(view) = self.answer(call).await else { panic!("no view") };
         let (_, sidecars) = view.sidecars.expect("the list has changed");
         sidecars.into_iter().map(|sidecar| sidecar.name).collect()
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -12,11 +12,15 @@
     protocol::{
         id,
         queue::{Attempt, Id, Phase, Resources, Task},
-        wire::queue::{
-            Answer, Backend, Call, Commands, Refusal, Report, Server, ServerId, Service as _,
-            ServiceClient,
+        wire::{
+            control,
+            queue::{
+                Answer, Backend, Call, Commands, Drains, Refusal, Report, Server, ServerId,
+                Service as _, ServiceClient, View,
+            },
         },
     },
+    state::machine,
     transport::rpc,
 };
 use durable::HOST;
@@ -114,6 +118,7 @@
         not_started: Vec::new(),
         batch: 0,
         wait_ms: 0,
+        drains: 0,
     }
 }
 
@@ -415,3 +420,142 @@
     instance.coordinator.stop();
     instance.replica.stop().await;
 }
+
+fn drain(data_centre: &str, drained: bool) -> Call {
+    Call::Drain { data_centre: data_centre.to_owned(), drained }
+}
+
+impl Instance {
+    fn rules(&self) -> (u64, String) {
+        let state = self.replica.state();
+        (state.rules().version, state.rules().text.clone())
+    }
+}
+
+/// Guards against an order that changes something when it arrives again, against rules that grow with
+/// each order, and against an order that is refused because others arrive at the same time.
+#[actix_rt::test]
+async fn an_order_to_drain_changes_the_rules_once() {
+    let instance = Instance::start().await;
+    for _ in 0..2 {
+        assert_eq!(instance.answer(drain("saga", false)).await, Answer::Accepted);
+        assert_eq!(instance.rules(), (0, String::new()), "there is nothing to end");
+    }
+    for _ in 0..2 {
+        assert_eq!(instance.answer(drain("saga", true)).await, Answer::Accepted);
+        assert_eq!(instance.rules().0, 1);
+    }
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let orders = futures::future::join_all(names.map(|name| {
+        let coordinator = instance.coordinator.clone();
+        async move { coordinator.call(drain(name, true)).await }
+    }));
+    assert_eq!(orders.await, vec![Ok(Answer::Accepted); names.len()]);
+    assert_eq!(instance.rules().0, 1 + names.len() as u64);
+    for name in names.iter().chain(&["saga"]) {
+        assert_eq!(instance.answer(drain(name, false)).await, Answer::Accepted);
+    }
+    assert_eq!(instance.rules().1, "");
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
+
+/// Guards against a drain of a data centre that does not exist, against a name that adds another rule,
+/// and against a drain that cannot be ended because its data centre was removed from the settings.
+#[actix_rt::test]
+async fn only_known_data_centres_are_drained() {
+    let instance = Instance::start().await;
+    let know = |names: &[&str]| {
+        let names = names.iter().map(|name| (*name).to_owned()).collect();
+        instance.coordinator.set_data_centres(Some(names));
+    };
+    know(&["saga", "kurume"]);
+    for name in ["ena", "", "saga # a: b", "saga\ndrain data-centre kurume", "Saga"] {
+        for drained in [true, false] {
+            assert_eq!(instance.answer(drain(name, drained)).await, Answer::NoDataCentre);
+        }
+    }
+    assert_eq!(instance.answer(drain("saga", true)).await, Answer::Accepted);
+    know(&["kurume"]);
+    assert_eq!(instance.answer(drain("saga", true)).await, Answer::Accepted, "it is in force");
+    assert_eq!(instance.answer(drain("saga", false)).await, Answer::Accepted);
+    assert_eq!(instance.answer(drain("saga", true)).await, Answer::NoDataCentre);
+    assert_eq!(instance.rules().1, "");
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
+
+/// Guards against a sidecar or an entry that learns of a drain only with its next report or call, and
+/// against one that misses a drain because an answer was lost.
+#[actix_rt::test]
+async fn a_drain_answers_waiting_reports_and_watch_calls_at_once() {
+    let instance = Instance::start().await;
+    let generation = instance.coordinator.report(report(1, 0, 0, None)).await.unwrap().generation;
+    let synced = report(2, 0, generation, Some(Vec::new()));
+    instance.coordinator.report(synced).await.unwrap();
+    let watch = |sidecars, drains| Call::Watch { config: 2, sidecars, wait_ms: 1_000, drains };
+    let Answer::View(View { sidecars, .. }) = instance.answer(watch(0, 0)).await else {
+        panic!("no view")
+    };
+    let version = sidecars.expect("the list is new").0;
+    let waiting = Report { wait_ms: 1_000, ..report(3, 0, generation, None) };
+    let started = std::time::Instant::now();
+    let (commands, view, order) = tokio::join!(
+        instance.coordinator.report(waiting),
+        instance.answer(watch(version, 0)),
+        async {
+            time::sleep(Duration::from_millis(100)).await;
+            instance.answer(drain("saga", true)).await
+        }
+    );
+    assert!(started.elapsed() < Duration::from_millis(900), "{:?}", started.elapsed());
+    assert_eq!(order, Answer::Accepted);
+    let saga = Drains { version: 1, data_centres: vec!["saga".to_owned()] };
+    assert_eq!(commands.unwrap().drains, saga);
+    let Answer::View(View { drains, .. }) = view else { panic!("{view:?}") };
+    assert_eq!(drains, Some(saga.clone()));
+    // Both answers may have been lost.
+    let waiting = Report { wait_ms: 1_000, ..report(4, 0, generation, None) };
+    let commands = instance.coordinator.report(waiting).await.unwrap();
+    let view = instance.answer(watch(version, 0)).await;
+    assert!(started.elapsed() < Duration::from_millis(900), "{:?}", started.elapsed());
+    assert_eq!(commands.drains, saga);
+    assert!(matches!(view, Answer::View(View { drains: Some(_), .. })));
+    let metrics = String::from_utf8(instance.coordinator.metrics()).unwrap();
+    assert!(metrics.contains("briargauge_drained_data_centres 1"), "{metrics}");
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
+
+/// Guards against a drain that the leader does not act by because it came as an ordinary change of the
+/// rules, and against a task that starts in the drained data centre or is lost.
+#[actix_rt::test]
+async fn a_drain_by_a_change_of_the_rules_holds_durable_tasks_back() {
+    let instance = Instance::start().await;
+    let change = |base, text: &str| machine::Command {
+        now_ms: 1,
+        op: machine::Op::Change(control::Change {
+            id: format!("change-{base}"),
+            operator: "ito".to_owned(),
+            base,
+            text: text.to_owned(),
+        }),
+    };
+    instance.replica.propose(change(0, "drain data-centre saga # ito: power\n")).await.unwrap();
+    let generation = instance.coordinator.report(report(1, 0, 0, None)).await.unwrap().generation;
+    instance.coordinator.report(report(2, 0, generation, Some(Vec::new()))).await.unwrap();
+    instance.answer(submit(Id(1))).await;
+    let waiting =
+        |number| Report { wait_ms: 300, drains: 1, ..report(number, 0, generation, None) };
+    let commands = instance.coordinator.report(waiting(3)).await.unwrap();
+    assert_eq!((starts(&commands), commands.drains.version), (vec![], 1));
+    assert_eq!(instance.answer(query(&path(Id(1)))).await, Answer::State(Phase::Queued));
+    instance.replica.propose(change(1, "")).await.unwrap();
+    let mut started = Vec::new();
+    for number in 4..8 {
+        started.extend(starts(&instance.coordinator.report(waiting(number)).await.unwrap()));
+    }
+    assert_eq!(started, [1]);
+    instance.coordinator.stop();
+    instance.replica.stop().await;
+}
--- a/tests/entry_jobs.rs
+++ b/tests/entry_jobs.rs
@@ -17,7 +17,8 @@
         queue::{Attempt, Config, Id, Job, Queue, Resources, Step},
         wire::{
             queue::{
-                self, Answer, Call, Commands, Refusal, Report, Server, ServerId, Sidecar, View,
+                self, Answer, Call, Commands, Drains, Refusal, Report, Server, ServerId, Sidecar,
+                View,
             },
             work::{self, Load, Outcome, Renewal, Reply, Revision, StartCommand, Status},
         },
@@ -75,6 +76,7 @@
 struct Leader {
     config: Rc<RefCell<Arc<Config>>>,
     sidecars: Rc<RefCell<Vec<SocketAddr>>>,
+    drains: Rc<RefCell<Drains>>,
     /// Whether calls that wait for changes are left without an answer.
     losing_waits: Rc<Cell<bool>>,
     /// Whether another instance leads, which nobody knows.
@@ -91,7 +93,9 @@
         if cluster != Some(CLUSTER) {
             return Err(Refusal::OtherCluster { cluster: CLUSTER });
         }
-        let Call::Watch { config, sidecars, wait_ms } = call else { return Ok(Answer::NoJob) };
+        let Call::Watch { config, sidecars, wait_ms, drains } = call else {
+            return Ok(Answer::NoJob);
+        };
         if self.deposed.get() {
             return Err(Refusal::NotLeader { leader: None, members: None });
         }
@@ -99,7 +103,10 @@
             future::pending::<()>().await;
         }
         let version = self.sidecars.borrow().len() as u64;
-        let changed = || self.config.borrow().version != config || sidecars != version;
+        let changed = || {
+            let newer = self.drains.borrow().version > drains;
+            newer || self.config.borrow().version != config || sidecars != version
+        };
         let end = time::Instant::now() + Duration::from_millis(wait_ms);
         while !changed() && time::Instant::now() < end {
             time::sleep(Duration::from_millis(5)).await;
@@ -115,6 +122,7 @@
             config: (newer.version > config).then_some(newer),
             sidecars: (sidecars != version).then_some((version, list)),
             members: None,
+            drains: Some(self.drains.borrow().clone()).filter(|newest| newest.version > drains),
         }))
     }
 
@@ -136,6 +144,8 @@
     running: Rc<RefCell<Vec<Attempt>>>,
     starts: Rc<Cell<usize>>,
     renewals: Rc<Cell<usize>>,
+    /// The newest drains that a renewal has brought.
+    drains: Rc<RefCell<Drains>>,
     stopped: watch::Sender<Option<Attempt>>,
     /// Number of calls to stop attempts or to cancel a job that are left without an answer and have
     /// no effect.
@@ -150,6 +160,7 @@
             running: Rc::default(),
             starts: Rc::default(),
             renewals: Rc::default(),
+            drains: Rc::default(),
             stopped: watch::channel(None).0,
             calls_to_lose: Rc::default(),
         }
@@ -183,6 +194,7 @@
 impl work::Service for Worker {
     async fn renew(self, _: Context, _: Option<id::Cluster>, renewal: Renewal) -> Status {
         self.renewals.set(self.renewals.get() + 1);
+        *self.drains.borrow_mut() = renewal.drains.clone();
         Status {
             sidecar: (renewal.revision == Revision::default()).then(|| self.name.to_owned()),
             incarnation: self.incarnation,
@@ -243,6 +255,7 @@
         let leader = Leader {
             config: Rc::new(RefCell::new(config(1, &["/q/"]))),
             sidecars: Rc::new(RefCell::new(vec![sidecar.addr()])),
+            drains: Rc::default(),
             losing_waits: Rc::default(),
             deposed: Rc::default(),
         };
@@ -355,3 +368,20 @@
         ended = job => panic!("{ended:?}"),
     }
 }
+
+/// Guards against a sidecar without a path to the leader that starts tasks in a drained data centre for
+/// long: the entry passes the drains on at once, also while it has no attempts there, and refuses a job
+/// that has no server left.
+#[actix_rt::test]
+async fn drains_are_passed_on_to_idle_sidecars() {
+    let world = World::start().await;
+    let drained = Drains { version: 3, data_centres: vec!["saga".to_owned()] };
+    *world.leader.drains.borrow_mut() = drained.clone();
+    until("the sidecar has the drains", || *world.worker.drains.borrow() == drained).await;
+    let path = format!("/q/{}", Id(1));
+    let refused = world.entry.run_job(HOST, &path, job(), None);
+    assert_eq!(time::timeout(LIMIT, refused).await, Ok(Ended::NotRun));
+    assert_eq!(world.worker.starts.get(), 0);
+    let metrics = String::from_utf8(world.entry.metrics()).unwrap();
+    assert!(metrics.contains("briargauge_drained_data_centres 1"), "{metrics}");
+}
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -441,6 +441,7 @@
         crashes,
         batch: 0,
         wait_ms: 0,
+        drains: 0,
     }
 }
 
@@ -750,13 +751,13 @@
     scheduler.assign(0, fixture.state.queues());
     let running = starts(scheduler.commands(key));
     assert_eq!(running.len(), 3);
-    scheduler.server_mut(key).unwrap().describe(server(1).info);
+    scheduler.describe(key, &server(1).info);
     for attempt in &running[..2] {
         fixture.complete(&mut scheduler, key, *attempt, Outcome::Done);
         scheduler.assign(1, fixture.state.queues());
         assert_eq!(starts(scheduler.commands(key)), []);
     }
-    scheduler.server_mut(key).unwrap().describe(server(2).info);
+    scheduler.describe(key, &server(2).info);
     scheduler.assign(2, fixture.state.queues());
     assert_eq!(starts(scheduler.commands(key)).len(), 1);
 }
--- a/tests/reports/mod.rs
+++ b/tests/reports/mod.rs
@@ -24,5 +24,6 @@
         crashes: Vec::new(),
         batch: 0,
         wait_ms: 0,
+        drains: 0,
     }
 }
