--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use tokio::{sync::oneshot, task, time};
+use tokio::{sync::oneshot, time};
 
 use super::{
     Entry,
@@ -16,6 +16,7 @@
         queue::{Id, Job, Phase},
         wire::queue::{Answer, Call},
     },
+    transport::http,
     util,
 };
 
@@ -23,9 +24,6 @@
 const DEADLINE_DEFAULT: Duration = Duration::from_millis(1_500);
 /// Time before a caller's deadline that is reserved for the reply to reach the caller.
 const REPLY_TIME: Duration = Duration::from_millis(150);
-/// Turns of the runtime within which a connection that closed before a job was read is dropped: one
-/// each to read its end, to shut it down and to drop its requests.
-const CLOSE_TURNS: u32 = 3;
 /// A stopping entry accepts a job only if the time left exceeds this multiple of the job's declared
 /// time on the free capacity, plus [`STOP_TIME_SLACK`].
 const STOP_TIME_FACTOR: u64 = 2;
@@ -98,11 +96,8 @@
             log::info!("event=refused job={id} reason=stopping chain_ms={}", job.chain_ms());
             return Ended::NotReady;
         }
-        // If the end of the connection has arrived with the job, as after a stall of the network, this
-        // future is dropped here: the caller may have sent the job to another entry.
-        for _ in 0..CLOSE_TURNS {
-            task::yield_now().await;
-        }
+        // The caller may have sent the job to another entry.
+        http::drop_if_closed().await;
         let left = leaves_ms.map(|at_ms| at_ms.saturating_sub(util::boot_ms()));
         if left == Some(0) {
             log::info!("event=read_after_deadline job={id}");
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -13,7 +13,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use snafu::ResultExt;
-use tokio::{net::TcpListener, sync::watch, time};
+use tokio::{net::TcpListener, sync::watch, task, time};
 
 use crate::{
     error::{self, Result},
@@ -27,6 +27,9 @@
 /// Pause after a failed `accept`: without it, the loop would spin while the process is out of file
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Turns of the runtime within which a connection that closed before its request was read is dropped:
+/// one each to read its end, to shut it down and to drop its requests.
+const CLOSE_TURNS: u32 = 3;
 /// Interval at which a stopping server checks whether requests or connections remain.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -264,6 +267,15 @@
         .map_body(|_, body| BoxBody::new(CountedBody { body: Some(body), _in_flight: in_flight })))
 }
 
+/// Lets the end of a connection be read that has arrived with a request, as after a stall of the network
+/// or a pause of the process. The future that handles the request is then dropped here: its client has
+/// left, and may have gone on elsewhere.
+pub async fn drop_if_closed() {
+    for _ in 0..CLOSE_TURNS {
+        task::yield_now().await;
+    }
+}
+
 /// Reads the body of a request, of at most `limit` bytes.
 pub async fn body(payload: &mut Payload, limit: usize) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
