Sidecar: attempts that make no progress are stopped early

Cause: a backend server that hangs answers polls and health checks. Its attempts were noticed by their run time only: by each entry for itself, after 5 times the declared time and 400 ms, and not at all by the leader. Change: answers to polls carry the progress of each attempt, start commands the declared time. A pure module tells which attempts stand still and whether the server has stalled. The sidecar stops them by its usual stops, closes the server and lets one trial attempt at a time in.

--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -519,7 +519,7 @@
         let server = &mut self.servers[key.0];
         server.add_attempt(&attempt, &needs);
         let spec = Arc::from(record.job.spec.as_str());
-        server.command_start(Start { attempt, needs, spec });
+        server.command_start(Start { attempt, needs, estimate_ms: step.estimate_ms, spec });
     }
 
     /// Returns the number of a task's next attempt. The number is higher than all numbers that
--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -12,6 +12,8 @@
 mod backend;
 mod leader;
 mod poll;
+pub mod progress;
+mod stall;
 mod start;
 
 use std::{collections::BTreeMap, net::SocketAddr};
@@ -19,7 +21,7 @@
 use indexmap::IndexMap;
 
 use crate::protocol::{
-    queue::{Attempt, Id},
+    queue::{Attempt, Id, Resources},
     wire::{
         queue::{Batch, Completion, Crash, NotStarted, Reason, Server, Start},
         work::{self, Entry, Load, Revision},
@@ -28,6 +30,7 @@
 use announce::Candidate;
 pub use announce::{Check, Identity};
 use backend::{Assignment, BackendServer, Proof, State};
+use progress::Admission;
 
 /// Time after the release of a lease within which delayed messages of its connection may still
 /// carry a lease that has not expired, in ms. Entries take leases of less than half of this.
@@ -63,12 +66,20 @@
     pub lease_until_ms: Option<u64>,
 }
 
+/// A running attempt in an answer to a poll.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Running {
+    pub attempt: Attempt,
+    /// How much of it is done, in percent; `None` if the server does not tell.
+    pub progress: Option<u8>,
+}
+
 /// Answer of a backend server to a poll.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PollReply {
     /// Time of the reply on the server's clock.
     pub clock_ms: u64,
-    pub running: Vec<Attempt>,
+    pub running: Vec<Running>,
     /// The first completions that are not acknowledged.
     pub completions: Vec<Completion>,
     /// Whether the server may hold more completions than the answer has room for. Those of attempts
@@ -107,6 +118,8 @@
     incarnation: u64,
     /// Length of each lease granted to the backend server.
     backend_lease_ms: u64,
+    /// As in [`Sidecar::with_stall_detection`].
+    stall_ms: Option<u64>,
     backend: Option<BackendServer>,
     /// Announced servers that have not answered.
     candidates: Vec<Candidate>,
@@ -149,6 +162,8 @@
     released: IndexMap<Entry, u64>,
     /// Whether all start commands are refused, and the server is reported as draining.
     draining: bool,
+    /// Covers the needs of each attempt that has started.
+    largest_needs: Resources,
     actions: Actions,
 }
 
@@ -161,6 +176,7 @@
             addr,
             incarnation,
             backend_lease_ms,
+            stall_ms: None,
             backend: None,
             candidates: Vec::new(),
             losses: 0,
@@ -180,6 +196,7 @@
             leases: IndexMap::new(),
             released: IndexMap::new(),
             draining: false,
+            largest_needs: Resources::default(),
             actions: Actions::default(),
         }
     }
@@ -303,16 +320,19 @@
     }
 
     /// Returns the load of the backend server, for entries.
-    pub fn load(&self) -> Load {
+    pub fn load(&self, now_ms: u64) -> Load {
         let Some(backend) = &self.backend else {
             return Load { revision: self.revision, lost: true, ..Load::default() };
         };
         Load {
             revision: self.revision,
-            open: backend.may_start() && !self.draining,
+            open: backend.may_start()
+                && !self.draining
+                && backend.admission(now_ms) != Admission::None,
             lost: backend.lost,
-            used: backend.used,
+            used: backend.shown_used(now_ms, &self.largest_needs),
             queued: backend.waiting_resources(),
+            watches_progress: backend.watches_progress(),
         }
     }
 
--- a/src/coordination/sidecar/announce.rs
+++ b/src/coordination/sidecar/announce.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use super::{BackendServer, LATE_CALL_MAX_MS, Poll, Sidecar, backend::Proof};
+use super::{BackendServer, LATE_CALL_MAX_MS, Poll, Sidecar, backend::Proof, progress::Progress};
 use crate::protocol::wire::{
     queue::{Server, ServerId},
     work::Revision,
@@ -209,6 +209,7 @@
         }
         let earlier = self.backend.take();
         let mut backend = BackendServer::new(now_ms, first, self.backend_lease_ms);
+        backend.progress = self.stall_ms.map(Progress::new);
         for later in announcements {
             backend.update(now_ms, later);
         }
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -12,7 +12,7 @@
 
 use indexmap::IndexMap;
 
-use super::{LATE_CALL_MAX_MS, Source, announce::Announcement};
+use super::{LATE_CALL_MAX_MS, Running, Source, announce::Announcement, progress::Progress};
 use crate::protocol::{
     queue::{Attempt, Resources},
     wire::{
@@ -150,6 +150,11 @@
         self.state == State::Running
     }
 
+    /// Whether it runs or may be running, and no stop was requested.
+    pub fn is_wanted(&self) -> bool {
+        self.state.may_run() && self.stop_lease_ms.is_none()
+    }
+
     /// Records that the backend server has confirmed that the attempt runs.
     pub fn confirm_running(&mut self) {
         if self.state.is_unconfirmed() {
@@ -268,6 +273,10 @@
     /// Attempts that were sent to the server before it last counted as lost. They count as lost by a
     /// crash once it is certain that its process is gone.
     pub unaccounted: Vec<Sent>,
+    /// Progress of the attempts; `None` if no stalls are detected.
+    pub progress: Option<Progress>,
+    /// Whether the newest answer has told the progress of all running attempts.
+    pub progress_known: bool,
 }
 
 impl BackendServer {
@@ -307,6 +316,8 @@
             fenced: BTreeSet::new(),
             renewal: Renewal::Granted,
             unaccounted: Vec::new(),
+            progress: None,
+            progress_known: false,
         }
     }
 
@@ -693,6 +704,9 @@
         self.start_called = true;
         self.called_since_loss = true;
         self.used.add(&assignment.start.needs);
+        if let Some(progress) = &mut self.progress {
+            progress.record_start(*attempt);
+        }
         Some(assignment.start.clone())
     }
 
@@ -775,10 +789,10 @@
     /// confirmed before a poll was sent at `sent_ms`, and its list of `running` attempts omits
     /// them. A poll of the same millisecond may have been sent before, and its list be older than a
     /// late start.
-    pub fn absent_after_stop(&self, sent_ms: u64, running: &[Attempt]) -> Vec<Attempt> {
+    pub fn absent_after_stop(&self, sent_ms: u64, running: &[Running]) -> Vec<Attempt> {
         let absent = |attempt: &Attempt, assignment: &Assignment| {
             matches!(assignment.state, State::StopConfirmed { at_ms } if at_ms < sent_ms)
-                && !running.contains(attempt)
+                && !running.iter().any(|listed| listed.attempt == *attempt)
         };
         self.assignments
             .iter()
--- a/src/coordination/sidecar/poll.rs
+++ b/src/coordination/sidecar/poll.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 
 use super::{
-    EPOCHS_MAX, LATE_CALL_MAX_MS, OUTLAST_MAX_MS, Poll, PollReply, Sidecar, Source,
+    EPOCHS_MAX, LATE_CALL_MAX_MS, OUTLAST_MAX_MS, Poll, PollReply, Running, Sidecar, Source,
     backend::{Age, Proof},
 };
 use crate::protocol::{
@@ -82,6 +82,7 @@
         }
         if age == Age::Newer {
             self.compare_running(sent_ms, now_ms, &reply.running, reply.truncated);
+            self.watch_progress(now_ms, reply.clock_ms, &reply.running);
         }
         self.dispatch(now_ms);
     }
@@ -95,6 +96,9 @@
         }
         let assignment =
             completion.attempt.and_then(|attempt| Some((attempt, backend.remove(&attempt)?)));
+        if let Some(progress) = &mut backend.progress {
+            progress.record_end(completion.outcome);
+        }
         let for_leader = assignment.as_ref().is_none_or(|(_, a)| a.source == Source::Leader);
         if for_leader {
             backend.completions.insert(completion.number, completion.clone());
@@ -119,10 +123,10 @@
     /// assigned, and removes assigned ones that were stopped and do not run. The list of running
     /// attempts answers a poll that was sent at `sent_ms`. If that answer was `truncated`, it does not
     /// show how the attempts ended that are not in the list.
-    fn compare_running(&mut self, sent_ms: u64, now_ms: u64, running: &[Attempt], truncated: bool) {
+    fn compare_running(&mut self, sent_ms: u64, now_ms: u64, running: &[Running], truncated: bool) {
         let Some(backend) = &mut self.backend else { return };
         let mut foreign = 0;
-        for attempt in running {
+        for Running { attempt, .. } in running {
             match backend.assignments.get_mut(attempt) {
                 Some(assignment) => assignment.confirm_running(),
                 None => {
--- a/src/coordination/sidecar/start.rs
+++ b/src/coordination/sidecar/start.rs
@@ -1,6 +1,6 @@
 //! Starts of attempts: commands, and attempts that wait until they may start.
 
-use super::{Assignment, OUTLAST_MAX_MS, Sidecar, Source, StartResult, State};
+use super::{Admission, Assignment, OUTLAST_MAX_MS, Sidecar, Source, StartResult, State};
 use crate::protocol::{
     queue::Attempt,
     wire::{
@@ -31,6 +31,9 @@
         let refusal = match &self.backend {
             None => Some(Reason::Unavailable),
             Some(backend) if !backend.may_start() || self.draining => Some(Reason::Unavailable),
+            Some(backend) if backend.admission(now_ms) == Admission::None => {
+                Some(Reason::Unavailable)
+            }
             Some(backend) if backend.assignments.contains_key(&attempt) => Some(Reason::Expired),
             Some(backend) if backend.waiting_count() >= WAITING_MAX => Some(Reason::NoCapacity),
             Some(_) => None,
@@ -84,12 +87,13 @@
             // A lease that the server has already cannot be shortened for the attempt.
             let outlasted = backend.lease_expires_after(lease_until_ms + OUTLAST_MAX_MS);
             let may_begin = has_capacity && !outlasted && !backend.runs_other_attempt(&attempt);
-            let reason = if !may_start {
+            let reason = if !may_start || backend.admission(now_ms) == Admission::None {
                 Reason::Unavailable
             } else if lease_until_ms < now_ms + START_MARGIN_MS {
                 Reason::Expired
             } else if may_begin {
                 if let Some(start) = backend.begin(now_ms, &attempt) {
+                    self.largest_needs = self.largest_needs.max_of(&start.needs);
                     self.actions.starts.push(start);
                 }
                 continue;
--- a/src/coordination/transient.rs
+++ b/src/coordination/transient.rs
@@ -484,7 +484,12 @@
         progress.placement =
             Some(Placement { attempt, server: key, commanded_ms: now_ms, stopping: false });
         job.start_commanded = true;
-        let start = Start { attempt, needs: step.needs, spec: job.spec.clone() };
+        let start = Start {
+            attempt,
+            needs: step.needs,
+            estimate_ms: step.estimate_ms,
+            spec: job.spec.clone(),
+        };
         self.servers[key.0].add_attempt(attempt, step.needs);
         let due_ms = job.latest_start_ms;
         self.actions.commands.push(StartCommand {
--- a/src/protocol/queue.rs
+++ b/src/protocol/queue.rs
@@ -165,6 +165,15 @@
             .min(times(self.accelerators, needs.accelerators))
     }
 
+    /// Returns, for each resource, the larger amount.
+    pub fn max_of(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Adds `other`; no resource exceeds the largest number.
     pub fn add(&mut self, other: &Resources) {
         self.cpu_milli = self.cpu_milli.saturating_add(other.cpu_milli);
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -320,6 +320,8 @@
 pub struct Start {
     pub attempt: Attempt,
     pub needs: Resources,
+    /// Declared run time.
+    pub estimate_ms: u32,
     pub spec: Arc<str>,
 }
 
--- a/src/protocol/wire/work.rs
+++ b/src/protocol/wire/work.rs
@@ -85,10 +85,13 @@
     pub open: bool,
     /// Whether there is no server, or the present one counts as lost until it answers again.
     pub lost: bool,
-    /// Resources of the attempts that run, or may be running.
+    /// Resources of the attempts that run, or may be running, and those that are withheld.
     pub used: Resources,
     /// Resources of the attempts that wait for free capacity.
     pub queued: Resources,
+    /// Whether the sidecar stops attempts that make no progress, and the server tells the progress of
+    /// all that run.
+    pub watches_progress: bool,
 }
 
 /// Instruction to a sidecar to start an attempt.
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -144,17 +144,21 @@
 }
 
 impl<B: Backend> Sidecar<B> {
-    /// Starts the sidecar `name`, which entries reach at `addr`. It listens at `listen`.
+    /// Starts the sidecar `name`, which entries reach at `addr`. It listens at `listen`. `stall_ms` is as
+    /// in [`sidecar::Sidecar::with_stall_detection`].
     pub async fn start(
         name: String,
         addr: SocketAddr,
         listen: SocketAddr,
         max_lease_ms: u64,
+        stall_ms: Option<u64>,
         leader: LeaderClient,
         backend: B,
     ) -> Result<Sidecar<B>> {
+        let state = sidecar::Sidecar::new(name, addr, rand::random(), max_lease_ms)
+            .with_stall_detection(stall_ms);
         let inner = Inner {
-            state: RefCell::new(sidecar::Sidecar::new(name, addr, rand::random(), max_lease_ms)),
+            state: RefCell::new(state),
             leader,
             backend,
             report_wake: Notify::new(),
--- a/src/sidecar/jobs/service.rs
+++ b/src/sidecar/jobs/service.rs
@@ -64,7 +64,7 @@
             incarnation: state.incarnation(),
             clock_ms,
             clean: state.clean(),
-            load: self.load_for(cluster, state.load()),
+            load: self.load_for(cluster, state.load(clock_ms)),
             server,
             members: leader.members(),
         }
@@ -76,7 +76,7 @@
             let named = cluster.map_or_else(|| "none".to_owned(), |cluster| cluster.to_string());
             log::info!("event=other_cluster run={} cluster={named}", command.start.attempt);
             let outcome = Outcome::NotStarted(Reason::Unavailable);
-            let load = self.load_for(cluster, inner.state.borrow().load());
+            let load = self.load_for(cluster, inner.state.borrow().load(util::boot_ms()));
             return Reply { outcome, took_ms: 0, clock_ms: util::boot_ms(), load };
         }
         let (attempt, entry) = (command.start.attempt, command.entry);
@@ -92,7 +92,7 @@
         }
         self.sidecar.carry_out();
         let (outcome, took_ms) = reply.await.unwrap_or((Outcome::NotStarted(Reason::Expired), 0));
-        let load = self.load_for(cluster, inner.state.borrow().load());
+        let load = self.load_for(cluster, inner.state.borrow().load(util::boot_ms()));
         Reply { outcome, took_ms, clock_ms: util::boot_ms(), load }
     }
 
--- a/tests/clusters.rs
+++ b/tests/clusters.rs
@@ -18,7 +18,7 @@
         jobs::{self, Coordinator, Handler},
         replica::{self, Replica},
     },
-    coordination::sidecar::{Poll, PollReply, StartResult},
+    coordination::sidecar::{Poll, PollReply, Running, StartResult},
     entry,
     leader::LeaderClient,
     protocol::{
@@ -170,7 +170,8 @@
     async fn poll(&self, _: SocketAddr, _: &ServerId, _: &Poll, _: Duration) -> PollResult {
         time::sleep(Duration::from_millis(5)).await;
         self.polls.set(self.polls.get() + 1);
-        let running = self.starts.borrow().clone();
+        let listed = |attempt: &Attempt| Running { attempt: *attempt, progress: None };
+        let running = self.starts.borrow().iter().map(listed).collect();
         PollResult::Replied(PollReply {
             clock_ms: util::boot_ms(),
             running,
@@ -188,8 +189,15 @@
 async fn start_sidecar(leader: LeaderClient) -> (SocketAddr, Recorder) {
     let addr = TcpListener::bind(any_port()).unwrap().local_addr().unwrap();
     let backend = Recorder::default();
-    let sidecar =
-        sidecar::jobs::Sidecar::start("s".to_owned(), addr, addr, 1_000, leader, backend.clone());
+    let sidecar = sidecar::jobs::Sidecar::start(
+        "s".to_owned(),
+        addr,
+        addr,
+        1_000,
+        None,
+        leader,
+        backend.clone(),
+    );
     sidecar.await.unwrap().announce(server(), any_port(), 1);
     until("the backend server is polled", async || backend.polls.get() > 3).await;
     (addr, backend)
--- a/tests/resubmission.rs
+++ b/tests/resubmission.rs
@@ -20,6 +20,7 @@
     lost: false,
     used: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
     queued: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
+    watches_progress: false,
 };
 
 fn sidecar(name: &str) -> Sidecar {
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -1,11 +1,15 @@
 //! A sidecar's decisions on capacity and leases, and on calls to its backend server that got no
 //! answer.
 
+#[path = "sidecar_jobs/stalls.rs"]
+mod stalls;
+
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use briargauge::{
     coordination::sidecar::{
-        Actions, Check, Identity, LATE_CALL_MAX_MS, PollReply, Sidecar, Source, StartResult,
+        Actions, Check, Identity, LATE_CALL_MAX_MS, PollReply, Running, Sidecar, Source,
+        StartResult,
     },
     protocol::{
         queue::{self, Attempt, Id, Resources, Task},
@@ -54,13 +58,18 @@
 
 fn start(attempt: Attempt) -> Start {
     let needs = Resources { cpu_milli: 600, memory_mb: 1, accelerators: 0 };
-    Start { attempt, needs, spec: Arc::from("spec") }
+    Start { attempt, needs, estimate_ms: 100, spec: Arc::from("spec") }
 }
 
 fn commands(generation: u64) -> Commands {
     Commands { term: 1, generation, lease_ms: 10_000, ..Commands::default() }
 }
 
+/// A running attempt in an answer to a poll.
+fn listed(attempt: Attempt, progress: Option<u8>) -> Running {
+    Running { attempt, progress }
+}
+
 fn poll_reply(running: &[Attempt], completions: &[(u64, Attempt, queue::Outcome)]) -> PollReply {
     let completion = |(number, attempt, outcome): &(u64, Attempt, queue::Outcome)| Completion {
         number: *number,
@@ -69,7 +78,7 @@
     };
     PollReply {
         clock_ms: 5,
-        running: running.to_vec(),
+        running: running.iter().map(|attempt| listed(*attempt, None)).collect(),
         completions: completions.iter().map(completion).collect(),
         truncated: false,
     }
@@ -89,7 +98,11 @@
 }
 
 fn sidecar_of(server: Server) -> Sidecar {
-    let mut sidecar = Sidecar::new("s".to_owned(), addr(), 1, LEASE_MS);
+    serving(Sidecar::new("s".to_owned(), addr(), 1, LEASE_MS), server)
+}
+
+/// Lets a new sidecar take over a server and a lease of an entry until 10 s.
+fn serving(mut sidecar: Sidecar, server: Server) -> Sidecar {
     announce(&mut sidecar, 0, server, 1);
     let report = sidecar.report(0);
     sidecar.handle_commands(0, 0, &report, commands(9));
@@ -510,9 +523,9 @@
     }
     disputed.checked(2, 3, &identity, Check::Present);
     disputed.polled(3, 4, poll_reply(&[], &[]));
-    assert!(!disputed.load().open);
+    assert!(!disputed.load(0).open);
     announce(&mut disputed, 5, described("quotes"), 2);
-    assert!(disputed.load().open);
+    assert!(disputed.load(0).open);
 }
 
 /// Guards against candidates that are called for good, or that grow without a limit.
@@ -747,7 +760,7 @@
     assert_eq!(command(&mut sidecar, 1, attempt(2, 1)).replies, [reply]);
     assert!(sidecar.poll(2).unwrap().lease_until_ms.is_some(), "what runs goes on");
     announce(&mut sidecar, 3, server(1, 1_000), 2);
-    assert!(sidecar.load().open);
+    assert!(sidecar.load(0).open);
     for at_ms in [1_200, 1_240] {
         sidecar.poll_failed(at_ms, at_ms, true);
     }
@@ -777,11 +790,11 @@
     ] {
         let mut sidecar = sidecar_with_contender(contender, at, 4_000_000_000);
         assert_eq!(sidecar.server().unwrap(), (&server(1, 1_000), addr()));
-        assert!(sidecar.load().open);
+        assert!(sidecar.load(0).open);
         assert_eq!(command(&mut sidecar, 2, attempt(1, 1)).starts.len(), 1);
         assert_eq!(command(&mut sidecar, 2, attempt(2, 1)).starts.len(), 0, "it has no capacity");
         announce(&mut sidecar, 1_500, Server { draining: true, ..server(1, 1_000) }, 3);
-        assert!(!sidecar.load().open, "the later announcements of the server count");
+        assert!(!sidecar.load(0).open, "the later announcements of the server count");
     }
 }
 
@@ -791,10 +804,10 @@
 fn the_writer_that_goes_on_describes_the_server() {
     let draining = Server { draining: true, ..server(1, 1_000) };
     let mut sidecar = sidecar_with_contender(draining, addr(), 4_000_000_000);
-    assert!(!sidecar.load().open);
+    assert!(!sidecar.load(0).open);
     for (now_ms, seq, open) in [(1_000, 3, false), (2_500, 4, false), (4_000, 5, true)] {
         announce(&mut sidecar, now_ms, server(1, 1_000), seq);
-        assert_eq!(sidecar.load().open, open, "at {now_ms}");
+        assert_eq!(sidecar.load(0).open, open, "at {now_ms}");
     }
     let mut late = sidecar_with_contender(server(1, 9_000), addr(), 9);
     late.announce(5_000, server(1, 9_000), addr(), 9);
@@ -808,9 +821,9 @@
     for cpu_milli in [500, 2_000] {
         let mut sidecar = sidecar();
         announce(&mut sidecar, 10, Server { draining: true, ..server(1, cpu_milli) }, 2);
-        assert!(!sidecar.load().open, "with {cpu_milli}");
+        assert!(!sidecar.load(0).open, "with {cpu_milli}");
         announce(&mut sidecar, 1_500, server(1, 1_000), 3);
-        assert!(sidecar.load().open, "a later announcement ends it");
+        assert!(sidecar.load(0).open, "a later announcement ends it");
     }
 }
 
@@ -824,7 +837,7 @@
     }
     announce(&mut sidecar, 1_500, Server { draining: true, ..server(1, 1_000) }, 10);
     announce(&mut sidecar, 4_000, server(1, 1_000), 8);
-    assert!(!sidecar.load().open);
+    assert!(!sidecar.load(0).open);
 }
 
 /// Guards against starts on a server of another service: the first announcement of its incarnation is
@@ -834,9 +847,9 @@
     let described = |service: &str| Server { service: service.to_owned(), ..server(1, 1_000) };
     let mut sidecar = sidecar_of(described("other"));
     announce(&mut sidecar, 100, described("quotes"), 1);
-    assert!(!sidecar.load().open);
+    assert!(!sidecar.load(0).open);
     announce(&mut sidecar, 1_600, described("quotes"), 2);
-    assert!(sidecar.load().open);
+    assert!(sidecar.load(0).open);
     assert_eq!(sidecar.server().unwrap().0.service, "quotes");
 }
 
@@ -879,7 +892,7 @@
     sidecar.handle_commands(3, 2, &earlier, stored.clone());
     assert_eq!(sidecar.poll(3).unwrap().acknowledged, 0);
     sidecar.handle_commands(4, 2, &report, Commands { completions_fenced: vec![1], ..stored });
-    assert!(!sidecar.load().open);
+    assert!(!sidecar.load(0).open);
     let poll = sidecar.poll(100).unwrap();
     assert!(poll.acknowledged == 0 && poll.lease_until_ms.is_some(), "{poll:?}");
     let third = (3, attempt(2, 1), queue::Outcome::Done);
@@ -891,7 +904,7 @@
     }
     let poll = sidecar.poll(300 + 1_020 + 100).unwrap();
     assert!(poll.acknowledged == 3 && poll.lease_until_ms.is_some(), "{poll:?}");
-    assert!(sidecar.load().open);
+    assert!(sidecar.load(0).open);
 }
 
 /// Guards against acknowledgements that wait for an attempt that takes long.
@@ -1020,7 +1033,7 @@
     assert!(!sidecar.release(1_301, Entry(7)));
     sidecar.polled(1_250, 1_310, PollReply { clock_ms: 1_310, ..poll_reply(&[], &[]) });
     assert_eq!(sidecar.take_actions().replies, [], "the poll carried the earlier fencing token");
-    assert!(!sidecar.clean() && !sidecar.load().open);
+    assert!(!sidecar.clean() && !sidecar.load(0).open);
     sidecar.polled(1_300, 1_311, PollReply { clock_ms: 1_311, ..poll_reply(&[], &[]) });
     assert_eq!(sidecar.take_actions().replies, [], "the poll may be older than the loss");
     sidecar.polled(1_312, 1_313, PollReply { clock_ms: 1_313, ..poll_reply(&[], &[]) });
@@ -1288,7 +1301,7 @@
     let report = sidecar.report(0);
     lose(&mut sidecar);
     sidecar.polled(1_300, 1_301, PollReply { clock_ms: 1_300, ..poll_reply(&[], &[]) });
-    assert!(sidecar.load().open, "the server is back");
+    assert!(sidecar.load(0).open, "the server is back");
     let losses = sidecar.report(0).losses - report.losses;
     let batch = Batch { number: 1, starts: vec![start(attempt(1, 1))], stops: vec![] };
     sidecar.handle_commands(1_302, 0, &report, Commands { batches: vec![batch], ..commands(9) });
@@ -1781,7 +1794,7 @@
             }
         }
         let known = self.sidecar.server();
-        known == Some((&self.fake.server(), addr())) && self.sidecar.load().open
+        known == Some((&self.fake.server(), addr())) && self.sidecar.load(0).open
     }
 }
 
--- a/tests/single_run/claims.rs
+++ b/tests/single_run/claims.rs
@@ -152,7 +152,7 @@
         (0..SERVERS).find_map(|index| {
             let Announcement { server, addr, .. } = self.servers[index].announcement();
             let known = self.sidecars[index].server();
-            let load = self.sidecars[index].load();
+            let load = self.sidecars[index].load(self.sidecar_ms(index));
             (known != Some((&server, addr)) || !load.open)
                 .then(|| format!("server {index} is unused: {known:?} {load:?}, {server:?} {addr}"))
         })
--- a/tests/single_run/world.rs
+++ b/tests/single_run/world.rs
@@ -14,7 +14,7 @@
 use briargauge::{
     coordination::{
         connection::{Lease, Watermark},
-        sidecar::{Check, Identity, Poll, PollReply, Sidecar, Source, StartResult},
+        sidecar::{Check, Identity, Poll, PollReply, Running, Sidecar, Source, StartResult},
         transient::{JobOutcome, Key, Scheduler, StartCommand},
     },
     protocol::{
@@ -972,7 +972,7 @@
                     incarnation: state.incarnation(),
                     clock_ms,
                     clean: state.clean(),
-                    load: state.load(),
+                    load: state.load(clock_ms),
                     server: state.server().map(|(server, _)| server.clone()),
                     members: None,
                 };
@@ -1007,7 +1007,7 @@
             for attempt in actions.stops {
                 self.call(sidecar, Request::Stop(attempt));
             }
-            let load = self.sidecars[sidecar].load();
+            let load = self.sidecars[sidecar].load(self.sidecar_ms(sidecar));
             for (channel, attempt, outcome, _) in actions.replies {
                 let entry = self.entry_of[&channel];
                 let message = Message::Ended { channel, attempt, outcome, load };
@@ -1197,11 +1197,12 @@
                     return Answer::Poll(None);
                 }
                 server.grant(server_ms, poll.lease_until_ms);
-                let listed = |completion: &&Completion| completion.number > poll.acknowledged;
+                let listed = |attempt: &Attempt| Running { attempt: *attempt, progress: None };
+                let pending = |completion: &&Completion| completion.number > poll.acknowledged;
                 let reply = PollReply {
                     clock_ms: server_ms,
-                    running: server.running.keys().copied().collect(),
-                    completions: server.completions.iter().filter(listed).cloned().collect(),
+                    running: server.running.keys().map(listed).collect(),
+                    completions: server.completions.iter().filter(pending).cloned().collect(),
                     truncated: false,
                 };
                 Answer::Poll(Some(reply).filter(|_| server.id == known.server))
--- a/tests/transient.rs
+++ b/tests/transient.rs
@@ -19,6 +19,7 @@
     lost: false,
     used: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
     queued: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
+    watches_progress: false,
 };
 
 /// A crash under an attempt that ran, which is certain.
