Entry: tasks that a sidecar stopped avoid that server

Cause: a task whose attempt its sidecar has stopped would start on the same server again at once. The entry's own rule by the run time also stops tasks that advance, which the sidecar can tell. Change: where the sidecar watches the progress of all attempts, a stop that the entry has not asked for makes the task avoid the server, and the entry stops no attempt for its run time. Stops still do not count as failures.

--- a/src/coordination/transient.rs
+++ b/src/coordination/transient.rs
@@ -314,9 +314,9 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(position) = job.submitted.position(attempt.task) else { return };
         let task = &mut job.tasks[position];
-        if task.placement.take_if(|placement| of_attempt(placement)).is_none() {
+        let Some(placement) = task.placement.take_if(|placement| of_attempt(placement)) else {
             return;
-        }
+        };
         match outcome {
             Outcome::Done => {
                 task.done = true;
@@ -343,6 +343,10 @@
                 return;
             }
             Outcome::NotStarted(Reason::Expired) => task.number += NUMBER_STEP,
+            // The sidecar stopped it of its own accord, as one that made no progress.
+            Outcome::Stopped if !placement.stopping && self.servers[key.0].watches_progress => {
+                task.avoid = Some(key);
+            }
             Outcome::Stopped | Outcome::Lost(_) | Outcome::NotStarted(_) => {}
         }
         let ready = ready_of(&mut self.ready, job);
@@ -360,7 +364,7 @@
     }
 
     /// Updates the run time ratio of each server's running attempts, and stops attempts that take
-    /// far longer than declared.
+    /// far longer than declared, unless their sidecar sees whether they advance.
     fn watch_attempts(&mut self, now_ms: u64) {
         for (_, server) in &mut self.servers {
             server.running_ratio = 0.0;
@@ -375,7 +379,7 @@
                 let ratio = ran_ms as f64 / (estimate_ms + RUNNING_SLACK_MS) as f64;
                 server.running_ratio = server.running_ratio.max(ratio);
                 let limit_ms = estimate_ms * STALL_FACTOR + STALL_SLACK_MS;
-                if ran_ms > limit_ms && !placement.stopping {
+                if ran_ms > limit_ms && !placement.stopping && !server.watches_progress {
                     placement.stopping = true;
                     server.failed(now_ms);
                     self.actions.stops.push((placement.server, placement.attempt));
--- a/src/coordination/transient/server.rs
+++ b/src/coordination/transient/server.rs
@@ -41,6 +41,8 @@
     open: bool,
     /// Whether that incarnation counts as lost.
     lost: bool,
+    /// Whether the sidecar itself stops attempts that make no progress.
+    pub watches_progress: bool,
     /// Resources of attempts of others that run or wait there.
     others: Resources,
     /// Resources of the attempts that this entry has commanded.
@@ -65,6 +67,7 @@
             outdated: false,
             open: false,
             lost: false,
+            watches_progress: false,
             others: Resources::default(),
             own: IndexMap::new(),
             own_total: Resources::default(),
@@ -115,6 +118,7 @@
     pub fn update_load(&mut self, load: &Load) {
         self.outdated = load.revision != self.revision;
         self.open = load.open && load.revision.incarnation == self.revision.incarnation;
+        self.watches_progress = load.watches_progress;
         self.lost = load.lost || load.revision.incarnation != self.revision.incarnation;
         if load.open {
             self.lost_held_ms = None;
--- a/tests/transient.rs
+++ b/tests/transient.rs
@@ -1,5 +1,8 @@
 //! Scheduling of transient jobs under the patterns of load and failure that it is designed for.
 
+#[path = "transient/stalls.rs"]
+mod stalls;
+
 use std::net::SocketAddr;
 
 use briargauge::{
