Sidecar: its properties in one struct

Cause: with the time for stalls, `jobs::Sidecar::start` had seven arguments, which clippy refuses. Change: `jobs::Options`. No behaviour changes. Measured: clippy of the workspace is clean.

--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -107,6 +107,19 @@
     ) -> impl Future<Output = PollResult>;
 }
 
+/// Properties of a sidecar.
+#[derive(Debug, Clone)]
+pub struct Options {
+    pub name: String,
+    /// Where entries reach it.
+    pub addr: SocketAddr,
+    pub listen: SocketAddr,
+    /// Longest lease of the backend server.
+    pub max_lease_ms: u64,
+    /// As in [`sidecar::Sidecar::with_stall_detection`].
+    pub stall_ms: Option<u64>,
+}
+
 type Waiter = oneshot::Sender<(Outcome, u64)>;
 
 /// The running sidecar. Clones are cheap and refer to the same sidecar.
@@ -144,17 +157,8 @@
 }
 
 impl<B: Backend> Sidecar<B> {
-    /// Starts the sidecar `name`, which entries reach at `addr`. It listens at `listen`. `stall_ms` is as
-    /// in [`sidecar::Sidecar::with_stall_detection`].
-    pub async fn start(
-        name: String,
-        addr: SocketAddr,
-        listen: SocketAddr,
-        max_lease_ms: u64,
-        stall_ms: Option<u64>,
-        leader: LeaderClient,
-        backend: B,
-    ) -> Result<Sidecar<B>> {
+    pub async fn start(options: Options, leader: LeaderClient, backend: B) -> Result<Sidecar<B>> {
+        let Options { name, addr, listen, max_lease_ms, stall_ms } = options;
         let state = sidecar::Sidecar::new(name, addr, rand::random(), max_lease_ms)
             .with_stall_detection(stall_ms);
         let inner = Inner {
--- a/tests/clusters.rs
+++ b/tests/clusters.rs
@@ -189,15 +189,14 @@
 async fn start_sidecar(leader: LeaderClient) -> (SocketAddr, Recorder) {
     let addr = TcpListener::bind(any_port()).unwrap().local_addr().unwrap();
     let backend = Recorder::default();
-    let sidecar = sidecar::jobs::Sidecar::start(
-        "s".to_owned(),
+    let options = sidecar::jobs::Options {
+        name: "s".to_owned(),
         addr,
-        addr,
-        1_000,
-        None,
-        leader,
-        backend.clone(),
-    );
+        listen: addr,
+        max_lease_ms: 1_000,
+        stall_ms: None,
+    };
+    let sidecar = sidecar::jobs::Sidecar::start(options, leader, backend.clone());
     sidecar.await.unwrap().announce(server(), any_port(), 1);
     until("the backend server is polled", async || backend.polls.get() > 3).await;
     (addr, backend)
