Warm-up of cold backend servers

Cause: a server whose caches are cold is slow. One that starts, or returns from a drain, was filled at once, and all of its first tasks were late. Change: `coordination::warmup`: a quarter of the capacity at once, rising to all of it over the longer of 1 s and the announced cold time; one attempt may always start while nothing runs. The sidecar begins it for a server that announces `coldLeftMs` above 0 when it starts, and with `Sidecar::begin_warmup`, which the end of a drain is to call; the leader's scheduler with `Server::begin_warmup`. Without a cold time nothing changes.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -23,3 +23,4 @@
 pub mod slot;
 pub mod speed;
 pub mod transient;
+pub mod warmup;
--- a/src/coordination/schedule/server.rs
+++ b/src/coordination/schedule/server.rs
@@ -4,7 +4,10 @@
 
 use super::pause_ms;
 use crate::{
-    coordination::pace::{self, Pace},
+    coordination::{
+        pace::{self, Pace},
+        warmup::Warmup,
+    },
     protocol::{
         queue::{Attempt, Id, Outcome, Resources, Step},
         wire::queue::{self, Batch, Reason, Start},
@@ -23,6 +26,8 @@
     attempts: IndexMap<Attempt, ()>,
     /// Speed and health, estimated from the attempts that have ended.
     pace: Pace,
+    /// The last warm-up.
+    warmup: Option<Warmup>,
     /// Commands that have not been sent yet.
     outbox: Batch,
 }
@@ -36,6 +41,7 @@
             apart: false,
             attempts: IndexMap::new(),
             pace: Pace::default(),
+            warmup: None,
             outbox: Batch::default(),
         }
     }
@@ -72,7 +78,7 @@
     pub(super) fn accepts(&self, now_ms: u64, service: &str, step: &Step) -> bool {
         !self.apart
             && self.pace.may_start(now_ms, self.attempts.len())
-            && self.has_capacity(&step.needs)
+            && self.has_capacity(now_ms, &step.needs)
             && self.suits(service, step)
     }
 
@@ -105,10 +111,18 @@
         self.attempts.len()
     }
 
-    fn has_capacity(&self, needs: &Resources) -> bool {
+    /// Begins a warm-up, as a drain has ended.
+    pub fn begin_warmup(&mut self, now_ms: u64) {
+        // Its sidecar knows how long the server is cold, and refuses what is too much.
+        self.warmup = Some(Warmup::new(now_ms, 0));
+    }
+
+    fn has_capacity(&self, now_ms: u64, needs: &Resources) -> bool {
+        let (idle, capacity) = (self.attempts.is_empty(), &self.info.capacity);
         let mut used = self.used;
         used.add(needs);
-        self.info.capacity.fits(&used)
+        capacity.fits(&used)
+            && self.warmup.is_none_or(|warmup| warmup.allows(now_ms, capacity, &used, idle))
     }
 
     /// Returns the expected run time of a task of `step` here, divided by the declared one.
--- a/src/coordination/sidecar.rs
+++ b/src/coordination/sidecar.rs
@@ -15,6 +15,7 @@
 pub mod progress;
 mod stall;
 mod start;
+mod warmup;
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
--- a/src/coordination/sidecar/announce.rs
+++ b/src/coordination/sidecar/announce.rs
@@ -51,6 +51,8 @@
     /// By arrival. They may have several writers.
     announcements: Vec<Announcement>,
     announced_ms: u64,
+    /// Until when it is cold, by its newest announcement.
+    cold_until_ms: u64,
 }
 
 impl Sidecar {
@@ -88,6 +90,17 @@
         }
     }
 
+    /// Handles how long a server that has just announced itself is still cold; 0 if it is not.
+    pub fn record_cold_time(&mut self, now_ms: u64, id: &ServerId, cold_left_ms: u64) {
+        let cold_until_ms = if cold_left_ms == 0 { 0 } else { now_ms.saturating_add(cold_left_ms) };
+        if let Some(known) = self.backend.as_mut().filter(|known| known.server.id == *id) {
+            known.record_cold(now_ms, cold_until_ms);
+        }
+        for candidate in self.candidates.iter_mut().filter(|c| c.identity.server == *id) {
+            candidate.cold_until_ms = cold_until_ms;
+        }
+    }
+
     fn add_candidate(&mut self, now_ms: u64, announcement: Announcement) {
         let identity = Identity { server: announcement.server.id.clone(), addr: announcement.addr };
         if let Some(known) =
@@ -116,7 +129,8 @@
         }
         self.actions.checks.push(identity.clone());
         let announcements = vec![announcement];
-        self.candidates.push(Candidate { identity, announcements, announced_ms: now_ms });
+        let (announced_ms, cold_until_ms) = (now_ms, 0);
+        self.candidates.push(Candidate { identity, announcements, announced_ms, cold_until_ms });
     }
 
     /// Whether the server is still a candidate.
@@ -164,8 +178,9 @@
             Check::Present => {
                 let known = self.backend.as_ref();
                 if known.is_none_or(|known| known.has_ended(sent_ms, now_ms, identity.addr)) {
-                    let Candidate { announcements, .. } = self.candidates.remove(at);
-                    self.adopt(now_ms, announcements);
+                    let candidate = self.candidates.remove(at);
+                    self.adopt(now_ms, candidate.announcements);
+                    self.begin_cold_start(now_ms, candidate.cold_until_ms);
                 } else {
                     log::info!(
                         "event=server_waits server={} addr={} known={}",
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -13,11 +13,14 @@
 use indexmap::IndexMap;
 
 use super::{LATE_CALL_MAX_MS, Running, Source, announce::Announcement, progress::Progress};
-use crate::protocol::{
-    queue::{Attempt, Resources},
-    wire::{
-        queue::{Completion, Server, Start},
-        work,
+use crate::{
+    coordination::warmup::Warmup,
+    protocol::{
+        queue::{Attempt, Resources},
+        wire::{
+            queue::{Completion, Server, Start},
+            work,
+        },
     },
 };
 
@@ -275,6 +278,10 @@
     pub unaccounted: Vec<Sent>,
     /// Progress of the attempts; `None` if no stalls are detected.
     pub progress: Option<Progress>,
+    /// Until when it is cold, by its newest announcement.
+    pub cold_until_ms: u64,
+    /// The last warm-up.
+    pub warmup: Option<Warmup>,
     /// Whether the newest answer has told the progress of all running attempts.
     pub progress_known: bool,
 }
@@ -318,6 +325,8 @@
             unaccounted: Vec::new(),
             progress: None,
             progress_known: false,
+            cold_until_ms: 0,
+            warmup: None,
         }
     }
 
@@ -667,9 +676,12 @@
         attempts.any(|other| other.task == attempt.task && other != attempt)
     }
 
-    pub fn has_capacity(&self, needs: &Resources) -> bool {
+    pub fn has_capacity(&self, now_ms: u64, needs: &Resources) -> bool {
         let mut used = self.used;
         used.add(needs);
+        if !self.warmup_allows(now_ms, &used) {
+            return false;
+        }
         let contender = self.contender.as_ref().map(|(contender, _)| &contender.server);
         [Some(&self.server), contender].into_iter().flatten().all(|s| s.capacity.fits(&used))
     }
--- a/src/coordination/sidecar/stall.rs
+++ b/src/coordination/sidecar/stall.rs
@@ -4,7 +4,6 @@
     BackendServer, Running, Sidecar,
     progress::{Admission, Change, Progress, Sample},
 };
-use crate::protocol::queue::Resources;
 
 impl Sidecar {
     /// Detects that attempts at the backend server stand still: their progress has not changed for at
@@ -71,18 +70,4 @@
         let admission = |progress: &Progress| progress.admission(now_ms, runs);
         self.progress.as_ref().map_or(Admission::All, admission)
     }
-
-    /// Returns the resources to be shown as used: all but those of one attempt while only a trial may
-    /// start. `largest` covers the needs of each attempt so far.
-    pub fn shown_used(&self, now_ms: u64, largest: &Resources) -> Resources {
-        let lacks_trial = |progress: &Progress| progress.lacks_trial(now_ms);
-        if self.admission(now_ms) != Admission::Trial
-            || self.progress.as_ref().is_some_and(lacks_trial)
-        {
-            return self.used;
-        }
-        let mut withheld = self.server.capacity;
-        withheld.sub(largest);
-        self.used.max_of(&withheld)
-    }
 }
--- a/src/coordination/sidecar/start.rs
+++ b/src/coordination/sidecar/start.rs
@@ -83,7 +83,7 @@
         let mut refused = Vec::new();
         for (attempt, lease_until_ms) in waiting {
             let assignment = &backend.assignments[&attempt];
-            let has_capacity = backend.has_capacity(&assignment.start.needs);
+            let has_capacity = backend.has_capacity(now_ms, &assignment.start.needs);
             // A lease that the server has already cannot be shortened for the attempt.
             let outlasted = backend.lease_expires_after(lease_until_ms + OUTLAST_MAX_MS);
             let may_begin = has_capacity && !outlasted && !backend.runs_other_attempt(&attempt);
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -184,9 +184,14 @@
         Ok(sidecar)
     }
 
-    /// Handles an announcement of a backend server, whoever sent it.
-    pub fn announce(&self, server: Server, addr: SocketAddr, seq: u64) {
-        self.inner.state.borrow_mut().announce(util::boot_ms(), server, addr, seq);
+    /// Handles an announcement of a backend server, whoever sent it. The server will be cold for
+    /// `cold_left_ms`.
+    pub fn announce(&self, server: Server, addr: SocketAddr, seq: u64, cold_left_ms: u64) {
+        let (now_ms, id) = (util::boot_ms(), server.id.clone());
+        let mut state = self.inner.state.borrow_mut();
+        state.announce(now_ms, server, addr, seq);
+        state.record_cold_time(now_ms, &id, cold_left_ms);
+        drop(state);
         self.carry_out();
     }
 
--- a/tests/clusters.rs
+++ b/tests/clusters.rs
@@ -197,7 +197,7 @@
         stall_ms: None,
     };
     let sidecar = sidecar::jobs::Sidecar::start(options, leader, backend.clone());
-    sidecar.await.unwrap().announce(server(), any_port(), 1);
+    sidecar.await.unwrap().announce(server(), any_port(), 1, 0);
     until("the backend server is polled", async || backend.polls.get() > 3).await;
     (addr, backend)
 }
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -1,6 +1,8 @@
 //! Tests of the replicated queues and of the leader's scheduler for durable jobs.
 
 mod reports;
+#[path = "queues/warmup.rs"]
+mod warmup;
 
 use std::{net::SocketAddr, sync::Arc};
 
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -3,6 +3,8 @@
 
 #[path = "sidecar_jobs/stalls.rs"]
 mod stalls;
+#[path = "sidecar_jobs/warmup.rs"]
+mod warmup;
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
