--- a/src/control/jobs/drain.rs
+++ b/src/control/jobs/drain.rs
@@ -117,7 +117,7 @@
         drain::replace(&mut self.inner.drains.borrow_mut(), current.clone());
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return };
-        leadership.scheduler.set_drains(current);
+        leadership.scheduler.set_drains(util::boot_ms(), current);
         leadership.sidecars.values().for_each(|sidecar| sidecar.wake.notify_waiters());
         self.inner.view_changed.notify_waiters();
     }
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -238,7 +238,7 @@
         self.follow_rules();
         let state = self.inner.replica.state();
         let mut scheduler = Scheduler::new(term, now_ms, state.queues());
-        scheduler.set_drains(self.inner.drains.borrow().clone());
+        scheduler.set_drains(now_ms, self.inner.drains.borrow().clone());
         log::info!(
             "event=leadership term={term} cluster={} jobs={} inherited={} version={}",
             self.inner.replica.cluster().map_or_else(String::new, |cluster| cluster.to_string()),
@@ -341,8 +341,10 @@
         self.store_fence(leadership.term, given_up);
     }
 
-    /// Assigns ready tasks and wakes the reports that wait for the resulting commands.
+    /// Assigns ready tasks by the rules in force, and wakes the reports that wait for the resulting
+    /// commands.
     fn assign(&self, now_ms: u64) {
+        self.follow_rules();
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return };
         let state = self.inner.replica.state();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,3 +24,4 @@
 pub mod slot;
 pub mod speed;
 pub mod transient;
+pub mod warmup;
--- a/src/coordination/schedule/drain.rs
+++ b/src/coordination/schedule/drain.rs
@@ -4,10 +4,14 @@
 use crate::protocol::wire::queue::{self, Drains};
 
 impl Scheduler {
-    /// Sets which data centres are drained.
-    pub fn set_drains(&mut self, drains: Drains) {
+    /// Sets which data centres are drained. Servers of those that no longer are warm up.
+    pub fn set_drains(&mut self, now_ms: u64, drains: Drains) {
         for (_, server) in &mut self.servers {
+            let was_drained = server.is_drained();
             server.set_drained(&drains);
+            if was_drained && !server.is_drained() {
+                server.begin_warmup(now_ms);
+            }
         }
         self.drains = drains;
     }
--- a/src/coordination/sidecar/backend.rs
+++ b/src/coordination/sidecar/backend.rs
@@ -12,12 +12,15 @@
 
 use indexmap::IndexMap;
 
-use super::{LATE_CALL_MAX_MS, Source, announce::Announcement};
-use crate::protocol::{
-    queue::{Attempt, Resources},
-    wire::{
-        queue::{Completion, Server, Start},
-        work,
+use super::{LATE_CALL_MAX_MS, Running, Source, announce::Announcement, progress::Progress};
+use crate::{
+    coordination::warmup::Warmup,
+    protocol::{
+        queue::{Attempt, Resources},
+        wire::{
+            queue::{Completion, Server, Start},
+            work,
+        },
     },
 };
 
@@ -150,6 +153,11 @@
         self.state == State::Running
     }
 
+    /// Whether it runs or may be running, and no stop was requested.
+    pub fn is_wanted(&self) -> bool {
+        self.state.may_run() && self.stop_lease_ms.is_none()
+    }
+
     /// Records that the backend server has confirmed that the attempt runs.
     pub fn confirm_running(&mut self) {
         if self.state.is_unconfirmed() {
@@ -268,6 +276,14 @@
     /// Attempts that were sent to the server before it last counted as lost. They count as lost by a
     /// crash once it is certain that its process is gone.
     pub unaccounted: Vec<Sent>,
+    /// Progress of the attempts; `None` if no stalls are detected.
+    pub progress: Option<Progress>,
+    /// Until when it is cold, by its newest announcement.
+    pub cold_until_ms: u64,
+    /// The last warm-up.
+    pub warmup: Option<Warmup>,
+    /// Whether the newest answer has told the progress of all running attempts.
+    pub progress_known: bool,
 }
 
 impl BackendServer {
@@ -307,6 +323,10 @@
             fenced: BTreeSet::new(),
             renewal: Renewal::Granted,
             unaccounted: Vec::new(),
+            progress: None,
+            progress_known: false,
+            cold_until_ms: 0,
+            warmup: None,
         }
     }
 
@@ -656,9 +676,12 @@
         attempts.any(|other| other.task == attempt.task && other != attempt)
     }
 
-    pub fn has_capacity(&self, needs: &Resources) -> bool {
+    pub fn has_capacity(&self, now_ms: u64, needs: &Resources) -> bool {
         let mut used = self.used;
         used.add(needs);
+        if !self.warmup_allows(now_ms, &used) {
+            return false;
+        }
         let contender = self.contender.as_ref().map(|(contender, _)| &contender.server);
         [Some(&self.server), contender].into_iter().flatten().all(|s| s.capacity.fits(&used))
     }
@@ -693,6 +716,9 @@
         self.start_called = true;
         self.called_since_loss = true;
         self.used.add(&assignment.start.needs);
+        if let Some(progress) = &mut self.progress {
+            progress.record_start(*attempt);
+        }
         Some(assignment.start.clone())
     }
 
@@ -775,10 +801,10 @@
     /// confirmed before a poll was sent at `sent_ms`, and its list of `running` attempts omits
     /// them. A poll of the same millisecond may have been sent before, and its list be older than a
     /// late start.
-    pub fn absent_after_stop(&self, sent_ms: u64, running: &[Attempt]) -> Vec<Attempt> {
+    pub fn absent_after_stop(&self, sent_ms: u64, running: &[Running]) -> Vec<Attempt> {
         let absent = |attempt: &Attempt, assignment: &Assignment| {
             matches!(assignment.state, State::StopConfirmed { at_ms } if at_ms < sent_ms)
-                && !running.contains(attempt)
+                && !running.iter().any(|listed| listed.attempt == *attempt)
         };
         self.assignments
             .iter()
--- a/src/coordination/sidecar/drain.rs
+++ b/src/coordination/sidecar/drain.rs
@@ -5,11 +5,17 @@
 
 impl Sidecar {
     /// Takes over drains of a newer version. If the data centre of the backend server is drained, the
-    /// attempts that wait for capacity are refused; what runs there runs on.
+    /// attempts that wait for capacity are refused; what runs there runs on. If it is no longer
+    /// drained, its server warms up.
     pub fn update_drains(&mut self, now_ms: u64, drains: &Drains) {
-        if drain::update(&mut self.drains, drains) {
-            self.dispatch(now_ms);
+        let was_drained = self.is_drained();
+        if !drain::update(&mut self.drains, drains) {
+            return;
         }
+        if was_drained && !self.is_drained() {
+            self.begin_warmup(now_ms);
+        }
+        self.dispatch(now_ms);
     }
 
     /// Whether the data centre of the backend server is drained. In contrast to a draining server, it
--- a/src/coordination/transient/server.rs
+++ b/src/coordination/transient/server.rs
@@ -43,6 +43,8 @@
     lost: bool,
     /// Whether its data centre is drained: nothing is commanded here.
     drained: bool,
+    /// Whether the sidecar itself stops attempts that make no progress.
+    pub watches_progress: bool,
     /// Resources of attempts of others that run or wait there.
     others: Resources,
     /// Resources of the attempts that this entry has commanded.
@@ -68,6 +70,7 @@
             open: false,
             lost: false,
             drained: false,
+            watches_progress: false,
             others: Resources::default(),
             own: IndexMap::new(),
             own_total: Resources::default(),
@@ -118,6 +121,7 @@
     pub fn update_load(&mut self, load: &Load) {
         self.outdated = load.revision != self.revision;
         self.open = load.open && load.revision.incarnation == self.revision.incarnation;
+        self.watches_progress = load.watches_progress;
         self.lost = load.lost || load.revision.incarnation != self.revision.incarnation;
         if load.open {
             self.lost_held_ms = None;
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -352,6 +352,8 @@
 pub struct Start {
     pub attempt: Attempt,
     pub needs: Resources,
+    /// Declared run time.
+    pub estimate_ms: u32,
     pub spec: Arc<str>,
 }
 
--- a/src/sidecar/jobs.rs
+++ b/src/sidecar/jobs.rs
@@ -107,6 +107,19 @@
     ) -> impl Future<Output = PollResult>;
 }
 
+/// Properties of a sidecar.
+#[derive(Debug, Clone)]
+pub struct Options {
+    pub name: String,
+    /// Where entries reach it.
+    pub addr: SocketAddr,
+    pub listen: SocketAddr,
+    /// Longest lease of the backend server.
+    pub max_lease_ms: u64,
+    /// As in [`sidecar::Sidecar::with_stall_detection`].
+    pub stall_ms: Option<u64>,
+}
+
 type Waiter = oneshot::Sender<(Outcome, u64)>;
 
 /// The running sidecar. Clones are cheap and refer to the same sidecar.
@@ -144,17 +157,12 @@
 }
 
 impl<B: Backend> Sidecar<B> {
-    /// Starts the sidecar `name`, which entries reach at `addr`. It listens at `listen`.
-    pub async fn start(
-        name: String,
-        addr: SocketAddr,
-        listen: SocketAddr,
-        max_lease_ms: u64,
-        leader: LeaderClient,
-        backend: B,
-    ) -> Result<Sidecar<B>> {
+    pub async fn start(options: Options, leader: LeaderClient, backend: B) -> Result<Sidecar<B>> {
+        let Options { name, addr, listen, max_lease_ms, stall_ms } = options;
+        let state = sidecar::Sidecar::new(name, addr, rand::random(), max_lease_ms)
+            .with_stall_detection(stall_ms);
         let inner = Inner {
-            state: RefCell::new(sidecar::Sidecar::new(name, addr, rand::random(), max_lease_ms)),
+            state: RefCell::new(state),
             leader,
             backend,
             report_wake: Notify::new(),
@@ -176,9 +184,14 @@
         Ok(sidecar)
     }
 
-    /// Handles an announcement of a backend server, whoever sent it.
-    pub fn announce(&self, server: Server, addr: SocketAddr, seq: u64) {
-        self.inner.state.borrow_mut().announce(util::boot_ms(), server, addr, seq);
+    /// Handles an announcement of a backend server, whoever sent it. The server will be cold for
+    /// `cold_left_ms`.
+    pub fn announce(&self, server: Server, addr: SocketAddr, seq: u64, cold_left_ms: u64) {
+        let (now_ms, id) = (util::boot_ms(), server.id.clone());
+        let mut state = self.inner.state.borrow_mut();
+        state.announce(now_ms, server, addr, seq);
+        state.record_cold_time(now_ms, &id, cold_left_ms);
+        drop(state);
         self.carry_out();
     }
 
--- a/tests/drains.rs
+++ b/tests/drains.rs
@@ -31,6 +31,7 @@
     lost: false,
     used: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
     queued: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
+    watches_progress: false,
 };
 const ENTRY: Entry = Entry(7);
 
@@ -94,7 +95,7 @@
 fn durable_tasks_start_in_other_data_centres_and_wait_without_any() {
     let (mut scheduler, state) = scheduler();
     let saga = add(&mut scheduler, &state, "a", "saga");
-    scheduler.set_drains(drains(1, &["saga", "ena"]));
+    scheduler.set_drains(0, drains(1, &["saga", "ena"]));
     let ena = add(&mut scheduler, &state, "b", "ena");
     scheduler.assign(0, state.queues());
     for key in [saga, ena] {
@@ -113,11 +114,37 @@
     scheduler.sync(0, saga, &[], state.queues());
     scheduler.assign(0, state.queues());
     assert_eq!(starts(scheduler.commands(saga)), [], "a new process of a drained server");
-    scheduler.set_drains(drains(2, &["ena"]));
+    scheduler.set_drains(0, drains(2, &["ena"]));
     scheduler.assign(0, state.queues());
     assert_eq!(starts(scheduler.commands(saga)).len(), 1);
 }
 
+/// A backend server with capacity for four tasks, in the data centre saga.
+fn large_server() -> Server {
+    let mut server = server("a", "saga");
+    let Resources { cpu_milli, memory_mb, accelerators } = server.capacity;
+    server.capacity = Resources {
+        cpu_milli: 4 * cpu_milli,
+        memory_mb: 4 * memory_mb,
+        accelerators: 4 * accelerators,
+    };
+    server
+}
+
+/// Guards against a wave of durable tasks on servers that are cold after a drain.
+#[test]
+fn durable_tasks_return_in_steps_after_a_drain() {
+    let (mut scheduler, state) = scheduler();
+    let key = scheduler.add_server(schedule::Server::new(large_server()));
+    scheduler.sync(0, key, &[], state.queues());
+    scheduler.set_drains(0, drains(1, &["saga"]));
+    scheduler.set_drains(100, drains(2, &[]));
+    scheduler.assign(100, state.queues());
+    assert_eq!(starts(scheduler.commands(key)).len(), 1, "a quarter of the capacity");
+    scheduler.assign(1_100, state.queues());
+    assert_eq!(starts(scheduler.commands(key)).len(), 1);
+}
+
 /// Guards against a task that does not start elsewhere after its sidecar has refused it for a drain.
 #[test]
 fn a_durable_task_refused_for_a_drain_starts_elsewhere() {
@@ -125,7 +152,7 @@
     let saga = add(&mut scheduler, &state, "a", "saga");
     scheduler.assign(0, state.queues());
     let attempt = starts(scheduler.commands(saga))[0];
-    scheduler.set_drains(drains(1, &["saga"]));
+    scheduler.set_drains(0, drains(1, &["saga"]));
     let refused = NotStarted { attempt, reason: Reason::Unavailable };
     scheduler.not_started(1, saga, &refused, state.queues());
     let kurume = add(&mut scheduler, &state, "b", "kurume");
@@ -272,7 +299,7 @@
 
 fn start(job: u64) -> Start {
     let needs = Resources { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 };
-    Start { attempt: attempt(job), needs, spec: Arc::from("spec") }
+    Start { attempt: attempt(job), needs, estimate_ms: 0, spec: Arc::from("spec") }
 }
 
 fn command(sidecar: &mut sidecar::Sidecar, job: u64) -> sidecar::Actions {
@@ -292,11 +319,11 @@
     sidecar.start_answered(1, attempt(1), sidecar::StartResult::Started);
     assert_eq!(command(&mut sidecar, 2), sidecar::Actions::default(), "it waits for capacity");
     sidecar.update_drains(2, &drains(3, &["kurume"]));
-    assert!(sidecar.load().open && !sidecar.is_drained());
+    assert!(sidecar.load(2).open && !sidecar.is_drained());
     sidecar.update_drains(2, &drains(4, &["kurume", "saga"]));
     let actions = sidecar.take_actions();
     assert_eq!((actions.replies, actions.stops), (vec![refused(2)], vec![]));
-    assert!(!sidecar.load().open && sidecar.is_drained());
+    assert!(!sidecar.load(2).open && sidecar.is_drained());
     let report = sidecar.report(0);
     let Backend::Present(server) = &report.backend else { panic!("{report:?}") };
     assert!(!server.draining, "the server is not about to leave");
@@ -314,7 +341,7 @@
     sidecar.polled(4, 5, sidecar::PollReply { completions, ..poll_reply() });
     assert_eq!(sidecar.take_actions().replies, [(ENTRY, attempt(1), Outcome::Done, 5)]);
     sidecar.update_drains(6, &drains(5, &[]));
-    assert!(sidecar.load().open);
+    assert!(sidecar.load(6).open);
     assert_eq!(command(&mut sidecar, 5).starts, [start(5)]);
 }
 
--- a/tests/transient.rs
+++ b/tests/transient.rs
@@ -1,5 +1,8 @@
 //! Scheduling of transient jobs under the patterns of load and failure that it is designed for.
 
+#[path = "transient/stalls.rs"]
+mod stalls;
+
 use std::net::SocketAddr;
 
 use briargauge::{
@@ -19,6 +22,7 @@
     lost: false,
     used: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
     queued: Resources { cpu_milli: 0, memory_mb: 0, accelerators: 0 },
+    watches_progress: false,
 };
 
 /// A crash under an attempt that ran, which is certain.
