--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -38,7 +38,7 @@
     NoQueue,
     /// The path does not name a job.
     NoJob,
-    /// No task was started: no capacity became free in time.
+    /// No task was started: no capacity became free in time, or drains leave no server.
     NotRun,
     /// No task was started: the entry has no configuration yet, cannot learn whether there is such a
     /// queue, or is stopping.
