--- a/src/coordination/sidecar/progress.rs
+++ b/src/coordination/sidecar/progress.rs
@@ -41,8 +41,14 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
-    Stalled,
-    Recovered { after_ms: u64, trials: u32 },
+    Stalled {
+        /// Time for which nothing has advanced.
+        for_ms: u64,
+    },
+    Recovered {
+        after_ms: u64,
+        trials: u32,
+    },
 }
 
 /// Which attempts may start.
@@ -178,7 +184,8 @@
             true => self.observe_stall(now_ms, clock_ms, advanced || done),
             false if self.has_stalled(clock_ms) => {
                 self.stall = Some(Stall::new(now_ms));
-                Verdict { stops: self.still(clock_ms, 1), change: Some(Change::Stalled) }
+                let change = Change::Stalled { for_ms: clock_ms - self.advanced_ms };
+                Verdict { stops: self.still(clock_ms, 1), change: Some(change) }
             }
             // The server itself goes on.
             false => Verdict { stops: self.still(clock_ms, 2), change: None },
--- a/src/coordination/sidecar/stall.rs
+++ b/src/coordination/sidecar/stall.rs
@@ -23,11 +23,10 @@
         let server = &backend.server.id;
         let (attempts, stopped) = (samples.len(), verdict.stops.len());
         match verdict.change {
-            Some(Change::Stalled) => {
-                log::warn!(
-                    "event=server_stalled server={server} runs={attempts} stopped={stopped}"
-                );
-            }
+            Some(Change::Stalled { for_ms }) => log::warn!(
+                "event=server_stalled server={server} runs={attempts} stopped={stopped} \
+                 for_ms={for_ms}"
+            ),
             Some(Change::Recovered { after_ms, trials }) => log::info!(
                 "event=server_recovered server={server} runs={attempts} after_ms={after_ms} \
                  trials={trials}"
--- a/tests/progress.rs
+++ b/tests/progress.rs
@@ -132,7 +132,10 @@
     assert!(first <= STALL_MS + 2 * POLL_MS, "{first}");
     assert!(3 * first < naive);
     assert_eq!(world.stops.len(), 8);
-    assert_eq!(world.changes, [(600 + first, Change::Stalled)]);
+    let [(at_ms, Change::Stalled { for_ms })] = world.changes[..] else {
+        panic!("{:?}", world.changes)
+    };
+    assert_eq!((at_ms, for_ms), (600 + first, 300));
     assert_eq!(world.admission(600 + first), Admission::None);
 }
 
@@ -146,7 +149,7 @@
     let first = world.stops[0].0 - 1_000;
     println!("first stop {first} ms after the beginning of the hang");
     assert!(first <= STALL_MS + 2 * POLL_MS, "{first}");
-    assert_eq!(world.changes[0].1, Change::Stalled);
+    assert!(matches!(world.changes[0].1, Change::Stalled { .. }));
 }
 
 /// Guards against a hang that is not detected because a task of 4 s has just started: it may stay at 0
@@ -238,7 +241,9 @@
 fn trials_that_stand_still_are_stopped_and_come_at_growing_pauses() {
     let mut world = hung_server(u64::MAX);
     world.poll_until(0, 1_100);
-    let [(mut now_ms, Change::Stalled)] = world.changes[..] else { panic!("{:?}", world.changes) };
+    let [(mut now_ms, Change::Stalled { .. })] = world.changes[..] else {
+        panic!("{:?}", world.changes)
+    };
     for (number, pause_ms) in [500, 1_000, 2_000, 4_000, 4_000].into_iter().enumerate() {
         assert_eq!(world.admission(now_ms + pause_ms - 1), Admission::None);
         world.poll_until(now_ms + POLL_MS, now_ms + pause_ms);
