--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -341,8 +341,10 @@
         self.store_fence(leadership.term, given_up);
     }
 
-    /// Assigns ready tasks and wakes the reports that wait for the resulting commands.
+    /// Assigns ready tasks by the drains that are in force, and wakes the reports that wait for the
+    /// resulting commands.
     fn assign(&self, now_ms: u64) {
+        self.follow_rules();
         let mut leadership = self.inner.leadership.borrow_mut();
         let Some(leadership) = leadership.as_mut() else { return };
         let state = self.inner.replica.state();
