Transport: connections and their memory are bounded

Cause: nothing counted the bodies, messages and responses that connections hold, and only the first head of a connection had a time limit. Queued chunks of one byte need 32 bytes each, buffers grow by doubling, and the codec of remote calls allocated a frame when its length arrived.

Change: one pool for the servers of a process counts connections and reserves memory before it is read, for HTTP and remote calls. At a bound, the connection that has gone longest without progress is closed; a request that does not fit is refused with 503. The bounds follow from the limits in the settings of the platform's programs. The product's HTTP interface reads bodies through it too; its budget counts what it holds afterwards.

Resident sizes not measured yet.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -20,7 +20,7 @@
     error::Result,
     protocol::wire::control::Service,
     supervisor,
-    transport::{http, rpc},
+    transport::{http, limit, rpc},
 };
 
 /// Interval between checks of the leases. It is short compared with a lease, because a lapsed lease
@@ -105,7 +105,7 @@
 
 async fn answer(core: Rc<Core>, request: Request) -> Response<Bytes> {
     match request.path() {
-        "/metrics" => http::text(StatusCode::OK, core.metrics()),
+        "/metrics" => http::text(StatusCode::OK, limit::with_metrics(core.metrics())),
         "/health" if core.stopping() => http::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
         "/health" => http::text(StatusCode::OK, "ok\n"),
         _ => http::text(StatusCode::NOT_FOUND, "not found\n"),
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -2,9 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_http::{HttpMessage, Method, Request, Response, StatusCode, header};
+use actix_http::{Method, Request, Response, StatusCode, header};
 use bytes::Bytes;
-use tokio::time::{self, Instant};
+use tokio::time::Instant;
 
 use crate::{
     entry::{
@@ -16,7 +16,10 @@
     },
     metric,
     protocol::{id, job, wire::entry::Waited},
-    transport::http::{self, BodyError},
+    transport::{
+        http::{self, BodyError},
+        limit,
+    },
 };
 
 /// Response header with the execution id, under which all processes log the submission.
@@ -41,7 +44,8 @@
     match (method, path.as_str()) {
         (Method::GET, "/health") => health(&core),
         (Method::GET, "/metrics") => {
-            http::text(StatusCode::OK, metric::render(&core.meter.registry))
+            let metrics = metric::render(&core.meter.registry);
+            http::text(StatusCode::OK, limit::with_metrics(metrics))
         }
         (Method::GET, "/v1/jobs") => query_status(&core, request.uri().query().unwrap_or("")).await,
         (Method::POST, "/v1/jobs" | "/v1/requests" | "/v1/jobs/cancel") => {
@@ -66,28 +70,34 @@
     }
 }
 
-/// Reads a request body. Its memory is reserved before it arrives.
+/// Reads a request body. While it arrives, its memory is reserved by the connection; the input is then
+/// counted towards the budget.
 async fn read_body(core: &Core, request: &mut Request) -> Result<Body, Response<Bytes>> {
     let max = core.limits.body_max_bytes;
-    let length = request.headers().get(header::CONTENT_LENGTH);
-    let length = length.and_then(|l| l.to_str().ok()?.parse().ok()).unwrap_or(max);
-    if length > max {
-        return Err(too_large(core, max));
-    }
-    let mut reservation = core.budget.reserve();
-    if !core.budget.has_capacity(0) || !reservation.grow(length) {
-        return Err(overloaded(core, "the entry's memory is used up"));
+    if !core.budget.has_capacity(0) {
+        return Err(overloaded(core, MEMORY_USED_UP));
     }
-    let mut payload = request.take_payload();
     let limit = Duration::from_millis(core.limits.body_limit_ms);
-    match time::timeout(limit, http::body(&mut payload, max)).await {
-        Ok(Ok(bytes)) => Ok(Body { bytes, reservation }),
-        Ok(Err(BodyError::TooLarge(max))) => Err(too_large(core, max)),
-        Ok(Err(BodyError::Broken(e))) => Err(refuse(core, job::Refusal::BadRequest, &e)),
-        Err(_) => Err(refuse(core, job::Refusal::BadRequest, "the body did not arrive in time")),
+    match http::body_within(request, max, limit).await {
+        Ok(bytes) => {
+            let mut reservation = core.budget.reserve();
+            match reservation.grow(bytes.len()) {
+                true => Ok(Body { bytes, reservation }),
+                false => Err(overloaded(core, MEMORY_USED_UP)),
+            }
+        }
+        Err(BodyError::TooLarge(max)) => Err(too_large(core, max)),
+        Err(BodyError::Broken(e)) => Err(refuse(core, job::Refusal::BadRequest, &e)),
+        Err(BodyError::Late(_)) => {
+            Err(refuse(core, job::Refusal::BadRequest, "the body did not arrive in time"))
+        }
+        Err(BodyError::Refused) => Err(overloaded(core, MEMORY_USED_UP)),
     }
 }
 
+/// Detail of refusals for lack of memory.
+const MEMORY_USED_UP: &str = "the entry's memory is used up";
+
 /// Counts a request as open until it is dropped.
 struct CountedRequest<'a>(&'a Core);
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -56,7 +56,7 @@
     error::Result,
     protocol::{id, job, wire::entry as wire_entry},
     supervisor,
-    transport::{http, rpc},
+    transport::{http, limit, rpc},
 };
 
 /// How often a stopping entry checks whether its submissions have ended.
@@ -229,6 +229,7 @@
     const NAME: &'static str = "briargauge-entry";
 
     async fn start(settings: Settings) -> Result<Entry> {
+        limit::configure(settings.limits.instance());
         let core = Core::new(&settings);
         let rpc = peer::serve(settings.rpc, &core).await?;
         if settings.advertise.is_none() {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::{config, coordination::dispatch, protocol::job};
+use crate::{config, coordination::dispatch, protocol::job, transport::limit::bound::Instance};
 
 /// Highest allowed `rules_confirm_limit_ms`. A change of the rules must be in force in all
 /// processes within 8 s.
@@ -125,6 +125,16 @@
     pub drain_limit_ms: u64,
 }
 
+impl Limits {
+    /// The instance for which the bounds on connections are derived. A body is counted there while it
+    /// arrives and an answer while it is sent, and [`Limits::memory_max_bytes`] counts both again; half
+    /// of the instance's memory is thus for as many bytes of each.
+    pub fn instance(&self) -> Instance {
+        let memory_bytes = Some(4 * self.memory_max_bytes as u64);
+        Instance { memory_bytes, descriptors: None }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
--- a/src/sidecar/web.rs
+++ b/src/sidecar/web.rs
@@ -10,7 +10,7 @@
 use crate::{
     protocol::announce::{Announce, Leave},
     sidecar::{core::Core, platform::Platform, worker::Worker},
-    transport::http,
+    transport::{http, limit},
 };
 
 /// Maximum size of the body of a request, in bytes.
@@ -33,7 +33,9 @@
             Err(refusal) => refusal,
         },
         (Method::GET, "/health") => health(&core),
-        (Method::GET, "/metrics") => http::text(StatusCode::OK, core.meter.render()),
+        (Method::GET, "/metrics") => {
+            http::text(StatusCode::OK, limit::with_metrics(core.meter.render()))
+        }
         _ => http::text(StatusCode::NOT_FOUND, "no such resource"),
     }
 }
@@ -59,7 +61,7 @@
 }
 
 async fn body<T: DeserializeOwned>(request: &mut Request) -> Result<T, Response<Bytes>> {
-    let bytes = http::body(request.payload(), BODY_MAX_BYTES)
+    let bytes = http::body(request, BODY_MAX_BYTES)
         .await
         .map_err(|e| http::text(StatusCode::BAD_REQUEST, format!("{e:?}")))?;
     serde_json::from_slice(&bytes)
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,11 +1,17 @@
 //! HTTP server and client, used with callers, backend servers and the platform.
 
 use std::{
-    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration,
+    cell::Cell,
+    convert::Infallible,
+    future::{Future, poll_fn},
+    net::SocketAddr,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
 };
 
 use actix_http::{
-    HttpService, Method, Payload, Request, Response, StatusCode,
+    Extensions, HttpMessage, HttpService, Method, Payload, Protocol, Request, Response, StatusCode,
     body::{BoxBody, MessageBody},
     header,
 };
@@ -18,15 +24,14 @@
 use crate::{
     error::{self, Result},
     supervisor,
+    transport::limit::{self, bound::Audience},
 };
 
 /// Idle time after which the server closes a kept-alive connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
-/// Time limit for a client to send the head of a request.
-const HEAD_LIMIT: Duration = Duration::from_secs(5);
-/// Pause after a failed `accept`: without it, the loop would spin while the process is out of file
-/// descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which the rest of a refused body is read. A connection that is closed with unread bytes is
+/// reset, and the client may then lose the response.
+const LINGER: Duration = Duration::from_secs(1);
 /// Interval at which a stopping server checks whether requests or connections remain.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -41,6 +46,10 @@
     TooLarge(usize),
     /// The connection failed before the whole body was read.
     Broken(String),
+    /// The body did not arrive within this time.
+    Late(Duration),
+    /// There is no memory for the body. Whatever the handler answers is replaced by a refusal.
+    Refused,
 }
 
 /// Largest piece of a response body that is passed to a connection at once. The rest stays in the
@@ -98,9 +107,18 @@
 /// to the connection.
 struct CountedBody {
     body: Option<Bytes>,
+    connection: Option<Rc<limit::Connection>>,
     _in_flight: InFlightGuard,
 }
 
+impl Drop for CountedBody {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.answer_passed();
+        }
+    }
+}
+
 impl MessageBody for CountedBody {
     type Error = Infallible;
 
@@ -111,13 +129,13 @@
 
     fn poll_next(
         mut self: std::pin::Pin<&mut Self>,
-        _: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<Bytes, Infallible>>> {
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Infallible>>> {
         let body = match &mut self.body {
             Some(body) if body.len() > CHUNK_MAX_BYTES => Some(body.split_to(CHUNK_MAX_BYTES)),
             _ => self.body.take().filter(|b| !b.is_empty()),
         };
-        std::task::Poll::Ready(body.map(Ok))
+        Poll::Ready(body.map(Ok))
     }
 }
 
@@ -215,68 +233,148 @@
     let counted = shared.clone();
     let service = HttpService::build()
         .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(HEAD_LIMIT)
-        .tcp_nodelay(true)
+        .client_request_timeout(limit::pool::HEAD_LIMIT)
+        .client_disconnect_timeout(LINGER)
         // Drops the handler's future when the caller closes its connection.
         .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &limit::Stream, data: &mut Extensions| {
+            data.insert(stream.connection().clone());
+        })
         .finish(fn_service(move |request: Request| {
             answer(handler.clone(), shared.clone(), request)
-        }))
-        .tcp();
+        }));
     let Ok(service) = service.new_service(()).await else { return };
+    let mut listener = limit::Listener::new(listener, Audience::Clients);
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = listener.accept() => stream,
             _ = stopped.changed() => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let connected = ConnectionGuard::new(&counted);
-                let connection = service.call(stream);
-                actix_rt::spawn(async move {
-                    let _ = connection.await;
-                    drop(connected);
-                });
-            }
-            Err(e) => {
-                log::warn!("event=accept_failed error={e:?}");
-                time::sleep(ACCEPT_PAUSE).await;
+        let connected = ConnectionGuard::new(&counted);
+        let (connection, peer) = (stream.connection().clone(), stream.peer_addr());
+        let served = service.call((stream, Protocol::Http1, peer));
+        actix_rt::spawn(async move {
+            tokio::select! {
+                _ = served => {}
+                () = connection.closed() => {}
             }
-        }
+            drop(connected);
+        });
     }
 }
 
 async fn answer<H, F>(
     handler: H,
     shared: Rc<Shared>,
-    request: Request,
+    mut request: Request,
 ) -> Result<Response<BoxBody>, Infallible>
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response<Bytes>>,
 {
     let in_flight = InFlightGuard::new(&shared);
+    let connection = request.conn_data::<Rc<limit::Connection>>().cloned();
+    let reads_only = matches!(*request.method(), Method::GET | Method::HEAD);
+    if let Some(connection) = &connection {
+        connection.head_arrived(body_kind(&mut request));
+    }
     let mut response = handler(request).await;
+    if let Some(connection) = &connection {
+        response = reserve_response(connection, response, reads_only);
+    }
     if shared.closing.get() {
         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
     }
-    Ok(response
-        .map_body(|_, body| BoxBody::new(CountedBody { body: Some(body), _in_flight: in_flight })))
+    Ok(response.map_body(|_, body| {
+        BoxBody::new(CountedBody { body: Some(body), connection, _in_flight: in_flight })
+    }))
 }
 
-/// Reads the body of a request, of at most `limit` bytes.
-pub async fn body(payload: &mut Payload, limit: usize) -> Result<Bytes, BodyError> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|e| BodyError::Broken(e.to_string()))?;
-        if body.len() + chunk.len() > limit {
-            return Err(BodyError::TooLarge(limit));
+fn body_kind(request: &mut Request) -> limit::Body {
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    match request.payload() {
+        Payload::None => limit::Body::None,
+        _ if chunked => limit::Body::Chunked,
+        _ => limit::Body::Sized,
+    }
+}
+
+/// Reserves memory for a response. If there is none, a request that only reads is refused; another one
+/// may have been carried out, so its connection is closed without an answer.
+fn reserve_response(
+    connection: &limit::Connection,
+    response: Response<Bytes>,
+    reads_only: bool,
+) -> Response<Bytes> {
+    let response = if connection.is_refused() { refusal() } else { response };
+    match connection.answer_made(response.body().len()) {
+        Ok(()) => response,
+        Err(reason) if reads_only => {
+            connection.request_refused(reason);
+            refusal()
+        }
+        Err(reason) => {
+            connection.close(reason);
+            response
         }
-        body.extend_from_slice(&chunk);
+    }
+}
+
+/// Refuses a request of which nothing has been carried out.
+fn refusal() -> Response<Bytes> {
+    let mut response = json(StatusCode::SERVICE_UNAVAILABLE, "{}");
+    response.headers_mut().insert(header::RETRY_AFTER, header::HeaderValue::from_static("1"));
+    response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+    response
+}
+
+/// Reads the body of a request, of at most `max` bytes.
+pub async fn body(request: &mut Request, max: usize) -> Result<Bytes, BodyError> {
+    body_within(request, max, limit::pool::BODY_LIMIT).await
+}
+
+/// Like [`body`], with a time limit of the caller's.
+pub async fn body_within(
+    request: &mut Request,
+    max: usize,
+    limit: Duration,
+) -> Result<Bytes, BodyError> {
+    let connection = request.conn_data::<Rc<limit::Connection>>().cloned();
+    let length = request.headers().get(header::CONTENT_LENGTH);
+    let length = length.and_then(|l| l.to_str().ok()?.parse::<usize>().ok()).unwrap_or(0);
+    if length > max {
+        return Err(BodyError::TooLarge(max));
+    }
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::with_capacity(length);
+    let chunks = async {
+        while let Some(chunk) = poll_fn(|cx| poll_chunk(&mut payload, &connection, cx)).await {
+            let chunk = chunk?;
+            if body.len() + chunk.len() > max {
+                return Err(BodyError::TooLarge(max));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(())
+    };
+    time::timeout(limit, chunks).await.unwrap_or(Err(BodyError::Late(limit)))?;
+    if let Some(connection) = connection {
+        connection.request_arrived();
     }
     Ok(body.freeze())
 }
 
+fn poll_chunk(
+    payload: &mut Payload,
+    connection: &Option<Rc<limit::Connection>>,
+    cx: &mut Context<'_>,
+) -> Poll<Option<Result<Bytes, BodyError>>> {
+    if connection.as_ref().is_some_and(|connection| connection.poll_refused(cx.waker())) {
+        return Poll::Ready(Some(Err(BodyError::Refused)));
+    }
+    payload.poll_next_unpin(cx).map_err(|e| BodyError::Broken(e.to_string()))
+}
+
 /// A JSON response.
 pub fn json(status: StatusCode, body: impl Into<Bytes>) -> Response<Bytes> {
     typed(status, "application/json", body)
--- /dev/null
+++ b/src/transport/limit/stream.rs
@@ -0,0 +1,140 @@
+//! TCP streams whose connections are counted.
+
+use std::{
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+use super::{Connection, OwnConnection, READ_MAX_BYTES};
+
+/// Response to a request that arrives on a connection that is not accepted.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    content-type: application/json\r\ncontent-length: 2\r\nconnection: close\r\n\r\n{}";
+
+/// An accepted stream. It reserves memory before it reads and tells its [`Connection`] what it has read
+/// and written.
+pub struct Stream {
+    stream: TcpStream,
+    connection: Rc<Connection>,
+    /// Whether the reader has to process what it has before it reads on.
+    full: bool,
+}
+
+impl Stream {
+    pub(super) fn new(stream: TcpStream, connection: Rc<Connection>) -> Stream {
+        Stream { stream, connection, full: false }
+    }
+
+    pub fn connection(&self) -> &Rc<Connection> {
+        &self.connection
+    }
+
+    pub fn peer_addr(&self) -> Option<std::net::SocketAddr> {
+        self.stream.peer_addr().ok()
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if std::mem::take(&mut self.full) {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let most = self.connection.readable(buf.remaining());
+        if most == 0 {
+            self.connection.read_waker.replace(Some(cx.waker().clone()));
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
+        let mut part = (&mut self.stream).take(most as u64);
+        ready!(Pin::new(&mut part).poll_read(cx, buf))?;
+        let read = buf.filled().len() - before;
+        if read > 0 {
+            self.connection.received(read);
+        }
+        self.full = self.connection.reads_in_parts() && read == READ_MAX_BYTES;
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
+        self.connection.written(written);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Only called once everything has been written; a TCP stream itself has nothing to flush.
+        self.connection.flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// Refuses the request that has arrived on a connection, if there is one.
+pub(super) fn refuse(stream: &TcpStream) {
+    let mut request = [0; READ_MAX_BYTES];
+    if stream.try_read(&mut request).is_ok_and(|read| read > 0) {
+        let _ = stream.try_write(REFUSAL);
+    }
+}
+
+/// A stream that this process has opened.
+#[derive(Debug)]
+pub struct Own {
+    stream: TcpStream,
+    _connection: OwnConnection,
+}
+
+impl Own {
+    pub fn new(stream: TcpStream, connection: OwnConnection) -> Own {
+        Own { stream, _connection: connection }
+    }
+}
+
+impl AsyncRead for Own {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Own {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,7 @@
 //! Communication with other processes: remote calls, HTTP and signals.
 
+pub mod frame;
 pub mod http;
+pub mod limit;
 pub mod rpc;
 pub mod signal;
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -15,7 +15,7 @@
     ClientMessage, RequestName, Response, ServerError, client, context,
     serde_transport::{self, Transport as SerdeTransport},
     server::{self, Channel, Serve},
-    tokio_serde::formats::Bincode,
+    tokio_serde::{self, formats::Bincode},
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -27,6 +27,10 @@
 use crate::{
     error::{self, Error, Result},
     supervisor,
+    transport::{
+        frame,
+        limit::{self, bound::Audience},
+    },
 };
 
 /// Largest message, in bytes. It must be large enough for all answers of one job, which an entry
@@ -45,7 +49,7 @@
 
 /// The client's side of a connection.
 pub type Transport<Request, Answer> = SerdeTransport<
-    TcpStream,
+    limit::Own,
     Response<Answer>,
     ClientMessage<Request>,
     Bincode<Response<Answer>, ClientMessage<Request>>,
@@ -92,13 +96,14 @@
 
 /// Connects to the service at `addr`.
 pub async fn connect<C: Client>(addr: SocketAddr) -> Result<C> {
+    let own = limit::OwnConnection::new();
     let stream = match time::timeout(CONNECT_LIMIT, open(addr)).await {
         Ok(stream) => stream,
         Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
     };
     let stream = stream.context(error::NetSnafu { step: "connect", peer: addr })?;
     stream.set_nodelay(true).context(error::NetSnafu { step: "connect", peer: addr })?;
-    let framed = codec().framed(stream);
+    let framed = codec().framed(limit::Own::new(stream, own));
     Ok(C::new(serde_transport::new(framed, Bincode::default())))
 }
 
@@ -283,45 +288,40 @@
     S::Req: DeserializeOwned + RequestName + 'static,
     S::Resp: Serialize + 'static,
 {
+    let mut listener = limit::Listener::new(listener, Audience::System);
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = listener.accept() => stream,
             _ = stopped.changed() => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let _ = stream.set_nodelay(true);
-                actix_rt::spawn(handle(stream, service.clone(), stopped.clone()));
-            }
-            Err(e) => {
-                log::warn!("event=accept_failed error={e:?}");
-                time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        actix_rt::spawn(handle(stream, service.clone(), stopped.clone()));
     }
 }
 
-/// Pause after a failed `accept`: without it, the loop would spin while the process is out of file
-/// descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
-async fn handle<S>(stream: TcpStream, service: S, mut stopped: watch::Receiver<()>)
+async fn handle<S>(stream: limit::Stream, service: S, mut stopped: watch::Receiver<()>)
 where
     S: Serve + Clone + 'static,
     S::Req: DeserializeOwned + RequestName + 'static,
     S::Resp: Serialize + 'static,
 {
-    let transport = serde_transport::new(
-        codec().framed(stream),
+    let connection = stream.connection().clone();
+    let transport = tokio_serde::Framed::new(
+        frame::Codec::new(connection.clone()).framed(stream),
         Bincode::<ClientMessage<S::Req>, Response<S::Resp>>::default(),
     );
     let config = server::Config { pending_response_buffer: BUFFER_MAX };
     let channel = server::BaseChannel::new(config, transport);
-    let requests = channel.execute(service).for_each(|request| async move {
-        actix_rt::spawn(request);
+    let requests = channel.execute(service).for_each(|request| {
+        let call = connection.call_begun();
+        actix_rt::spawn(async move {
+            request.await;
+            drop(call);
+        });
+        std::future::ready(())
     });
     tokio::select! {
         () = requests => {}
         _ = stopped.changed() => {}
+        () = connection.closed() => {}
     }
 }
