Transport: waiting requests and unread answers are bounded on each connection

Cause: actix-http decodes all that it has read into requests of about 6 kB each, and buffers up to 64 KiB of answers that are not read.

Change: at most eight heads are handed on while others wait, and the buffer of an unread answer is smaller and reserved once the peer stops reading.

--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -54,7 +54,9 @@
 
 /// Largest piece of a response body that is passed to a connection at once. The rest stays in the
 /// body, uncopied, until a slow reader has received the piece before it.
-const CHUNK_MAX_BYTES: usize = 32 * 1024;
+const CHUNK_MAX_BYTES: usize = 16 * 1024;
+/// Bytes of responses above which a connection writes before it takes more.
+const WRITE_BUFFER_BYTES: usize = 8 * 1024;
 
 /// A listening HTTP server.
 pub struct Server {
@@ -235,6 +237,7 @@
         .keep_alive(KEEP_ALIVE)
         .client_request_timeout(limit::pool::HEAD_LIMIT)
         .client_disconnect_timeout(LINGER)
+        .h1_write_buffer_size(WRITE_BUFFER_BYTES)
         // Drops the handler's future when the caller closes its connection.
         .h1_allow_half_closed(false)
         .on_connect_ext(|stream: &limit::Stream, data: &mut Extensions| {
--- a/src/transport/limit/bound.rs
+++ b/src/transport/limit/bound.rs
@@ -77,9 +77,10 @@
 }
 
 impl Bounds {
-    /// Half of the memory is for connections, the other half for the process's own work. Clients get
-    /// at most three quarters of that, so that the system's own connections always have room. A port
-    /// and a peer get all but an eighth of what the next wider bound allows. One address may hold
+    /// Half of the memory is for connections, the other half for the process's own work and for what the
+    /// allocator does not reuse. Clients get at most three quarters of the connections and five eighths
+    /// of that memory, so that the system's own connections always have room. A port and a peer get all
+    /// but an eighth of what the next wider bound allows. One address may hold
     /// almost all connections between the system's own processes, because sidecars may share it.
     pub fn new(instance: Instance) -> Bounds {
         let memory = instance.memory_bytes.unwrap_or(MEMORY_DEFAULT_BYTES);
@@ -89,7 +90,7 @@
             connections: usize::try_from(descriptors - reserved).unwrap_or(usize::MAX).max(1),
             bytes: usize::try_from(memory / 2).unwrap_or(usize::MAX),
         };
-        let clients = total.part((3, 4));
+        let clients = Usage { connections: total.part((3, 4)).connections, ..total.part((5, 8)) };
         let port = clients.part((7, 8));
         let peer = port.part((7, 8));
         Bounds { total, clients, port, peer, system_peer: total.part((31, 32)) }
--- a/src/transport/limit/connection.rs
+++ b/src/transport/limit/connection.rs
@@ -18,6 +18,12 @@
 const COVERED_BYTES: usize = 8 * 1024;
 /// Bytes that are reserved at once for a request that needs more.
 const STEP_BYTES: usize = 16 * 1024;
+/// Most requests that wait on a connection. `actix-http` decodes all that it has read, and each request
+/// needs about 6 kB however short it is.
+const HEADS_MAX: usize = 8;
+/// Bytes that a connection buffers of an answer that is not read: what is passed at once, and the buffer
+/// to which that is added.
+const UNREAD_BYTES: usize = 32 * 1024;
 /// Most bytes of a client that are read at once. The reader of a body then takes its chunks out of the
 /// queue between two reads, so that the queue, which needs 32 bytes for each chunk, stays short.
 pub(super) const READ_MAX_BYTES: usize = 4 * 1024;
@@ -36,6 +42,8 @@
     factor: Cell<usize>,
     /// Bytes read since the request was complete.
     ahead: Cell<usize>,
+    /// Ends of heads among the bytes that may hold requests which wait.
+    heads: Cell<usize>,
     /// Bytes of messages that have not been written.
     unwritten: Cell<usize>,
     /// Number of calls that are being answered.
@@ -66,6 +74,7 @@
             needed: Cell::new(0),
             factor: Cell::new(2),
             ahead: Cell::new(0),
+            heads: Cell::new(0),
             unwritten: Cell::new(0),
             calls: Cell::new(0),
             answer_passed: Cell::new(false),
@@ -140,12 +149,19 @@
             // After the refusal, the rest of the body is read and dropped.
             return if state == State::Body { 0 } else { most };
         }
-        if clients && matches!(state, State::Answering | State::Writing) {
-            return most.min(READ_MAX_BYTES - self.ahead.get());
-        }
         let unclaimed = state == State::Body && self.body_waker.borrow().is_none();
-        if clients && unclaimed && self.needed.get() > COVERED_BYTES {
-            return 0;
+        match state {
+            _ if !clients => {}
+            State::Answering | State::Writing => {
+                let heads_left = self.heads.get() < HEADS_MAX;
+                return if heads_left { most.min(READ_MAX_BYTES - self.ahead.get()) } else { 0 };
+            }
+            State::Body if unclaimed => {
+                if self.heads.get() >= HEADS_MAX || self.needed.get() > COVERED_BYTES {
+                    return 0;
+                }
+            }
+            State::Idle | State::Head | State::Body => self.heads.set(0),
         }
         match self.reserve(self.needed.get() + self.unwritten.get() + self.factor.get() * most) {
             Ok(()) => most,
@@ -168,6 +184,25 @@
         }
     }
 
+    /// Number of bytes at the front of `bytes` that may be processed now.
+    pub(super) fn processable(&self, bytes: &[u8]) -> usize {
+        let mut line_end = None;
+        for (index, _) in bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
+            let blank = match line_end {
+                Some(last) => index == last + 1 || (index == last + 2 && bytes[last + 1] == b'\r'),
+                None => false,
+            };
+            line_end = Some(index);
+            if blank {
+                self.heads.set(self.heads.get() + 1);
+                if self.heads.get() >= HEADS_MAX {
+                    return index + 1;
+                }
+            }
+        }
+        bytes.len()
+    }
+
     pub(super) fn received(&self, bytes: usize) {
         if !self.is_open() {
             return;
@@ -205,6 +240,15 @@
         }
     }
 
+    /// Records that the peer does not read. The buffer of an unread answer is then reserved.
+    pub(super) fn write_blocked(&self) {
+        if self.audience == Audience::Clients && self.reserved.get() < UNREAD_BYTES {
+            if let Err(reason) = self.reserve(COVERED_BYTES + UNREAD_BYTES) {
+                self.close(reason);
+            }
+        }
+    }
+
     /// Records that everything that was passed to the connection has been written.
     pub(super) fn flushed(&self) {
         match self.audience {
--- a/src/transport/limit/stream.rs
+++ b/src/transport/limit/stream.rs
@@ -1,6 +1,7 @@
 //! TCP streams whose connections are counted.
 
 use std::{
+    collections::VecDeque,
     io,
     pin::Pin,
     rc::Rc,
@@ -25,11 +26,25 @@
     connection: Rc<Connection>,
     /// Whether the reader has to process what it has before it reads on.
     full: bool,
+    /// What has been read but has to wait.
+    held: VecDeque<u8>,
 }
 
 impl Stream {
     pub(super) fn new(stream: TcpStream, connection: Rc<Connection>) -> Stream {
-        Stream { stream, connection, full: false }
+        Stream { stream, connection, full: false, held: VecDeque::new() }
+    }
+
+    /// Takes out of `buf` what must not be processed yet.
+    fn hold_back(&mut self, buf: &mut ReadBuf<'_>, before: usize) {
+        let read = &buf.filled()[before..];
+        let processable = self.connection.processable(read);
+        if processable < read.len() {
+            for byte in read[processable..].iter().rev() {
+                self.held.push_front(*byte);
+            }
+            buf.set_filled(before + processable);
+        }
     }
 
     pub fn connection(&self) -> &Rc<Connection> {
@@ -57,13 +72,22 @@
             return Poll::Pending;
         }
         let before = buf.filled().len();
-        let mut part = (&mut self.stream).take(most as u64);
-        ready!(Pin::new(&mut part).poll_read(cx, buf))?;
+        if self.held.is_empty() {
+            let mut part = (&mut self.stream).take(most as u64);
+            ready!(Pin::new(&mut part).poll_read(cx, buf))?;
+        } else {
+            let held = self.held.len().min(most);
+            let held: Vec<u8> = self.held.drain(..held).collect();
+            buf.put_slice(&held);
+        }
         let read = buf.filled().len() - before;
         if read > 0 {
             self.connection.received(read);
         }
-        self.full = self.connection.reads_in_parts() && read == READ_MAX_BYTES;
+        if self.connection.reads_in_parts() {
+            self.hold_back(buf, before);
+            self.full = read == READ_MAX_BYTES || !self.held.is_empty();
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -74,9 +98,13 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, buf))?;
-        self.connection.written(written);
-        Poll::Ready(Ok(written))
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        match &written {
+            Poll::Ready(Ok(written)) => self.connection.written(*written),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.connection.write_blocked(),
+        }
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
