Clients' buffers in the kernel are small; metrics and configurations are shared

Cause: 400 clients left 50 MB unread at an entry of 48 MB before it had read anything, 480 readers of the configuration each had a copy of it in calls to the leader, and each request for the metrics rendered them.

Change: ports for clients ask for small kernel buffers, requests for metrics within 100 ms share one text, four reads of the configuration are sent at once, and two heads are handed on while others wait.

--- a/src/leader.rs
+++ b/src/leader.rs
@@ -12,7 +12,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use snafu::Snafu;
-use tokio::time;
+use tokio::{sync::Semaphore, time};
 
 use crate::{
     cluster::Followed,
@@ -72,8 +72,14 @@
     choice_count: Cell<usize>,
     /// When a leader last answered.
     last_answer: Cell<Option<Instant>>,
+    /// One for each [`Call::ReadConfig`] that may be sent at once.
+    config_reads: Semaphore,
 }
 
+/// Most reads of the configuration that are sent at once. Each answer is a copy of up to 8 MiB, in the
+/// buffers of both ends of the connection too.
+const CONFIG_READS_MAX: usize = 4;
+
 impl LeaderClient {
     /// Starts with `seeds` as the addresses of control instances. They may be outdated.
     pub fn new(seeds: Vec<SocketAddr>) -> LeaderClient {
@@ -98,6 +104,7 @@
             current: Cell::new(None),
             choice_count: Cell::new(rand::random_range(0..1_000)),
             last_answer: Cell::new(None),
+            config_reads: Semaphore::new(CONFIG_READS_MAX),
         };
         LeaderClient { inner: Rc::new(inner) }
     }
@@ -164,6 +171,16 @@
     pub async fn call(&self, call: Call, limit: Duration) -> Result<Answer, Failure> {
         let end = Instant::now() + limit;
         let mut outcome_unknown = false;
+        let _config_read = match call {
+            Call::ReadConfig => match time::timeout(limit, self.inner.config_reads.acquire()).await
+            {
+                Ok(permit) => permit.ok(),
+                Err(_) => {
+                    return Err(Failure::NotDone { detail: "too many reads at once".to_owned() });
+                }
+            },
+            _ => None,
+        };
         loop {
             let time_left = end.saturating_duration_since(Instant::now());
             let cluster = self.cluster();
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -1,7 +1,12 @@
 //! Metrics in the Prometheus text format.
 
-use std::collections::HashSet;
+use std::{
+    cell::RefCell,
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
+use bytes::Bytes;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, Opts, Registry, TextEncoder,
 };
@@ -51,6 +56,32 @@
     counter
 }
 
+/// Longest time for which requests share a text of metrics.
+const PAGE_AGE_MAX: Duration = Duration::from_millis(100);
+
+/// The text of all metrics of a process. Many requests at once share one text.
+#[derive(Debug, Default)]
+pub struct Page {
+    text: RefCell<Option<(Instant, Bytes)>>,
+}
+
+impl Page {
+    /// The text at `now`. `render` makes it unless there is one that is new enough.
+    pub fn text(&self, now: Instant, render: impl FnOnce() -> Vec<u8>) -> Bytes {
+        let mut text = self.text.borrow_mut();
+        match &*text {
+            Some((made, text)) if now.saturating_duration_since(*made) < PAGE_AGE_MAX => {
+                text.clone()
+            }
+            _ => {
+                let rendered = Bytes::from(render());
+                *text = Some((now, rendered.clone()));
+                rendered
+            }
+        }
+    }
+}
+
 /// All metrics of `registry` as text.
 pub fn render(registry: &Registry) -> Vec<u8> {
     let mut out = Vec::new();
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -203,12 +203,29 @@
 
 /// Serves HTTP/1.1 at `addr` on the current thread.
 pub async fn serve<H, F>(addr: SocketAddr, handler: H) -> Result<Server>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<Bytes>> + 'static,
+{
+    serve_bodies(addr, limit::Bodies::Usual, handler)
+}
+
+/// Like [`serve`], at a port for large bodies.
+pub async fn serve_large<H, F>(addr: SocketAddr, handler: H) -> Result<Server>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<Bytes>> + 'static,
+{
+    serve_bodies(addr, limit::Bodies::Large, handler)
+}
+
+fn serve_bodies<H, F>(addr: SocketAddr, bodies: limit::Bodies, handler: H) -> Result<Server>
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<Bytes>> + 'static,
 {
     let listener =
-        TcpListener::bind(addr).await.context(error::NetSnafu { step: "listen", peer: addr })?;
+        limit::listen(addr, bodies).context(error::NetSnafu { step: "listen", peer: addr })?;
     let addr = listener.local_addr().context(error::NetSnafu { step: "listen", peer: addr })?;
     let (stop, stopped) = watch::channel(());
     let shared = Rc::new(Shared {
--- a/src/transport/limit/connection.rs
+++ b/src/transport/limit/connection.rs
@@ -20,7 +20,7 @@
 const STEP_BYTES: usize = 16 * 1024;
 /// Most requests that wait on a connection. `actix-http` decodes all that it has read, and each request
 /// needs about 6 kB however short it is.
-const HEADS_MAX: usize = 8;
+const HEADS_MAX: usize = 2;
 /// Bytes that a connection buffers of an answer that is not read: what is passed at once, and the buffer
 /// to which that is added.
 const UNREAD_BYTES: usize = 32 * 1024;
@@ -242,10 +242,11 @@
 
     /// Records that the peer does not read. The buffer of an unread answer is then reserved.
     pub(super) fn write_blocked(&self) {
-        if self.audience == Audience::Clients && self.reserved.get() < UNREAD_BYTES {
-            if let Err(reason) = self.reserve(COVERED_BYTES + UNREAD_BYTES) {
-                self.close(reason);
-            }
+        if self.audience == Audience::System || self.reserved.get() >= UNREAD_BYTES {
+            return;
+        }
+        if let Err(reason) = self.reserve(COVERED_BYTES + UNREAD_BYTES) {
+            self.close(reason);
         }
     }
 
--- a/src/transport/limit/mod.rs
+++ b/src/transport/limit/mod.rs
@@ -16,7 +16,7 @@
 };
 
 use tokio::{
-    net::TcpStream,
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::Notify,
     time::{self, Instant},
 };
@@ -35,10 +35,18 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of connections that are closed when the process is out of file descriptors.
 const SHED_COUNT: usize = 8;
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 /// Pause after a failed `accept`: without it, the loop would spin while the process is out of file
 /// descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Size that is asked for the kernel's buffers of a client's connection. Bytes there count towards the
+/// memory of the instance, also before the connection is accepted.
+const BUFFER_BYTES: u32 = 16 * 1024;
+/// Size that is asked for the receive buffer at ports for large bodies.
+const LARGE_BUFFER_BYTES: u32 = 24 * 1024;
+
 thread_local! {
     // All servers of a process run on one thread.
     static SHARED: Rc<Limiter> = Rc::new(Limiter::new());
@@ -110,7 +118,7 @@
 pub struct OwnConnection(());
 
 impl OwnConnection {
-    pub fn new() -> OwnConnection {
+    pub fn open() -> OwnConnection {
         shared().with_pool(|pool, closed| pool.open_own(closed));
         OwnConnection(())
     }
@@ -123,10 +131,34 @@
     }
 }
 
+/// Sizes of the bodies that clients send to a port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bodies {
+    Usual,
+    /// A smaller receive buffer would make them slow at long distances.
+    Large,
+}
+
+/// Listens at `addr` for clients. Their buffers in the kernel are small, as far as it allows.
+pub fn listen(addr: SocketAddr, bodies: Bodies) -> std::io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    let _ = socket.set_send_buffer_size(BUFFER_BYTES);
+    let _ = socket.set_recv_buffer_size(match bodies {
+        Bodies::Usual => BUFFER_BYTES,
+        Bodies::Large => LARGE_BUFFER_BYTES,
+    });
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
 /// The accepted connections of one listener.
 pub struct Listener {
     limiter: Rc<Limiter>,
-    listener: Rc<tokio::net::TcpListener>,
+    listener: Rc<TcpListener>,
     port: Port,
     sweep: time::Interval,
     swept: Instant,
@@ -134,7 +166,7 @@
 
 impl Listener {
     /// Must be called within the runtime.
-    pub fn new(listener: Rc<tokio::net::TcpListener>, audience: Audience) -> Listener {
+    pub fn new(listener: Rc<TcpListener>, audience: Audience) -> Listener {
         let number = listener.local_addr().map_or(0, |addr| addr.port());
         let mut sweep = time::interval(SWEEP_INTERVAL);
         sweep.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -96,7 +96,7 @@
 
 /// Connects to the service at `addr`.
 pub async fn connect<C: Client>(addr: SocketAddr) -> Result<C> {
-    let own = limit::OwnConnection::new();
+    let own = limit::OwnConnection::open();
     let stream = match time::timeout(CONNECT_LIMIT, open(addr)).await {
         Ok(stream) => stream,
         Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
