Calls with a deadline too far ahead are refused

Cause: tarpc adds the time until a call's deadline to the present time, and hands it to a timer, and panics where either has no room for it. One frame of some bytes to an RPC or peer port ended the task of its connection with a panic, which was logged.

--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -27,6 +27,7 @@
 use crate::{
     error::{self, Error, Result},
     supervisor,
+    transport::format,
 };
 
 /// Largest message, in bytes. It must be large enough for all answers of one job, which an entry
@@ -311,10 +312,8 @@
     S::Req: DeserializeOwned + RequestName + 'static,
     S::Resp: Serialize + 'static,
 {
-    let transport = serde_transport::new(
-        codec().framed(stream),
-        Bincode::<ClientMessage<S::Req>, Response<S::Resp>>::default(),
-    );
+    let transport =
+        serde_transport::new(codec().framed(stream), format::Calls::<S::Req, S::Resp>::default());
     let config = server::Config { pending_response_buffer: BUFFER_MAX };
     let channel = server::BaseChannel::new(config, transport);
     let requests = channel.execute(service).for_each(|request| async move {
--- a/tests/rpc.rs
+++ b/tests/rpc.rs
@@ -1,6 +1,16 @@
 //! Tests of the calls between the system's own processes.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    panic,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use briargauge::{
     protocol::{
@@ -10,7 +20,12 @@
     transport::rpc,
 };
 use tarpc::context::Context;
-use tokio::{sync::Notify, time};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::Notify,
+    time,
+};
 
 /// Time limit for a condition; only reached by a failing test.
 const LIMIT: Duration = Duration::from_secs(10);
@@ -74,3 +89,24 @@
     within_limit(&handler.finished).await;
     assert_eq!(handler.finished_count.get(), 2);
 }
+
+/// Guards against a call whose deadline no clock can represent: the task of its connection panicked.
+#[actix_rt::test]
+async fn a_call_with_an_impossible_deadline_is_refused() {
+    let panics = Arc::new(AtomicU32::new(0));
+    let counted = panics.clone();
+    panic::set_hook(Box::new(move |_| {
+        counted.fetch_add(1, Ordering::Relaxed);
+    }));
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = rpc::serve(any_port, Handler::default().serve()).await.unwrap();
+    // The variant of a request, the seconds until its deadline, and the rest.
+    let frame = [&[0, 0xfd][..], &u64::MAX.to_le_bytes(), &[0; 100]].concat();
+    let mut stream = TcpStream::connect(server.addr()).await.unwrap();
+    let message = [&(frame.len() as u32).to_be_bytes()[..], &frame].concat();
+    stream.write_all(&message).await.unwrap();
+    let read = time::timeout(LIMIT, stream.read(&mut [0])).await.expect("a closed connection");
+    assert!(matches!(read, Ok(0) | Err(_)));
+    drop(panic::take_hook());
+    assert_eq!(panics.load(Ordering::Relaxed), 0);
+}
