--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -28,7 +28,7 @@
     error::{self, Error, Result},
     supervisor,
     transport::{
-        frame,
+        format, frame,
         limit::{self, bound::Audience},
     },
 };
@@ -307,7 +307,7 @@
     let connection = stream.connection().clone();
     let transport = tokio_serde::Framed::new(
         frame::Codec::new(connection.clone()).framed(stream),
-        Bincode::<ClientMessage<S::Req>, Response<S::Resp>>::default(),
+        format::Calls::<S::Req, S::Resp>::default(),
     );
     let config = server::Config { pending_response_buffer: BUFFER_MAX };
     let channel = server::BaseChannel::new(config, transport);
