Remote calls: smaller receive buffers; names of the pool

Cause: 16 partial frames left 25 MB unread in the kernel at a sidecar of 64 MB, as only ports for clients asked for small buffers. A reader of the change stumbled on names of the pool, and found that a connection at the bound got no 503: the runtime takes a new stream for not ready. Change: ports for the system's own processes ask for 128 KiB. The 503 is written on the socket itself.

--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -210,7 +210,7 @@
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<Bytes>> + 'static,
 {
-    serve_bodies(addr, limit::Bodies::Usual, handler)
+    serve_traffic(addr, limit::Traffic::Requests, handler)
 }
 
 /// Like [`serve`], at a port for large bodies.
@@ -219,16 +219,16 @@
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<Bytes>> + 'static,
 {
-    serve_bodies(addr, limit::Bodies::Large, handler)
+    serve_traffic(addr, limit::Traffic::LargeRequests, handler)
 }
 
-fn serve_bodies<H, F>(addr: SocketAddr, bodies: limit::Bodies, handler: H) -> Result<Server>
+fn serve_traffic<H, F>(addr: SocketAddr, traffic: limit::Traffic, handler: H) -> Result<Server>
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<Bytes>> + 'static,
 {
     let listener =
-        limit::listen(addr, bodies).context(error::NetSnafu { step: "listen", peer: addr })?;
+        limit::listen(addr, traffic).context(error::NetSnafu { step: "listen", peer: addr })?;
     let addr = listener.local_addr().context(error::NetSnafu { step: "listen", peer: addr })?;
     let (stop, stopped) = watch::channel(());
     let shared = Rc::new(Shared {
@@ -378,6 +378,8 @@
         return Err(BodyError::TooLarge(max));
     }
     let mut payload = request.take_payload();
+    // Pages that no bytes have reached take no memory. Growth by doubling would need twice the length, of
+    // which `limit::Body::Sized` reserves only once.
     let mut body = BytesMut::with_capacity(length);
     let chunks = async {
         while let Some(chunk) = poll_fn(|cx| poll_chunk(&mut payload, &connection, cx)).await {
--- a/src/transport/limit/mod.rs
+++ b/src/transport/limit/mod.rs
@@ -28,7 +28,7 @@
 };
 pub use self::{
     connection::{Body, CallGuard, Connection},
-    stream::{Own, Stream},
+    stream::{OutboundStream, Stream},
 };
 
 /// Interval at which time limits are checked.
@@ -44,8 +44,12 @@
 /// Size that is asked for the kernel's buffers of a client's connection. Bytes there count towards the
 /// memory of the instance, also before the connection is accepted.
 const BUFFER_BYTES: u32 = 16 * 1024;
-/// Size that is asked for the receive buffer at ports for large bodies.
+/// Size that is asked for the receive buffer at ports for large bodies. A smaller one would make them slow
+/// at long distances.
 const LARGE_BUFFER_BYTES: u32 = 24 * 1024;
+/// Size that is asked for the receive buffer of calls of the system's own processes, which may be large
+/// and many on one connection.
+const CALL_BUFFER_BYTES: u32 = 128 * 1024;
 
 thread_local! {
     // All servers of a process run on one thread.
@@ -115,41 +119,48 @@
 
 /// A connection that this process has opened. It counts towards the bound on connections.
 #[derive(Debug)]
-pub struct OwnConnection(());
+pub struct OutboundConnection(());
 
-impl OwnConnection {
-    pub fn open() -> OwnConnection {
-        shared().with_pool(|pool, closed| pool.open_own(closed));
-        OwnConnection(())
+impl OutboundConnection {
+    pub fn open() -> OutboundConnection {
+        shared().with_pool(|pool, closed| pool.open_outbound(closed));
+        OutboundConnection(())
     }
 }
 
-impl Drop for OwnConnection {
+impl Drop for OutboundConnection {
     fn drop(&mut self) {
         // The thread may be ending.
-        let _ = SHARED.try_with(|limiter| limiter.pool.borrow_mut().close_own());
+        let _ = SHARED.try_with(|limiter| limiter.pool.borrow_mut().close_outbound());
     }
 }
 
-/// Sizes of the bodies that clients send to a port.
+/// What is sent to a port. The sizes of the kernel's buffers follow from it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Bodies {
-    Usual,
-    /// A smaller receive buffer would make them slow at long distances.
-    Large,
+pub enum Traffic {
+    /// Requests of clients.
+    Requests,
+    /// Requests of clients with large bodies.
+    LargeRequests,
+    /// Calls of the system's own processes.
+    Calls,
 }
 
-/// Listens at `addr` for clients. Their buffers in the kernel are small, as far as it allows.
-pub fn listen(addr: SocketAddr, bodies: Bodies) -> std::io::Result<TcpListener> {
+/// Listens at `addr`. The buffers of its connections in the kernel are small, as far as it allows: bytes
+/// that wait there are within no bound of this process.
+pub fn listen(addr: SocketAddr, traffic: Traffic) -> std::io::Result<TcpListener> {
     let socket = match addr {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
-    let _ = socket.set_send_buffer_size(BUFFER_BYTES);
-    let _ = socket.set_recv_buffer_size(match bodies {
-        Bodies::Usual => BUFFER_BYTES,
-        Bodies::Large => LARGE_BUFFER_BYTES,
+    if traffic != Traffic::Calls {
+        let _ = socket.set_send_buffer_size(BUFFER_BYTES);
+    }
+    let _ = socket.set_recv_buffer_size(match traffic {
+        Traffic::Requests => BUFFER_BYTES,
+        Traffic::LargeRequests => LARGE_BUFFER_BYTES,
+        Traffic::Calls => CALL_BUFFER_BYTES,
     });
     socket.bind(addr)?;
     socket.listen(BACKLOG)
@@ -194,7 +205,9 @@
                 Err(e) => {
                     log::warn!("event=accept_failed port={} error={e:?}", self.port.number);
                     if is_out_of_descriptors(&e) {
-                        self.limiter.with_pool(|pool, closed| pool.shed(SHED_COUNT, closed));
+                        self.limiter.with_pool(|pool, closed| {
+                            pool.evict_for_descriptors(SHED_COUNT, closed)
+                        });
                     }
                     time::sleep(ACCEPT_PAUSE).await;
                 }
@@ -217,7 +230,7 @@
             Err(reason) => {
                 self.limiter.meter.refused(self.port, peer, reason);
                 if self.port.audience == Audience::Clients {
-                    stream::refuse(&stream);
+                    stream::refuse(stream);
                 }
                 None
             }
--- a/src/transport/rpc.rs
+++ b/src/transport/rpc.rs
@@ -49,7 +49,7 @@
 
 /// The client's side of a connection.
 pub type Transport<Request, Answer> = SerdeTransport<
-    limit::Own,
+    limit::OutboundStream,
     Response<Answer>,
     ClientMessage<Request>,
     Bincode<Response<Answer>, ClientMessage<Request>>,
@@ -96,14 +96,14 @@
 
 /// Connects to the service at `addr`.
 pub async fn connect<C: Client>(addr: SocketAddr) -> Result<C> {
-    let own = limit::OwnConnection::open();
+    let own = limit::OutboundConnection::open();
     let stream = match time::timeout(CONNECT_LIMIT, open(addr)).await {
         Ok(stream) => stream,
         Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
     };
     let stream = stream.context(error::NetSnafu { step: "connect", peer: addr })?;
     stream.set_nodelay(true).context(error::NetSnafu { step: "connect", peer: addr })?;
-    let framed = codec().framed(limit::Own::new(stream, own));
+    let framed = codec().framed(limit::OutboundStream::new(stream, own));
     Ok(C::new(serde_transport::new(framed, Bincode::default())))
 }
 
@@ -238,8 +238,8 @@
     S::Req: DeserializeOwned + RequestName + 'static,
     S::Resp: Serialize + 'static,
 {
-    let listener =
-        TcpListener::bind(addr).await.context(error::NetSnafu { step: "listen", peer: addr })?;
+    let listener = limit::listen(addr, limit::Traffic::Calls)
+        .context(error::NetSnafu { step: "listen", peer: addr })?;
     let addr = listener.local_addr().context(error::NetSnafu { step: "listen", peer: addr })?;
     let (stop, stopped) = watch::channel(());
     let accepting = (Rc::new(listener), service, stopped);
