--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -55,7 +55,7 @@
         error::InputSnafu { step: "check rules", at: "drain", reason }.build()
     })?;
     changed.ok_or_else(|| match edit {
-        Edit::Add(line) => util::usage(format!("there is a rule for the target of `{line}`")),
+        Edit::Add(line) => util::usage(format!("the rules already contain `{line}`")),
         Edit::Remove(words) => util::usage(format!("there is no rule `{words}`")),
     })
 }
--- a/src/control/jobs/call.rs
+++ b/src/control/jobs/call.rs
@@ -24,7 +24,7 @@
 
 /// Versions of what an entry knows, as in [`Call::Watch`].
 #[derive(Debug, Clone, Copy)]
-struct Known {
+struct Versions {
     config: u64,
     sidecars: u64,
     drains: u64,
@@ -41,7 +41,7 @@
             Call::Cancel { host, path } => self.cancel(&host, &path).await,
             Call::Configure(config) => self.configure(config).await,
             Call::Watch { config, sidecars, wait_ms, drains } => {
-                let known = Known { config, sidecars, drains };
+                let known = Versions { config, sidecars, drains };
                 let wait = Duration::from_millis(wait_ms).min(WATCH_WAIT_MAX);
                 if time::timeout(wait, self.wait_for_change(known)).await.is_ok() {
                     time::sleep(COLLECT_TIME).await;
@@ -59,7 +59,7 @@
     }
 
     /// Returns once [`Coordinator::view`] has something to return, or this instance does not lead.
-    async fn wait_for_change(&self, known: Known) {
+    async fn wait_for_change(&self, known: Versions) {
         loop {
             let view_changed = self.inner.view_changed.notified();
             match self.view(known) {
@@ -71,7 +71,7 @@
 
     /// The configuration and the drains if they are newer than those known, and the list of sidecars
     /// if it has another version.
-    fn view(&self, known: Known) -> Result<View, Refusal> {
+    fn view(&self, known: Versions) -> Result<View, Refusal> {
         let leadership = self.inner.leadership.borrow();
         let Some(leadership) = leadership.as_ref() else { return Err(self.not_leader()) };
         let state = self.inner.replica.state();
--- a/src/control/jobs/drain.rs
+++ b/src/control/jobs/drain.rs
@@ -39,19 +39,19 @@
         self.confirm_current().await?;
         // Orders that arrive together would otherwise conflict with each other.
         let _turn = self.inner.drain_turn.lock().await;
-        if arrived.elapsed() > AGE_MAX {
-            return Err(not_changed("the order has waited for too long"));
-        }
         let rule = rule::Rule::Drain(Target::DataCentre(data_centre.to_owned()));
         let edit = match drained {
             true => Edit::Add(format!("{rule} # {OPERATOR}: ordered at a control instance")),
             false => Edit::Remove(rule.to_string()),
         };
         for _ in 0..ATTEMPTS_MAX {
+            if arrived.elapsed() > AGE_MAX {
+                return Err(not_changed("the order has waited for too long"));
+            }
             self.follow_rules();
             let in_force = self.inner.drains.borrow().includes(data_centre);
             if !in_force && !self.is_known(data_centre) {
-                log::warn!("event=drain_refused data_centre={data_centre:?} reason=unknown");
+                log::warn!("event=drain_refused data_centre={data_centre} reason=unknown");
                 return Ok(Answer::NoDataCentre);
             }
             let control::Rules { version: base, text } = self.inner.replica.state().rules().clone();
--- a/src/control/jobs/meter.rs
+++ b/src/control/jobs/meter.rs
@@ -74,7 +74,10 @@
                 "Time that this instance has had no leader or has not been a member; 0 if it has \
                  one and is.",
             ),
-            drained_data_centres: gauge(metric::DRAINED, metric::DRAINED_HELP),
+            drained_data_centres: gauge(
+                metric::DRAINED_DATA_CENTRES,
+                metric::DRAINED_DATA_CENTRES_HELP,
+            ),
             heard_while_leading: heard.with_label_values(&["true"]),
             heard_while_following: heard.with_label_values(&["false"]),
             changes: metric::counter(
--- a/src/coordination/schedule/server.rs
+++ b/src/coordination/schedule/server.rs
@@ -126,7 +126,7 @@
 
     /// Begins a warm-up, as a drain has ended.
     pub fn begin_warmup(&mut self, now_ms: u64) {
-        // Its sidecar knows how long the server is cold, and refuses what is too much.
+        // Only its sidecar knows how long the server is cold; attempts beyond the share wait there.
         self.warmup = Some(Warmup::new(now_ms, 0));
     }
 
--- a/src/coordination/sidecar/progress.rs
+++ b/src/coordination/sidecar/progress.rs
@@ -72,7 +72,7 @@
 
 impl Mark {
     fn stands_still(&self, clock_ms: u64, factor: u64) -> bool {
-        clock_ms.saturating_sub(self.since_ms) >= factor * self.limit_ms
+        clock_ms.saturating_sub(self.since_ms) >= factor.saturating_mul(self.limit_ms)
     }
 }
 
@@ -160,8 +160,8 @@
         }
     }
 
-    /// Whether a trial attempt has been possible for so long that none as large as those before seems
-    /// to be coming.
+    /// Whether a trial attempt could have started for [`PAUSE_MAX_MS`] and none has. The largest needs
+    /// seen so far may then be more than any waiting task has.
     pub fn lacks_trial(&self, now_ms: u64) -> bool {
         self.stall.as_ref().is_some_and(|stall| now_ms >= stall.trial_from_ms + PAUSE_MAX_MS)
     }
@@ -170,8 +170,9 @@
     /// attempts with a percentage, but those that are being stopped.
     pub fn observe(&mut self, now_ms: u64, clock_ms: u64, samples: &[Sample]) -> Verdict {
         let before = self.observed_ms.replace(clock_ms);
-        let continues = before
-            .is_some_and(|before_ms| (before_ms..=before_ms + GAP_MAX_MS).contains(&clock_ms));
+        let continues = before.is_some_and(|before_ms| {
+            (before_ms..=before_ms.saturating_add(GAP_MAX_MS)).contains(&clock_ms)
+        });
         if !continues {
             self.restart(clock_ms);
         }
--- a/src/entry/jobs/connection.rs
+++ b/src/entry/jobs/connection.rs
@@ -81,7 +81,7 @@
 
 /// What an entry passes on to sidecars.
 #[derive(Debug, Default)]
-struct Known {
+struct Updates {
     members: Option<Members>,
     drains: Drains,
 }
@@ -272,9 +272,9 @@
         }
     }
 
-    fn known(&self) -> Known {
+    fn known(&self) -> Updates {
         let drains = self.inner.scheduler.borrow().drains().clone();
-        Known { members: self.inner.leader.members(), drains }
+        Updates { members: self.inner.leader.members(), drains }
     }
 
     /// Renews all leases at once, also idle ones, to pass on what sidecars may not know yet.
@@ -317,7 +317,7 @@
             skipped = 0;
             let revision = self.inner.scheduler.borrow().revision(key);
             let lease_until_ms = channel.extend_lease(self.inner.watermark.get());
-            let Known { members, drains } = self.known();
+            let Updates { members, drains } = self.known();
             let entry = channel.entry;
             let renewal = Renewal { entry, revision, lease_until_ms, members, drains };
             let cluster = self.inner.leader.cluster();
@@ -338,7 +338,7 @@
     name: &str,
     addr: SocketAddr,
     cluster: Option<id::Cluster>,
-    known: Known,
+    known: Updates,
 ) -> Option<(Channel, watch::Sender<bool>, Status)> {
     let client = match rpc::connect::<ServiceClient>(addr).await {
         Ok(client) => client,
@@ -348,7 +348,7 @@
         }
     };
     let entry = work::Entry(rand::random());
-    let Known { members, drains } = known;
+    let Updates { members, drains } = known;
     let revision = Revision::default();
     let renewal = Renewal { entry, revision, lease_until_ms: 0, members, drains };
     let (received_ms, status) = request_status(&client, cluster, renewal).await?;
@@ -416,7 +416,7 @@
 /// were started over it may be left, or `None` without an answer of the sidecar.
 async fn attempts_left(entry: work::Entry, process: &Process) -> Option<bool> {
     // Only the incarnation and what is left count here, which the sidecar says to every entry.
-    let (channel, _, status) = open(&process.name, process.addr, None, Known::default()).await?;
+    let (channel, _, status) = open(&process.name, process.addr, None, Updates::default()).await?;
     if status.incarnation != process.incarnation {
         return Some(!status.clean);
     }
--- a/src/entry/jobs/meter.rs
+++ b/src/entry/jobs/meter.rs
@@ -30,7 +30,11 @@
             "Jobs by how they ended.",
             &["queue", "outcome"],
         );
-        let drained_data_centres = metric::gauge(&registry, metric::DRAINED, metric::DRAINED_HELP);
+        let drained_data_centres = metric::gauge(
+            &registry,
+            metric::DRAINED_DATA_CENTRES,
+            metric::DRAINED_DATA_CENTRES_HELP,
+        );
         Meter { registry, queues: RefCell::default(), response, jobs, drained_data_centres }
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -236,8 +236,9 @@
             core.addr.set(rpc.addr());
         }
         let handler = core.clone();
-        let http = http::serve(settings.http, move |request| api::handle(handler.clone(), request))
-            .await?;
+        let http =
+            http::serve_large(settings.http, move |request| api::handle(handler.clone(), request))
+                .await?;
         supervisor::spawn("drive", &core.engine, Engine::drive);
         supervisor::spawn("sync", &core, sync::run);
         Ok(Entry { core, http, rpc })
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -130,7 +130,7 @@
     /// arrives and an answer while it is sent, and [`Limits::memory_max_bytes`] counts both again; half
     /// of the instance's memory is thus for as many bytes of each.
     pub fn instance(&self) -> Instance {
-        let memory_bytes = Some(4 * self.memory_max_bytes as u64);
+        let memory_bytes = Some((self.memory_max_bytes as u64).saturating_mul(4));
         Instance { memory_bytes, descriptors: None }
     }
 }
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -12,7 +12,10 @@
 
 use indexmap::{IndexMap, IndexSet};
 use snafu::Snafu;
-use tokio::{sync::Semaphore, time};
+use tokio::{
+    sync::{Semaphore, SemaphorePermit},
+    time,
+};
 
 use crate::{
     cluster::Followed,
@@ -37,6 +40,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Delay that replaces [`RETRY_DELAY`] about once per round of the known instances.
 const ROUND_DELAY: Duration = Duration::from_millis(80);
+/// Most reads of the configuration that are sent at once. Each answer is a copy of up to 8 MiB, in the
+/// buffers of both ends of the connection too.
+const CONFIG_READS_MAX: usize = 4;
 
 /// Reason why a call has no answer.
 #[derive(Debug, Snafu)]
@@ -76,10 +82,6 @@
     config_reads: Semaphore,
 }
 
-/// Most reads of the configuration that are sent at once. Each answer is a copy of up to 8 MiB, in the
-/// buffers of both ends of the connection too.
-const CONFIG_READS_MAX: usize = 4;
-
 impl LeaderClient {
     /// Starts with `seeds` as the addresses of control instances. They may be outdated.
     pub fn new(seeds: Vec<SocketAddr>) -> LeaderClient {
@@ -167,20 +169,30 @@
         self.inner.last_answer.get().is_some_and(|at| at.elapsed() < limit)
     }
 
+    /// Waits until a call may be sent, if it is one of those of which only some may be at once.
+    async fn config_permit(
+        &self,
+        call: &Call,
+        limit: Duration,
+    ) -> Result<Option<SemaphorePermit<'_>>, Failure> {
+        if !matches!(call, Call::ReadConfig) {
+            return Ok(None);
+        }
+        match time::timeout(limit, self.inner.config_reads.acquire()).await {
+            Ok(permit) => Ok(permit.ok()),
+            Err(_) => {
+                let detail = "too many reads at once".to_owned();
+                log::info!("event=call_given_up unknown=false detail={detail:?}");
+                Err(Failure::NotDone { detail })
+            }
+        }
+    }
+
     /// Makes a call, at one instance after another until the leader answers or `limit` is over.
     pub async fn call(&self, call: Call, limit: Duration) -> Result<Answer, Failure> {
         let end = Instant::now() + limit;
         let mut outcome_unknown = false;
-        let _config_read = match call {
-            Call::ReadConfig => match time::timeout(limit, self.inner.config_reads.acquire()).await
-            {
-                Ok(permit) => permit.ok(),
-                Err(_) => {
-                    return Err(Failure::NotDone { detail: "too many reads at once".to_owned() });
-                }
-            },
-            _ => None,
-        };
+        let _permit = self.config_permit(&call, limit).await?;
         loop {
             let time_left = end.saturating_duration_since(Instant::now());
             let cluster = self.cluster();
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -17,8 +17,9 @@
 /// Label of all values after the first [`LABELS_MAX`] ones.
 pub const OTHER: &str = "other";
 /// Name and help text of the gauge of drained data centres, which several programs have.
-pub const DRAINED: &str = "briargauge_drained_data_centres";
-pub const DRAINED_HELP: &str = "Data centres that are drained, as this instance knows.";
+pub const DRAINED_DATA_CENTRES: &str = "briargauge_drained_data_centres";
+pub const DRAINED_DATA_CENTRES_HELP: &str =
+    "Data centres that are drained, as this instance knows.";
 /// Upper bounds of latency buckets, in seconds.
 pub const SECONDS: [f64; 12] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
 
@@ -67,20 +68,20 @@
 }
 
 /// Longest time for which requests share a text of metrics.
-const PAGE_AGE_MAX: Duration = Duration::from_millis(100);
+const CACHE_AGE_MAX: Duration = Duration::from_millis(100);
 
 /// The text of all metrics of a process. Many requests at once share one text.
 #[derive(Debug, Default)]
-pub struct Page {
+pub struct Cache {
     text: RefCell<Option<(Instant, Bytes)>>,
 }
 
-impl Page {
+impl Cache {
     /// The text at `now`. `render` makes it unless there is one that is new enough.
     pub fn text(&self, now: Instant, render: impl FnOnce() -> Vec<u8>) -> Bytes {
         let mut text = self.text.borrow_mut();
         match &*text {
-            Some((made, text)) if now.saturating_duration_since(*made) < PAGE_AGE_MAX => {
+            Some((made, text)) if now.saturating_duration_since(*made) < CACHE_AGE_MAX => {
                 text.clone()
             }
             _ => {
--- a/src/transport/frame.rs
+++ b/src/transport/frame.rs
@@ -45,7 +45,8 @@
     type Error = io::Error;
 
     fn encode(&mut self, frame: Bytes, target: &mut BytesMut) -> io::Result<()> {
-        if self.connection.message_made(LENGTH_BYTES + frame.len()).is_err() {
+        if let Err(reason) = self.connection.message_made(LENGTH_BYTES + frame.len()) {
+            self.connection.close(reason);
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         self.encoder.encode(frame, target)
--- a/src/transport/limit/bound.rs
+++ b/src/transport/limit/bound.rs
@@ -13,9 +13,9 @@
 /// Descriptors of an instance whose settings state none.
 const DESCRIPTORS_DEFAULT: u64 = 65_536;
 /// Descriptors that are reserved for files.
-const FILES: u64 = 200;
-/// Descriptors that are reserved for connections of HTTP clients, listeners and the runtime.
-const OWN: u64 = 64;
+const FILE_DESCRIPTORS: u64 = 200;
+/// Descriptors that are reserved for outgoing HTTP connections, listeners and the runtime.
+const OTHER_DESCRIPTORS: u64 = 64;
 
 /// Connections and the bytes that they hold.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -85,7 +85,7 @@
     pub fn new(instance: Instance) -> Bounds {
         let memory = instance.memory_bytes.unwrap_or(MEMORY_DEFAULT_BYTES);
         let descriptors = instance.descriptors.unwrap_or(DESCRIPTORS_DEFAULT);
-        let reserved = (FILES + OWN).min(descriptors / 2);
+        let reserved = (FILE_DESCRIPTORS + OTHER_DESCRIPTORS).min(descriptors / 2);
         let total = Usage {
             connections: usize::try_from(descriptors - reserved).unwrap_or(usize::MAX).max(1),
             bytes: usize::try_from(memory / 2).unwrap_or(usize::MAX),
--- a/src/transport/limit/connection.rs
+++ b/src/transport/limit/connection.rs
@@ -18,8 +18,8 @@
 const COVERED_BYTES: usize = 8 * 1024;
 /// Bytes that are reserved at once for a request that needs more.
 const STEP_BYTES: usize = 16 * 1024;
-/// Most requests that wait on a connection. `actix-http` decodes all that it has read, and each request
-/// needs about 6 kB however short it is.
+/// Most requests that wait on a connection. `actix-http` decodes all that it has read, and a decoded
+/// request needs many times the bytes of a short one. The count begins anew with each read of a head.
 const HEADS_MAX: usize = 2;
 /// Bytes that a connection buffers of an answer that is not read: what is passed at once, and the buffer
 /// to which that is added.
@@ -131,7 +131,7 @@
     /// Closes the connection because its bytes do not fit.
     pub fn close(&self, reason: Reason) {
         if self.is_open() {
-            self.limiter.with_pool(|pool, closed| pool.expel(self.id, reason, closed));
+            self.limiter.with_pool(|pool, closed| pool.evict(self.id, reason, closed));
         }
     }
 
@@ -355,7 +355,7 @@
         self.needed.set(2 * left);
         self.release(self.needed.get() + self.unwritten.get());
         if self.is_open() {
-            self.limiter.pool.borrow_mut().prove(self.id, Instant::now());
+            self.limiter.pool.borrow_mut().establish(self.id, Instant::now());
         }
     }
 
--- a/src/transport/limit/pool.rs
+++ b/src/transport/limit/pool.rs
@@ -13,8 +13,7 @@
 
 use super::bound::{Audience, Bounds, Resource, Usage};
 
-/// Bytes that count for each open connection: its two buffers of 8 KiB, its task and its timers. An idle
-/// one needs 26 kB.
+/// Bytes that count for each open connection: its two buffers of 8 KiB, its task and its timers.
 pub const CONNECTION_BYTES: usize = 28 * 1024;
 /// Time limit for a client to send the head of a request.
 pub const HEAD_LIMIT: Duration = Duration::from_secs(5);
@@ -134,7 +133,7 @@
     audience: Audience,
     state: State,
     /// Whether a message of the system's own processes has arrived in full.
-    proven: bool,
+    established: bool,
     bytes: usize,
     /// When bytes were last read or written.
     progress: Instant,
@@ -159,41 +158,41 @@
 
 /// How well a connection is protected from being closed for others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Standing {
+enum Priority {
     Client,
     /// At a port for the system's own processes, where no message has arrived on it yet.
-    Unproven,
+    Unestablished,
     System,
 }
 
 /// Who needs room.
 #[derive(Debug, Clone, Copy)]
-struct Asker {
-    /// The highest standing of connections that are closed for it.
-    displaces: Standing,
+struct Requester {
+    /// The highest priority of connections that are closed for it.
+    displaces: Priority,
     /// The connection that grows; it is not closed for itself.
     id: Option<usize>,
 }
 
-impl Asker {
+impl Requester {
     /// The process itself.
-    const OWN: Asker = Asker { displaces: Standing::Unproven, id: None };
+    const PROCESS: Requester = Requester { displaces: Priority::Unestablished, id: None };
 
-    fn new(audience: Audience, id: Option<usize>) -> Asker {
+    fn new(audience: Audience, id: Option<usize>) -> Requester {
         let displaces = match audience {
-            Audience::Clients => Standing::Client,
-            Audience::System => Standing::System,
+            Audience::Clients => Priority::Client,
+            Audience::System => Priority::System,
         };
-        Asker { displaces, id }
+        Requester { displaces, id }
     }
 }
 
 impl<T> Connection<T> {
-    fn standing(&self) -> Standing {
+    fn priority(&self) -> Priority {
         match self.audience {
-            Audience::Clients => Standing::Client,
-            Audience::System if !self.proven => Standing::Unproven,
-            Audience::System => Standing::System,
+            Audience::Clients => Priority::Client,
+            Audience::System if !self.established => Priority::Unestablished,
+            Audience::System => Priority::System,
         }
     }
 }
@@ -234,8 +233,8 @@
         let port = self.port(port);
         let peer = self.peer((addr.ip(), audience));
         let usage = Usage { connections: 1, bytes: CONNECTION_BYTES };
-        let asker = Asker::new(audience, None);
-        if let Err(resource) = self.make_room(asker, (port, peer), usage, closed) {
+        let requester = Requester::new(audience, None);
+        if let Err(resource) = self.make_room(requester, (port, peer), usage, closed) {
             self.remove_unused_peer(peer);
             return Err(resource.into());
         }
@@ -246,7 +245,7 @@
             addr,
             audience,
             state: State::Idle,
-            proven: false,
+            established: false,
             bytes: CONNECTION_BYTES,
             progress: now,
             began: now,
@@ -255,23 +254,25 @@
         Ok(Id(id))
     }
 
-    /// Counts a connection that the process itself opens. It is never refused; connections of
-    /// clients are closed for it if necessary.
-    pub fn open_own(&mut self, closed: &mut Vec<Closed<T>>) {
+    /// Counts a connection that the process itself opens. It is never refused; connections of clients,
+    /// and those at ports for the system without a message so far, are closed for it if necessary.
+    pub fn open_outbound(&mut self, closed: &mut Vec<Closed<T>>) {
         self.total.connections += 1;
         while let Some(resource) = self.total.excess(self.bounds.total) {
-            let Some(victim) = self.victim(Scope::All, resource, Asker::OWN) else { return };
-            closed.push(self.evict(victim, resource.into()));
+            let Some(candidate) = self.candidate(Scope::All, resource, Requester::PROCESS) else {
+                return;
+            };
+            closed.push(self.remove_for(candidate, resource.into()));
         }
     }
 
-    pub fn close_own(&mut self) {
+    pub fn close_outbound(&mut self) {
         self.total.connections -= 1;
     }
 
     /// Closes a connection.
-    pub fn expel(&mut self, id: Id, reason: Reason, closed: &mut Vec<Closed<T>>) {
-        closed.push(self.evict(id.0, reason));
+    pub fn evict(&mut self, id: Id, reason: Reason, closed: &mut Vec<Closed<T>>) {
+        closed.push(self.remove_for(id.0, reason));
     }
 
     /// Removes a connection that has ended.
@@ -289,9 +290,9 @@
     ) -> Result<(), Reason> {
         let connection = &self.connections[id.0];
         let (port, peer) = (connection.port, connection.peer);
-        let asker = Asker::new(connection.audience, Some(id.0));
+        let requester = Requester::new(connection.audience, Some(id.0));
         let usage = Usage { connections: 0, bytes };
-        self.make_room(asker, (port, peer), usage, closed)?;
+        self.make_room(requester, (port, peer), usage, closed)?;
         self.connections[id.0].bytes += bytes;
         self.add(port, peer, usage);
         Ok(())
@@ -334,19 +335,22 @@
 
     /// Records that a message of the system's own processes has arrived, after which another one may
     /// begin. Such connections are closed last.
-    pub fn prove(&mut self, id: Id, now: Instant) {
+    pub fn establish(&mut self, id: Id, now: Instant) {
         let connection = &mut self.connections[id.0];
-        connection.proven = true;
+        connection.established = true;
         connection.began = now;
     }
 
-    /// Closes up to `count` connections of clients because the process is out of descriptors.
-    pub fn shed(&mut self, count: usize, closed: &mut Vec<Closed<T>>) {
+    /// Closes up to `count` connections because the process is out of descriptors: of clients, or at
+    /// ports for the system without a message so far.
+    pub fn evict_for_descriptors(&mut self, count: usize, closed: &mut Vec<Closed<T>>) {
         for _ in 0..count {
-            let Some(victim) = self.victim(Scope::All, Resource::Connections, Asker::OWN) else {
+            let Some(candidate) =
+                self.candidate(Scope::All, Resource::Connections, Requester::PROCESS)
+            else {
                 return;
             };
-            closed.push(self.evict(victim, Reason::Descriptors));
+            closed.push(self.remove_for(candidate, Reason::Descriptors));
         }
     }
 
@@ -356,7 +360,7 @@
         let of_port = self.connections.iter().filter(|(_, c)| c.port == port);
         let late: Vec<(usize, Reason)> =
             of_port.filter_map(|(id, c)| Some((id, late(c, now)?))).collect();
-        closed.extend(late.into_iter().map(|(id, reason)| self.evict(id, reason)));
+        closed.extend(late.into_iter().map(|(id, reason)| self.remove_for(id, reason)));
     }
 
     /// Extends the time limits of a port's connections by a time in which the process itself did not
@@ -405,16 +409,16 @@
     /// Closes connections until `more` is within all bounds.
     fn make_room(
         &mut self,
-        asker: Asker,
+        requester: Requester,
         (port, peer): (usize, usize),
         more: Usage,
         closed: &mut Vec<Closed<T>>,
     ) -> Result<(), Resource> {
         while let Some((scope, resource)) = self.exceeded(port, peer, more) {
-            let victim = self.victim(scope, resource, asker).ok_or(resource)?;
+            let candidate = self.candidate(scope, resource, requester).ok_or(resource)?;
             // The peer that needs room stays known although its other connections are closed.
             self.peers[peer].usage.connections += 1;
-            closed.push(self.evict(victim, resource.into()));
+            closed.push(self.remove_for(candidate, resource.into()));
             self.peers[peer].usage.connections -= 1;
         }
         Ok(())
@@ -438,7 +442,7 @@
     }
 
     /// The connection that is closed next. Connections whose answer is being made are not closed.
-    fn victim(&self, scope: Scope, resource: Resource, asker: Asker) -> Option<usize> {
+    fn candidate(&self, scope: Scope, resource: Resource, requester: Requester) -> Option<usize> {
         let in_scope = |connection: &Connection<T>| match scope {
             Scope::Peer(peer) => connection.peer == peer,
             Scope::Port(port) => connection.port == port,
@@ -446,10 +450,10 @@
             Scope::All => true,
         };
         let candidates = self.connections.iter().filter(|(id, connection)| {
-            Some(*id) != asker.id
+            Some(*id) != requester.id
                 && connection.state != State::Answering
                 && in_scope(connection)
-                && connection.standing() <= asker.displaces
+                && connection.priority() <= requester.displaces
         });
         let order = |connection: &Connection<T>| {
             let usage = self.peers[connection.peer].usage;
@@ -457,12 +461,12 @@
                 Resource::Connections => (usage.connections, connection.state != State::Idle),
                 Resource::Bytes => (usage.bytes, false),
             };
-            (connection.standing() == Standing::System, Reverse(held), busy, connection.progress)
+            (connection.priority() == Priority::System, Reverse(held), busy, connection.progress)
         };
         candidates.min_by_key(|(_, connection)| order(connection)).map(|(id, _)| id)
     }
 
-    fn evict(&mut self, id: usize, reason: Reason) -> Closed<T> {
+    fn remove_for(&mut self, id: usize, reason: Reason) -> Closed<T> {
         let connection = self.remove(id);
         let port = self.ports[connection.port].0;
         Closed { handle: connection.handle, port, peer: connection.addr, reason }
--- a/src/transport/limit/stream.rs
+++ b/src/transport/limit/stream.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::VecDeque,
-    io,
+    io::{self, Read, Write},
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -13,7 +13,7 @@
     net::TcpStream,
 };
 
-use super::{Connection, OwnConnection, connection::READ_MAX_BYTES};
+use super::{Connection, OutboundConnection, connection::READ_MAX_BYTES};
 
 /// Response to a request that arrives on a connection that is not accepted.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
@@ -119,27 +119,29 @@
 }
 
 /// Refuses the request that has arrived on a connection, if there is one.
-pub(super) fn refuse(stream: &TcpStream) {
+pub(super) fn refuse(stream: TcpStream) {
+    // The runtime takes a new stream for not ready; the socket itself does not block.
+    let Ok(mut stream) = stream.into_std() else { return };
     let mut request = [0; READ_MAX_BYTES];
-    if stream.try_read(&mut request).is_ok_and(|read| read > 0) {
-        let _ = stream.try_write(REFUSAL);
+    if stream.read(&mut request).is_ok_and(|read| read > 0) {
+        let _ = stream.write(REFUSAL);
     }
 }
 
 /// A stream that this process has opened.
 #[derive(Debug)]
-pub struct Own {
+pub struct OutboundStream {
     stream: TcpStream,
-    _connection: OwnConnection,
+    _connection: OutboundConnection,
 }
 
-impl Own {
-    pub fn new(stream: TcpStream, connection: OwnConnection) -> Own {
-        Own { stream, _connection: connection }
+impl OutboundStream {
+    pub fn new(stream: TcpStream, connection: OutboundConnection) -> OutboundStream {
+        OutboundStream { stream, _connection: connection }
     }
 }
 
-impl AsyncRead for Own {
+impl AsyncRead for OutboundStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -149,7 +151,7 @@
     }
 }
 
-impl AsyncWrite for Own {
+impl AsyncWrite for OutboundStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/tests/connection_limits.rs
+++ b/tests/connection_limits.rs
@@ -128,12 +128,12 @@
     let mut world = World::new(bounds(4, usize::MAX));
     for name in 1..3 {
         let id = world.open(name, RPC, 1).unwrap();
-        world.pool.prove(id, world.now);
+        world.pool.establish(id, world.now);
     }
     world.open(3, CALLERS, 2).unwrap();
     world.open(4, RPC, 3).unwrap();
     assert_eq!(world.closed(), []);
-    world.pool.open_own(&mut world.closed);
+    world.pool.open_outbound(&mut world.closed);
     assert_eq!(
         world.closed(),
         [(3, Reason::Connections)],
@@ -142,7 +142,7 @@
     assert_eq!(world.open(5, CALLERS, 2), Err(Reason::Connections));
     world.open(6, RPC, 1).unwrap();
     assert_eq!(world.closed(), [(4, Reason::Connections)], "it has sent nothing");
-    world.pool.close_own();
+    world.pool.close_outbound();
     world.open(7, CALLERS, 2).unwrap();
     assert_eq!(world.closed(), []);
 }
@@ -227,7 +227,7 @@
     for _ in 0..30 {
         world.pass(STALL_LIMIT - Duration::from_secs(1));
         world.pool.progress(id, world.now);
-        world.pool.prove(id, world.now);
+        world.pool.establish(id, world.now);
         world.expire(RPC);
     }
     assert_eq!(world.closed(), []);
@@ -241,8 +241,8 @@
     world.set(busy, State::Body);
     world.open(2, CALLERS, 1).unwrap();
     let system = world.open(3, RPC, 1).unwrap();
-    world.pool.prove(system, world.now);
-    world.pool.shed(9, &mut world.closed);
+    world.pool.establish(system, world.now);
+    world.pool.evict_for_descriptors(9, &mut world.closed);
     assert_eq!(world.closed(), [(2, Reason::Descriptors), (1, Reason::Descriptors)]);
 }
 
