--- a/src/protocol/rule.rs
+++ b/src/protocol/rule.rs
@@ -119,7 +119,8 @@
     Blank,
     /// A line with only a comment.
     Comment(String),
-    Rule(RuleLine),
+    /// Boxed, so that a text of many short lines takes little memory.
+    Rule(Box<RuleLine>),
 }
 
 /// A line with a rule: the rule, its line number and its comment.
@@ -244,7 +245,7 @@
     /// The lines with rules, in the order of the file.
     pub fn rule_lines(&self) -> impl Iterator<Item = &RuleLine> {
         self.lines.iter().filter_map(|line| match line {
-            Line::Rule(rule_line) => Some(rule_line),
+            Line::Rule(rule_line) => Some(&**rule_line),
             Line::Blank | Line::Comment(_) => None,
         })
     }
--- a/src/protocol/rule/parse.rs
+++ b/src/protocol/rule/parse.rs
@@ -59,7 +59,7 @@
     match origin {
         Some((who, reason)) if !who.is_empty() && !reason.is_empty() => {
             let (who, reason) = (who.to_owned(), reason.to_owned());
-            Ok(Line::Rule(RuleLine { line: number, rule, who, reason }))
+            Ok(Line::Rule(Box::new(RuleLine { line: number, rule, who, reason })))
         }
         _ => Err("must end with a comment `# who: reason` that names who asked for it".into()),
     }
@@ -238,6 +238,14 @@
         if let Some(known) = known.iter().find(|k| **k == word) {
             return Ok(known);
         }
+        if word.len() > NAME_MAX_BYTES {
+            // The distance to a long word takes hundreds of times its memory.
+            return Err(format!(
+                "unknown word of {} bytes, expected one of {}",
+                word.len(),
+                listed()
+            ));
+        }
         let nearest = known.iter().min_by_key(|k| strsim::damerau_levenshtein(k, word));
         let nearest = nearest.copied().unwrap_or_default();
         Err(format!("unknown word `{word}`, the nearest known word is `{nearest}`"))
--- a/src/protocol/rule/print.rs
+++ b/src/protocol/rule/print.rs
@@ -19,7 +19,10 @@
             Line::Blank => Ok(()),
             Line::Comment(text) if text.is_empty() => f.write_str("#"),
             Line::Comment(text) => write!(f, "# {text}"),
-            Line::Rule(RuleLine { rule, who, reason, .. }) => write!(f, "{rule} # {who}: {reason}"),
+            Line::Rule(rule_line) => {
+                let RuleLine { rule, who, reason, .. } = &**rule_line;
+                write!(f, "{rule} # {who}: {reason}")
+            }
         }
     }
 }
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -365,6 +365,21 @@
 drain server 10.0.3.7:7400 # ito: disk errors
 ";
 
+/// Guards against texts of rules that take hundreds of times their memory: empty lines had the size of a
+/// rule each, and the search for the nearest known word compared words of any length.
+#[test]
+fn rules_take_memory_in_proportion_to_their_text() {
+    let _alone = mutation::alone();
+    let word = "x".repeat(200_000);
+    let wrong = [format!("{word} # kana: a"), format!("drain {word} # kana: a")];
+    for text in wrong.iter().chain([&"\n".repeat(200_000)]) {
+        let parse = |text: &[u8]| {
+            let _ = Rules::parse(&String::from_utf8_lossy(text));
+        };
+        assert!(is_bounded(text.as_bytes(), parse));
+    }
+}
+
 /// Guards against a text of rules that ends a process or takes much memory.
 #[test]
 fn changed_rules_are_refused_or_parsed() {
