Stored jobs: the leader bounds the memory that they take

Callers saw control instances end: durable jobs of legal size were accepted until the memory was used up, on all instances together and again at the replay of the log after the restart.

Cause: nothing bounded the sum of the records. A body of 70 bytes names 10,000 tasks, each of which takes 120 to 135 bytes at every instance, and a body of 234 kB 9,000 steps of 112 bytes and more.

Change: the leader decides before a job is proposed, by the memory that its steps and tasks take, beside that of the stored jobs and of those that are being stored. Jobs may take a quarter of the instance's memory, and one job an eighth of what is left, so that small jobs fit after large ones no longer do. Records of finished jobs drop the states of their tasks unless attempts are fenced. A job of a peer that fails its check is refused: applied, it could panic.

--- a/src/entry/budget.rs
+++ b/src/budget.rs
@@ -1,10 +1,19 @@
-//! Bound on the memory that an entry uses for request bodies, task inputs and answers.
+//! Bounds on the memory that a process uses for its work, such as request bodies, jobs and answers.
 
 use std::sync::{
     Arc,
     atomic::{AtomicUsize, Ordering::Relaxed},
 };
 
+/// Largest part of the memory that is left which one job may take, as a divisor. Smaller jobs then
+/// still fit when large ones do not any more.
+const JOB_DIVISOR: usize = 8;
+
+/// Whether a job that takes `bytes` may be accepted when jobs take `used` of `max` bytes.
+pub fn admits(max: usize, used: usize, bytes: usize) -> bool {
+    bytes <= max.saturating_sub(used) / JOB_DIVISOR
+}
+
 /// Counter of the reserved bytes, shared by all reservations.
 ///
 /// The counter is atomic because `Bytes` requires that its owner can be sent between threads.
@@ -26,6 +35,7 @@
         Arc::new(Budget { used: AtomicUsize::new(0), max })
     }
 
+    /// Number of bytes that are reserved.
     pub fn used(&self) -> usize {
         self.used.load(Relaxed)
     }
@@ -38,6 +48,16 @@
         self.used() - own < self.max / 2
     }
 
+    /// Reserves the memory of a job if [`admits`] allows it.
+    pub fn reserve_job(self: &Arc<Budget>, bytes: usize) -> Option<Reservation> {
+        if !admits(self.max, self.used(), bytes) {
+            return None;
+        }
+        let mut reservation = self.reserve();
+        reservation.grow(bytes);
+        Some(reservation)
+    }
+
     /// Returns an empty reservation, which grows with [`Reservation::grow`].
     pub fn reserve(self: &Arc<Budget>) -> Reservation {
         Reservation { budget: self.clone(), bytes: 0 }
--- a/src/control/jobs/call.rs
+++ b/src/control/jobs/call.rs
@@ -4,7 +4,7 @@
 
 use tokio::time;
 
-use super::Coordinator;
+use super::{Coordinator, admission::Verdict};
 use crate::{
     protocol::{
         queue::{Config, Id, Job, Phase},
@@ -133,6 +133,26 @@
                 }
             }
         };
+        if let Err(fault) = job.check() {
+            log::warn!("event=submit_invalid job={id} fault={fault:?}");
+            return Err(Refusal::NotReady { detail: fault });
+        }
+        let _pending = match self.admit(id, &job).await? {
+            Verdict::Admitted(guard) => guard,
+            Verdict::Stored => return Ok(Answer::Accepted),
+            Verdict::Pending(ended) => {
+                drop(job);
+                ended.notified().await;
+                return match self.inner.replica.state().queues().job(id) {
+                    Some(_) => Ok(Answer::Accepted),
+                    None => Err(Refusal::Unknown { detail: "the job was not stored".to_owned() }),
+                };
+            }
+            Verdict::Full => {
+                self.inner.meter.job_refused(id);
+                return Ok(Answer::Full);
+            }
+        };
         let keep_ms = self.inner.settings.keep_ms;
         let submission = Submission { id, host, path, job, term, keep_ms };
         let reply = self.propose(Change::Submit(submission)).await?;
@@ -146,6 +166,22 @@
         Ok(Answer::Accepted)
     }
 
+    /// Decides whether a submission is proposed. It is refused only by a state that is current, as
+    /// another leader may have stored the job.
+    async fn admit(&self, id: Id, job: &Job) -> Result<Verdict, Refusal> {
+        let decide = || {
+            let state = self.inner.replica.state();
+            self.inner.admission.decide(id, job, state.queues())
+        };
+        match decide() {
+            Verdict::Full => {
+                self.confirm_current().await?;
+                Ok(decide())
+            }
+            verdict => Ok(verdict),
+        }
+    }
+
     /// Passes a job that has just been stored to the scheduler, and assigns its tasks.
     fn schedule(&self, id: Id) {
         let now_ms = util::boot_ms();
--- a/src/control/jobs/meter.rs
+++ b/src/control/jobs/meter.rs
@@ -1,14 +1,20 @@
 //! Metrics of the group of control instances, as one instance sees it.
 
+use std::cell::RefCell;
+
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Registry};
+use tokio::time::Instant;
 
 use crate::{
     control::replica::{Introductions, Replica},
     coordination::consensus::Change,
-    metric,
-    protocol::wire::{
-        control::{Role, Status},
-        queue::Drains,
+    metric::{self, BoundedLog},
+    protocol::{
+        queue::Id,
+        wire::{
+            control::{Role, Status},
+            queue::Drains,
+        },
     },
 };
 
@@ -31,6 +37,10 @@
     heard_while_leading: IntCounter,
     heard_while_following: IntCounter,
     changes: IntCounterVec,
+    job_bytes: IntGauge,
+    job_bytes_max: IntGauge,
+    jobs_refused: IntCounterVec,
+    refusals: RefCell<BoundedLog>,
 }
 
 impl Meter {
@@ -80,6 +90,21 @@
             ),
             heard_while_leading: heard.with_label_values(&["true"]),
             heard_while_following: heard.with_label_values(&["false"]),
+            job_bytes: gauge(
+                "briargauge_control_job_bytes",
+                "Memory of the jobs that are stored, as this instance has applied them.",
+            ),
+            job_bytes_max: gauge(
+                "briargauge_control_job_bytes_max",
+                "Memory for jobs above which this instance, as the leader, accepts none.",
+            ),
+            jobs_refused: metric::counter(
+                &registry,
+                "briargauge_control_jobs_refused_total",
+                "Jobs that this instance has refused as the leader.",
+                &["reason"],
+            ),
+            refusals: RefCell::default(),
             changes: metric::counter(
                 &registry,
                 "briargauge_control_voter_changes_total",
@@ -99,9 +124,19 @@
         self.changes.with_label_values(&[label(change), "refused"]).inc();
     }
 
-    /// The metrics in the Prometheus text format.
-    pub fn render(&self, replica: &Replica, drains: &Drains) -> Vec<u8> {
+    /// Records that a job was refused for lack of memory.
+    pub fn job_refused(&self, id: Id) {
+        self.jobs_refused.with_label_values(&["memory"]).inc();
+        if let Some(left_out) = self.refusals.borrow_mut().line(Instant::now()) {
+            log::warn!("event=submit_refused job={id} reason=memory left_out={left_out}");
+        }
+    }
+
+    /// The metrics in the Prometheus text format. Jobs may take `job_bytes_max`.
+    pub fn render(&self, replica: &Replica, drains: &Drains, job_bytes_max: usize) -> Vec<u8> {
         self.drained_data_centres.set(drains.data_centres.len() as i64);
+        self.job_bytes.set(replica.state().queues().memory_bytes() as i64);
+        self.job_bytes_max.set(job_bytes_max as i64);
         let Status { role, term, node, disk, members, .. } = replica.status();
         let leads = role == Role::Leader;
         let voters = members.iter().filter(|member| member.votes).count();
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! Durable jobs at the control instances. The leader stores them, schedules their tasks and answers
 //! calls about them; the other instances refuse calls and name the leader.
 
+mod admission;
 mod batcher;
 mod call;
 mod drain;
@@ -30,8 +31,11 @@
         id,
         wire::queue::{self, Drains, Refusal},
     },
-    supervisor, util,
+    supervisor,
+    transport::limit::bound::Instance,
+    util,
 };
+use admission::Admission;
 use batcher::Batcher;
 use meter::Meter;
 pub use service::Handler;
@@ -60,6 +64,20 @@
     pub voters: usize,
     /// How long the record of a finished job is kept.
     pub keep_ms: u64,
+    /// Most memory for the records of jobs, in bytes.
+    pub jobs_max_bytes: usize,
+}
+
+impl Settings {
+    /// Settings of an instance of default size, whose limits are not known.
+    pub fn new(voters: usize, keep_ms: u64) -> Settings {
+        Settings { voters, keep_ms, jobs_max_bytes: Instance::default().job_bytes() }
+    }
+
+    /// Sets the memory for jobs by the limits of the instance.
+    pub fn with_instance(self, instance: Instance) -> Settings {
+        Settings { jobs_max_bytes: instance.job_bytes(), ..self }
+    }
 }
 
 /// Coordinates the durable jobs while this instance leads. Clones are cheap and refer to the same
@@ -75,6 +93,7 @@
     /// A barrier that passes confirms that this instance leads and that its state is current.
     barrier: SharedBarrier,
     batcher: Batcher,
+    admission: Admission,
     /// `None` unless this instance leads and has confirmed its leadership.
     leadership: RefCell<Option<Leadership>>,
     /// Whether a confirmation of leadership is in progress.
@@ -163,6 +182,7 @@
         let inner = Inner {
             barrier: SharedBarrier::new(replica.clone()),
             batcher: Batcher::new(replica.clone()),
+            admission: Admission::new(settings.jobs_max_bytes),
             replica,
             settings,
             leadership: RefCell::new(None),
@@ -206,7 +226,8 @@
 
     /// The metrics of the group in the Prometheus text format.
     pub fn metrics(&self) -> Vec<u8> {
-        self.inner.meter.render(&self.inner.replica, &self.inner.drains.borrow())
+        let job_bytes_max = self.inner.admission.max_bytes();
+        self.inner.meter.render(&self.inner.replica, &self.inner.drains.borrow(), job_bytes_max)
     }
 
     /// Assumes or drops the leadership of the jobs when that of the group has changed.
--- a/src/entry/api.rs
+++ b/src/entry/api.rs
@@ -341,7 +341,7 @@
 /// A response body whose memory stays reserved until it has been sent.
 struct ReservedBody {
     body: Vec<u8>,
-    _reservation: crate::entry::budget::Reservation,
+    _reservation: crate::budget::Reservation,
 }
 
 impl AsRef<[u8]> for ReservedBody {
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -11,10 +11,10 @@
 };
 
 use crate::{
+    budget::{Budget, Reservation},
     coordination::dispatch::{self, Action, Dispatcher, Ended, Micros, Next},
     entry::{
         backend::{AttemptOutcome, AttemptReport, Backend},
-        budget::{Budget, Reservation},
         keyed::Status,
         meter::{Meter, WasteCause},
         policy::Policy,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,7 +17,6 @@
 
 pub mod api;
 pub mod backend;
-pub mod budget;
 pub mod control;
 pub mod engine;
 pub mod jobs;
@@ -43,9 +42,9 @@
 use tokio::time::{self, Instant};
 
 use crate::{
+    budget::Budget,
     daemon,
     entry::{
-        budget::Budget,
         engine::{Engine, Workload},
         keyed::{ActiveSubmission, Status},
         meter::Meter,
--- a/src/entry/retained.rs
+++ b/src/entry/retained.rs
@@ -6,7 +6,7 @@
 use sha2::{Digest, Sha256};
 use tokio::time::Instant;
 
-use crate::{entry::budget::Reservation, protocol::id};
+use crate::{budget::Reservation, protocol::id};
 
 /// Answers of completed jobs, bounded by total size and by age. They are evicted in the order in
 /// which their jobs were first inserted.
--- a/src/entry/submission.rs
+++ b/src/entry/submission.rs
@@ -6,8 +6,9 @@
 use tokio::time::Instant;
 
 use crate::{
+    budget::Reservation,
     coordination::dispatch::{Spec, TaskSpec},
-    entry::{budget::Reservation, engine::Workload, keyed::KeyedSubmission, settings::Limits},
+    entry::{engine::Workload, keyed::KeyedSubmission, settings::Limits},
     protocol::{id, job},
 };
 
--- a/src/leader.rs
+++ b/src/leader.rs
@@ -211,6 +211,10 @@
                     }
                     return Ok(Answer::View(view));
                 }
+                // An earlier try may still be carried out once there is room.
+                Ok(Ok(Answer::Full)) if outcome_unknown => {
+                    return Err(Failure::Unknown { detail: "no memory for the job".to_owned() });
+                }
                 Ok(Ok(answer)) => return Ok(answer),
                 Ok(Err(refusal)) => {
                     outcome_unknown |= matches!(refusal, Refusal::Unknown { .. });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 //! [`control`], [`entry`], [`sidecar`] and [`backend`] each combine these layers into a process.
 
 pub mod backend;
+pub mod budget;
 pub mod client;
 mod cluster;
 pub mod cmd;
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -10,6 +10,7 @@
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
+use tokio::time;
 
 /// Maximum number of distinct values that each get their own label. Further values share the label
 /// [`OTHER`].
@@ -93,6 +94,33 @@
     }
 }
 
+/// Most log lines in each [`LOG_WINDOW`].
+const LOG_LINES_MAX: u32 = 10;
+const LOG_WINDOW: Duration = Duration::from_secs(1);
+
+/// Bounds the number of log lines of a kind of event.
+#[derive(Debug, Default)]
+pub struct BoundedLog {
+    window: Option<time::Instant>,
+    lines: u32,
+    left_out: u64,
+}
+
+impl BoundedLog {
+    /// The number of lines that were left out before this one, or `None` if it is left out too.
+    pub fn line(&mut self, now: time::Instant) -> Option<u64> {
+        if self.window.is_none_or(|began| now.saturating_duration_since(began) >= LOG_WINDOW) {
+            (self.window, self.lines) = (Some(now), 0);
+        }
+        if self.lines == LOG_LINES_MAX {
+            self.left_out += 1;
+            return None;
+        }
+        self.lines += 1;
+        Some(std::mem::take(&mut self.left_out))
+    }
+}
+
 /// All metrics of `registry` as text.
 pub fn render(registry: &Registry) -> Vec<u8> {
     let mut out = Vec::new();
--- a/src/protocol/queue.rs
+++ b/src/protocol/queue.rs
@@ -9,6 +9,9 @@
 /// all memory there.
 pub const TASKS_MAX: usize = 10_000;
 
+/// Bytes that an allocation takes beyond its content, at most.
+const ALLOCATION_BYTES: usize = 24;
+
 /// Identifies a job by the number that its caller chose.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -227,6 +230,18 @@
     }
 }
 
+impl Step {
+    fn memory_bytes(&self) -> usize {
+        let texts = self.required_label.iter().chain(&self.data_rack);
+        let texts_bytes: usize = texts.map(|text| text.len() + ALLOCATION_BYTES).sum();
+        let after_bytes = match self.after.len() {
+            0 => 0,
+            steps => steps * size_of::<u16>() + ALLOCATION_BYTES,
+        };
+        size_of::<Step>() + texts_bytes + after_bytes
+    }
+}
+
 impl Job {
     /// Checks that the steps are consistent; describes the first fault.
     pub fn check(&self) -> Result<(), String> {
@@ -247,6 +262,11 @@
         Ok(())
     }
 
+    /// Returns the approximate memory of the job, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.spec.len() + self.steps.iter().map(Step::memory_bytes).sum::<usize>()
+    }
+
     /// Returns the number of tasks of all steps.
     pub fn tasks(&self) -> usize {
         self.steps.iter().map(|step| usize::from(step.tasks)).sum()
--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -101,6 +101,8 @@
     Busy,
     /// There is no data centre of this name.
     NoDataCentre,
+    /// The job was not accepted, as the control instances have no memory left for it.
+    Full,
 }
 
 /// An entry's view of the system; `None` for a part that has not changed.
--- a/src/state/machine/queue.rs
+++ b/src/state/machine/queue.rs
@@ -13,6 +13,26 @@
 /// Number of crashes under attempts of a task at which its job fails in any case.
 const CRASHES_MAX: usize = 4;
 
+/// Bytes that count for the record of a job besides its steps and tasks, with its place in the indexes.
+const RECORD_BYTES: usize = 400;
+/// Bytes that count for a job that has not finished, for the leader's scheduler.
+const OPEN_BYTES: usize = 300;
+/// Bytes that count for each step of such a job, for the scheduler, the log and the snapshot.
+const STEP_BYTES: usize = 64;
+/// Bytes that count for each task of such a job: its [`Progress`], the numbers of a few failures and
+/// crashes, its place among the tasks that may start, and its part of the log and the snapshot.
+const TASK_BYTES: usize = size_of::<Progress>() + 88;
+
+/// Returns the memory that a job takes at each control instance until it has finished, in bytes.
+pub fn memory_bytes(job: &Job) -> usize {
+    finished_bytes(job) + OPEN_BYTES + job.steps.len() * STEP_BYTES + job.tasks() * TASK_BYTES
+}
+
+/// Returns the memory that a job takes once it has finished, in bytes.
+fn finished_bytes(job: &Job) -> usize {
+    RECORD_BYTES + job.memory_bytes()
+}
+
 /// A change of the queues.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Change {
@@ -90,7 +110,8 @@
     pub term: u64,
     pub keep_ms: u64,
     pub phase: Phase,
-    /// State of each task, by its position in the job.
+    /// State of each task, by its position in the job; empty once the job has finished, unless attempts
+    /// of its tasks are fenced.
     pub tasks: Vec<Progress>,
     /// Number of tasks that are not done.
     pub left: usize,
@@ -112,24 +133,58 @@
 
 /// The replicated queues.
 #[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(from = "StoredQueues")]
 pub struct Queues {
     config: Option<Arc<Config>>,
     jobs: IndexMap<Id, Record>,
     /// Finished jobs and when their records may be removed, in the order in which they finished.
     finished: VecDeque<(u64, Id)>,
+    /// Memory of all records.
+    #[serde(skip_serializing)]
+    memory_bytes: usize,
+}
+
+/// [`Queues`] as a snapshot contains them.
+#[derive(Deserialize)]
+struct StoredQueues {
+    config: Option<Arc<Config>>,
+    jobs: IndexMap<Id, Record>,
+    finished: VecDeque<(u64, Id)>,
+}
+
+impl From<StoredQueues> for Queues {
+    fn from(stored: StoredQueues) -> Queues {
+        let StoredQueues { config, jobs, finished } = stored;
+        let memory_bytes = jobs.values().map(Record::memory_bytes).sum();
+        Queues { config, jobs, finished, memory_bytes }
+    }
 }
 
 impl Record {
+    /// Memory of the record at each control instance, in bytes.
+    fn memory_bytes(&self) -> usize {
+        match self.phase.is_terminal() {
+            true => finished_bytes(&self.job) + self.tasks.len() * TASK_BYTES,
+            false => memory_bytes(&self.job),
+        }
+    }
+
     /// Whether all tasks that `step` depends on are done.
     pub fn ready(&self, step: usize) -> bool {
         self.job.step_ready(&self.job.steps[step], |position| self.tasks[position].done)
     }
 
-    /// State of a task, if the job has it.
+    /// State of a task, if it is kept.
     pub fn progress(&self, task: Task) -> Option<&Progress> {
         self.tasks.get(self.job.position(task)?)
     }
 
+    /// State of a task, if it is kept.
+    fn progress_mut(&mut self, task: Task) -> Option<&mut Progress> {
+        let position = self.job.position(task)?;
+        self.tasks.get_mut(position)
+    }
+
     /// Whether the end of `attempt` does not count, as the attempt was fenced before.
     pub fn fenced(&self, attempt: Attempt) -> bool {
         self.progress(attempt.task).is_some_and(|task| attempt.number <= task.fenced)
@@ -174,6 +229,11 @@
         self.config.as_ref()
     }
 
+    /// Memory of all records at each control instance, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_bytes
+    }
+
     pub fn job(&self, id: Id) -> Option<&Record> {
         self.jobs.get(&id)
     }
@@ -215,6 +275,7 @@
             left: tasks,
             job: Arc::new(job),
         };
+        self.memory_bytes += record.memory_bytes();
         self.jobs.insert(submission.id, record);
         Reply::Done
     }
@@ -222,10 +283,9 @@
     fn complete(&mut self, now_ms: u64, completion: Completion) {
         let id = completion.attempt.task.job;
         let Some(record) = self.jobs.get_mut(&id) else { return };
-        let Some(position) = record.job.position(completion.attempt.task) else { return };
-        let task = &mut record.tasks[position];
-        let fenced = completion.attempt.number <= task.fenced;
-        if record.phase.is_terminal() || task.done || fenced {
+        let (terminal, max_attempts) = (record.phase.is_terminal(), record.max_attempts as usize);
+        let Some(task) = record.progress_mut(completion.attempt.task) else { return };
+        if terminal || task.done || completion.attempt.number <= task.fenced {
             return;
         }
         match completion.outcome {
@@ -241,7 +301,7 @@
                     return;
                 }
                 task.failed.push(completion.attempt.number);
-                if task.failed.len() >= record.max_attempts as usize {
+                if task.failed.len() >= max_attempts {
                     self.finish(now_ms, id, Phase::Failed);
                 }
             }
@@ -255,8 +315,8 @@
         if !record.crash_counts(crash.attempt) {
             return;
         }
-        let Some(position) = record.job.position(crash.attempt.task) else { return };
-        let crashes = &mut record.tasks[position].crashes;
+        let Some(task) = record.progress_mut(crash.attempt.task) else { return };
+        let crashes = &mut task.crashes;
         crashes.push(crash.attempt.number);
         let max = if crash.isolated { ISOLATED_CRASHES_MAX } else { CRASHES_MAX };
         if crashes.len() >= max {
@@ -266,9 +326,9 @@
 
     fn fence(&mut self, attempt: Attempt) {
         let Some(record) = self.jobs.get_mut(&attempt.task.job) else { return };
-        let Some(position) = record.job.position(attempt.task) else { return };
-        let task = &mut record.tasks[position];
-        if !task.done {
+        if let Some(task) = record.progress_mut(attempt.task)
+            && !task.done
+        {
             task.fenced = task.fenced.max(attempt.number);
         }
     }
@@ -285,11 +345,17 @@
     }
 
     /// Puts a job into a terminal phase. Its steps are kept, because they say which resources its
-    /// running tasks still use; its spec is dropped.
+    /// running tasks still use. Its spec is dropped, and so are the states of its tasks unless they show
+    /// which ends do not count.
     fn finish(&mut self, now_ms: u64, id: Id, phase: Phase) {
         let Some(record) = self.jobs.get_mut(&id) else { return };
+        self.memory_bytes -= record.memory_bytes();
         record.phase = phase;
+        if record.tasks.iter().all(|task| task.fenced == 0) {
+            record.tasks = Vec::new();
+        }
         Arc::make_mut(&mut record.job).spec = String::new();
+        self.memory_bytes += record.memory_bytes();
         self.finished.push_back((now_ms + record.keep_ms, id));
     }
 
@@ -300,7 +366,9 @@
             && until_ms <= now_ms
         {
             self.finished.pop_front();
-            self.jobs.swap_remove(&id);
+            if let Some(record) = self.jobs.swap_remove(&id) {
+                self.memory_bytes -= record.memory_bytes();
+            }
         }
     }
 }
--- a/src/transport/limit/bound.rs
+++ b/src/transport/limit/bound.rs
@@ -8,6 +8,17 @@
     pub descriptors: Option<u64>,
 }
 
+impl Instance {
+    fn memory(self) -> u64 {
+        self.memory_bytes.unwrap_or(MEMORY_DEFAULT_BYTES)
+    }
+
+    /// Memory for the jobs that the instance holds, in bytes: half of what connections leave.
+    pub fn job_bytes(self) -> usize {
+        usize::try_from(self.memory() / 4).unwrap_or(usize::MAX)
+    }
+}
+
 /// Memory of an instance whose settings state none.
 const MEMORY_DEFAULT_BYTES: u64 = 1 << 30;
 /// Descriptors of an instance whose settings state none.
@@ -83,7 +94,7 @@
     /// but an eighth of what the next wider bound allows. One address may hold
     /// almost all connections between the system's own processes, because sidecars may share it.
     pub fn new(instance: Instance) -> Bounds {
-        let memory = instance.memory_bytes.unwrap_or(MEMORY_DEFAULT_BYTES);
+        let memory = instance.memory();
         let descriptors = instance.descriptors.unwrap_or(DESCRIPTORS_DEFAULT);
         let reserved = (FILE_DESCRIPTORS + OTHER_DESCRIPTORS).min(descriptors / 2);
         let total = Usage {
--- a/src/transport/limit/meter.rs
+++ b/src/transport/limit/meter.rs
@@ -1,6 +1,6 @@
 //! Metrics and log lines of connections.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr};
 
 use prometheus::{IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
 use tokio::time::Instant;
@@ -9,11 +9,7 @@
     bound::Usage,
     pool::{Port, Reason, State},
 };
-use crate::metric;
-
-/// Most log lines in each [`LOG_WINDOW`]. The next line counts those that were left out.
-const LOG_LINES_MAX: u32 = 10;
-const LOG_WINDOW: Duration = Duration::from_secs(1);
+use crate::metric::{self, BoundedLog};
 
 pub(super) struct Meter {
     registry: Registry,
@@ -22,7 +18,7 @@
     connections: IntGaugeVec,
     refused: IntCounterVec,
     closed: IntCounterVec,
-    log: RefCell<Log>,
+    log: RefCell<BoundedLog>,
 }
 
 impl Meter {
@@ -110,26 +106,3 @@
         metric::render(&self.registry)
     }
 }
-
-/// Bounds the number of log lines.
-#[derive(Debug, Default)]
-struct Log {
-    window: Option<Instant>,
-    lines: u32,
-    left_out: u64,
-}
-
-impl Log {
-    /// The number of lines that were left out before this one, or `None` if it is left out too.
-    fn line(&mut self, now: Instant) -> Option<u64> {
-        if self.window.is_none_or(|began| now.saturating_duration_since(began) >= LOG_WINDOW) {
-            (self.window, self.lines) = (Some(now), 0);
-        }
-        if self.lines == LOG_LINES_MAX {
-            self.left_out += 1;
-            return None;
-        }
-        self.lines += 1;
-        Some(std::mem::take(&mut self.left_out))
-    }
-}
--- a/tests/clusters.rs
+++ b/tests/clusters.rs
@@ -95,7 +95,7 @@
         let path = folder.path().to_path_buf();
         let settings = replica::Settings::new(id::Node(node), any_port(), path);
         let replica = Replica::start(replica::Settings { peers, ..settings }).await.unwrap();
-        let settings = jobs::Settings { voters: 1, keep_ms: 60_000 };
+        let settings = jobs::Settings::new(1, 60_000);
         let coordinator = Coordinator::new(replica.clone(), settings);
         actix_rt::spawn(coordinator.clone().run());
         let handler = Handler::new(coordinator.clone());
--- a/tests/coordinator.rs
+++ b/tests/coordinator.rs
@@ -20,7 +20,7 @@
             },
         },
     },
-    state::machine,
+    state::machine::{self, queue},
     transport::rpc,
 };
 use durable::HOST;
@@ -47,12 +47,16 @@
 
     /// The only voter of a group that should have `voters`, without a configuration.
     async fn of_group(voters: usize) -> Instance {
+        Instance::with_settings(jobs::Settings::new(voters, 60_000)).await
+    }
+
+    async fn with_settings(settings: jobs::Settings) -> Instance {
         let folder = TempDir::new().unwrap();
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        let settings = replica::Settings::new(id::Node(1), any_port, folder.path().to_path_buf());
-        let replica = Replica::start(settings).await.unwrap();
+        let path = folder.path().to_path_buf();
+        let replica = replica::Settings::new(id::Node(1), any_port, path);
+        let replica = Replica::start(replica).await.unwrap();
         replica.init().await.unwrap();
-        let settings = jobs::Settings { voters, keep_ms: 60_000 };
         let coordinator = Coordinator::new(replica.clone(), settings);
         actix_rt::spawn(coordinator.clone().run());
         let handler = Handler::new(coordinator.clone());
@@ -421,6 +425,32 @@
     instance.replica.stop().await;
 }
 
+/// Guards against a leader that stores jobs until its memory is used up, that refuses a job which it has
+/// stored before, and whose memory stays used after the ends of jobs.
+#[actix_rt::test]
+async fn jobs_are_refused_while_their_memory_is_used_up() {
+    let wide = || durable::job(1_000);
+    let jobs_max_bytes = 21 * queue::memory_bytes(&wide()) / 2;
+    let settings = jobs::Settings { jobs_max_bytes, ..jobs::Settings::new(1, 0) };
+    let instance = Instance::with_settings(settings).await;
+    instance.answer(Call::Configure(Arc::new(durable::config(2)))).await;
+    let submit =
+        |id, job| instance.answer(Call::Submit { host: HOST.to_owned(), path: path(id), job });
+    let answers = [
+        submit(Id(1), wide()).await,
+        submit(Id(2), wide()).await,
+        submit(Id(3), wide()).await,
+        submit(Id(4), wide()).await,
+        submit(Id(1), wide()).await,
+        submit(Id(5), durable::job(4)).await,
+    ];
+    use Answer::{Accepted, Full};
+    assert_eq!(answers, [Accepted, Accepted, Accepted, Full, Accepted, Accepted]);
+    let cancel = Call::Cancel { host: HOST.to_owned(), path: path(Id(1)) };
+    assert_eq!(instance.answer(cancel).await, Accepted);
+    assert_eq!(submit(Id(4), wide()).await, Accepted);
+}
+
 fn drain(data_centre: &str, drained: bool) -> Call {
     Call::Drain { data_centre: data_centre.to_owned(), drained }
 }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -74,8 +74,7 @@
             }
             time::sleep(POLL).await;
         };
-        let coordinator =
-            Coordinator::new(replica.clone(), jobs::Settings { voters: VOTERS, keep_ms: 60_000 });
+        let coordinator = Coordinator::new(replica.clone(), jobs::Settings::new(VOTERS, 60_000));
         tasks.spawn_local(coordinator.run());
         let status = replica.status();
         Instance {
--- a/tests/replica.rs
+++ b/tests/replica.rs
@@ -553,7 +553,7 @@
 #[actix_rt::test]
 async fn a_new_leader_of_a_group_that_lacks_voters_serves_at_once() {
     let cluster = Cluster::form().await;
-    let settings = jobs::Settings { voters: 5, keep_ms: 60_000 };
+    let settings = jobs::Settings::new(5, 60_000);
     let coordinators: Vec<Coordinator> = cluster
         .replicas
         .iter()
