Attempts: their number is bounded where tasks need no capacity

Callers saw entries end: a task without needs fits any server, so all 10,000 tasks of a job of 60 bytes were commanded at once, each with a call of its own.

Change: an entry commands a limited number of attempts at a time, a leader 256 at a server, and a sidecar holds 1,024; the others wait for their turn. Start commands of a job share one copy of its spec, which is limited to 4,096 bytes (callers may send 4,000): a batch of 1,024 starts with copies of 250 kB would not fit a message. The leader no longer copies the list of all ready tasks at each tick.

The three new tests fail before: 1,000 commands where 3 are allowed, 10,000 where 256 are, and 2,000 starts.

--- a/src/coordination/schedule.rs
+++ b/src/coordination/schedule.rs
@@ -13,7 +13,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    ops::RangeInclusive,
+    ops::{Bound, RangeInclusive},
     sync::Arc,
 };
 
@@ -49,6 +49,8 @@
 #[derive(Debug)]
 struct Job {
     service: String,
+    /// What all start commands of the job carry.
+    spec: Arc<str>,
     /// Latest start at which the job would be on time, in ms on the scheduler's clock.
     due_ms: u64,
     /// Whether the start of a task has been commanded, by this leader or an earlier one.
@@ -149,6 +151,7 @@
         let slack = record.target_ms.saturating_sub(record.job.chain_ms());
         let job = Job {
             service: record.service.clone(),
+            spec: Arc::from(record.job.spec.as_str()),
             due_ms: now_ms + slack,
             started: inherited
                 && record
@@ -475,15 +478,14 @@
         self.assign_suspects(now_ms, queues);
         let services: Vec<String> = self.ready.keys().cloned().collect();
         for service in services {
-            let ranks: Vec<Rank> = self.ready[&service].iter().copied().collect();
             let mut misses = 0;
-            for rank in ranks {
+            let mut next = self.ready[&service].first().copied();
+            while let Some(rank) = next.filter(|_| misses <= MISSES_MAX) {
                 if !self.place(now_ms, &service, rank, queues) {
                     misses += 1;
                 }
-                if misses > MISSES_MAX {
-                    break;
-                }
+                let later = (Bound::Excluded(rank), Bound::Unbounded);
+                next = self.ready[&service].range(later).next().copied();
             }
         }
     }
@@ -523,7 +525,7 @@
         self.attempts.insert(attempt, placement);
         let server = &mut self.servers[key.0];
         server.add_attempt(&attempt, &needs);
-        let spec = Arc::from(record.job.spec.as_str());
+        let spec = self.jobs.get(&task.job).map(|job| job.spec.clone()).unwrap_or_default();
         server.command_start(Start { attempt, needs, estimate_ms: step.estimate_ms, spec });
     }
 
--- a/src/coordination/schedule/server.rs
+++ b/src/coordination/schedule/server.rs
@@ -14,6 +14,9 @@
     },
 };
 
+/// Most attempts at a server at the same time. Tasks that need no capacity are limited by nothing else.
+const ATTEMPTS_MAX: usize = 256;
+
 /// A backend server and the attempts commanded there.
 #[derive(Debug)]
 pub struct Server {
@@ -80,6 +83,7 @@
     /// Whether a task of `step` may start here now.
     pub(super) fn accepts(&self, now_ms: u64, service: &str, step: &Step) -> bool {
         !self.apart
+            && self.attempts.len() < ATTEMPTS_MAX
             && self.pace.may_start(now_ms, self.attempts.len())
             && self.has_capacity(now_ms, &step.needs)
             && self.suits(service, step)
--- a/src/coordination/sidecar/start.rs
+++ b/src/coordination/sidecar/start.rs
@@ -13,6 +13,9 @@
 const START_MARGIN_MS: u64 = 50;
 /// Maximum number of attempts that wait for free capacity.
 const WAITING_MAX: usize = 64;
+/// Maximum number of attempts, those that run included. Tasks that need no capacity are limited by nothing
+/// else.
+const ATTEMPTS_MAX: usize = 1_024;
 
 impl Sidecar {
     /// Handles a start command. The attempt may wait for free capacity until `until_ms`. Of the
@@ -35,6 +38,7 @@
                 Some(Reason::Unavailable)
             }
             Some(backend) if backend.assignments.contains_key(&attempt) => Some(Reason::Expired),
+            Some(backend) if backend.assignments.len() >= ATTEMPTS_MAX => Some(Reason::NoCapacity),
             Some(backend) if backend.waiting_count() >= WAITING_MAX => Some(Reason::NoCapacity),
             Some(_) => None,
         };
--- a/src/coordination/transient.rs
+++ b/src/coordination/transient.rs
@@ -25,6 +25,7 @@
         work::{Load, Outcome, Reply, Revision},
     },
 };
+pub use job::memory_bytes;
 use job::{Job, Placement};
 use ready::{Pass, Ready};
 use server::Server;
@@ -111,10 +112,26 @@
     /// Servers that were lost lately with attempts of this entry, and when.
     losses: IndexMap<Key, u64>,
     drains: Drains,
+    /// Most attempts that are commanded at the same time; `None` for any number.
+    attempts_max: Option<usize>,
     actions: Actions,
 }
 
 impl Scheduler {
+    /// Limits the number of attempts that are commanded at the same time. Tasks that need no capacity
+    /// are limited by nothing else.
+    pub fn with_attempts_max(self, attempts_max: usize) -> Scheduler {
+        Scheduler { attempts_max: Some(attempts_max), ..self }
+    }
+
+    /// Whether another attempt may be commanded.
+    fn may_command(&self) -> bool {
+        self.attempts_max.is_none_or(|most| {
+            let outstanding = self.servers.iter().map(|(_, server)| server.outstanding());
+            outstanding.sum::<usize>() < most
+        })
+    }
+
     /// Returns the actions decided on since the last call.
     pub fn take_actions(&mut self) -> Actions {
         std::mem::take(&mut self.actions)
@@ -482,6 +499,9 @@
         let remaining_ms = job.latest_end_ms.saturating_sub(now_ms);
         let avoid = progress.avoid;
         let criteria = Criteria { service: &job.service, task, step, avoid, remaining_ms };
+        if !self.may_command() {
+            return false;
+        }
         let Some(key) = choose(&self.servers, now_ms, &criteria) else { return false };
         self.start(now_ms, task, key);
         true
--- a/src/coordination/transient/job.rs
+++ b/src/coordination/transient/job.rs
@@ -70,6 +70,17 @@
     pub starts_open: u32,
 }
 
+/// Bytes that count for a job besides its steps and tasks: its place in the indexes and its callers.
+const JOB_BYTES: usize = size_of::<Job>() + 400;
+/// Bytes that count for a task: its state, what is known of a crash, and its place among the ready ones.
+const TASK_BYTES: usize = size_of::<Progress>() + 2 * size_of::<Task>() + 16;
+
+/// Returns the memory that a job takes at an entry until it has ended, in bytes.
+pub fn memory_bytes(job: &queue::Job) -> usize {
+    // The spec is held twice: as submitted and for the start commands.
+    JOB_BYTES + job.memory_bytes() + job.spec.len() + job.tasks() * TASK_BYTES
+}
+
 impl Job {
     pub fn new(now_ms: u64, queue: &Queue, job: queue::Job) -> Job {
         let (target_ms, chain_ms) = (queue.target_ms(&job), job.chain_ms());
--- a/src/protocol/queue.rs
+++ b/src/protocol/queue.rs
@@ -9,6 +9,9 @@
 /// all memory there.
 pub const TASKS_MAX: usize = 10_000;
 
+/// Longest spec of a job, in bytes. Callers may send 4,000; it is part of each start command.
+pub const SPEC_MAX_BYTES: usize = 4_096;
+
 /// Bytes that an allocation takes beyond its content, at most.
 const ALLOCATION_BYTES: usize = 24;
 
@@ -248,6 +251,9 @@
         if self.steps.is_empty() {
             return Err("a job needs a step".to_owned());
         }
+        if self.spec.len() > SPEC_MAX_BYTES {
+            return Err(format!("the spec of a job has at most {SPEC_MAX_BYTES} bytes"));
+        }
         for (number, step) in self.steps.iter().enumerate() {
             if step.tasks == 0 {
                 return Err(format!("step {number} has no tasks"));
--- a/src/state/machine/queue.rs
+++ b/src/state/machine/queue.rs
@@ -25,7 +25,12 @@
 
 /// Returns the memory that a job takes at each control instance until it has finished, in bytes.
 pub fn memory_bytes(job: &Job) -> usize {
-    finished_bytes(job) + OPEN_BYTES + job.steps.len() * STEP_BYTES + job.tasks() * TASK_BYTES
+    // The scheduler has a copy of the spec for its start commands.
+    finished_bytes(job)
+        + job.spec.len()
+        + OPEN_BYTES
+        + job.steps.len() * STEP_BYTES
+        + job.tasks() * TASK_BYTES
 }
 
 /// Returns the memory that a job takes once it has finished, in bytes.
--- a/tests/queues.rs
+++ b/tests/queues.rs
@@ -188,6 +188,21 @@
     assert_eq!(fixture.phase(1), None);
 }
 
+/// Guards against commands for all tasks of a wide job at once: a task that needs no capacity fits any
+/// server.
+#[test]
+fn attempts_at_a_server_are_limited_although_tasks_need_no_capacity() {
+    let mut wide = job(10_000);
+    wide.steps[0].needs = Resources::default();
+    let (mut fixture, mut scheduler) = Fixture::with_job(wide);
+    let key = fixture.add_server(&mut scheduler);
+    let started = starts(scheduler.commands(key));
+    assert_eq!(started.len(), 256);
+    fixture.complete(&mut scheduler, key, started[0], Outcome::Done);
+    scheduler.assign(0, fixture.state.queues());
+    assert_eq!(starts(scheduler.commands(key)).len(), 1);
+}
+
 /// Guards against a job that fails too early or is tried for ever. Only failed attempts count, not
 /// stopped ones.
 #[test]
--- a/tests/sidecar_jobs.rs
+++ b/tests/sidecar_jobs.rs
@@ -136,6 +136,20 @@
     assert_eq!(actions.starts, [start(attempt(2, 1))]);
 }
 
+/// Guards against a sidecar that holds any number of attempts, as those that need no capacity never wait.
+#[test]
+fn attempts_are_limited_although_they_need_no_capacity() {
+    let mut sidecar = sidecar();
+    for job in 0..2_000 {
+        let start = Start { needs: Resources::default(), ..start(attempt(job, 1)) };
+        sidecar.handle_start(0, ENTRY, start, 0, 500);
+    }
+    let Actions { starts, replies, .. } = sidecar.take_actions();
+    let refused = work::Outcome::NotStarted(Reason::NoCapacity);
+    let refused = replies.iter().filter(|(_, _, outcome, _)| *outcome == refused).count();
+    assert_eq!((starts.len(), refused), (1_024, 976));
+}
+
 /// Guards against two runs of a task at the same server: an attempt that another entry had commanded
 /// started while the one before was being stopped.
 #[test]
--- a/tests/transient.rs
+++ b/tests/transient.rs
@@ -123,6 +123,21 @@
     assert_eq!(declared_ms(&scheduler, &alone), 1_600);
 }
 
+/// Pattern: a wide job whose tasks need no capacity. Guards against an entry that holds a call for each of
+/// its tasks at the same time.
+#[test]
+fn attempts_are_limited_although_tasks_need_no_capacity() {
+    let (scheduler, keys) = scheduler(&[("a", 1), ("b", 1)]);
+    let mut scheduler = scheduler.with_attempts_max(3);
+    let mut wide = job(1_000, 10);
+    wide.steps[0].needs = Resources::default();
+    let commands = submit(&mut scheduler, 0, 1, wide);
+    assert_eq!(commands.len(), 3);
+    assert_eq!(end(&mut scheduler, 10, &commands[0], Outcome::Done, 10).len(), 1);
+    let outstanding: usize = keys.iter().map(|key| scheduler.outstanding(*key)).sum();
+    assert_eq!(outstanding, 3);
+}
+
 /// Pattern: a burst. Guards against starting jobs in the order of their arrival: short jobs would
 /// be late because they wait behind long ones that have time left.
 #[test]
