Entries: the memory of jobs is reserved until they end

Callers saw entries end: the pool of connections counts the bytes of a request, and nothing counted what they become. A body of 70 bytes names 10,000 tasks, which take about 1.4 MB; a durable job of 9,000 steps is held about three times while it is passed on.

Change: an entry reserves what a job weighs in tasks, steps and spec before it expands or forwards it, from a quarter of the instance's memory. The reservation ends with the job, also if the caller that sent it first leaves before others. A job for which there is no memory is refused at once with 503 unless it is held already, and a durable one only once the leader has said that it is not stored. The number of attempts is limited by the same memory, 8 KiB each.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -7,7 +7,7 @@
 
 /// Largest part of the memory that is left which one job may take, as a divisor. Smaller jobs then
 /// still fit when large ones do not any more.
-const JOB_DIVISOR: usize = 8;
+const JOB_DIVISOR: usize = 4;
 
 /// Whether a job that takes `bytes` may be accepted when jobs take `used` of `max` bytes.
 pub fn admits(max: usize, used: usize, bytes: usize) -> bool {
@@ -35,6 +35,11 @@
         Arc::new(Budget { used: AtomicUsize::new(0), max })
     }
 
+    /// Number of bytes that may be reserved.
+    pub fn max(&self) -> usize {
+        self.max
+    }
+
     /// Number of bytes that are reserved.
     pub fn used(&self) -> usize {
         self.used.load(Relaxed)
--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -8,9 +8,10 @@
 use super::{
     Entry,
     connection::{Cancellation, Connection},
+    waiting::Waiting,
 };
 use crate::{
-    coordination::transient::JobOutcome,
+    coordination::transient::{self, JobOutcome},
     leader::Failure,
     protocol::{
         queue::{Id, Job, Phase},
@@ -30,6 +31,10 @@
 /// Time added to the multiple of a job's declared time.
 const STOP_TIME_SLACK: Duration = Duration::from_millis(700);
 
+/// Number of copies of a job while it is forwarded: the original, that of the present try, and its
+/// message.
+const FORWARDED_COPIES: usize = 3;
+
 /// Result of a call to run a transient job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
@@ -43,6 +48,8 @@
     /// No task was started: the entry has no configuration yet, cannot learn whether there is such a
     /// queue, or is stopping.
     NotReady,
+    /// No task was started: there is no memory for the job.
+    Full,
     /// The caller's deadline has passed. Tasks may have run; those that still do are stopped.
     Expired,
 }
@@ -55,16 +62,12 @@
 
 impl Drop for CancelGuard {
     fn drop(&mut self) {
-        let still_waiting = |waiters: &mut Vec<oneshot::Sender<JobOutcome>>| {
-            waiters.retain(|waiter| !waiter.is_closed());
-            !waiters.is_empty()
-        };
         let inner = &self.entry.inner;
-        let wanted = inner.waiters.borrow_mut().get_mut(&self.id).is_some_and(still_waiting);
+        let wanted = inner.waiting.borrow_mut().get_mut(&self.id).is_some_and(Waiting::is_wanted);
         if wanted {
             return;
         }
-        inner.waiters.borrow_mut().swap_remove(&self.id);
+        inner.waiting.borrow_mut().swap_remove(&self.id);
         if self.entry.scheduler().cancel(self.id) {
             log::info!("event=caller_left job={}", self.id);
             self.entry.carry_out();
@@ -73,6 +76,28 @@
 }
 
 impl Entry {
+    /// Forwards a durable job to the leader. If there is no memory to pass it on, it is refused unless it
+    /// is stored already.
+    pub async fn submit(
+        &self,
+        host: String,
+        path: String,
+        job: Job,
+        deadline: Option<Duration>,
+    ) -> Result<Answer, Failure> {
+        let bytes = FORWARDED_COPIES * job.memory_bytes();
+        if let Some(_reservation) = self.inner.memory.reserve_job(bytes) {
+            return self.call(Call::Submit { host, path, job }, deadline).await;
+        }
+        drop(job);
+        self.inner.meter.refused(&host, &path);
+        match self.call(Call::Query { host, path }, deadline).await {
+            Ok(Answer::State(_)) => Ok(Answer::Accepted),
+            Ok(Answer::NoJob) => Ok(Answer::Full),
+            answer => answer,
+        }
+    }
+
     /// Forwards a call to the leader. `deadline` is the time for which the caller waits.
     pub async fn call(&self, call: Call, deadline: Option<Duration>) -> Result<Answer, Failure> {
         let limit = deadline.unwrap_or(DEADLINE_DEFAULT).saturating_sub(REPLY_TIME);
@@ -89,10 +114,15 @@
     /// caller that leaves is not always heard of, and may send the job elsewhere.
     pub async fn run_job(&self, host: &str, path: &str, job: Job, leaves_ms: Option<u64>) -> Ended {
         let arrived_ms = util::boot_ms();
+        let reservation = self.inner.memory.reserve_job(transient::memory_bytes(&job));
+        // Without memory it is dropped at once; the caller may wait for the same job that is held.
+        let job = reservation.map(|reservation| (job, reservation));
         let Some(config) = self.config_for(host, path).await else { return Ended::NotReady };
         let Some((queue, rest)) = config.route(host, path) else { return Ended::NoQueue };
         let Some(id) = Id::parse(rest) else { return Ended::NoJob };
-        if !self.has_time_for(&queue.service, &job) {
+        if let Some((job, _)) = &job
+            && !self.has_time_for(&queue.service, job)
+        {
             log::info!("event=refused job={id} reason=stopping chain_ms={}", job.chain_ms());
             return Ended::NotReady;
         }
@@ -103,10 +133,19 @@
             log::info!("event=read_after_deadline job={id}");
             return Ended::Expired;
         }
+        let known = self.inner.scheduler.borrow().knows(id);
         let (waiter, ended) = oneshot::channel();
-        self.inner.waiters.borrow_mut().entry(id).or_default().push(waiter);
-        if !self.inner.scheduler.borrow().knows(id) {
-            self.scheduler().submit(arrived_ms, id, queue, job);
+        match job {
+            _ if known => self.inner.waiting.borrow_mut().entry(id).or_default().add(waiter),
+            Some((job, reservation)) => {
+                let waiting = Waiting::new(waiter, reservation);
+                self.inner.waiting.borrow_mut().insert(id, waiting);
+                self.scheduler().submit(arrived_ms, id, queue, job);
+            }
+            None => {
+                self.inner.meter.refused(host, path);
+                return Ended::Full;
+            }
         }
         let guard = CancelGuard { entry: self.clone(), id };
         let submitted = Instant::now();
@@ -162,10 +201,7 @@
             && self.scheduler().cancel(id)
         {
             log::info!("event=canceled job={id}");
-            let waiters = self.inner.waiters.borrow_mut().swap_remove(&id);
-            for waiter in waiters.into_iter().flatten() {
-                let _ = waiter.send(JobOutcome::Canceled);
-            }
+            self.inner.end(id, JobOutcome::Canceled);
             self.carry_out();
             return Ok(Answer::Accepted);
         }
--- a/src/entry/jobs/meter.rs
+++ b/src/entry/jobs/meter.rs
@@ -3,8 +3,13 @@
 use std::{cell::RefCell, time::Duration};
 
 use prometheus::{HistogramVec, IntCounterVec, IntGauge, Registry};
+use tokio::time::Instant;
 
-use crate::{coordination::transient::JobOutcome, metric};
+use crate::{
+    budget::Budget,
+    coordination::transient::JobOutcome,
+    metric::{self, BoundedLog},
+};
 
 /// Counters and histograms by queue.
 pub(super) struct Meter {
@@ -13,6 +18,10 @@
     response: HistogramVec,
     jobs: IntCounterVec,
     drained_data_centres: IntGauge,
+    job_bytes: IntGauge,
+    job_bytes_max: IntGauge,
+    refused: IntCounterVec,
+    refusals: RefCell<BoundedLog>,
 }
 
 impl Meter {
@@ -35,7 +44,29 @@
             metric::DRAINED_DATA_CENTRES,
             metric::DRAINED_DATA_CENTRES_HELP,
         );
-        Meter { registry, queues: RefCell::default(), response, jobs, drained_data_centres }
+        let gauge = |name: &str, help: &str| metric::gauge(&registry, name, help);
+        Meter {
+            queues: RefCell::default(),
+            response,
+            jobs,
+            drained_data_centres,
+            job_bytes: gauge(
+                "briargauge_entry_job_bytes",
+                "Memory reserved for the jobs that are held here.",
+            ),
+            job_bytes_max: gauge(
+                "briargauge_entry_job_bytes_max",
+                "Memory for jobs above which none is taken.",
+            ),
+            refused: metric::counter(
+                &registry,
+                "briargauge_entry_jobs_refused_total",
+                "Jobs that were refused before anything of them was done.",
+                &["reason"],
+            ),
+            refusals: RefCell::default(),
+            registry,
+        }
     }
 
     /// Records the outcome of a job and its response time.
@@ -56,7 +87,17 @@
         self.drained_data_centres.set(data_centres as i64);
     }
 
-    pub fn render(&self) -> Vec<u8> {
+    /// Records that a job was refused for lack of memory.
+    pub fn refused(&self, host: &str, path: &str) {
+        self.refused.with_label_values(&["memory"]).inc();
+        if let Some(left_out) = self.refusals.borrow_mut().line(Instant::now()) {
+            log::warn!("event=refused reason=memory queue={host}{path} left_out={left_out}");
+        }
+    }
+
+    pub fn render(&self, memory: &Budget) -> Vec<u8> {
+        self.job_bytes.set(memory.used() as i64);
+        self.job_bytes_max.set(memory.max() as i64);
         metric::render(&self.registry)
     }
 }
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod config;
 mod connection;
 mod meter;
+mod waiting;
 
 use std::{
     cell::{Cell, RefCell, RefMut},
@@ -15,11 +16,12 @@
 
 use indexmap::IndexMap;
 use tokio::{
-    sync::{Mutex, oneshot, watch},
+    sync::{Mutex, watch},
     time,
 };
 
 use crate::{
+    budget::Budget,
     coordination::{
         connection::Watermark,
         transient::{JobOutcome, Key, Scheduler},
@@ -29,14 +31,19 @@
         queue::{Config, Id},
         wire::queue::{Sidecar, View},
     },
-    supervisor, util,
+    supervisor,
+    transport::limit::bound::Instance,
+    util,
 };
 pub use call::Ended;
 use connection::Connection;
 use meter::Meter;
+use waiting::Waiting;
 
 /// Time before the end of the process that is reserved for the last answers to reach their callers.
 const ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Memory of an attempt that has been commanded and has not ended, in bytes: its call to the sidecar.
+const ATTEMPT_BYTES: usize = 8 * 1024;
 /// Interval at which queued tasks are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -48,6 +55,8 @@
 
 struct Inner {
     leader: LeaderClient,
+    /// Bounds the memory of the jobs that are held here.
+    memory: Arc<Budget>,
     scheduler: RefCell<Scheduler>,
     watermark: Cell<Watermark>,
     connections: RefCell<IndexMap<Key, Connection>>,
@@ -57,26 +66,39 @@
     config_checking: Mutex<()>,
     /// Version of the newest list of sidecars received.
     sidecar_list_version: Cell<u64>,
-    /// Callers that wait for the outcome of a job.
-    waiters: RefCell<IndexMap<Id, Vec<oneshot::Sender<JobOutcome>>>>,
+    /// The callers of each job.
+    waiting: RefCell<IndexMap<Id, Waiting>>,
     /// When the process ends; `None` unless it is stopping.
     stops_at: watch::Sender<Option<Instant>>,
     meter: Meter,
 }
 
+impl Inner {
+    /// Passes the outcome of a job to its callers, and releases its memory.
+    fn end(&self, id: Id, outcome: JobOutcome) {
+        if let Some(waiting) = self.waiting.borrow_mut().swap_remove(&id) {
+            waiting.end(outcome);
+        }
+    }
+}
+
 impl Entry {
-    /// Starts an entry that gets the configuration and the list of sidecars from the leader.
-    pub fn start(leader: LeaderClient) -> Entry {
+    /// Starts an entry that gets the configuration and the list of sidecars from the leader. What it
+    /// holds is bounded by the limits of `instance`.
+    pub fn start(leader: LeaderClient, instance: Instance) -> Entry {
+        let job_bytes = instance.job_bytes();
+        let attempts_max = (job_bytes / 2 / ATTEMPT_BYTES).max(1);
         let inner = Inner {
             leader,
-            scheduler: RefCell::default(),
+            memory: Budget::new(job_bytes),
+            scheduler: RefCell::new(Scheduler::default().with_attempts_max(attempts_max)),
             watermark: Cell::new(Watermark::new(util::boot_ms())),
             connections: RefCell::default(),
             config: RefCell::default(),
             config_check: Cell::default(),
             config_checking: Mutex::default(),
             sidecar_list_version: Cell::new(0),
-            waiters: RefCell::default(),
+            waiting: RefCell::default(),
             stops_at: watch::Sender::new(None),
             meter: Meter::new(),
         };
@@ -112,7 +134,7 @@
 
     /// The metrics in the Prometheus text format.
     pub fn metrics(&self) -> Vec<u8> {
-        self.inner.meter.render()
+        self.inner.meter.render(&self.inner.memory)
     }
 
     fn apply_view(&self, view: View) {
@@ -194,10 +216,7 @@
             }
         }
         for (id, outcome) in actions.finished {
-            let waiters = self.inner.waiters.borrow_mut().swap_remove(&id);
-            for waiter in waiters.into_iter().flatten() {
-                let _ = waiter.send(outcome);
-            }
+            self.inner.end(id, outcome);
         }
     }
 }
