--- a/src/protocol/wire/queue.rs
+++ b/src/protocol/wire/queue.rs
@@ -173,6 +173,26 @@
     pub draining: bool,
 }
 
+/// Most labels of a backend server. Servers announce two: their kind and their rack.
+pub const LABELS_MAX: usize = 1_024;
+/// Most bytes of all texts of a description. Sidecars keep several, and it is sent to every entry.
+const TEXTS_MAX_BYTES: usize = 64 * 1024;
+
+impl Server {
+    /// Checks the size of the description.
+    pub fn check(&self) -> Result<(), String> {
+        if self.labels.len() > LABELS_MAX {
+            return Err(format!("a server has at most {LABELS_MAX} labels"));
+        }
+        let names = [&self.id.id, &self.service, &self.data_centre];
+        let bytes: usize = names.into_iter().chain(&self.labels).map(String::len).sum();
+        if bytes > TEXTS_MAX_BYTES {
+            return Err(format!("the texts of a server have at most {TEXTS_MAX_BYTES} bytes"));
+        }
+        Ok(())
+    }
+}
+
 /// State of the backend server beside a sidecar.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Backend {
