--- a/src/control/replica/core.rs
+++ b/src/control/replica/core.rs
@@ -220,9 +220,5 @@
 /// Approximate number of log bytes that a [`Save`] takes.
 pub(super) fn log_bytes_of(save: &Save) -> u64 {
     const RECORD_BYTES: usize = 16;
-    let entry = |entry: &Entry| match &entry.payload {
-        Payload::Command(bytes) => bytes.len() + RECORD_BYTES,
-        Payload::Empty | Payload::Members(_) => RECORD_BYTES,
-    };
-    save.entries.iter().map(entry).sum::<usize>() as u64
+    save.entries.iter().map(|entry| entry.bytes() + RECORD_BYTES).sum::<usize>() as u64
 }
--- a/src/control/replica/driver.rs
+++ b/src/control/replica/driver.rs
@@ -50,9 +50,11 @@
 pub(super) use heard::Heard;
 pub(super) use introduction::Introduction;
 
-/// Entries kept in memory after a snapshot, so that followers that are slightly behind need no
+/// Most entries kept in memory after a snapshot, so that followers that are slightly behind need no
 /// snapshot.
 const RETAINED_ENTRIES: u64 = 1_000;
+/// Most bytes of these entries.
+const RETAINED_BYTES: usize = 8 * 1024 * 1024;
 /// Time after which a snapshot that could not be stored is made again, in ms.
 const SNAPSHOT_RETRY_MS: u64 = 1_000;
 /// Number of clock ticks per heartbeat interval.
@@ -349,7 +351,9 @@
                 let covered_bytes = core.snapshotting.take().unwrap_or_default();
                 core.log_bytes = core.log_bytes.saturating_sub(covered_bytes);
                 core.submit(Job::Trim(snapshot.meta.index));
-                core.instance.compact(snapshot.meta.index.saturating_sub(RETAINED_ENTRIES));
+                let index = snapshot.meta.index;
+                let excess = core.instance.excess(index, RETAINED_ENTRIES, RETAINED_BYTES);
+                core.instance.compact(excess);
                 if core.snapshot.as_ref().is_none_or(|s| s.meta.index < snapshot.meta.index) {
                     core.snapshot = Some(snapshot);
                 }
--- a/src/control/replica/mod.rs
+++ b/src/control/replica/mod.rs
@@ -154,7 +154,10 @@
             let state = Arc::get_mut(&mut state).expect("shared only by replicas with a disk");
             return Ok(state.apply(index, command));
         };
-        let bytes = postcard::to_stdvec(&command).expect("commands serialise");
+        let mut bytes = postcard::to_stdvec(&command).expect("commands serialise");
+        drop(command);
+        // The log keeps them, and a buffer that grew by doubling is up to twice as large.
+        bytes.shrink_to_fit();
         let reply = driver.propose(Bytes::from(bytes))?;
         wait(reply).await
     }
--- a/src/control/replica/storage.rs
+++ b/src/control/replica/storage.rs
@@ -68,8 +68,10 @@
         let Some(results) = self.results.upgrade() else { return };
         let files = self.files.clone();
         thread::spawn(move || {
-            let data = Bytes::from(postcard::to_stdvec(&*state).expect("states serialise"));
+            let mut data = postcard::to_stdvec(&*state).expect("states serialise");
             drop(state);
+            data.shrink_to_fit();
+            let data = Bytes::from(data);
             let _ = results.send(JobResult::StateReleased);
             let snapshot = Snapshot { meta, data };
             let stored = snapshot.store(&*files);
--- a/src/coordination/consensus/entries.rs
+++ b/src/coordination/consensus/entries.rs
@@ -72,6 +72,17 @@
         self.members.retain(|(at, _)| *at < index);
     }
 
+    /// Returns the index up to which entries may be dropped, so that of those up to `index` at most
+    /// `count` with at most `bytes` of content are kept.
+    pub fn excess(&self, index: u64, count: u64, bytes: usize) -> u64 {
+        let mut kept_bytes = 0;
+        let kept = self.range(self.base.0 + 1, index + 1).iter().rev().take_while(|entry| {
+            kept_bytes += entry.bytes();
+            kept_bytes <= bytes
+        });
+        index.saturating_sub(count.min(kept.count() as u64))
+    }
+
     /// Drops the entries up to `index`, which becomes the base.
     pub fn compact(&mut self, index: u64) {
         let Some(term) = self.term(index) else { return };
--- a/src/coordination/consensus/mod.rs
+++ b/src/coordination/consensus/mod.rs
@@ -334,6 +334,12 @@
         }
     }
 
+    /// Returns the index up to which entries may be dropped, so that of those up to `index` at most
+    /// `count` with at most `bytes` of content stay in memory.
+    pub fn excess(&self, index: u64, count: u64, bytes: usize) -> u64 {
+        self.log.excess(index, count, bytes)
+    }
+
     /// Drops the entries up to `index` from memory. A durable snapshot must cover them.
     pub fn compact(&mut self, index: u64) {
         if index > self.log.base() && index <= self.delivered_index {
--- a/src/protocol/wire/peer.rs
+++ b/src/protocol/wire/peer.rs
@@ -47,6 +47,16 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Size of the command, in bytes; 0 for other entries.
+    pub fn bytes(&self) -> usize {
+        match &self.payload {
+            Payload::Command(bytes) => bytes.len(),
+            Payload::Empty | Payload::Members(_) => 0,
+        }
+    }
+}
+
 /// Content of a log entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
--- a/src/transport/frame.rs
+++ b/src/transport/frame.rs
@@ -12,6 +12,9 @@
 /// Most memory that is allocated for a frame before its bytes arrive.
 const AHEAD_MAX_BYTES: usize = 16 * 1024;
 
+/// Most memory that a buffer without content keeps.
+const KEPT_MAX_BYTES: usize = 256 * 1024;
+
 /// Server's side of [`LengthDelimitedCodec`]. That codec allocates the memory for a whole frame when
 /// its length arrives; this one allocates as the frame does, and tells the connection about frames.
 pub struct Codec {
@@ -32,6 +35,7 @@
 
     fn decode(&mut self, source: &mut BytesMut) -> io::Result<Option<BytesMut>> {
         let frame = decode(source);
+        release_if_large(source);
         match &frame {
             Ok(Some(_)) => self.connection.message_arrived(source.len()),
             Ok(None) => self.connection.message_awaited(source.len()),
@@ -45,6 +49,7 @@
     type Error = io::Error;
 
     fn encode(&mut self, frame: Bytes, target: &mut BytesMut) -> io::Result<()> {
+        release_if_large(target);
         if let Err(reason) = self.connection.message_made(LENGTH_BYTES + frame.len()) {
             self.connection.close(reason);
             return Err(io::ErrorKind::OutOfMemory.into());
@@ -53,6 +58,14 @@
     }
 }
 
+/// Drops the memory of an empty buffer that has grown for a large frame. The connection would keep it
+/// otherwise.
+fn release_if_large(buffer: &mut BytesMut) {
+    if buffer.is_empty() && buffer.capacity() > KEPT_MAX_BYTES {
+        *buffer = BytesMut::new();
+    }
+}
+
 /// Takes the next frame out of `source`, if all of it is there.
 pub fn decode(source: &mut BytesMut) -> io::Result<Option<BytesMut>> {
     let Some((length, arrived)) = source.split_first_chunk::<LENGTH_BYTES>() else {
--- a/tests/consensus/single_instance.rs
+++ b/tests/consensus/single_instance.rs
@@ -40,6 +40,16 @@
         SingleInstance { instance: Instance::new(start, 0), now: 0 }
     }
 
+    /// Node 0 with `count` commands of `bytes` each after the membership entry.
+    fn with_commands(count: usize, bytes: usize) -> SingleInstance {
+        let mut single = SingleInstance::new(&[1]);
+        single.lead();
+        for _ in 0..count {
+            single.instance.propose(vec![0; bytes].into()).unwrap();
+        }
+        single
+    }
+
     fn step(&mut self, from: u64, term: u64, body: Body) {
         self.try_step(from, term, body).expect("the message is well formed");
     }
@@ -324,3 +334,14 @@
     }
     QuickCheck::new().tests(2_000).quickcheck(holds as fn(bool, Vec<Drawn>) -> bool);
 }
+
+/// Guards against entries that stay in memory although a snapshot covers them: a number alone does not
+/// bound large ones.
+#[test]
+fn entries_are_kept_up_to_a_number_and_a_size() {
+    let single = SingleInstance::with_commands(10, 1_000);
+    let newest = single.instance.last_index();
+    let kept = |count, bytes| newest - single.instance.excess(newest, count, bytes);
+    assert_eq!([kept(100, 3_500), kept(2, 3_500), kept(100, 999)], [3, 2, 0]);
+    assert_eq!(kept(100, 1_000_000), newest, "all");
+}
