Configurations: few bytes of them are handled at once

Seen in a trial by users: a control instance ends by 30 configurations of 8.2 MB at once, and GET /config was not answered. Each takes several times its bytes while it is decoded, passed on to the leader, stored and sent to entries. That was done for all of them at the same time, and also for versions that change nothing.

A version that is not higher than the stored one is acknowledged without being stored, once the state is confirmed as current.

--- a/src/control/jobs/call.rs
+++ b/src/control/jobs/call.rs
@@ -19,6 +19,8 @@
 
 /// Longest time that a watch call waits for changes.
 const WATCH_WAIT_MAX: Duration = Duration::from_millis(1_000);
+/// Longest time that a configuration waits for others to be stored.
+const CONFIGURE_WAIT_MAX: Duration = Duration::from_millis(500);
 /// Time for which further changes are collected before a watch call is answered.
 const COLLECT_TIME: Duration = Duration::from_millis(15);
 
@@ -244,8 +246,24 @@
         Ok(Answer::Accepted)
     }
 
+    /// Whether a configuration of this version would change nothing.
+    fn is_configured(&self, version: u64) -> bool {
+        let state = self.inner.replica.state();
+        state.queues().config().is_some_and(|stored| stored.version >= version)
+    }
+
     async fn configure(&self, config: Arc<Config>) -> Result<Answer, Refusal> {
         let (version, queues) = (config.version, config.queues.len());
+        let bytes = config.document.len();
+        let Some(_pass) = self.inner.config_gate.enter(bytes, CONFIGURE_WAIT_MAX).await else {
+            log::warn!("event=configure_refused version={version} reason=memory");
+            return Err(Refusal::NotReady { detail: "too many configurations at once".to_owned() });
+        };
+        if self.is_configured(version) {
+            self.confirm_current().await?;
+            log::info!("event=configure version={version} queues={queues} outcome=Known");
+            return Ok(Answer::Accepted);
+        }
         let reply = self.propose(Change::Configure(config)).await?;
         log::info!("event=configure version={version} queues={queues} outcome={reply:?}");
         self.inner.view_changed.notify_waiters();
--- a/src/control/jobs/mod.rs
+++ b/src/control/jobs/mod.rs
@@ -5,6 +5,7 @@
 mod batcher;
 mod call;
 mod drain;
+mod gate;
 mod members;
 mod meter;
 mod report;
@@ -37,6 +38,7 @@
 };
 use admission::Admission;
 use batcher::Batcher;
+pub use gate::Gate;
 use meter::Meter;
 pub use service::Handler;
 use sidecar::Sidecar;
@@ -94,6 +96,8 @@
     barrier: SharedBarrier,
     batcher: Batcher,
     admission: Admission,
+    /// Bounds the configurations that are being stored.
+    config_gate: Gate,
     /// `None` unless this instance leads and has confirmed its leadership.
     leadership: RefCell<Option<Leadership>>,
     /// Whether a confirmation of leadership is in progress.
@@ -183,6 +187,7 @@
             barrier: SharedBarrier::new(replica.clone()),
             batcher: Batcher::new(replica.clone()),
             admission: Admission::new(settings.jobs_max_bytes),
+            config_gate: Gate::new(),
             replica,
             settings,
             leadership: RefCell::new(None),
