--- a/src/entry/jobs/call.rs
+++ b/src/entry/jobs/call.rs
@@ -90,7 +90,7 @@
             return self.call(Call::Submit { host, path, job }, deadline).await;
         }
         drop(job);
-        self.inner.meter.refused(&host, &path);
+        self.inner.meter.refused();
         match self.call(Call::Query { host, path }, deadline).await {
             Ok(Answer::State(_)) => Ok(Answer::Accepted),
             Ok(Answer::NoJob) => Ok(Answer::Full),
@@ -143,7 +143,7 @@
                 self.scheduler().submit(arrived_ms, id, queue, job);
             }
             None => {
-                self.inner.meter.refused(host, path);
+                self.inner.meter.refused();
                 return Ended::Full;
             }
         }
--- a/src/entry/jobs/meter.rs
+++ b/src/entry/jobs/meter.rs
@@ -1,6 +1,6 @@
 //! Metrics of the transient jobs that an entry runs.
 
-use std::{cell::RefCell, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use prometheus::{HistogramVec, IntCounterVec, IntGauge, Registry};
 use tokio::time::Instant;
@@ -87,12 +87,16 @@
         self.drained_data_centres.set(data_centres as i64);
     }
 
-    /// Records that a job was refused for lack of memory.
-    pub fn refused(&self, host: &str, path: &str) {
+    /// Counts a job that was refused for lack of memory.
+    pub fn refused(&self) {
         self.refused.with_label_values(&["memory"]).inc();
-        if let Some(left_out) = self.refusals.borrow_mut().line(Instant::now()) {
-            log::warn!("event=refused reason=memory queue={host}{path} left_out={left_out}");
-        }
+    }
+
+    /// Logs that a job was refused for lack of memory, here or at the control instances.
+    pub fn log_refusal(&self, peer: Option<SocketAddr>, path: &str) {
+        let Some(left_out) = self.refusals.borrow_mut().line(Instant::now()) else { return };
+        let peer = peer.map_or_else(|| "none".to_owned(), |peer| peer.to_string());
+        log::warn!("event=refused peer={peer} path={path:?} reason=memory left_out={left_out}");
     }
 
     pub fn render(&self, memory: &Budget) -> Vec<u8> {
--- a/src/entry/jobs/mod.rs
+++ b/src/entry/jobs/mod.rs
@@ -9,6 +9,7 @@
 
 use std::{
     cell::{Cell, RefCell, RefMut},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -137,6 +138,11 @@
         self.inner.meter.render(&self.inner.memory)
     }
 
+    /// Logs that a job of `peer` was refused for lack of memory.
+    pub fn log_refusal(&self, peer: Option<SocketAddr>, path: &str) {
+        self.inner.meter.log_refusal(peer, path);
+    }
+
     fn apply_view(&self, view: View) {
         if let Some(config) = view.config {
             let current = self.inner.config.borrow().as_ref().map_or(0, |config| config.version);
