--- a/src/control/jobs/admission.rs
+++ b/src/control/jobs/admission.rs
@@ -70,11 +70,12 @@
         if let Some(ended) = self.pending.jobs.borrow().get(&id) {
             return Verdict::Pending(ended.clone());
         }
-        let bytes = 2 * queue::memory_bytes(job);
+        let job_bytes = queue::memory_bytes(job);
         let used = queues.memory_bytes() + self.pending.bytes.get();
-        if !budget::admits(self.max_bytes, used, bytes / 2) {
+        if !budget::admits(self.max_bytes, used, job_bytes) {
             return Verdict::Full;
         }
+        let bytes = 2 * job_bytes;
         self.pending.jobs.borrow_mut().insert(id, Rc::default());
         self.pending.bytes.set(self.pending.bytes.get() + bytes);
         Verdict::Admitted(Guard { pending: self.pending.clone(), id, bytes })
--- a/src/coordination/schedule/server.rs
+++ b/src/coordination/schedule/server.rs
@@ -9,14 +9,11 @@
         warmup::Warmup,
     },
     protocol::{
-        queue::{Attempt, Id, Outcome, Resources, Step},
+        queue::{ATTEMPTS_MAX, Attempt, Id, Outcome, Resources, Step},
         wire::queue::{self, Batch, Drains, Reason, Start},
     },
 };
 
-/// Most attempts at a server at the same time. Tasks that need no capacity are limited by nothing else.
-const ATTEMPTS_MAX: usize = 1_024;
-
 /// A backend server and the attempts commanded there.
 #[derive(Debug)]
 pub struct Server {
--- a/src/coordination/sidecar/start.rs
+++ b/src/coordination/sidecar/start.rs
@@ -2,7 +2,7 @@
 
 use super::{Admission, Assignment, OUTLAST_MAX_MS, Sidecar, Source, StartResult, State};
 use crate::protocol::{
-    queue::Attempt,
+    queue::{ATTEMPTS_MAX, Attempt},
     wire::{
         queue::{Reason, Start},
         work,
@@ -13,9 +13,6 @@
 const START_MARGIN_MS: u64 = 50;
 /// Maximum number of attempts that wait for free capacity.
 const WAITING_MAX: usize = 64;
-/// Maximum number of attempts, those that run included. Tasks that need no capacity are limited by nothing
-/// else.
-const ATTEMPTS_MAX: usize = 1_024;
 
 impl Sidecar {
     /// Handles a start command. The attempt may wait for free capacity until `until_ms`. Of the
--- a/src/protocol/queue.rs
+++ b/src/protocol/queue.rs
@@ -9,6 +9,10 @@
 /// all memory there.
 pub const TASKS_MAX: usize = 10_000;
 
+/// Most attempts at a backend server at the same time: those that the leader commands, and all that its
+/// sidecar holds. Tasks that need no capacity are limited by nothing else.
+pub const ATTEMPTS_MAX: usize = 1_024;
+
 /// Longest spec of a job, in bytes. Callers may send 4,000; it is part of each start command.
 pub const SPEC_MAX_BYTES: usize = 4_096;
 
