--- a/review/tool-3/cases.rs
+++ b/review/tool-3/cases.rs
@@ -15,6 +15,7 @@
         "first-seed" => first_seed(record, trouble),
         "cancel" => cancel(record, trouble),
         "pending" => pending(record, trouble),
+        "starved" => starved(record, trouble),
         "soak" => {
             let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
             let kinds = std::env::var("KINDS").unwrap_or_default();
@@ -208,3 +209,57 @@
         false => Verdict::Held(format!("{waiting} jobs have not begun, and pending is {shown}")),
     }
 }
+
+/// A kept job of 40 tasks requires the label of one runner. That runner is lost for good. Ten further kept
+/// jobs need no label; six runners are sound and idle.
+fn starved(record: Record, trouble: bool) -> Verdict {
+    const JOBS: u64 = 10;
+    let mut system = System::new(record.clone(), 5, 1, 7);
+    system.label(0, "b");
+    system.start();
+    if !system.configure(7, &[(PREFIX, 4)], s(20)) {
+        return Verdict::NotRun("no configuration".to_owned());
+    }
+    thread::sleep(s(4));
+    let job = |label: &str, tasks: u32| {
+        format!(
+            "{{\"spec\":\"ms=500\",\"steps\":[{{\"replicas\":{tasks},\"cpu\":500,\"memMb\":256,\
+             \"estRuntimeMs\":500{label}}}]}}"
+        )
+    };
+    let accepted = |path: &str, body: &str| {
+        system.client_until(0, "POST", path, body, s(10), |code| code == 200).is_some()
+    };
+    if trouble {
+        system.runners[0].crash();
+        thread::sleep(s(2));
+    }
+    let large = job(",\"requiredLabel\":\"b\"", 40);
+    if !accepted(&format!("{PREFIX}00000000000000a1"), &large) {
+        return Verdict::NotRun("the large job was not accepted".to_owned());
+    }
+    let ids: Vec<String> = (0..JOBS).map(|n| format!("5c0e7a21d94b36{n:02x}")).collect();
+    for id in &ids {
+        if !accepted(&format!("{PREFIX}{id}"), &job("", 1)) {
+            return Verdict::NotRun("a job was not accepted".to_owned());
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    // `finish_s` is 14 s; the rule then allows 3 s without anything at work.
+    let end = record.s();
+    record.line("the traffic ends");
+    let all_begun = || ids.iter().all(|id| system.watch.has_begun(id));
+    let _ = wait_for(s(40), || all_begun().then_some(()));
+    let waiting: Vec<&String> = ids.iter().filter(|id| !system.watch.has_begun(id)).collect();
+    let after = record.s() - end;
+    for id in &waiting {
+        let _ = system.client(0, "GET", &format!("{PREFIX}{id}"), 1_500, "");
+    }
+    match waiting.is_empty() {
+        true => Verdict::Held(format!("all jobs have begun {after:.1} s after the traffic")),
+        false => Verdict::Broken(format!(
+            "{after:.1} s after the traffic {} of {JOBS} jobs have not begun; six runners are idle",
+            waiting.len()
+        )),
+    }
+}
--- a/review/tool-3/system.rs
+++ b/review/tool-3/system.rs
@@ -41,6 +41,7 @@
     pub watch: Arc<Watch>,
     folder: PathBuf,
     net: u8,
+    _held: TcpListener,
     ports: Ports,
     pub controls: Vec<Node>,
     pub entries: Vec<Node>,
@@ -58,12 +59,13 @@
 }
 
 impl Ports {
-    fn free() -> Ports {
-        let base = 20_000 + (std::process::id() % 300) as u16 * 32;
+    /// Ports that are free on the addresses of `net`.
+    fn free(net: u8) -> Ports {
         for step in 0..300 {
-            let first = 20_000 + (base - 20_000 + step * 32) % 9_600;
-            let all = first..first + 24;
-            if all.clone().all(|port| TcpListener::bind(("127.0.0.1", port)).is_ok()) {
+            let first = 20_000 + step * 32;
+            let mut all = first..first + 24;
+            if all.all(|port| TcpListener::bind(SocketAddr::from(([127, net, 1, 1], port))).is_ok())
+            {
                 return Ports {
                     front: first,
                     ready: first + 1,
@@ -77,19 +79,31 @@
     }
 }
 
+/// A part of the loopback range that no other run of this program uses, and what holds it.
+fn free_net() -> (u8, TcpListener) {
+    let first = std::process::id() % 200;
+    let mut nets = (0..200).map(|step| 16 + ((first + step) % 200) as u8);
+    let held = nets.find_map(|net| {
+        let held = TcpListener::bind(SocketAddr::from(([127, net, 9, 9], 19_990))).ok()?;
+        Some((net, held))
+    });
+    held.expect("a free part of the loopback range")
+}
+
 impl System {
     /// A deployment of so many machines; nothing runs yet.
     pub fn new(record: Record, controls: u8, entries: u8, sidecars: u8) -> System {
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
-        let net = 16 + (std::process::id() % 200) as u8;
-        let ports = Ports::free();
+        let (net, held) = free_net();
+        let ports = Ports::free(net);
         let watch = Arc::new(Watch::new(record.clone()));
         let mut system = System {
             record,
             watch,
             folder,
             net,
+            _held: held,
             ports,
             controls: Vec::new(),
             entries: Vec::new(),
--- a/review/tool-3/watch.rs
+++ b/review/tool-3/watch.rs
@@ -199,6 +199,11 @@
         self.state.lock().unwrap().cancelled.insert(job.to_owned(), now);
     }
 
+    /// Whether a task of the job has started.
+    pub fn has_begun(&self, job: &str) -> bool {
+        self.state.lock().unwrap().tasks.keys().any(|task| task.starts_with(job))
+    }
+
     /// How many jobs have begun.
     pub fn begun(&self) -> u64 {
         let state = self.state.lock().unwrap();
