--- a/review/tool-3/runner.rs
+++ b/review/tool-3/runner.rs
@@ -47,8 +47,14 @@
     late: Arc<AtomicU64>,
     /// Whether it answers nothing, and tasks stand still.
     hung: Arc<AtomicBool>,
-    /// Whether it answers each start with 503 and does nothing.
-    sheds: Arc<AtomicBool>,
+    /// How late the next start is carried out, in ms, without an answer; 0 if it isn't.
+    late_start: Arc<AtomicU64>,
+    /// Whether a start has been left unanswered.
+    withheld: Arc<AtomicBool>,
+    /// Whether its path is cut, so that connections are refused.
+    cut: Arc<AtomicBool>,
+    /// Whether its answers are lost.
+    mute: Arc<AtomicBool>,
 }
 
 /// One life of a runner.
@@ -66,7 +72,10 @@
     watch: Arc<Watch>,
     late: Arc<AtomicU64>,
     hung: Arc<AtomicBool>,
-    sheds: Arc<AtomicBool>,
+    late_start: Arc<AtomicU64>,
+    withheld: Arc<AtomicBool>,
+    cut: Arc<AtomicBool>,
+    mute: Arc<AtomicBool>,
 }
 
 #[derive(Default)]
@@ -92,9 +101,6 @@
     fails: bool,
 }
 
-/// A run that is going on: task, run and for how long, in ms.
-pub type Active = (String, u64, u64);
-
 impl Runner {
     pub fn new(
         kind: Kind,
@@ -112,7 +118,10 @@
             life: Mutex::new(None),
             late: Arc::default(),
             hung: Arc::default(),
-            sheds: Arc::default(),
+            late_start: Arc::default(),
+            withheld: Arc::default(),
+            cut: Arc::default(),
+            mute: Arc::default(),
         })
     }
 
@@ -126,9 +135,34 @@
         self.hung.store(hung, Ordering::SeqCst);
     }
 
-    pub fn set_sheds(&self, sheds: bool) {
-        self.record.line(&format!("runner {} sheds starts: {sheds}", self.kind.id));
-        self.sheds.store(sheds, Ordering::SeqCst);
+    /// The next start gets no answer and is carried out `ms` later; its time counts from then.
+    pub fn set_late_start(&self, ms: u64) {
+        self.late_start.store(ms, Ordering::SeqCst);
+    }
+
+    /// Whether that start has come.
+    pub fn has_withheld(&self) -> bool {
+        self.withheld.load(Ordering::SeqCst)
+    }
+
+    /// Cuts the path to the runner, which runs on: connections are reset, and refused from now on.
+    pub fn cut(&self) {
+        self.record.line(&format!("runner {} is cut off", self.kind.id));
+        self.cut.store(true, Ordering::SeqCst);
+        if let Some(life) = &*self.life.lock().unwrap() {
+            for stream in life.streams.lock().unwrap().drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
+    pub fn set_mute(&self, mute: bool) {
+        self.mute.store(mute, Ordering::SeqCst);
+    }
+
+    pub fn heal(&self) {
+        self.record.line(&format!("runner {} is reached again", self.kind.id));
+        self.cut.store(false, Ordering::SeqCst);
     }
 
     pub fn drain(&self) {
@@ -165,7 +199,10 @@
             watch: self.watch.clone(),
             late: self.late.clone(),
             hung: self.hung.clone(),
-            sheds: self.sheds.clone(),
+            late_start: self.late_start.clone(),
+            withheld: self.withheld.clone(),
+            cut: self.cut.clone(),
+            mute: self.mute.clone(),
         });
         self.record.line(&format!("runner {id} starts"));
         *life = Some(begun.clone());
@@ -198,15 +235,6 @@
             .collect();
         self.record.line(&format!("runner {} crashes under {runs:?}", life.kind.id));
     }
-
-    /// What runs here, a while after its start.
-    pub fn active(&self) -> Vec<Active> {
-        let life = self.life.lock().unwrap().clone();
-        let Some(life) = life else { return Vec::new() };
-        let now = life.now();
-        let state = life.state.lock().unwrap();
-        state.runs.iter().map(|run| (run.task.clone(), run.run, now - run.begun)).collect()
-    }
 }
 
 impl Life {
@@ -221,6 +249,10 @@
     fn announce(&self, control: SocketAddr) {
         let mut seq = 0;
         while !self.is_dead() {
+            if self.cut.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(50));
+                continue;
+            }
             seq += 1;
             let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
             let Kind { id, service, zone, cpu, mem_mb, labels } = &self.kind;
@@ -284,8 +316,23 @@
     }
 
     fn serve(self: Arc<Life>, listener: TcpListener) {
+        let mut listener = Some(listener);
         while !self.is_dead() {
-            match listener.accept() {
+            if self.cut.load(Ordering::SeqCst) {
+                listener = None;
+                thread::sleep(Duration::from_millis(2));
+                continue;
+            }
+            let open = listener.get_or_insert_with(|| {
+                loop {
+                    if let Ok(listener) = TcpListener::bind(self.addr) {
+                        listener.set_nonblocking(true).unwrap();
+                        break listener;
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                }
+            });
+            match open.accept() {
                 Ok((stream, _)) => {
                     stream.set_nonblocking(false).ok();
                     stream.set_nodelay(true).ok();
@@ -324,12 +371,33 @@
                         });
                         continue;
                     }
+                    let late_ms = match path.as_str() {
+                        "/run-start" => self.late_start.swap(0, Ordering::SeqCst),
+                        _ => 0,
+                    };
+                    if late_ms > 0 {
+                        self.withheld.store(true, Ordering::SeqCst);
+                        let text = String::from_utf8_lossy(&body).into_owned();
+                        self.record.line(&format!(
+                            "runner {} leaves a start unanswered: {text}",
+                            self.kind.id
+                        ));
+                        let life = self.clone();
+                        thread::spawn(move || {
+                            thread::sleep(Duration::from_millis(late_ms));
+                            life.carry_out_late(&text);
+                        });
+                        continue;
+                    }
                     while self.hung.load(Ordering::SeqCst) && !self.is_dead() {
                         thread::sleep(Duration::from_millis(10));
                     }
                     self.handle(&path, &String::from_utf8_lossy(&body))
                 }
             };
+            if self.mute.load(Ordering::SeqCst) {
+                continue;
+            }
             if self.is_dead() || http::answer(&mut stream, status, &text).is_err() {
                 return;
             }
@@ -355,10 +423,6 @@
         let (Some(task), Some(run)) = (body.text("taskId"), body.num("runId")) else {
             return (400, "{}".to_owned());
         };
-        if self.sheds.load(Ordering::SeqCst) {
-            self.record.line(&format!("runner {}: {task} run {run} answered 503", self.kind.id));
-            return (503, format!("{{\"serverTimeMs\":{now}}}"));
-        }
         let spec = body.text("spec").unwrap_or_default();
         let mut state = self.state.lock().unwrap();
         let text = format!("runner {}: {task} run {run}", self.kind.id);
@@ -395,6 +459,23 @@
         (200, format!("{{\"serverTimeMs\":{now}}}"))
     }
 
+    /// Carries a start out whose time counts from now.
+    fn carry_out_late(&self, text: &str) {
+        let Some(Json::Table(mut rows)) = Json::parse(text) else { return };
+        for (name, value) in &mut rows {
+            if name == "expiresMs" {
+                *value = Json::Num((self.now() + MAX_HOLD_MS) as f64);
+            }
+        }
+        if !self.is_dead() {
+            let (status, _) = self.run_start(&Json::Table(rows));
+            self.record.line(&format!(
+                "runner {} carries the start out, with status {status}",
+                self.kind.id
+            ));
+        }
+    }
+
     fn run_stop(&self, body: &Json) -> (u16, String) {
         let now = self.now();
         let (Some(task), Some(run)) = (body.text("taskId"), body.num("runId")) else {
--- a/review/tool-3/soak.rs
+++ b/review/tool-3/soak.rs
@@ -340,6 +340,19 @@
             thread::sleep(ms(long));
             runner.set_hung(false);
         }
+        "cut" => {
+            let runner = &system.runners[n as usize % system.runners.len()];
+            runner.cut();
+            thread::sleep(ms(long));
+            runner.heal();
+        }
+        "mute" => {
+            let runner = &system.runners[n as usize % system.runners.len()];
+            record.line(&format!("FAULT mute {} for {long} ms", runner.kind.id));
+            runner.set_mute(true);
+            thread::sleep(ms(long));
+            runner.set_mute(false);
+        }
         "leave" => {
             let runner = &system.runners[n as usize % system.runners.len()];
             record.line(&format!("FAULT leave {}", runner.kind.id));
--- a/review/tool-3/system.rs
+++ b/review/tool-3/system.rs
@@ -181,16 +181,6 @@
         }
     }
 
-    /// Gives a runner another kind than the others.
-    pub fn label(&mut self, runner: usize, label: &str) {
-        let old = &self.runners[runner];
-        let mut kind = old.kind.clone();
-        kind.labels[0] = label.to_owned();
-        let control = self.addr("side", runner as u8 + 1, self.ports.control);
-        let (record, watch) = (self.record.clone(), self.watch.clone());
-        self.runners[runner] = Runner::new(kind, old.addr, control, record, watch);
-    }
-
     /// Starts all processes, and the runners.
     pub fn start(&mut self) {
         let record = self.record.clone();
--- a/review/tool-3/watch.rs
+++ b/review/tool-3/watch.rs
@@ -43,6 +43,8 @@
     /// Times of the starts.
     started: Vec<(f64, u64)>,
     failed: u64,
+    /// A run whose end `done` has been taken note of, and when.
+    noted: Option<(u64, f64)>,
 }
 
 #[derive(Default)]
@@ -128,7 +130,18 @@
         entry.starts += 1;
         entry.started.push((now, run));
         let others = entry.active.clone();
+        let noted = entry.noted;
         entry.active.push((run, runner.to_owned()));
+        if let Some((done, at)) = noted {
+            self.report(
+                state,
+                format!(
+                    "TWICE {task} run {run} on {runner} starts {:.1} s after the end done of run {done} \
+                     was taken note of",
+                    now - at
+                ),
+            );
+        }
         if !others.is_empty() {
             self.report(state, format!("TWICE {task} run {run} on {runner} beside {others:?}"));
         }
@@ -165,10 +178,13 @@
             return;
         };
         // An end does not count if the lease has lapsed between it and the cursor.
-        if state.lapses.iter().any(|(on, b, lapse)| on == runner && *b == born && lapse > at) {
+        if state.lapses.iter().any(|(on, b, lapse)| on == runner && *b == born && *lapse > *at) {
             return;
         }
-        let later = entry.started.iter().find(|(started, _)| started > at);
+        let at = *at;
+        let entry = state.tasks.get_mut(task).expect("known");
+        entry.noted.get_or_insert((run, self.record.s()));
+        let later = entry.started.iter().find(|(started, _)| *started > at);
         let text = later.map(|(started, other)| {
             format!(
                 "NOTED {task} run {run} on {runner} (born {born}) ended done at {at:.3}, run {other} \
@@ -199,19 +215,6 @@
         self.state.lock().unwrap().cancelled.insert(job.to_owned(), now);
     }
 
-    /// Whether a task of the job has started.
-    pub fn has_begun(&self, job: &str) -> bool {
-        self.state.lock().unwrap().tasks.keys().any(|task| task.starts_with(job))
-    }
-
-    /// How many jobs have begun.
-    pub fn begun(&self) -> u64 {
-        let state = self.state.lock().unwrap();
-        let jobs: BTreeSet<_> =
-            state.tasks.keys().filter_map(|task| task.split('.').next()).collect();
-        jobs.len() as u64
-    }
-
     /// How many runs of the job's tasks have ended failed.
     pub fn failed(&self, job: &str) -> u64 {
         let state = self.state.lock().unwrap();
