--- a/review/tool-3/main.rs
+++ b/review/tool-3/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod http;
 mod json;
+mod proxy;
 mod record;
 mod runner;
 mod soak;
--- a/review/tool-3/runner.rs
+++ b/review/tool-3/runner.rs
@@ -47,6 +47,8 @@
     late: Arc<AtomicU64>,
     /// Whether it answers nothing, and tasks stand still.
     hung: Arc<AtomicBool>,
+    /// Whether the time of late orders counts from when they are carried out.
+    grants: Arc<AtomicBool>,
     /// How late the next start is carried out, in ms, without an answer; 0 if it isn't.
     late_start: Arc<AtomicU64>,
     /// Whether a start has been left unanswered.
@@ -65,6 +67,8 @@
     start: Instant,
     dead: AtomicBool,
     draining: AtomicBool,
+    /// Whether the next report is due at once.
+    now_due: AtomicBool,
     state: Mutex<State>,
     ended: Condvar,
     streams: Mutex<Vec<TcpStream>>,
@@ -72,6 +76,7 @@
     watch: Arc<Watch>,
     late: Arc<AtomicU64>,
     hung: Arc<AtomicBool>,
+    grants: Arc<AtomicBool>,
     late_start: Arc<AtomicU64>,
     withheld: Arc<AtomicBool>,
     cut: Arc<AtomicBool>,
@@ -118,6 +123,7 @@
             life: Mutex::new(None),
             late: Arc::default(),
             hung: Arc::default(),
+            grants: Arc::default(),
             late_start: Arc::default(),
             withheld: Arc::default(),
             cut: Arc::default(),
@@ -135,6 +141,10 @@
         self.hung.store(hung, Ordering::SeqCst);
     }
 
+    pub fn set_grants(&self, grants: bool) {
+        self.grants.store(grants, Ordering::SeqCst);
+    }
+
     /// The next start gets no answer and is carried out `ms` later; its time counts from then.
     pub fn set_late_start(&self, ms: u64) {
         self.late_start.store(ms, Ordering::SeqCst);
@@ -165,6 +175,18 @@
         self.cut.store(false, Ordering::SeqCst);
     }
 
+    /// Says that it leaves, and ends 2.2 s later, whatever runs then.
+    pub fn leave(&self) {
+        let Some(life) = self.life.lock().unwrap().clone() else { return };
+        life.draining.store(true, Ordering::SeqCst);
+        life.now_due.store(true, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(2_200));
+        let path = format!("/instances/{}", life.kind.id);
+        let answer = http::call(self.control, "DELETE", &path, &[], "", Duration::from_secs(1));
+        self.record.line(&format!("runner {} leaves: {answer:?}", life.kind.id));
+        self.crash();
+    }
+
     pub fn drain(&self) {
         if let Some(life) = &*self.life.lock().unwrap() {
             life.draining.store(true, Ordering::SeqCst);
@@ -192,6 +214,7 @@
             start: Instant::now(),
             dead: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            now_due: AtomicBool::new(false),
             state: Mutex::default(),
             ended: Condvar::new(),
             streams: Mutex::default(),
@@ -199,6 +222,7 @@
             watch: self.watch.clone(),
             late: self.late.clone(),
             hung: self.hung.clone(),
+            grants: self.grants.clone(),
             late_start: self.late_start.clone(),
             withheld: self.withheld.clone(),
             cut: self.cut.clone(),
@@ -273,7 +297,11 @@
             let limit = Duration::from_secs(1);
             let answer = http::call(control, "PUT", &path, &[], &body, limit);
             let acknowledged = matches!(answer, Ok((200..=299, _)));
-            thread::sleep(if acknowledged { HEARTBEAT } else { Duration::from_millis(200) });
+            let pause = if acknowledged { HEARTBEAT } else { Duration::from_millis(200) };
+            let until = Instant::now() + pause;
+            while Instant::now() < until && !self.now_due.swap(false, Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(10));
+            }
         }
     }
 
@@ -364,9 +392,15 @@
                     if rng.below(1_000) < self.late.load(Ordering::SeqCst) {
                         let life = self.clone();
                         thread::spawn(move || {
+                            let arrived = life.now();
                             thread::sleep(Duration::from_millis(2_000 + rng.below(10_000)));
+                            let text = String::from_utf8_lossy(&body).into_owned();
+                            let text = match life.grants.load(Ordering::SeqCst) {
+                                true => postpone(&text, life.now() - arrived),
+                                false => text,
+                            };
                             if !life.is_dead() {
-                                life.handle(&path, &String::from_utf8_lossy(&body));
+                                life.handle(&path, &text);
                             }
                         });
                         continue;
@@ -534,6 +568,15 @@
     }
 }
 
+/// Moves the end of the time that an order grants.
+fn postpone(text: &str, ms: u64) -> String {
+    let Some(expires) = Json::parse(text).as_ref().and_then(|body| body.num("expiresMs")) else {
+        return text.to_owned();
+    };
+    let field = "\"expiresMs\":";
+    text.replace(&format!("{field}{expires}"), &format!("{field}{}", expires + ms))
+}
+
 impl State {
     /// Notes the fence number of an order; false if it is lower than the highest one.
     fn take_fence(&mut self, body: &Json) -> bool {
--- a/review/tool-3/soak.rs
+++ b/review/tool-3/soak.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     Verdict,
+    proxy::Proxy,
     record::Record,
     system::System,
     watch::{Rng, Watch},
@@ -32,6 +33,9 @@
 
 pub fn soak(record: Record, seed: u64, kinds: &str) -> Verdict {
     let mut system = System::new(record.clone(), 5, 2, 6);
+    if kinds.contains("part") {
+        system.lead_through_proxies();
+    }
     system.start();
     if !system.configure(7, &[(KEPT, 3), (LOOSE, 3)], ms(20_000)) {
         return Verdict::NotRun("no configuration".to_owned());
@@ -326,9 +330,10 @@
             };
             runner.start(&id);
         }
-        "late" => {
-            record.line("FAULT late orders");
+        "late" | "grants" => {
+            record.line(&format!("FAULT late orders ({what})"));
             let runner = &system.runners[n as usize % system.runners.len()];
+            runner.set_grants(what == "grants");
             runner.set_late(200);
             thread::sleep(ms(5_500));
             runner.set_late(0);
@@ -353,6 +358,28 @@
             thread::sleep(ms(long));
             runner.set_mute(false);
         }
+        // Parts an entry or a sidecar from the control instances.
+        "part" => {
+            let mut name = String::new();
+            on(class, &mut |node| name = node.name.clone());
+            let refuse = rng.below(2) == 0;
+            record.line(&format!("FAULT {name} is cut off for {long} ms, refuse={refuse}"));
+            system.paths[&name].iter().for_each(|path| path.cut(refuse));
+            thread::sleep(ms(long));
+            system.paths[&name].iter().for_each(Proxy::heal);
+            record.line(&format!("{name} is in touch again"));
+        }
+        "spot" => {
+            let runner = &system.runners[n as usize % system.runners.len()];
+            record.line(&format!("FAULT spot {}", runner.kind.id));
+            runner.leave();
+            thread::sleep(ms(long));
+            let id = match rng.below(2) {
+                0 => runner.kind.id.clone(),
+                _ => format!("{}-{:x}", runner.kind.id, rng.below(65_536)),
+            };
+            runner.start(&id);
+        }
         "leave" => {
             let runner = &system.runners[n as usize % system.runners.len()];
             record.line(&format!("FAULT leave {}", runner.kind.id));
--- a/review/tool-3/system.rs
+++ b/review/tool-3/system.rs
@@ -15,6 +15,7 @@
 use crate::{
     http::{self, Response},
     json::quote,
+    proxy::Proxy,
     record::Record,
     runner::{Kind, Runner},
     watch::Watch,
@@ -47,6 +48,8 @@
     pub entries: Vec<Node>,
     pub sidecars: Vec<Node>,
     pub runners: Vec<Arc<Runner>>,
+    /// The paths of each entry and of each sidecar to the control instances, if they can be cut.
+    pub paths: BTreeMap<String, Vec<Proxy>>,
 }
 
 #[derive(Clone, Copy)]
@@ -109,6 +112,7 @@
             entries: Vec::new(),
             sidecars: Vec::new(),
             runners: Vec::new(),
+            paths: BTreeMap::new(),
         };
         system.controls = (1..=controls).map(|n| system.node("core", n)).collect();
         system.entries = (1..=entries).map(|n| system.node("edge", n)).collect();
@@ -131,6 +135,24 @@
         system
     }
 
+    /// Leads the paths of the entries and of the sidecars to the control instances through proxies. Nothing
+    /// may run yet.
+    pub fn lead_through_proxies(&mut self) {
+        let (net, port) = (self.net, self.ports.range + 1);
+        let controls = 1..=self.controls.len() as u8;
+        for (third, node) in (20..).zip(self.entries.iter_mut().chain(&mut self.sidecars)) {
+            let proxies = controls
+                .clone()
+                .map(|n| Proxy::start([127, net, 1, n], [127, net, third, n], port))
+                .collect();
+            self.paths.insert(node.name.clone(), proxies);
+            let seeds: Vec<String> = (1..=3)
+                .map(|n| quote(&format!("127.{net}.{third}.{n}:{}", self.ports.control)))
+                .collect();
+            node.set("seeds|json", &format!("[{}]", seeds.join(",")));
+        }
+    }
+
     fn addr(&self, class: &str, n: u8, port: u16) -> SocketAddr {
         let third = match class {
             "core" => 1,
